--- /dev/null
+++ b/src/comfreylatch/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the command line."""
+
+from __future__ import annotations
+
+
+def main() -> None:
+    """Runs the command line; never returns a value, may exit."""
+    from comfreylatch._commands import main as commands
+
+    commands.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/comfreylatch/_commands/__init__.py
@@ -0,0 +1,3 @@
+"""Client commands and the entry point of the command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/comfreylatch/_connection/__init__.py
@@ -0,0 +1,3 @@
+"""Adapters that live as long as a connection to one peer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/comfreylatch/_connection/address.py
@@ -0,0 +1,45 @@
+"""Addresses as written in settings and configuration: `IP:port`."""
+
+from __future__ import annotations
+
+import ipaddress
+
+import attrs
+import result
+
+MAX_PORT = 65_535
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a TCP port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.ip:
+            return f"[{self.ip}]:{self.port}"
+        return f"{self.ip}:{self.port}"
+
+
+@attrs.frozen
+class BadAddress:
+    """The text is not `IP:port`."""
+
+    detail: str
+
+
+def parse(text: str) -> result.Result[Address, BadAddress]:
+    """Parses `IP:port`; names are refused, as hosts speak by IP numbers."""
+    ip_text, separator, port_text = text.rpartition(":")
+    if not separator or not port_text.isascii() or not port_text.isdigit():
+        return result.Err(BadAddress(f"{text!r} is not of the form IP:port"))
+    port = int(port_text)
+    if port > MAX_PORT:
+        return result.Err(BadAddress(f"port {port} is above {MAX_PORT}"))
+    try:
+        ip = ipaddress.ip_address(ip_text.strip("[]"))
+    except ValueError:
+        return result.Err(BadAddress(f"{ip_text!r} is not an IP number"))
+    return result.Ok(Address(str(ip), port))
--- /dev/null
+++ b/src/comfreylatch/_ports/__init__.py
@@ -0,0 +1,3 @@
+"""Interfaces to the outside, declared apart from their adapters."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/comfreylatch/_process/__init__.py
@@ -0,0 +1,3 @@
+"""State and services that live as long as the process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/comfreylatch/_process/journal.py
@@ -0,0 +1,93 @@
+"""A bounded journal of decisions, from which `explain` answers."""
+
+from __future__ import annotations
+
+import collections
+import threading
+
+import attrs
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import reasons
+
+MAX_DECISIONS = 20_000
+
+
+@attrs.frozen
+class Decision:
+    """One decision of this host.
+
+    Attributes:
+        wall_ms: When, in milliseconds since the epoch.
+        host: Host id of the host that decided.
+        subject: What kind of thing it is about.
+        name: Id of that thing.
+        reason: Short stable word for the reason, from `reasons` or a record.
+        sentence: The same for a person, with the figures that decided.
+        offset: Offset of the record that decided; -1 when none did.
+    """
+
+    wall_ms: int
+    host: str
+    subject: reasons.Subject
+    name: str
+    reason: str
+    sentence: str
+    offset: int = -1
+
+
+class Journal:
+    """Keeps the last decisions, the oldest forgotten first. Thread-safe."""
+
+    def __init__(
+        self,
+        host: str,
+        clock: clock_port.Clock,
+        max_decisions: int = MAX_DECISIONS,
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._decisions: collections.deque[Decision] = collections.deque(
+            maxlen=max_decisions
+        )
+        self._forgotten = 0
+
+    def note(
+        self,
+        subject: reasons.Subject,
+        name: str,
+        reason: str,
+        sentence: str,
+        offset: int = -1,
+    ) -> None:
+        """Adds a decision made now."""
+        decision = Decision(
+            wall_ms=self._clock.wall_ms(),
+            host=self._host,
+            subject=subject,
+            name=name,
+            reason=reason,
+            sentence=sentence,
+            offset=offset,
+        )
+        with self._lock:
+            if len(self._decisions) == self._decisions.maxlen:
+                self._forgotten += 1
+            self._decisions.append(decision)
+
+    def about(
+        self, subject: reasons.Subject, name: str
+    ) -> tuple[Decision, ...]:
+        """Decisions about one thing, oldest first."""
+        with self._lock:
+            return tuple(
+                decision
+                for decision in self._decisions
+                if decision.subject == subject and decision.name == name
+            )
+
+    @property
+    def forgotten(self) -> int:
+        """How many decisions no longer fit."""
+        return self._forgotten
--- /dev/null
+++ b/src/comfreylatch/_process/metrics.py
@@ -0,0 +1,142 @@
+"""Counters by reason and latency histograms of one process."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import threading
+
+import attrs
+from hdrh import histogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+
+
+class Counter(enum.StrEnum):
+    """What is counted; most counters are split by a reason."""
+
+    REQUESTS = "requests"
+    REFUSALS = "refusals"
+    RETRIES = "retries"
+    OUTCOMES = "outcomes"
+    BAD_RECORDS = "bad-records"
+    BAD_PEER_MESSAGES = "bad-peer-messages"
+    LOG_APPENDS = "log-appends"
+    LOG_RECORDS = "log-records"
+    PEER_MESSAGES = "peer-messages"
+    JOB_EVENTS = "job-events"
+    WORKER_COMMANDS = "worker-commands"
+    EVICTIONS = "evictions"
+    LOANS = "loans"
+    EJECTIONS = "ejections"
+
+
+class Latency(enum.StrEnum):
+    """What is timed, in microseconds."""
+
+    REQUEST = "request"
+    TRY = "try"
+    QUEUE = "queue"
+    LOG_APPEND = "log-append"
+    TICKET = "ticket"
+    DECISION = "decision"
+
+
+@attrs.frozen
+class CounterLine:
+    """The value of one counter for one label."""
+
+    counter: str
+    label: str
+    value: int
+
+
+@attrs.frozen
+class LatencyLine:
+    """Quantiles of one latency for one label, in microseconds.
+
+    `encoded` is the whole histogram in the HdrHistogram V2 format, so that
+    histograms of several hosts can be merged exactly.
+    """
+
+    latency: str
+    label: str
+    count: int
+    p50_us: int
+    p99_us: int
+    p999_us: int
+    max_us: int
+    encoded: str
+
+
+@attrs.frozen
+class MetricsPage:
+    """All metrics of a process at one moment."""
+
+    counters: tuple[CounterLine, ...]
+    latencies: tuple[LatencyLine, ...]
+
+
+class Metrics:
+    """Counters and histograms. Thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._histograms: dict[tuple[str, str], histogram.HdrHistogram] = {}
+
+    def count(self, counter: Counter, label: str = "", by: int = 1) -> None:
+        """Adds to a counter; `label` is a reason or the name of a thing."""
+        with self._lock:
+            self._counters[counter, label] += by
+
+    def value(self, counter: Counter, label: str = "") -> int:
+        """Value of a counter so far."""
+        with self._lock:
+            return self._counters[counter, label]
+
+    def observe(
+        self, latency: Latency, elapsed_us: int, label: str = ""
+    ) -> None:
+        """Adds one measured time."""
+        bounded_us = min(max(elapsed_us, LOWEST_US), HIGHEST_US)
+        with self._lock:
+            found = self._histograms.get((latency, label))
+            if found is None:
+                found = histogram.HdrHistogram(
+                    LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+                )
+                self._histograms[latency, label] = found
+            found.record_value(bounded_us)
+
+    def page(self) -> MetricsPage:
+        """A consistent copy of everything."""
+        with self._lock:
+            counters = tuple(
+                CounterLine(counter, label, value)
+                for (counter, label), value in sorted(self._counters.items())
+            )
+            latencies = tuple(
+                _latency_line(latency, label, found)
+                for (latency, label), found in sorted(self._histograms.items())
+            )
+        return MetricsPage(counters, latencies)
+
+
+def _latency_line(
+    latency: str, label: str, found: histogram.HdrHistogram
+) -> LatencyLine:
+    return LatencyLine(
+        latency=latency,
+        label=label,
+        count=found.get_total_count(),
+        p50_us=int(found.get_value_at_percentile(50)),
+        p99_us=int(found.get_value_at_percentile(99)),
+        p999_us=int(found.get_value_at_percentile(99.9)),
+        max_us=int(found.get_max_value()),
+        encoded=found.encode().decode("ascii"),
+    )
--- /dev/null
+++ b/src/comfreylatch/_process/settings.py
@@ -0,0 +1,82 @@
+"""Settings of one entry host: what its file says and tickets do not."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class PeerSettings:
+    """Another entry host's seat.
+
+    Attributes:
+        seat: Name of the seat.
+        zone: Availability zone of the seat.
+        peer_address: `IP:port` of its thrift server.
+    """
+
+    seat: str
+    zone: str
+    peer_address: str
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform is reached.
+
+    Attributes:
+        log_address: `IP:port` of the log service.
+        host_list_address: `IP:port` of the list of hosts.
+    """
+
+    log_address: str
+    host_list_address: str
+
+
+@attrs.frozen
+class TimingSettings:
+    """Intervals and bounds of this process.
+
+    Attributes:
+        heartbeat_ms: Between two heartbeats to each peer.
+        host_list_ms: Between two fetches of the host list.
+        log_timeout_ms: For one call to the log.
+        peer_timeout_ms: For one call to a peer.
+        connect_timeout_ms: For a connection to an endpoint or worker.
+        stop_timeout_ms: How long a stop waits for requests in progress.
+    """
+
+    heartbeat_ms: int = 500
+    host_list_ms: int = 1_000
+    log_timeout_ms: int = 2_000
+    peer_timeout_ms: int = 1_000
+    connect_timeout_ms: int = 500
+    stop_timeout_ms: int = 60_000
+
+
+@attrs.frozen
+class Settings:
+    """The whole settings file.
+
+    Attributes:
+        seat: Name of the place this host fills; a replacement takes the same.
+        zone: Availability zone.
+        caller_address: `IP:port` for callers.
+        operator_address: `IP:port` for operators, metrics and health.
+        peer_address: `IP:port` for the thrift protocol.
+        platform: The platform's services.
+        peers: Every other seat of every zone.
+        threads: Threads for callers' connections.
+        log_level: One of logbook's level names, in lower case.
+    """
+
+    seat: str
+    zone: str
+    caller_address: str
+    operator_address: str
+    peer_address: str
+    platform: PlatformSettings
+    peers: tuple[PeerSettings, ...] = ()
+    timing: TimingSettings = TimingSettings()
+    threads: int = 96
+    log_level: str = "info"
--- /dev/null
+++ b/src/comfreylatch/_wire/__init__.py
@@ -0,0 +1,3 @@
+"""The thrift protocol between entry hosts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/comfreylatch/_wire/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/tests/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of commands."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/connection/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of connection."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/connection/test_address.py
@@ -0,0 +1,27 @@
+"""Tests of addresses."""
+
+from __future__ import annotations
+
+import result
+import testtools
+
+from comfreylatch._connection import address
+
+
+class ParseTest(testtools.TestCase):
+    """Parsing of `IP:port`."""
+
+    def test_ip_and_port(self) -> None:
+        """An IP number and a port are taken apart."""
+        self.assertEqual(
+            result.Ok(address.Address("127.0.0.1", 80)),
+            address.parse("127.0.0.1:80"),
+        )
+
+    def test_name_is_refused(self) -> None:
+        """Hosts speak by IP numbers only."""
+        self.assertTrue(address.parse("localhost:80").is_err())
+
+    def test_port_out_of_range_is_refused(self) -> None:
+        """A port has 16 bits."""
+        self.assertTrue(address.parse("127.0.0.1:65536").is_err())
--- /dev/null
+++ b/tests/ports/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of ports."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/request/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of system."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/version/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of version."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of wire."""
+
+from __future__ import annotations
