--- /dev/null
+++ b/src/comfreylatch/_process/membership.py
@@ -0,0 +1,328 @@
+"""Membership between entry hosts: heartbeats, views and pushed records.
+
+Seats come from the settings, so the set of peers never changes by itself;
+what changes is which process fills a seat and whether it answers. One thread
+a peer sends heartbeats and pushes new records in between.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import contextlib
+import threading
+from typing import Any
+from typing import final
+from typing import Protocol
+from typing import Self
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._connection import address
+from comfreylatch._connection import peer_link
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import peers
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import settings as settings_module
+from comfreylatch._wire.gen.peer import ttypes
+
+PROTOCOL = 1
+MISSED_HEARTBEATS = 3
+MAX_PUSHED_ENTRIES = 1_000
+
+_logger = logbook.Logger(__name__)
+
+
+class HeartbeatSource(Protocol):
+    """Gives what this host says of itself in a heartbeat."""
+
+    def heartbeat(self) -> ttypes.Heartbeat:
+        """This host's state now."""
+        ...
+
+
+@attrs.frozen
+class SeatMemory:
+    """The last process this host knew in a seat.
+
+    Attributes:
+        host_id: Its host id.
+        drained: Whether it said that all its requests have ended.
+    """
+
+    host_id: str
+    drained: bool
+
+
+@final
+class Membership:
+    """All other seats; implements `_ports.peers.Peers`."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        source: HeartbeatSource,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._seats: dict[str, SeatMemory] = {}
+        self._predecessors: dict[str, SeatMemory] = {}
+        self._own_predecessor: SeatMemory | None = None
+        self._listeners: list[Callable[[peers.PeerView], None]] = []
+        self._members = {
+            peer.seat: _Member(
+                peer, settings.timing, source, metrics, self, clock
+            )
+            for peer in settings.peers
+        }
+        self._stack = contextlib.ExitStack()
+
+    def __enter__(self) -> Self:
+        for member in self._members.values():
+            self._stack.enter_context(member)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for member in self._members.values():
+            member.ask_to_stop()
+        self._stack.close()
+
+    def views(self) -> tuple[peers.PeerView, ...]:
+        """See `Peers.views`."""
+        now_ms = self._clock.monotonic_ms()
+        silent_ms = self._settings.timing.heartbeat_ms * MISSED_HEARTBEATS
+        silent_ms += self._settings.timing.peer_timeout_ms
+        return tuple(
+            attrs.evolve(
+                member.view,
+                reachable=member.view.heard_ms >= 0
+                and now_ms - member.view.heard_ms <= silent_ms,
+            )
+            for member in self._members.values()
+        )
+
+    def on_heard(self, listener: Callable[[peers.PeerView], None]) -> None:
+        """Calls `listener` after each heartbeat that was answered."""
+        self._listeners.append(listener)
+
+    def remember(self, seat: str, host_id: str, drained: bool) -> None:
+        """Notes which process fills a seat, from either side's heartbeat."""
+        with self._lock:
+            known = self._seats.get(seat)
+            if known is not None and known.host_id != host_id:
+                self._predecessors[seat] = known
+            self._seats[seat] = SeatMemory(host_id, drained)
+
+    def predecessor(self, seat: str) -> SeatMemory | None:
+        """The process that filled a seat before the present one."""
+        with self._lock:
+            return self._predecessors.get(seat)
+
+    def note_own_predecessor(self, memory: SeatMemory) -> None:
+        """Notes what a peer said of the process before this one."""
+        with self._lock:
+            self._own_predecessor = memory
+
+    def own_predecessor(self) -> SeatMemory | None:
+        """What peers said of the process before this one; None if nothing."""
+        with self._lock:
+            return self._own_predecessor
+
+    def note_reply(
+        self, view: peers.PeerView, reply: ttypes.HeartbeatReply
+    ) -> peers.PeerView:
+        """Turns a heartbeat's answer into the new view of a peer."""
+        new_view = attrs.evolve(
+            view,
+            host_id=reply.host_id,
+            heard_ms=self._clock.monotonic_ms(),
+            stopping=reply.stopping,
+            config_offset=reply.config_offset,
+            config_digest=reply.config_digest,
+            leaving_endpoints=frozenset(reply.leaving_endpoints or ()),
+            spare_slots=dict(reply.spare_slots or {}),
+        )
+        for listener in self._listeners:
+            listener(new_view)
+        return new_view
+
+    def forward(
+        self, seat: str, request: ttypes.ForwardRequest, timeout_ms: int
+    ) -> result.Result[ttypes.ForwardReply, peers.PeerError]:
+        """See `Peers.forward`."""
+        return self._call(seat, lambda c: c.forward(request), timeout_ms)
+
+    def mark(
+        self, seat: str, request: ttypes.MarkRequest, timeout_ms: int
+    ) -> result.Result[ttypes.MarkReply, peers.PeerError]:
+        """See `Peers.mark`."""
+        return self._call(seat, lambda c: c.mark(request), timeout_ms)
+
+    def borrow(
+        self, seat: str, request: ttypes.LoanRequest, timeout_ms: int
+    ) -> result.Result[ttypes.LoanReply, peers.PeerError]:
+        """See `Peers.borrow`."""
+        return self._call(seat, lambda c: c.borrow(request), timeout_ms)
+
+    def give_back(
+        self, seat: str, loan: ttypes.LoanReturn, timeout_ms: int
+    ) -> result.Result[None, peers.PeerError]:
+        """See `Peers.give_back`."""
+        return self._call(seat, lambda c: c.give_back(loan), timeout_ms)
+
+    def catch_up(
+        self, seat: str, request: ttypes.CatchUpRequest, timeout_ms: int
+    ) -> result.Result[ttypes.CatchUpReply, peers.PeerError]:
+        """See `Peers.catch_up`."""
+        return self._call(seat, lambda c: c.catch_up(request), timeout_ms)
+
+    def explain(
+        self, seat: str, subject: str, name: str, timeout_ms: int
+    ) -> result.Result[bytes, peers.PeerError]:
+        """See `Peers.explain`."""
+        return self._call(seat, lambda c: c.explain(subject, name), timeout_ms)
+
+    def push(
+        self, stream: str, entries: tuple[ttypes.StreamEntry, ...]
+    ) -> None:
+        """See `Peers.push`."""
+        for member in self._members.values():
+            member.offer(stream, entries)
+
+    def say_drained(self) -> None:
+        """Tells every peer at once that this process has ended its work."""
+        for member in self._members.values():
+            member.beat()
+
+    def _call(
+        self,
+        seat: str,
+        send: Callable[[Any], Any],
+        timeout_ms: int,
+    ) -> result.Result:
+        member = self._members.get(seat)
+        if member is None:
+            return result.Err(peers.PeerUnreachable(f"no seat {seat!r}"))
+        return member.link.call(send, timeout_ms)
+
+
+class _Member:
+    """One other seat: its link and the thread that sends heartbeats."""
+
+    def __init__(
+        self,
+        peer: settings_module.PeerSettings,
+        timing: settings_module.TimingSettings,
+        source: HeartbeatSource,
+        metrics: metrics_module.Metrics,
+        membership: Membership,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._clock = clock
+        self._peer = peer
+        self._timing = timing
+        self._source = source
+        self._metrics = metrics
+        self._membership = membership
+        self._wake = threading.Condition()
+        self._stopping = False
+        self._queue: collections.deque[tuple[str, ttypes.StreamEntry]] = (
+            collections.deque(maxlen=MAX_PUSHED_ENTRIES)
+        )
+        self._thread = threading.Thread(
+            target=self._run, name=f"peer-{peer.seat}", daemon=True
+        )
+        parsed = address.parse(peer.peer_address).unwrap()
+        self.link = peer_link.PeerLink(parsed, timing.connect_timeout_ms)
+        self.view = peers.PeerView(peer.seat, peer.zone)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.ask_to_stop()
+        self._thread.join(self._timing.peer_timeout_ms * 2 / 1_000)
+        self.link.__exit__()
+
+    def ask_to_stop(self) -> None:
+        """Lets the thread end without waiting for it."""
+        with self._wake:
+            self._stopping = True
+            self._wake.notify()
+
+    def offer(
+        self, stream: str, entries: tuple[ttypes.StreamEntry, ...]
+    ) -> None:
+        """Queues records to be pushed; the oldest give way when it's full."""
+        with self._wake:
+            self._queue.extend((stream, entry) for entry in entries)
+            self._wake.notify()
+
+    def beat(self) -> None:
+        """Sends one heartbeat and takes in the answer."""
+        beat = self._source.heartbeat()
+        answer = self.link.call(
+            lambda client: client.heartbeat(beat), self._timing.peer_timeout_ms
+        )
+        match answer:
+            case result.Ok(reply):
+                self._metrics.count(
+                    metrics_module.Counter.PEER_MESSAGES, "heartbeat"
+                )
+                self._membership.remember(
+                    self._peer.seat, reply.host_id, drained=False
+                )
+                if reply.predecessor_host_id:
+                    self._take_predecessor(reply)
+                self.view = self._membership.note_reply(self.view, reply)
+            case result.Err(error):
+                self._metrics.count(
+                    metrics_module.Counter.PEER_MESSAGES,
+                    type(error).__name__,
+                )
+
+    def _take_predecessor(self, reply: ttypes.HeartbeatReply) -> None:
+        self._membership.note_own_predecessor(
+            SeatMemory(
+                reply.predecessor_host_id, bool(reply.predecessor_drained)
+            )
+        )
+
+    def _run(self) -> None:
+        while True:
+            self.beat()
+            if not self._wait():
+                return
+
+    def _wait(self) -> bool:
+        """Pushes what is queued until the next heartbeat; False to stop."""
+        deadline_ms = self._clock.monotonic_ms() + self._timing.heartbeat_ms
+        while True:
+            with self._wake:
+                while not self._queue and not self._stopping:
+                    left_ms = deadline_ms - self._clock.monotonic_ms()
+                    if left_ms <= 0:
+                        return True
+                    self._wake.wait(left_ms / 1_000)
+                if self._stopping:
+                    return False
+                queued = list(self._queue)
+                self._queue.clear()
+            self._push(queued)
+
+    def _push(self, queued: list[tuple[str, ttypes.StreamEntry]]) -> None:
+        """Pushes records by stream; a peer reads a lost push from the log."""
+        by_stream: dict[str, list[ttypes.StreamEntry]] = {}
+        for stream, entry in queued:
+            by_stream.setdefault(stream, []).append(entry)
+        for stream, entries in by_stream.items():
+            self.link.call(
+                lambda client, s=stream, e=entries: client.push(s, e),
+                self._timing.peer_timeout_ms,
+            )
--- a/src/comfreylatch/_wire/gen/peer/ttypes.py
+++ b/src/comfreylatch/_wire/gen/peer/ttypes.py
@@ -48,6 +48,7 @@
      - zone_offset
      - zone_digest
      - spare_slots
+     - drained
 
     """
 
@@ -63,10 +64,11 @@
         'zone_offset',
         'zone_digest',
         'spare_slots',
+        'drained',
     )
 
 
-    def __init__(self, protocol=None, seat=None, host_id=None, zone=None, config_offset=None, config_digest=None, stopping=None, leaving_endpoints=None, zone_offset=None, zone_digest=None, spare_slots=None,):
+    def __init__(self, protocol=None, seat=None, host_id=None, zone=None, config_offset=None, config_digest=None, stopping=None, leaving_endpoints=None, zone_offset=None, zone_digest=None, spare_slots=None, drained=None,):
         self.protocol = protocol
         self.seat = seat
         self.host_id = host_id
@@ -78,6 +80,7 @@
         self.zone_offset = zone_offset
         self.zone_digest = zone_digest
         self.spare_slots = spare_slots
+        self.drained = drained
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -154,6 +157,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.drained = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -215,6 +223,10 @@
                 oprot.writeI32(viter15)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.drained is not None:
+            oprot.writeFieldBegin('drained', TType.BOOL, 12)
+            oprot.writeBool(self.drained)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -266,6 +278,8 @@
      - zone_offset
      - zone_digest
      - spare_slots
+     - predecessor_host_id
+     - predecessor_drained
 
     """
 
@@ -279,10 +293,12 @@
         'zone_offset',
         'zone_digest',
         'spare_slots',
+        'predecessor_host_id',
+        'predecessor_drained',
     )
 
 
-    def __init__(self, protocol=None, host_id=None, config_offset=None, config_digest=None, stopping=None, leaving_endpoints=None, zone_offset=None, zone_digest=None, spare_slots=None,):
+    def __init__(self, protocol=None, host_id=None, config_offset=None, config_digest=None, stopping=None, leaving_endpoints=None, zone_offset=None, zone_digest=None, spare_slots=None, predecessor_host_id=None, predecessor_drained=None,):
         self.protocol = protocol
         self.host_id = host_id
         self.config_offset = config_offset
@@ -292,6 +308,8 @@
         self.zone_offset = zone_offset
         self.zone_digest = zone_digest
         self.spare_slots = spare_slots
+        self.predecessor_host_id = predecessor_host_id
+        self.predecessor_drained = predecessor_drained
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -358,6 +376,16 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.predecessor_host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.predecessor_drained = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -411,6 +439,14 @@
                 oprot.writeI32(viter31)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.predecessor_host_id is not None:
+            oprot.writeFieldBegin('predecessor_host_id', TType.STRING, 10)
+            oprot.writeString(self.predecessor_host_id.encode('utf-8') if sys.version_info[0] == 2 else self.predecessor_host_id)
+            oprot.writeFieldEnd()
+        if self.predecessor_drained is not None:
+            oprot.writeFieldBegin('predecessor_drained', TType.BOOL, 11)
+            oprot.writeBool(self.predecessor_drained)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1765,6 +1801,7 @@
     (9, TType.I64, 'zone_offset', None, None, ),  # 9
     (10, TType.STRING, 'zone_digest', 'UTF8', None, ),  # 10
     (11, TType.MAP, 'spare_slots', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 11
+    (12, TType.BOOL, 'drained', None, None, ),  # 12
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
@@ -1778,6 +1815,8 @@
     (7, TType.I64, 'zone_offset', None, None, ),  # 7
     (8, TType.STRING, 'zone_digest', 'UTF8', None, ),  # 8
     (9, TType.MAP, 'spare_slots', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 9
+    (10, TType.STRING, 'predecessor_host_id', 'UTF8', None, ),  # 10
+    (11, TType.BOOL, 'predecessor_drained', None, None, ),  # 11
 )
 all_structs.append(StreamEntry)
 StreamEntry.thrift_spec = (
--- a/src/comfreylatch/_wire/peer.thrift
+++ b/src/comfreylatch/_wire/peer.thrift
@@ -16,6 +16,8 @@
   10: optional string zone_digest
   // Slots free for other zones' requests, by service.
   11: optional map<string, i32> spare_slots
+  // True in the last message of a process that has ended all its requests.
+  12: optional bool drained
 }
 
 struct HeartbeatReply {
@@ -28,6 +30,10 @@
   7: optional i64 zone_offset
   8: optional string zone_digest
   9: optional map<string, i32> spare_slots
+  // What the answering host knows of the caller's seat: the last other
+  // process in it, and whether that one ended all its requests.
+  10: optional string predecessor_host_id
+  11: optional bool predecessor_drained
 }
 
 struct StreamEntry {
