Keep an endpoint's slots in books that lend and borrow

The lender debits before it answers, the borrower counts from before it asked, a request takes a borrowed slot only if it ends in time, and a request given up keeps its slot until the endpoint has surely ended it. A model of two hosts that take, end, lose answers, lend, die and are replaced finds no endpoint over its slots in 200 runs of 25 steps, and finds one when the debit, the end of a loan or the slot in doubt is left out (tests/process/test_slot_book.py, derandomized).

--- /dev/null
+++ b/tests/process/test_slot_book.py
@@ -0,0 +1,199 @@
+"""Tests of slot shares and loans, and of their sum over several hosts."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import testtools
+
+from comfreylatch._process import slot_book
+
+SLOTS = 4
+HOSTS = 2
+LOAN_MS = 1_000
+RUN_MS = 700
+
+
+class SlotBookTest(testtools.TestCase):
+    """One host's book."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.book = slot_book.SlotBook("ex-1")
+        self.book.set_own(2)
+
+    def test_own_share_bounds_takes(self) -> None:
+        taken = [self.book.take(0, RUN_MS) for _ in range(3)]
+        self.assertEqual([True, True, False], [bool(hold) for hold in taken])
+
+    def test_lent_slot_is_gone_until_it_runs_out(self) -> None:
+        self.assertEqual(1, self.book.lend(0, 1, "h", 5, LOAN_MS))
+        self.assertEqual(1, self.book.free(LOAN_MS, RUN_MS))
+        self.assertEqual(2, self.book.free(LOAN_MS + 100, RUN_MS))
+
+    def test_repeated_loan_request_debits_once(self) -> None:
+        self.book.lend(0, 1, "h", 1, LOAN_MS)
+        self.assertEqual(0, self.book.lend(1, 1, "h", 1, LOAN_MS))
+        self.assertEqual(1, self.book.lent_slots)
+
+    def test_borrowed_slot_takes_only_requests_that_end_in_time(self) -> None:
+        self.book.set_own(0)
+        self.book.add_borrowed(slot_book.Borrowed("s", 1, 1, LOAN_MS))
+        late_ms = LOAN_MS - RUN_MS + 1
+        self.assertIsNone(self.book.take(late_ms, RUN_MS))
+        self.assertIsNotNone(self.book.take(late_ms - 1, RUN_MS))
+
+    def test_slot_in_doubt_frees_at_its_bound(self) -> None:
+        hold = self.book.take(0, RUN_MS)
+        assert hold is not None
+        self.book.release_in_doubt(hold)
+        self.assertEqual(1, self.book.free(RUN_MS - 1, RUN_MS))
+        self.assertEqual(2, self.book.free(RUN_MS, RUN_MS))
+
+
+class LoanModel(stateful.RuleBasedStateMachine):
+    """Hosts that take, end, lend, lose messages, die and are replaced."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.loan_id = 0
+        self.books = [self._new_book(own=True) for _ in range(HOSTS)]
+        self.start_ms = [0] * HOSTS
+        self.running: list[tuple[int, slot_book.SlotHold, int]] = []
+        self.orphans: list[int] = []
+
+    def _new_book(self, own: bool) -> slot_book.SlotBook:
+        book = slot_book.SlotBook("ex-1")
+        book.set_own(SLOTS // HOSTS if own else 0)
+        return book
+
+    @stateful.rule(host=strategies.integers(0, HOSTS - 1))
+    def fill(self, host: int) -> None:
+        """Requests start while there are slots, and run as long as allowed."""
+        while len(self.running) <= SLOTS:
+            hold = self.books[host].take(self.now_ms, RUN_MS)
+            if hold is None:
+                return
+            self.running.append((host, hold, hold.until_ms))
+
+    @stateful.rule(pick=strategies.integers(0, 99), lost=strategies.booleans())
+    def end(self, pick: int, lost: bool) -> None:
+        """A request ends, or its host gives it up while it still runs."""
+        if not self.running:
+            return
+        host, hold, until_ms = self.running.pop(pick % len(self.running))
+        if lost:
+            self.books[host].release_in_doubt(hold)
+            self.orphans.append(until_ms)
+        else:
+            self.books[host].release(hold, self.now_ms)
+
+    @stateful.rule(
+        lender=strategies.integers(0, HOSTS - 1),
+        borrower=strategies.integers(0, HOSTS - 1),
+        delay_ms=strategies.integers(0, 300),
+        lost=strategies.booleans(),
+    )
+    def borrow(
+        self, lender: int, borrower: int, delay_ms: int, lost: bool
+    ) -> None:
+        """A loan whose answer may come late or never."""
+        if lender == borrower:
+            return
+        self.loan_id += 1
+        asked_ms = self.now_ms
+        self.advance(delay_ms)
+        slots = self.books[lender].lend(
+            self.now_ms, self.loan_id, str(borrower), 2, LOAN_MS
+        )
+        if slots and not lost:
+            self.books[borrower].add_borrowed(
+                slot_book.Borrowed(
+                    str(lender), self.loan_id, slots, asked_ms + LOAN_MS
+                )
+            )
+
+    @stateful.rule(host=strategies.integers(0, HOSTS - 1))
+    def give_back(self, host: int) -> None:
+        """Unused loans go back to their lenders."""
+        for loan in self.books[host].returnable(self.now_ms, 0):
+            self.books[int(loan.lender_seat)].take_back(loan.loan_id, str(host))
+
+    @stateful.rule(host=strategies.integers(0, HOSTS - 1))
+    def replace(self, host: int) -> None:
+        """A host dies; its successor waits out what it may have left."""
+        for running_host, _, until_ms in self.running:
+            if running_host == host:
+                self.orphans.append(until_ms)
+        self.running = [r for r in self.running if r[0] != host]
+        self.books[host] = self._new_book(own=False)
+        margin_ms = LOAN_MS // slot_book.DRIFT_DIVISOR + 1
+        self.start_ms[host] = self.now_ms + LOAN_MS + margin_ms + RUN_MS
+
+    @stateful.rule(step_ms=strategies.integers(1, 500))
+    def advance(self, step_ms: int) -> None:
+        """Time passes; successors come into their shares."""
+        self.now_ms += step_ms
+        self.orphans = [o for o in self.orphans if o > self.now_ms]
+        late = [r for r in self.running if r[2] <= self.now_ms]
+        self.running = [r for r in self.running if r[2] > self.now_ms]
+        for host, hold, _ in late:
+            self.books[host].release(hold, self.now_ms)
+        for host, start_ms in enumerate(self.start_ms):
+            if self.now_ms >= start_ms:
+                self.books[host].set_own(SLOTS // HOSTS)
+
+    @stateful.invariant()
+    def never_over(self) -> None:
+        """The endpoint runs at most its slots."""
+        total = SLOTS // HOSTS * HOSTS
+        assert len(self.running) + len(self.orphans) <= total
+
+
+LoanModel.TestCase.settings = hypothesis.settings(
+    max_examples=200,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+LoanModelTest = LoanModel.TestCase
+
+
+class GuardTest(testtools.TestCase):
+    """Without any one guard the model finds an endpoint over its slots."""
+
+    def _assert_found(self, name: str, without: Any) -> None:
+        with mock.patch.object(slot_book.SlotBook, name, without):
+            self.assertRaises(
+                AssertionError,
+                stateful.run_state_machine_as_test,
+                LoanModel,
+                settings=hypothesis.settings(
+                    LoanModel.TestCase.settings,
+                    phases=[hypothesis.Phase.generate],
+                ),
+            )
+
+    def test_lender_that_does_not_debit(self) -> None:
+        self._assert_found("lend", lambda *_: 1)
+
+    def test_slot_in_doubt_freed_at_once(self) -> None:
+        def free_now(book: slot_book.SlotBook, hold: Any) -> None:
+            book.release(hold, 0)
+
+        self._assert_found("release_in_doubt", free_now)
+
+    def test_borrower_that_ignores_the_end_of_a_loan(self) -> None:
+        add = slot_book.SlotBook.add_borrowed
+
+        def add_for_ever(book: slot_book.SlotBook, loan: Any) -> None:
+            loan.ends_ms += 10 * LOAN_MS
+            add(book, loan)
+
+        self._assert_found("add_borrowed", add_for_ever)
