--- a/src/comfreylatch/_process/membership.py
+++ b/src/comfreylatch/_process/membership.py
@@ -30,6 +30,8 @@
 
 PROTOCOL = 1
 MISSED_HEARTBEATS = 3
+SUPERSEDED = "superseded"
+MAX_RETIRED_PER_SEAT = 64
 MAX_PUSHED_ENTRIES = 1_000
 
 _logger = logbook.Logger(__name__)
@@ -71,8 +73,9 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._seats: dict[str, SeatMemory] = {}
-        self._predecessors: dict[str, SeatMemory] = {}
+        self._retired: dict[str, collections.deque[SeatMemory]] = {}
         self._own_predecessor: SeatMemory | None = None
+        self._superseded = threading.Event()
         self._listeners: list[Callable[[peers.PeerView], None]] = []
         self._members = {
             peer.seat: _Member(
@@ -110,18 +113,38 @@
         """Calls `listener` after each heartbeat that was answered."""
         self._listeners.append(listener)
 
-    def remember(self, seat: str, host_id: str, drained: bool) -> None:
-        """Notes which process fills a seat, from either side's heartbeat."""
+    def remember(self, seat: str, host_id: str, drained: bool) -> bool:
+        """Notes which process fills a seat, from either side's heartbeat.
+
+        Returns:
+            False when another process has taken the seat since: that one
+            stays, however late messages of the former one arrive.
+        """
         with self._lock:
+            retired = self._retired.setdefault(
+                seat, collections.deque(maxlen=MAX_RETIRED_PER_SEAT)
+            )
+            if any(memory.host_id == host_id for memory in retired):
+                return False
             known = self._seats.get(seat)
             if known is not None and known.host_id != host_id:
-                self._predecessors[seat] = known
-            self._seats[seat] = SeatMemory(host_id, drained)
+                retired.append(known)
+            was_drained = known is not None and known == SeatMemory(
+                host_id, drained=True
+            )
+            self._seats[seat] = SeatMemory(host_id, drained or was_drained)
+            return True
 
     def predecessor(self, seat: str) -> SeatMemory | None:
         """The process that filled a seat before the present one."""
         with self._lock:
-            return self._predecessors.get(seat)
+            retired = self._retired.get(seat)
+            return retired[-1] if retired else None
+
+    @property
+    def superseded(self) -> threading.Event:
+        """Set once a peer says that another process has this host's seat."""
+        return self._superseded
 
     def note_own_predecessor(self, memory: SeatMemory) -> None:
         """Notes what a peer said of the process before this one."""
@@ -281,6 +304,9 @@
                 if reply.predecessor_host_id:
                     self._take_predecessor(reply)
                 self.view = self._membership.note_reply(self.view, reply)
+            case result.Err(peers.PeerRefusal() as refusal):
+                if refusal.reason == SUPERSEDED:
+                    self._membership.superseded.set()
             case result.Err(error):
                 self._metrics.count(
                     metrics_module.Counter.PEER_MESSAGES,
--- /dev/null
+++ b/src/comfreylatch/_process/pause_watch.py
@@ -0,0 +1,49 @@
+"""Notices that this process was frozen for a while."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+from typing import final
+from typing import Self
+
+import logbook
+
+from comfreylatch._ports import clock as clock_port
+
+TICK_MS = 250
+PAUSE_MS = 1_500
+
+_logger = logbook.Logger(__name__)
+
+
+@final
+class PauseWatch:
+    """Calls `on_pause(length_ms)` after a freeze, from a thread of its own."""
+
+    def __init__(
+        self, clock: clock_port.Clock, on_pause: Callable[[int], None]
+    ) -> None:
+        self._clock = clock
+        self._on_pause = on_pause
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="pause-watch", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        last_ms = self._clock.monotonic_ms()
+        while not self._stop.wait(TICK_MS / 1_000):
+            now_ms = self._clock.monotonic_ms()
+            if now_ms - last_ms > PAUSE_MS:
+                _logger.warning("paused length_ms={}", now_ms - last_ms)
+                self._on_pause(now_ms - last_ms)
+            last_ms = now_ms
