--- /dev/null
+++ b/src/comfreylatch/_process/json_file.py
@@ -0,0 +1,177 @@
+"""Reads JSON-with-comments files and places every error in them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import pathlib
+from typing import Any
+
+import attrs
+import result
+
+from comfreylatch._process import shapes
+
+MAX_FILE_BYTES = 4 * 1024 * 1024
+MAX_DEPTH = 64
+
+Checker = Callable[[Any], list[shapes.Problem]]
+
+
+@attrs.frozen
+class PlacedError:
+    """One error of a file.
+
+    Attributes:
+        file: Name of the file as given.
+        line: From 1; 0 when the file could not be read.
+        column: From 1, in characters; 0 when the file could not be read.
+        key: Dotted path of the value; empty for the whole file.
+        expected: What should stand there.
+        found: What stands there.
+    """
+
+    file: str
+    line: int
+    column: int
+    key: str
+    expected: str
+    found: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}:{self.column}"
+        key = f"{self.key}: " if self.key else ""
+        return f"{place}: {key}expected {self.expected}, found {self.found}"
+
+
+@attrs.frozen
+class FileErrors:
+    """Every error of one file, in the order of the text."""
+
+    errors: tuple[PlacedError, ...]
+
+
+def read(path: str, checker: Checker) -> result.Result[Any, FileErrors]:
+    """Reads a file and returns its decoded value once `checker` is content."""
+    match _read_text(path):
+        case result.Err(detail):
+            error = PlacedError(path, 0, 0, "", "a readable file", detail)
+            return result.Err(FileErrors((error,)))
+        case result.Ok(text):
+            return decode(text, path, checker)
+
+
+def decode(
+    text: str, file: str, checker: Checker
+) -> result.Result[Any, FileErrors]:
+    """Like `read`, of a text; `file` is only named in errors."""
+    import jsonc
+
+    repeated: list[str] = []
+
+    def object_of(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        value = dict(pairs)
+        if len(value) != len(pairs):
+            repeated.append(file)
+        return value
+
+    try:
+        value = jsonc.loads(
+            text, object_pairs_hook=object_of, parse_constant=_no_constant
+        )
+    except (ValueError, RecursionError):
+        return result.Err(_syntax_errors(text, file))
+    if _depth(value) > MAX_DEPTH:
+        error = PlacedError(file, 1, 1, "", "fewer levels", "deep nesting")
+        return result.Err(FileErrors((error,)))
+    problems = checker(value)
+    if problems or repeated:
+        return result.Err(_place(text, file, problems))
+    return result.Ok(value)
+
+
+def _read_text(path: str) -> result.Result[str, str]:
+    try:
+        content = pathlib.Path(path).read_bytes()
+        if len(content) > MAX_FILE_BYTES:
+            return result.Err(f"more than {MAX_FILE_BYTES} bytes")
+        return result.Ok(content.decode("utf-8-sig"))
+    except OSError as error:
+        return result.Err(error.strerror or str(error))
+    except UnicodeDecodeError as error:
+        return result.Err(f"a byte at {error.start} that is not UTF-8")
+
+
+def _no_constant(word: str) -> Any:
+    raise ValueError(f"{word} is not JSON")
+
+
+def _depth(value: Any) -> int:
+    deepest = 0
+    pending = [(value, 1)]
+    while pending:
+        current, depth = pending.pop()
+        deepest = max(deepest, depth)
+        if isinstance(current, dict):
+            pending.extend((each, depth + 1) for each in current.values())
+        elif isinstance(current, list):
+            pending.extend((each, depth + 1) for each in current)
+    return deepest
+
+
+def _syntax_errors(text: str, file: str) -> FileErrors:
+    from comfreylatch._process import json_positions
+
+    problem = json_positions.Outline(text).syntax_problem()
+    error = PlacedError(
+        file=file,
+        line=problem.position.line,
+        column=problem.position.column,
+        key="",
+        expected=problem.expected,
+        found=problem.found,
+    )
+    return FileErrors((error,))
+
+
+def _place(text: str, file: str, problems: list[shapes.Problem]) -> FileErrors:
+    from comfreylatch._process import json_positions
+
+    outline = json_positions.Outline(text)
+    errors = []
+    for problem in problems:
+        at_key = problem.at_key
+        find = outline.key_position if at_key else outline.position
+        place = find(problem.path)
+        errors.append(
+            PlacedError(
+                file=file,
+                line=place.line,
+                column=place.column,
+                key=_dotted(problem.path),
+                expected=problem.expected,
+                found=problem.found,
+            )
+        )
+    for path, place in outline.duplicate_keys():
+        errors.append(
+            PlacedError(
+                file=file,
+                line=place.line,
+                column=place.column,
+                key=_dotted(path),
+                expected="each key once",
+                found="the key a second time",
+            )
+        )
+    errors.sort(key=lambda error: (error.line, error.column))
+    return FileErrors(tuple(errors))
+
+
+def _dotted(path: shapes.Path) -> str:
+    text = ""
+    for step in path:
+        if isinstance(step, int):
+            text += f"[{step}]"
+        else:
+            text += f".{step}" if text else step
+    return text
