Add the command line, logs and operator pages

The commands are thin: they check files, call the operator pages over HTTP and turn answers into exit codes. A change goes to a second host only when the first did nothing for certain.

--- a/src/comfreylatch/__main__.py
+++ b/src/comfreylatch/__main__.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from comfreylatch._process import resident
+
 
 def main() -> None:
     """Runs the command line; never returns a value, may exit."""
+    resident.mark(resident.INTERPRETER)
     from comfreylatch._commands import main as commands
 
     commands.run()
--- /dev/null
+++ b/src/comfreylatch/_commands/client.py
@@ -0,0 +1,159 @@
+"""Calls to the operator pages of entry hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+from typing import final
+from typing import Self
+
+import attrs
+import msgspec
+import result
+import urllib3
+from urllib3 import exceptions
+
+from comfreylatch._connection import address as addresses
+
+CONNECT_TIMEOUT_MS = 2_000
+NOTHING_DONE_STATUS = 503
+
+
+@attrs.frozen
+class Reply:
+    """The answer of a host.
+
+    Attributes:
+        host: Address that answered.
+        status: HTTP status.
+        value: The decoded JSON body, or the text when it is no JSON.
+        headers: Keys in lower case.
+    """
+
+    host: str
+    status: int
+    value: Any
+    headers: Mapping[str, str]
+
+
+@attrs.frozen
+class NoHostReached:
+    """No byte of the call reached any host; `details` has one per host."""
+
+    details: tuple[str, ...]
+
+
+@attrs.frozen
+class AnswerLost:
+    """A host was sent the call and may have carried it out."""
+
+    host: str
+    detail: str
+
+
+CallError = NoHostReached | AnswerLost
+
+
+@final
+class Client:
+    """Calls one of several entry hosts, in turn where that is safe.
+
+    A call that reads is tried on the next host after any failure. One that
+    changes something is tried on the next only when no byte reached the host
+    or it answered that nothing was done.
+
+    Args:
+        hosts: Operator addresses, in the order to be tried.
+        timeout_ms: For the answer of each host.
+    """
+
+    def __init__(
+        self, hosts: Sequence[addresses.Address], timeout_ms: int
+    ) -> None:
+        self._hosts = tuple(hosts)
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_MS / 1_000, read=timeout_ms / 1_000
+        )
+        self._pool = urllib3.PoolManager(timeout=timeout, retries=False)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._pool.clear()
+
+    def read(self, path: str) -> result.Result[Reply, CallError]:
+        """GETs a page from the first host that has an answer."""
+        return self._first("GET", path, b"")
+
+    def change(
+        self, method: str, path: str, body: bytes = b""
+    ) -> result.Result[Reply, CallError]:
+        """Sends a change, never to a second host after a doubtful first."""
+        return self._first(method, path, body)
+
+    def _first(
+        self, method: str, path: str, body: bytes
+    ) -> result.Result[Reply, CallError]:
+        details = []
+        refused = None
+        for host in self._hosts:
+            match self._call(host, method, path, body):
+                case result.Ok(reply) if reply.status == NOTHING_DONE_STATUS:
+                    refused = reply
+                case result.Ok() as answered:
+                    return answered
+                case result.Err(AnswerLost() as lost) if method != "GET":
+                    return result.Err(lost)
+                case result.Err(error):
+                    details.append(f"{host}: {_detail(error)}")
+        if refused is not None:
+            return result.Ok(refused)
+        return result.Err(NoHostReached(tuple(details)))
+
+    def _call(
+        self, host: addresses.Address, method: str, path: str, body: bytes
+    ) -> result.Result[Reply, CallError]:
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            response = self._pool.request(
+                method,
+                f"http://{host}{path}",
+                body=body or None,
+                headers=headers,
+                redirect=False,
+            )
+        except (
+            exceptions.NewConnectionError,
+            exceptions.ConnectTimeoutError,
+        ) as error:
+            return result.Err(NoHostReached((_short(error),)))
+        except (exceptions.HTTPError, OSError) as error:
+            return result.Err(AnswerLost(str(host), _short(error)))
+        reply_headers = {
+            key.lower(): value for key, value in response.headers.items()
+        }
+        value = _decode(response.data)
+        reply = Reply(str(host), response.status, value, reply_headers)
+        return result.Ok(reply)
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return body.decode("utf-8", "replace")
+
+
+def _short(error: Exception) -> str:
+    # urllib3 starts its messages with the repr of a connection object.
+    return str(error).rpartition(">: ")[2]
+
+
+def _detail(error: CallError) -> str:
+    match error:
+        case NoHostReached(details):
+            return "; ".join(details)
+        case AnswerLost(_, detail):
+            return f"no whole answer ({detail})"
--- /dev/null
+++ b/src/comfreylatch/_commands/job.py
@@ -0,0 +1,113 @@
+"""Commands about batch jobs."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Any
+from urllib import parse
+
+import attrs
+import msgspec
+import result
+import typer
+
+from comfreylatch._commands import exits
+from comfreylatch._commands import options
+from comfreylatch._commands import output
+from comfreylatch._ports import workers
+from comfreylatch._process import json_file
+from comfreylatch._process import shapes
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="Submit batch jobs, follow them and cancel them.",
+    epilog=exits.HELP,
+)
+
+JobId = Annotated[str, typer.Argument(metavar="ID", help="Id of the job.")]
+
+
+@attrs.frozen
+class JobDocument:
+    """A job file, as in docs/API.md."""
+
+    id: str
+    team: str
+    job_class: str
+    resources: workers.Resources
+    run_time_ms: int
+    zone: str = ""
+    urgent: bool = False
+
+
+@app.command()
+def submit(
+    file: Annotated[str, typer.Argument(metavar="FILE", help="The job.")],
+    hosts: options.Hosts,
+    as_json: options.AsJson = False,
+    timeout_ms: options.TimeoutMs = options.DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Submits a job; sending the same file again is the same job."""
+    match json_file.read(file, check):
+        case result.Err(errors):
+            output.show_file_errors(errors, as_json)
+            raise typer.Exit(exits.ExitCode.USAGE)
+        case result.Ok(value):
+            body = msgspec.json.encode(value)
+    with output.connect(hosts, timeout_ms) as client:
+        answer = client.change("POST", "/jobs", body)
+    output.finish(
+        answer,
+        as_json,
+        f"ask `comfreylatch job show {value['id']}` whether it was taken; "
+        "sending the same file again is harmless",
+    )
+
+
+@app.command()
+def show(
+    job_id: JobId,
+    hosts: options.Hosts,
+    as_json: options.AsJson = False,
+    timeout_ms: options.TimeoutMs = options.DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Shows one job: its state, zone, worker and attempts."""
+    with output.connect(hosts, timeout_ms) as client:
+        answer = client.read("/jobs/" + parse.quote(job_id, safe=""))
+    output.finish(answer, as_json, "nothing was changed; ask again")
+
+
+@app.command("list")
+def list_jobs(
+    hosts: options.Hosts,
+    as_json: options.AsJson = False,
+    timeout_ms: options.TimeoutMs = options.DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Lists the jobs that the host asked knows."""
+    with output.connect(hosts, timeout_ms) as client:
+        answer = client.read("/jobs")
+    output.finish(answer, as_json, "nothing was changed; ask again")
+
+
+@app.command()
+def cancel(
+    job_id: JobId,
+    hosts: options.Hosts,
+    as_json: options.AsJson = False,
+    timeout_ms: options.TimeoutMs = options.DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Cancels a job; doing so again is harmless."""
+    with output.connect(hosts, timeout_ms) as client:
+        path = "/jobs/" + parse.quote(job_id, safe="")
+        answer = client.change("DELETE", path)
+    output.finish(
+        answer,
+        as_json,
+        f"ask `comfreylatch job show {job_id}` whether it was cancelled; "
+        "cancelling again is harmless",
+    )
+
+
+def check(value: Any) -> list[shapes.Problem]:
+    """Returns everything wrong with a decoded job file."""
+    return shapes.check(value, JobDocument)
--- /dev/null
+++ b/src/comfreylatch/_commands/output.py
@@ -0,0 +1,166 @@
+"""Printing of answers, plain or as JSON, and of errors."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NoReturn
+
+import attrs
+import msgspec
+import result
+import typer
+
+from comfreylatch._commands import client
+from comfreylatch._commands import exits
+from comfreylatch._connection import address as addresses
+from comfreylatch._process import json_file
+
+INDENT = "  "
+
+
+@attrs.frozen
+class CommandError:
+    """What `--json` prints when a command fails without a host's answer."""
+
+    error: str
+    detail: str
+
+
+def show(value: Any, as_json: bool) -> None:
+    """Prints a value of JSON types or an attrs object."""
+    if as_json:
+        encoded = msgspec.json.encode(value)
+        typer.echo(msgspec.json.format(encoded, indent=2).decode())
+        return
+    if isinstance(value, str):
+        typer.echo(value.rstrip("\n"))
+        return
+    for line in plain_lines(msgspec.json.decode(msgspec.json.encode(value))):
+        typer.echo(line)
+
+
+def plain_lines(value: Any, indent: str = "") -> list[str]:
+    """A value of JSON types as indented `key: value` lines."""
+    if isinstance(value, dict):
+        return _object_lines(value, indent)
+    if isinstance(value, list):
+        return _array_lines(value, indent)
+    return [indent + _scalar(value)]
+
+
+def fail(error: str, detail: str, code: exits.ExitCode) -> NoReturn:
+    """Ends the command with an error on standard error."""
+    typer.echo(f"comfreylatch: {error}: {detail}", err=True)
+    raise typer.Exit(code)
+
+
+def show_file_errors(errors: json_file.FileErrors, as_json: bool) -> None:
+    """Prints every error of a file, on standard error unless as JSON."""
+    if as_json:
+        show(errors, as_json=True)
+        return
+    for error in errors.errors:
+        typer.echo(str(error), err=True)
+
+
+def finish(
+    answer: result.Result[client.Reply, client.CallError],
+    as_json: bool,
+    on_unknown: str,
+) -> client.Reply:
+    """Prints an answer; returns it only when the host did what was asked.
+
+    Args:
+        answer: What the client returned.
+        as_json: Whether to print JSON.
+        on_unknown: How to find out what became of it, and whether sending it
+            again is harmless; printed with exit code 3.
+    """
+    match answer:
+        case result.Err(client.NoHostReached(details)):
+            fail("no host reached", "; ".join(details), exits.ExitCode.REFUSED)
+        case result.Err(client.AnswerLost(host, detail)):
+            typer.echo(f"comfreylatch: {on_unknown}", err=True)
+            fail(
+                "unknown outcome",
+                f"{host} was sent it but gave no answer ({detail})",
+                exits.ExitCode.UNKNOWN,
+            )
+        case result.Ok(reply):
+            show(reply.value, as_json)
+            code = exit_code(reply.status)
+            if code is exits.ExitCode.UNKNOWN:
+                typer.echo(f"comfreylatch: {on_unknown}", err=True)
+            if code is not exits.ExitCode.DONE:
+                raise typer.Exit(code)
+            return reply
+
+
+def value_of(
+    answer: result.Result[client.Reply, client.CallError], error: str
+) -> Any:
+    """The value of a page that a command needs; fails the command if none."""
+    match answer:
+        case result.Ok(reply) if reply.status == 200:
+            return reply.value
+        case result.Ok(reply):
+            detail = f"{reply.host} answered {reply.status}: {reply.value}"
+        case result.Err(client.NoHostReached(details)):
+            detail = "; ".join(details)
+        case result.Err(lost):
+            detail = f"{lost.host}: {lost.detail}"
+    return fail(error, detail, exits.ExitCode.REFUSED)
+
+
+def exit_code(status: int) -> exits.ExitCode:
+    """Exit code for the HTTP status of a host's answer."""
+    if 200 <= status < 300:
+        return exits.ExitCode.DONE
+    if status in (500, 502, 504):
+        return exits.ExitCode.UNKNOWN
+    return exits.ExitCode.REFUSED
+
+
+def connect(hosts: list[str], timeout_ms: int) -> client.Client:
+    """A client for addresses given on the command line."""
+    parsed = []
+    for text in hosts:
+        match addresses.parse(text):
+            case result.Ok(address):
+                parsed.append(address)
+            case result.Err(bad):
+                raise typer.BadParameter(bad.detail, param_hint="--host")
+    return client.Client(parsed, timeout_ms)
+
+
+def _object_lines(value: dict[str, Any], indent: str) -> list[str]:
+    if not value:
+        return [indent + "(none)"]
+    lines = []
+    for key, member in value.items():
+        if isinstance(member, dict | list) and member:
+            lines.append(f"{indent}{key}:")
+            lines.extend(plain_lines(member, indent + INDENT))
+        else:
+            lines.append(f"{indent}{key}: {_scalar(member)}")
+    return lines
+
+
+def _array_lines(value: list[Any], indent: str) -> list[str]:
+    lines = []
+    for member in value:
+        inner = plain_lines(member, indent + INDENT)
+        first = inner[0][len(indent) + len(INDENT) :]
+        lines.append(f"{indent}- {first}")
+        lines.extend(inner[1:])
+    return lines or [indent + "(none)"]
+
+
+def _scalar(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, dict | list):
+        return "(none)"
+    return str(value)
--- a/src/comfreylatch/_process/journal.py
+++ b/src/comfreylatch/_process/journal.py
@@ -87,6 +87,11 @@
                 if decision.subject == subject and decision.name == name
             )
 
+    @property
+    def host(self) -> str:
+        """Host id of the host whose decisions these are."""
+        return self._host
+
     @property
     def forgotten(self) -> int:
         """How many decisions no longer fit."""
--- /dev/null
+++ b/src/comfreylatch/_process/logs.py
@@ -0,0 +1,91 @@
+"""Structured logs: one line an event, `event` and its fields as `key=value`."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+from typing import Final
+from typing import final
+from typing import Self
+from typing import TextIO
+
+import logbook
+
+MAX_VALUE_LETTERS = 500
+
+_LINE_FORMAT: Final = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
+    "logger={record.channel} {record.message}"
+)
+_PLAIN_LETTERS: Final = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@[],%"
+)
+
+
+@final
+class LogOutput:
+    """Sends every logger's lines to one stream while it is open.
+
+    Args:
+        level: One of logbook's level names, in lower case.
+        stream: Where the lines go; standard error when None.
+    """
+
+    def __init__(self, level: str, stream: TextIO | None = None) -> None:
+        self._handler = logbook.StreamHandler(
+            stream or sys.stderr,
+            level=logbook.lookup_level(level.upper()),
+            format_string=_LINE_FORMAT,
+        )
+
+    def __enter__(self) -> Self:
+        self._handler.push_application()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._handler.pop_application()
+        self._handler.flush()
+
+
+def event(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
+    """Logs something that happened, at level info."""
+    logger.info(_Line(name, fields))
+
+
+def detail(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
+    """Logs something only wanted in a close look, at level debug."""
+    logger.debug(_Line(name, fields))
+
+
+def warning(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
+    """Logs something that an operator should look at."""
+    logger.warning(_Line(name, fields))
+
+
+def error(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
+    """Logs something that went wrong here."""
+    logger.error(_Line(name, fields))
+
+
+class _Line:
+    """Text of a line, made only when some handler wants it."""
+
+    def __init__(self, name: str, fields: dict[str, Any]) -> None:
+        self._name = name
+        self._fields = fields
+
+    def __str__(self) -> str:
+        parts = [f"event={self._name}"]
+        for key, value in self._fields.items():
+            parts.append(f"{key}={_quoted(value)}")
+        return " ".join(parts)
+
+
+def _quoted(value: Any) -> str:
+    text = str(value)
+    if len(text) > MAX_VALUE_LETTERS:
+        text = text[:MAX_VALUE_LETTERS] + "..."
+    if text and _PLAIN_LETTERS.issuperset(text):
+        return text
+    return json.dumps(text, ensure_ascii=False)
--- /dev/null
+++ b/src/comfreylatch/_process/operator_pages.py
@@ -0,0 +1,161 @@
+"""Pages that an entry host shows to operators about itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+from typing import final
+
+import attrs
+import logbook
+
+from comfreylatch._connection import http
+from comfreylatch._connection import routes
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import explanation
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import logs
+from comfreylatch._process import memory
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+
+StatusSource = Callable[[], Any]
+
+_logger = logbook.Logger("operator-pages")
+
+
+@attrs.frozen
+class Health:
+    """Answer of a health page."""
+
+    ok: bool
+    detail: str
+
+
+@attrs.frozen
+class StatusFailure:
+    """Stands in /status for a part that could not tell its own."""
+
+    error: str
+
+
+@final
+class OperatorPages:
+    """Health, metrics, status and explanations of this host.
+
+    Args:
+        journal: Decisions of this host.
+        metrics: Counters and latencies of this host.
+        status_sources: What /status shows, by the name of each part; each
+            is called anew for every page and returns an attrs object.
+        ready: Whether the balancer should send callers here.
+        peers: The other hosts, asked for explanations.
+    """
+
+    def __init__(
+        self,
+        journal: journal_module.Journal,
+        metrics: metrics_module.Metrics,
+        status_sources: Mapping[str, StatusSource],
+        ready: Callable[[], bool],
+        peers: peers_port.Peers,
+    ) -> None:
+        self._metrics = metrics
+        self._status_sources = {"memory": memory.split, **status_sources}
+        self._ready = ready
+        self._explainer = explanation.Explainer(journal, peers)
+
+    def routes(self) -> list[routes.Route]:
+        """The routes of these pages."""
+        return [
+            routes.Route("GET", "/health/live", self.live),
+            routes.Route("GET", "/health/ready", self.readiness),
+            routes.Route("GET", "/metrics", self.metrics),
+            routes.Route("GET", "/status", self.status),
+            routes.Route("GET", "/explain/*/**", self.explain),
+        ]
+
+    def live(self, request: http.HttpRequest) -> http.HttpReply:
+        """200 as long as the process answers at all."""
+        del request
+        return http.json_reply(200, Health(True, "this process answers"))
+
+    def readiness(self, request: http.HttpRequest) -> http.HttpReply:
+        """200 while callers should come here, else 503."""
+        del request
+        if self._ready():
+            return http.json_reply(200, Health(True, "callers are taken"))
+        detail = "starting, stopping, or without a configuration"
+        return http.json_reply(503, Health(False, detail))
+
+    def metrics(self, request: http.HttpRequest) -> http.HttpReply:
+        """All metrics, as JSON or a line a metric."""
+        page = self._metrics.page()
+        if request.query.get("format") != "text":
+            return http.json_reply(200, page)
+        headers = {"Content-Type": "text/plain; charset=utf-8"}
+        return http.HttpReply(200, metrics_text(page).encode(), headers)
+
+    def status(self, request: http.HttpRequest) -> http.HttpReply:
+        """Every part's own status, by its name."""
+        del request
+        page = {
+            name: _status_of(name, source)
+            for name, source in self._status_sources.items()
+        }
+        return http.json_reply(200, page)
+
+    def explain(self, request: http.HttpRequest) -> http.HttpReply:
+        """Decisions about one subject from every host reached."""
+        subject_word, _, name = request.path.removeprefix(
+            "/explain/"
+        ).partition("/")
+        if subject_word not in set(reasons.Subject):
+            words = ", ".join(reasons.Subject)
+            return http.error_reply(
+                404,
+                reasons.RefusalReason.BAD_REQUEST,
+                f"{subject_word!r} is none of {words}",
+            )
+        subject = reasons.Subject(subject_word)
+        return http.json_reply(200, self._explainer.explain(subject, name))
+
+
+def metrics_text(page: metrics_module.MetricsPage) -> str:
+    """A metrics page as text, one line a metric."""
+    lines = []
+    for counter in page.counters:
+        lines.append(
+            _metric_line(counter.counter, counter.label, counter.value)
+        )
+    for latency in page.latencies:
+        values = {
+            "count": latency.count,
+            "p50_us": latency.p50_us,
+            "p99_us": latency.p99_us,
+            "p999_us": latency.p999_us,
+            "max_us": latency.max_us,
+        }
+        for suffix, value in values.items():
+            name = f"{latency.latency}_latency_{suffix}"
+            lines.append(_metric_line(name, latency.label, value))
+    return "".join(line + "\n" for line in lines)
+
+
+def _metric_line(name: str, label: str, value: int) -> str:
+    plain_name = name.replace("-", "_")
+    if not label:
+        return f"{plain_name} {value}"
+    escaped = label.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n")
+    return f'{plain_name}{{label="{escaped}"}} {value}'
+
+
+def _status_of(name: str, source: StatusSource) -> Any:
+    try:
+        return source()
+    # One part that can't tell its own must not hide all the others.
+    except Exception as error:
+        logs.error(_logger, "status-failed", part=name, error=repr(error))
+        return StatusFailure(repr(error))
