--- a/src/comfreylatch/_commands/ticket_file.py
+++ b/src/comfreylatch/_commands/ticket_file.py
@@ -91,7 +91,7 @@
 ) -> list[shapes.Problem]:
     kind = change.get("kind")
     state = change.get("state")
-    if state is None or kind not in set(objects.ObjectKind):
+    if state is None or kind not in list(objects.ObjectKind):
         return []
     state_class = objects.CLASS_BY_KIND[objects.ObjectKind(kind)]
     return shapes.check(state, state_class, (*path, "state"))
--- a/src/comfreylatch/_process/settings_file.py
+++ b/src/comfreylatch/_process/settings_file.py
@@ -175,7 +175,7 @@
                 yield shapes.Problem(path, "each seat once", f"{seat!r} again")
         peer_address = peer.get("peer_address")
         if isinstance(peer_address, str):
-            if peer_address in used_addresses | {value.get("peer_address")}:
+            if peer_address in (value.get("peer_address"), *used_addresses):
                 yield shapes.Problem(
                     ("peers", index, "peer_address"),
                     "an address of its own",
--- /dev/null
+++ b/tests/commands/test_commands.py
@@ -0,0 +1,185 @@
+"""Tests of the client commands against a small fake host."""
+
+from __future__ import annotations
+
+import http.server
+import json
+import pathlib
+import socket
+import tempfile
+import threading
+from typing import Any
+
+import testtools
+from typer import testing
+
+from comfreylatch._commands import main
+from comfreylatch._commands import ticket_file
+
+TICKET = """{
+  "number": 7, "author": "mona", "reason": "longer", // a note
+  "changes": [{"kind": "service", "name": "skyproc", "replaces": 3,
+               "state": {"timeout_ms": 900}}]}"""
+
+
+class FakeHost:
+    """Answers every call with one status and value, or hangs up.
+
+    Args:
+        status: 0 closes the connection without an answer.
+        value: Sent as JSON.
+    """
+
+    def __init__(self, status: int, value: Any = None) -> None:
+        self.calls: list[str] = []
+        host = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def answer(self) -> None:
+                host.calls.append(f"{self.command} {self.path}")
+                if status == 0:
+                    return
+                body = json.dumps(value).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            do_GET = do_POST = do_DELETE = answer  # noqa: N815
+
+            def log_message(self, *arguments: Any) -> None:
+                pass
+
+        self._server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        self._thread = threading.Thread(target=self._server.serve_forever)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stops answering."""
+        self._server.shutdown()
+        self._thread.join()
+        self._server.server_close()
+
+
+class CommandsTest(testtools.TestCase):
+    """Exit codes, and which host is asked."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.ticket = str(self.folder / "ticket.json")
+        pathlib.Path(self.ticket).write_text(TICKET, encoding="utf-8")
+
+    def host(self, status: int, value: Any = None) -> FakeHost:
+        host = FakeHost(status, value)
+        self.addCleanup(host.close)
+        return host
+
+    def run_command(self, *arguments: str, hosts: Any = ()) -> Any:
+        options = [part for host in hosts for part in ("--host", host)]
+        return testing.CliRunner().invoke(main.app, [*arguments, *options])
+
+    def closed_address(self) -> str:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{free.getsockname()[1]}"
+
+    def test_every_command_has_help(self) -> None:
+        for words in (["ticket", "new"], ["job", "submit"], ["explain"]):
+            helped = self.run_command(*words, "--help")
+            self.assertEqual(0, helped.exit_code)
+            self.assertIn("Exit codes", self.run_command("--help").output)
+
+    def test_unanswered_ticket_is_unknown_and_not_sent_elsewhere(self) -> None:
+        silent, other = self.host(0), self.host(200, {})
+        hosts = [silent.address, other.address]
+        done = self.run_command("ticket", "submit", self.ticket, hosts=hosts)
+        self.assertEqual(3, done.exit_code)
+        self.assertIn("ticket show 7", done.output)
+        self.assertEqual([], other.calls)
+
+    def test_ticket_goes_on_to_the_next_host_when_none_was_reached(
+        self,
+    ) -> None:
+        other = self.host(200, {"verdict": "accepted"})
+        hosts = [self.closed_address(), other.address]
+        done = self.run_command("ticket", "submit", self.ticket, hosts=hosts)
+        self.assertEqual(0, done.exit_code)
+        self.assertEqual(["POST /tickets"], other.calls)
+
+    def test_ticket_goes_on_when_a_host_says_nothing_was_done(self) -> None:
+        down = self.host(503, {"reason": "log-down"})
+        other = self.host(200, {})
+        hosts = [down.address, other.address]
+        done = self.run_command("ticket", "submit", self.ticket, hosts=hosts)
+        self.assertEqual(0, done.exit_code)
+
+    def test_refused_ticket_exits_1_with_the_answer(self) -> None:
+        host = self.host(409, {"reason": "ticket-conflict"})
+        done = self.run_command(
+            "ticket", "submit", self.ticket, hosts=[host.address]
+        )
+        self.assertEqual(1, done.exit_code)
+        self.assertIn("ticket-conflict", done.output)
+
+    def test_reading_goes_on_after_a_lost_answer(self) -> None:
+        silent, other = self.host(0), self.host(200, {"state": "running"})
+        hosts = [silent.address, other.address]
+        done = self.run_command("job", "show", "a/b", hosts=hosts)
+        self.assertEqual(0, done.exit_code)
+        self.assertEqual(["GET /jobs/a%2Fb"], other.calls)
+
+    def test_faulty_ticket_is_never_sent(self) -> None:
+        faulty = TICKET.replace("timeout_ms", "timeout").replace("7", "0")
+        pathlib.Path(self.ticket).write_text(faulty, encoding="utf-8")
+        host = self.host(200, {})
+        done = self.run_command(
+            "ticket", "submit", self.ticket, hosts=[host.address]
+        )
+        self.assertEqual((2, []), (done.exit_code, host.calls))
+        self.assertIn("2:13: number: expected 1 or more", done.output)
+        self.assertIn("'timeout_ms' (the nearest", done.output)
+
+    def test_ticket_with_members_of_any_type_gets_an_answer(self) -> None:
+        for member in ("number", "author", "changes", "kind", "name", "state"):
+            for value in (None, [], {}, [{}], [[]], "x", -1, True):
+                ticket = json.loads(TICKET.replace("// a note", ""))
+                where = ticket if member in ticket else ticket["changes"][0]
+                where[member] = value
+                self.assertIsInstance(ticket_file.check(ticket), list)
+
+    def test_diff_says_what_changes_and_refuses_old_versions(self) -> None:
+        state = {"timeout_ms": 500, "target_p99_ms": 200}
+        skyproc = {"kind": "service", "name": "skyproc", "state": state}
+        for version, code in ((3, 0), (4, 1)):
+            value = {"objects": [{**skyproc, "version": version}]}
+            done = self.run_command(
+                *("ticket", "diff", self.ticket, "--json"),
+                hosts=[self.host(200, value).address],
+            )
+            self.assertEqual(code, done.exit_code)
+            self.assertIn('"now": 500', done.output)
+
+    def test_new_ticket_passes_its_own_check(self) -> None:
+        written = str(self.folder / "new.json")
+        names = ("service/a", "endpoint/b", "team/c", "worker-class/d")
+        rest = ("zone/e", "limits/fleet", "--output", written)
+        made = self.run_command("ticket", "new", *names, *rest)
+        self.assertEqual(0, made.exit_code)
+        checked = self.run_command("ticket", "check", written)
+        self.assertEqual((0, ""), (checked.exit_code, checked.stderr))
+
+    def test_check_settings_exits_2_without_traceback(self) -> None:
+        done = self.run_command("check-settings", self.ticket)
+        self.assertEqual(2, done.exit_code)
+        self.assertNotIn("Traceback", done.output)
+
+    def test_explanation_of_the_unknown_exits_1(self) -> None:
+        page = {"decisions": [], "summary": "job j is unknown."}
+        host = self.host(200, page)
+        done = self.run_command("explain", "job", "j", hosts=[host.address])
+        self.assertEqual(1, done.exit_code)
+        self.assertIn("job j is unknown.", done.output)
--- /dev/null
+++ b/tests/process/test_operator_pages.py
@@ -0,0 +1,161 @@
+"""Tests of the pages a host shows about itself."""
+
+from __future__ import annotations
+
+import json
+import threading
+from typing import Any
+
+import result
+import testtools
+
+from comfreylatch._connection import http
+from comfreylatch._connection import routes
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import explanation
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import operator_pages
+from comfreylatch._process import reasons
+
+JOB = reasons.Subject.JOB
+
+
+class FixedClock:
+    """A clock that stands at one time."""
+
+    def __init__(self, now_ms: int) -> None:
+        self._now_ms = now_ms
+
+    def monotonic_ms(self) -> int:
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        return self._now_ms
+
+
+def journal_of(
+    host: str, now_ms: int, *names: str, max_decisions: int = 10
+) -> journal_module.Journal:
+    journal = journal_module.Journal(host, FixedClock(now_ms), max_decisions)
+    for name in names:
+        journal.note(JOB, name, "placed", f"Job {name} was placed.")
+    return journal
+
+
+class FakePeers:
+    """Peers with a journal each, or with a fixed answer."""
+
+    def __init__(self, **answers: Any) -> None:
+        self._answers = answers
+
+    def views(self) -> tuple[peers_port.PeerView, ...]:
+        return tuple(
+            peers_port.PeerView(seat, "bole", reachable=answer is not None)
+            for seat, answer in self._answers.items()
+        )
+
+    def explain(
+        self, seat: str, subject: str, name: str, timeout_ms: int
+    ) -> result.Result[bytes, peers_port.PeerError]:
+        answer = self._answers[seat]
+        if isinstance(answer, threading.Event):
+            answer.wait(10)
+            return result.Err(peers_port.PeerAnswerLost("late"))
+        if isinstance(answer, bytes):
+            return result.Ok(answer)
+        told = explanation.of_host(answer, reasons.Subject(subject), name)
+        return result.Ok(explanation.encode(told))
+
+
+class OperatorPagesTest(testtools.TestCase):
+    """The pages, through their routes."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.metrics = metrics_module.Metrics()
+        self.is_ready = True
+
+    def pages(self, **status_sources: Any) -> routes.Routes:
+        pages = operator_pages.OperatorPages(
+            journal_of("h1", 5),
+            self.metrics,
+            status_sources,
+            lambda: self.is_ready,
+            FakePeers(),
+        )
+        return routes.Routes(pages.routes())
+
+    def get(self, path: str, **status_sources: Any) -> http.HttpReply:
+        query = {"format": "text"} if path == "/metrics" else {}
+        request = http.HttpRequest("GET", path, query, {}, b"")
+        return self.pages(**status_sources).handle(request)
+
+    def test_host_that_is_not_ready_says_503(self) -> None:
+        self.is_ready = False
+        self.assertEqual(503, self.get("/health/ready").status)
+        self.assertEqual(200, self.get("/health/live").status)
+
+    def test_failing_part_leaves_the_rest_of_the_status(self) -> None:
+        reply = self.get("/status", bad=lambda: 1 / 0, good=lambda: [1])
+        page = json.loads(reply.body)
+        self.assertEqual([1], page["good"])
+        self.assertIn("ZeroDivisionError", page["bad"]["error"])
+
+    def test_metrics_text_escapes_labels(self) -> None:
+        self.metrics.count(metrics_module.Counter.LOG_APPENDS, 'a"\n')
+        body = self.get("/metrics").body
+        self.assertEqual(b'log_appends{label="a\\"\\n"} 1\n', body)
+
+    def test_unknown_subject_is_a_clear_404(self) -> None:
+        reply = self.get("/explain/planet/mars")
+        self.assertEqual(404, reply.status)
+        self.assertIn(b"request, job", reply.body)
+
+    def test_id_with_slashes_is_explained(self) -> None:
+        page = json.loads(self.get("/explain/request/a/b").body)
+        self.assertEqual("a/b", page["name"])
+
+
+class ExplainerTest(testtools.TestCase):
+    """Joining the journals of several hosts."""
+
+    def explain(
+        self, own: journal_module.Journal, **answers: Any
+    ) -> explanation.Explanation:
+        peers = FakePeers(**answers)
+        return explanation.Explainer(own, peers, 200).explain(JOB, "j")
+
+    def test_decisions_of_all_hosts_are_ordered_by_time(self) -> None:
+        found = self.explain(
+            journal_of("h1", 20, "j"),
+            b=journal_of("h2", 10, "j"),
+            c=journal_of("h3", 30, "j", "other"),
+        )
+        hosts = [decision.host for decision in found.decisions]
+        self.assertEqual(["h2", "h1", "h3"], hosts)
+
+    def test_unknown_everywhere(self) -> None:
+        found = self.explain(journal_of("h1", 1), b=journal_of("h2", 1))
+        self.assertEqual(explanation.Verdict.UNKNOWN, found.verdict)
+
+    def test_full_journal_may_have_forgotten(self) -> None:
+        full = journal_of("h2", 1, "a", "b", max_decisions=1)
+        found = self.explain(journal_of("h1", 1), b=full)
+        self.assertEqual(explanation.Verdict.MAY_BE_FORGOTTEN, found.verdict)
+
+    def test_unreachable_peer_may_know_more(self) -> None:
+        found = self.explain(journal_of("h1", 1), b=None)
+        self.assertEqual(explanation.Verdict.MAY_BE_ELSEWHERE, found.verdict)
+        self.assertEqual("b", found.silent[0].seat)
+
+    def test_slow_peer_is_not_waited_for(self) -> None:
+        slow = threading.Event()
+        self.addCleanup(slow.set)
+        found = self.explain(journal_of("h1", 1, "j"), b=slow)
+        self.assertEqual("no answer in time", found.silent[0].detail)
+        self.assertEqual(1, len(found.decisions))
+
+    def test_garbage_from_a_peer_is_named(self) -> None:
+        found = self.explain(journal_of("h1", 1), b=b"\xff{")
+        self.assertIn("can't be read", found.silent[0].detail)
--- /dev/null
+++ b/tests/process/test_settings_file.py
@@ -0,0 +1,127 @@
+"""Tests of the settings file's check."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import testtools
+
+from comfreylatch._process import json_file
+from comfreylatch._process import settings_file
+
+RIGHT: dict[str, Any] = {
+    "seat": "bole-1",
+    "zone": "bole",
+    "caller_address": "127.0.0.1:8001",
+    "operator_address": "127.0.0.1:8002",
+    "peer_address": "127.0.0.1:8003",
+    "platform": {
+        "log_address": "127.0.0.1:9001",
+        "host_list_address": "127.0.0.1:9002",
+    },
+    "peers": [
+        {"seat": "bole-2", "zone": "bole", "peer_address": "127.0.0.1:8013"}
+    ],
+}
+
+
+def _with(**members: Any) -> str:
+    return json.dumps({**RIGHT, **members}, indent=1)
+
+
+class SettingsFileTest(testtools.TestCase):
+    """What a file with faults is answered with."""
+
+    def errors_of(self, text: str) -> list[json_file.PlacedError]:
+        checked = json_file.decode(text, "s.json", settings_file.check)
+        return list(checked.err_value.errors) if checked.is_err() else []
+
+    def assert_one_error(self, text: str, key: str, expected: str) -> None:
+        errors = self.errors_of(text)
+        self.assertEqual([key], [error.key for error in errors])
+        self.assertIn(expected, errors[0].expected)
+
+    def test_right_file_loads_with_defaults(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        file = pathlib.Path(folder.name) / "s.json"
+        file.write_text("// host\n" + _with(), encoding="utf-8")
+        settings = settings_file.load(str(file)).ok_value
+        self.assertEqual("bole-2", settings.peers[0].seat)
+        self.assertEqual(500, settings.timing.heartbeat_ms)
+
+    def test_missing_file_is_an_error_not_a_crash(self) -> None:
+        loaded = settings_file.load("/nowhere/settings.json")
+        self.assertIn("No such file", loaded.err_value.errors[0].found)
+
+    def test_all_errors_come_at_once_in_text_order(self) -> None:
+        text = _with(threads=0, log_level="loud", caller_address="bole:80")
+        keys = [error.key for error in self.errors_of(text)]
+        self.assertEqual(["caller_address", "threads", "log_level"], keys)
+
+    def test_unknown_key_names_the_nearest(self) -> None:
+        self.assert_one_error(_with(thread=4), "thread", "'threads'")
+
+    def test_error_is_placed_behind_comments(self) -> None:
+        text = _with(threads="9").replace('"threads"', '/* é\n */ "threads"')
+        error = self.errors_of(text)[0]
+        line = text.split("\n")[error.line - 1]
+        self.assertEqual('"9"', line[error.column - 1 :].rstrip(","))
+
+    def test_own_seat_among_peers_is_refused(self) -> None:
+        peers = [{**RIGHT["peers"][0], "seat": "bole-1"}]
+        self.assert_one_error(_with(peers=peers), "peers[0].seat", "other")
+
+    def test_seat_named_twice_is_refused(self) -> None:
+        first = RIGHT["peers"][0]
+        peers = [first, {**first, "peer_address": "127.0.0.1:8014"}]
+        self.assert_one_error(_with(peers=peers), "peers[1].seat", "once")
+
+    def test_times_are_positive(self) -> None:
+        text = _with(timing={"heartbeat_ms": 0})
+        self.assert_one_error(text, "timing.heartbeat_ms", "1 to ")
+
+    def test_repeated_key_is_refused(self) -> None:
+        text = _with().replace("{", '{"seat": "x",', 1)
+        self.assert_one_error(text, "seat", "each key once")
+
+    def test_syntax_error_is_placed(self) -> None:
+        error = self.errors_of('{"seat": "a", // one\n  "zone" "b"}')[0]
+        self.assertEqual((2, 10), (error.line, error.column))
+
+    def test_word_that_is_no_json_is_refused(self) -> None:
+        error = self.errors_of('{"threads": NaN}')[0]
+        self.assertEqual("NaN", error.found)
+
+    def test_deep_nesting_is_refused(self) -> None:
+        error = self.errors_of("[" * 100_000)[0]
+        self.assertEqual("fewer levels", error.expected)
+
+    @hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+    @given(strategies.text(alphabet='{}[]",:/* \n1ate\\é', max_size=40))
+    def test_any_text_gets_an_answer(self, text: str) -> None:
+        for error in self.errors_of(text):
+            self.assertTrue(error.line >= 1 and error.column >= 1)
+
+    @hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        strategies.sampled_from(sorted(RIGHT)),
+        strategies.recursive(
+            strategies.none() | strategies.integers() | strategies.text(),
+            lambda inner: (
+                strategies.lists(inner)
+                | strategies.dictionaries(strategies.text(), inner)
+            ),
+            max_leaves=5,
+        ),
+    )
+    def test_any_value_of_a_member_gets_an_answer(
+        self, member: str, value: Any
+    ) -> None:
+        self.errors_of(_with(**{member: value}))
