--- /dev/null
+++ b/src/comfreylatch/_connection/host_list_client.py
@@ -0,0 +1,74 @@
+"""The platform's list of hosts over HTTP."""
+
+from __future__ import annotations
+
+import http
+import types
+from typing import Any
+from typing import final
+
+import attrs
+import logbook
+import msgspec
+import result
+
+from comfreylatch._connection import json_call
+from comfreylatch._ports import hosts as hosts_port
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class _ListAnswer:
+    hosts: list[Any]
+
+
+@final
+class HostListClient:
+    """Implements `HostListPort`. Thread-safe; a call takes `timeout_ms`."""
+
+    def __init__(self, address: str, timeout_ms: int) -> None:
+        self._timeout_ms = timeout_ms
+        self._pool = json_call.open_pool(address)
+
+    def __enter__(self) -> HostListClient:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._pool.close()
+
+    def fetch(
+        self,
+    ) -> result.Result[hosts_port.HostList, hosts_port.HostListDown]:
+        """See `HostListPort.fetch`; a malformed line is logged and left out."""
+        answer = json_call.call(
+            self._pool, "GET", "/hosts", None, self._timeout_ms
+        )
+        match answer:
+            case result.Ok(json_call.Answer(http.HTTPStatus.OK, body)):
+                return _decode(body)
+            case result.Ok(json_call.Answer(status, _)):
+                return result.Err(hosts_port.HostListDown(f"status {status}"))
+            case result.Err(error):
+                return result.Err(hosts_port.HostListDown(error.detail))
+
+
+def _decode(
+    body: bytes,
+) -> result.Result[hosts_port.HostList, hosts_port.HostListDown]:
+    try:
+        lines = msgspec.json.decode(body, type=_ListAnswer).hosts
+    except msgspec.MsgspecError as error:
+        return result.Err(hosts_port.HostListDown(f"answer: {error}"))
+    hosts: list[hosts_port.ListedHost] = []
+    for line in lines:
+        try:
+            hosts.append(msgspec.convert(line, type=hosts_port.ListedHost))
+        except msgspec.ValidationError as error:
+            _logger.warning("bad host list line error={}", error)
+    return result.Ok(hosts_port.HostList(tuple(hosts)))
--- /dev/null
+++ b/src/comfreylatch/_connection/json_call.py
@@ -0,0 +1,103 @@
+"""One bounded HTTP call with a JSON answer to a service of the platform."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import attrs
+import result
+import urllib3
+
+MAX_ANSWER_BYTES = 64 * 1_024 * 1_024
+CHUNK_BYTES = 65_536
+POOL_CONNECTIONS = 4
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer: its status and its body."""
+
+    status: int
+    body: bytes
+
+
+@attrs.frozen
+class NotSent:
+    """No connection could be made, so that no byte of the call was sent."""
+
+    detail: str
+
+
+@attrs.frozen
+class AnswerLost:
+    """The call was sent, but no whole answer came back in time."""
+
+    detail: str
+
+
+CallError = NotSent | AnswerLost
+
+
+def open_pool(address: str) -> urllib3.HTTPConnectionPool:
+    """A pool of connections to `IP:port` which never retries by itself."""
+    host, _, port = address.rpartition(":")
+    return urllib3.HTTPConnectionPool(
+        host,
+        int(port),
+        maxsize=POOL_CONNECTIONS,
+        block=False,
+        retries=False,
+    )
+
+
+def call(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    target: str,
+    body: bytes | None,
+    timeout_ms: int,
+) -> result.Result[Answer, CallError]:
+    """Makes a call and reads its answer whole within `timeout_ms`.
+
+    Only a failed connection is `NotSent`. A kept connection that turns out to
+    be broken is `AnswerLost`, as the other side may have read the call.
+    """
+    deadline = time.monotonic() + timeout_ms / 1_000
+    headers = {} if body is None else {"Content-Type": "application/json"}
+    try:
+        response = pool.urlopen(
+            method,
+            target,
+            body=body,
+            headers=headers,
+            timeout=urllib3.Timeout(total=timeout_ms / 1_000),
+            preload_content=False,
+            redirect=False,
+            retries=False,
+        )
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    ) as error:
+        return result.Err(NotSent(str(error)))
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        return result.Err(AnswerLost(str(error)))
+    return _read_whole(response, deadline)
+
+
+def _read_whole(
+    response: Any, deadline: float
+) -> result.Result[Answer, CallError]:
+    body = bytearray()
+    try:
+        while chunk := response.read1(CHUNK_BYTES):
+            body += chunk
+            if len(body) > MAX_ANSWER_BYTES or time.monotonic() > deadline:
+                response.close()
+                return result.Err(AnswerLost("answer too long or too slow"))
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        response.close()
+        return result.Err(AnswerLost(str(error)))
+    response.release_conn()
+    return result.Ok(Answer(response.status, bytes(body)))
--- /dev/null
+++ b/src/comfreylatch/_process/appender.py
@@ -0,0 +1,382 @@
+"""Appends records to one stream, batching those of concurrent callers."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+import random
+import threading
+import types
+from typing import Any
+from typing import final
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import streams
+from comfreylatch._process import backoff
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._version import records
+
+MAX_BATCH_RECORDS = 256
+MAX_BATCH_BYTES = 512 * 1_024
+MAX_QUEUED_RECORDS = 4_096
+MIN_RETRY_AFTER_MS = 100
+# One batch may find its answer lost by chance; twice in a row is an outage.
+LOST_ANSWERS_OF_OUTAGE = 2
+DEFAULT_SPACING_MS = 50
+
+_logger = logbook.Logger(__name__)
+
+Outcome = result.Result[streams.Appended, streams.AppendRefusal]
+
+
+@attrs.define(eq=False)
+class PendingAppend:
+    """One caller's records on their way to the log."""
+
+    payloads: tuple[bytes, ...]
+    first_sequence: int
+    done: threading.Event = attrs.field(factory=threading.Event)
+    outcome: Outcome | None = None
+
+    def settle(self, outcome: Outcome) -> None:
+        """Sets the outcome, once."""
+        if self.outcome is None:
+            self.outcome = outcome
+            self.done.set()
+
+
+@attrs.define(eq=False)
+class _Batch:
+    """Records that go into one append, and what is known of it."""
+
+    calls: tuple[PendingAppend, ...]
+    payloads: tuple[bytes, ...]
+    maybe_appended: bool = False
+    settled: bool = False
+
+    @property
+    def first_sequence(self) -> int:
+        return self.calls[0].first_sequence
+
+    @property
+    def last_sequence(self) -> int:
+        last = self.calls[-1]
+        return last.first_sequence + len(last.payloads) - 1
+
+    def settle_appended(self, first_offset: int) -> None:
+        offset = first_offset
+        for call in self.calls:
+            call.settle(result.Ok(streams.Appended(offset)))
+            offset += len(call.payloads)
+        self.settled = True
+
+    def settle_refused(self, refusal: streams.AppendRefusal) -> None:
+        for call in self.calls:
+            call.settle(result.Err(refusal))
+        self.settled = True
+
+
+@final
+class StreamAppender:
+    """Implements `RecordAppender` with one thread for the stream.
+
+    One append is under way at a time. As long as its outcome is unknown the
+    same payloads are sent again, and nothing else, so that a writer's
+    sequences reach the stream in rising order. While the log is down, new
+    records are refused at once.
+
+    `spacing_ms` is the least time between two appends: the stream's share of
+    what the log takes.
+    """
+
+    def __init__(
+        self,
+        log: log_port.LogPort,
+        stream: str,
+        writer: str,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+        *,
+        spacing_ms: int = DEFAULT_SPACING_MS,
+        retry: backoff.Backoff | None = None,
+        source: random.Random | None = None,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._writer = writer
+        self._metrics = metrics
+        self._clock = clock
+        self._spacing_ms = spacing_ms
+        self._retry = retry or backoff.Backoff()
+        self._source = source or random.Random()
+        self._wake = threading.Condition()
+        self._queue: collections.deque[PendingAppend] = collections.deque()
+        self._queued_records = 0
+        self._next_sequence = 1
+        self._batch: _Batch | None = None
+        self._failures = 0
+        self._down = False
+        self._next_try_ms = 0
+        self._closing = False
+        self._thread = threading.Thread(
+            target=self._run, name=f"append-{stream}", daemon=True
+        )
+
+    def __enter__(self) -> StreamAppender:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Ends the thread; what was sent without an answer stays unknown."""
+        with self._wake:
+            self._closing = True
+            self._refuse_queue("this host is stopping")
+            self._wake.notify_all()
+        self._thread.join()
+        with self._wake:
+            if self._batch is not None and not self._batch.settled:
+                self._batch.settle_refused(
+                    streams.AppendUnknown("this host stopped")
+                )
+
+    @property
+    def writer(self) -> str:
+        """Writer id of the records."""
+        return self._writer
+
+    @property
+    def down(self) -> bool:
+        """Whether the log is known not to take records now."""
+        return self._down
+
+    def append(self, bodies: Sequence[Any], timeout_ms: int) -> Outcome:
+        """See `RecordAppender.append`.
+
+        Records not yet sent when the time is up are taken back, and
+        `NotAccepted` is true of them.
+        """
+        pending = self.submit(bodies)
+        if not pending.done.wait(timeout_ms / 1_000):
+            self._give_up(pending)
+        assert pending.outcome is not None
+        return pending.outcome
+
+    def submit(self, bodies: Sequence[Any]) -> PendingAppend:
+        """Queues records, or refuses them at once; does not wait."""
+        with self._wake:
+            pending = self._encode(bodies)
+            refusal = self._refusal(len(bodies))
+            if refusal is not None:
+                pending.settle(result.Err(refusal))
+                return pending
+            self._queue.append(pending)
+            self._queued_records += len(pending.payloads)
+            self._wake.notify_all()
+            return pending
+
+    def resolve(self, seen_sequence: int, offset: int) -> None:
+        """Tells that a record of this writer was read back from the stream.
+
+        Args:
+            seen_sequence: Its sequence.
+            offset: Its offset, of the first copy on the stream.
+        """
+        with self._wake:
+            batch = self._batch
+            if batch is None or batch.settled:
+                return
+            if batch.first_sequence <= seen_sequence <= batch.last_sequence:
+                first = offset - (seen_sequence - batch.first_sequence)
+                batch.settle_appended(first)
+                self._wake.notify_all()
+
+    def step(self) -> int:
+        """Makes at most one call to the log.
+
+        Returns:
+            Milliseconds to wait before the next step; 0 for none.
+        """
+        with self._wake:
+            wait_ms = self._next_try_ms - self._clock.monotonic_ms()
+            self._drop_settled()
+            if wait_ms > 0 and self._has_work():
+                return wait_ms
+            batch = self._batch or self._take()
+        if batch is not None:
+            self._send(batch)
+        elif self._down:
+            self._probe()
+        with self._wake:
+            self._drop_settled()
+            if not self._has_work():
+                return 0
+            return max(0, self._next_try_ms - self._clock.monotonic_ms())
+
+    def _encode(self, bodies: Sequence[Any]) -> PendingAppend:
+        first = self._next_sequence
+        self._next_sequence += len(bodies)
+        payloads = tuple(
+            records.encode(self._writer, first + index, body)
+            for index, body in enumerate(bodies)
+        )
+        return PendingAppend(payloads, first)
+
+    def _refusal(self, count: int) -> streams.NotAccepted | None:
+        if self._closing:
+            return self._not_accepted("this host is stopping")
+        if self._down:
+            return self._not_accepted("the log is down")
+        if self._queued_records + count > MAX_QUEUED_RECORDS:
+            return self._not_accepted("too many records wait for the log")
+        return None
+
+    def _not_accepted(self, detail: str) -> streams.NotAccepted:
+        left_ms = self._next_try_ms - self._clock.monotonic_ms()
+        retry_after_ms = max(MIN_RETRY_AFTER_MS, left_ms)
+        return streams.NotAccepted(detail, retry_after_ms)
+
+    def _give_up(self, pending: PendingAppend) -> None:
+        with self._wake:
+            if pending.outcome is not None:
+                return
+            if pending in self._queue:
+                self._queue.remove(pending)
+                self._queued_records -= len(pending.payloads)
+                refusal = self._not_accepted("the log is slow")
+                pending.settle(result.Err(refusal))
+                return
+            pending.settle(
+                result.Err(streams.AppendUnknown("no answer from the log yet"))
+            )
+
+    def _has_work(self) -> bool:
+        return self._batch is not None or bool(self._queue) or self._down
+
+    def _drop_settled(self) -> None:
+        if self._batch is not None and self._batch.settled:
+            self._batch = None
+
+    def _take(self) -> _Batch | None:
+        """Moves calls from the queue into a new batch."""
+        calls: list[PendingAppend] = []
+        payloads: list[bytes] = []
+        size_bytes = 0
+        while self._queue:
+            call = self._queue[0]
+            call_bytes = sum(map(len, call.payloads))
+            too_many = len(payloads) + len(call.payloads) > MAX_BATCH_RECORDS
+            too_long = size_bytes + call_bytes > MAX_BATCH_BYTES
+            if calls and (too_many or too_long):
+                break
+            self._queue.popleft()
+            self._queued_records -= len(call.payloads)
+            calls.append(call)
+            payloads.extend(call.payloads)
+            size_bytes += call_bytes
+        if not calls:
+            return None
+        self._batch = _Batch(tuple(calls), tuple(payloads))
+        return self._batch
+
+    def _send(self, batch: _Batch) -> None:
+        started_ms = self._clock.monotonic_ms()
+        self._metrics.count(metrics_module.Counter.LOG_APPENDS, self._stream)
+        answer = self._log.append(self._stream, batch.payloads)
+        elapsed_ms = self._clock.monotonic_ms() - started_ms
+        self._metrics.observe(
+            metrics_module.Latency.LOG_APPEND, elapsed_ms * 1_000, self._stream
+        )
+        with self._wake:
+            self._next_try_ms = started_ms + self._spacing_ms
+            match answer:
+                case result.Ok(first_offset):
+                    self._appended(batch, first_offset)
+                case result.Err(log_port.LogDown(detail)):
+                    self._failed(reasons.RetryReason.LOG_DOWN, detail)
+                    self._refuse_unless_sent(batch)
+                case result.Err(log_port.LogAnswerLost(detail)):
+                    batch.maybe_appended = True
+                    self._failed(reasons.RetryReason.LOG_ANSWER_LOST, detail)
+
+    def _appended(self, batch: _Batch, first_offset: int) -> None:
+        self._failures = 0
+        self._down = False
+        self._metrics.count(
+            metrics_module.Counter.LOG_RECORDS,
+            self._stream,
+            len(batch.payloads),
+        )
+        if not batch.settled:
+            batch.settle_appended(first_offset)
+
+    def _refuse_unless_sent(self, batch: _Batch) -> None:
+        """Refuses a batch of which the log certainly holds nothing."""
+        if not batch.maybe_appended and not batch.settled:
+            batch.settle_refused(self._not_accepted("the log is down"))
+
+    def _failed(self, reason: reasons.RetryReason, detail: str) -> None:
+        self._failures += 1
+        self._metrics.count(metrics_module.Counter.RETRIES, reason)
+        delay_ms = self._retry.delay_ms(self._failures, self._source)
+        self._next_try_ms = max(
+            self._next_try_ms, self._clock.monotonic_ms() + delay_ms
+        )
+        _logger.warning(
+            "append failed stream={} reason={} failures={} detail={}",
+            self._stream,
+            reason,
+            self._failures,
+            detail,
+        )
+        lost = reason is reasons.RetryReason.LOG_ANSWER_LOST
+        if not lost or self._failures >= LOST_ANSWERS_OF_OUTAGE:
+            self._down = True
+            self._refuse_queue("the log is down")
+
+    def _refuse_queue(self, detail: str) -> None:
+        while self._queue:
+            pending = self._queue.popleft()
+            pending.settle(result.Err(self._not_accepted(detail)))
+        self._queued_records = 0
+
+    def _probe(self) -> None:
+        """Asks by a read that changes nothing whether the log is back."""
+        answer = self._log.read(self._stream, 0, 1, 0)
+        with self._wake:
+            match answer:
+                case result.Err(log_port.LogDown(detail)):
+                    self._failed(reasons.RetryReason.LOG_DOWN, detail)
+                case _:
+                    self._failures = 0
+                    self._down = False
+
+    def _run(self) -> None:
+        while not self._closing:
+            try:
+                delay_ms = self.step()
+            except Exception:
+                _logger.exception("append step failed stream={}", self._stream)
+                delay_ms = self._retry.max_ms
+            with self._wake:
+                self._wait(delay_ms)
+
+    def _wait(self, delay_ms: int) -> None:
+        if delay_ms > 0:
+            self._wake.wait_for(self._interrupted, delay_ms / 1_000)
+        else:
+            self._wake.wait_for(lambda: self._closing or self._has_work())
+
+    def _interrupted(self) -> bool:
+        settled = self._batch is not None and self._batch.settled
+        return self._closing or settled
