Fold tickets from the log and answer for them at a desk

Follower, stream state with duplicates dropped, catch-up from peers,

verdicts, handlers for tickets and objects.

--- a/src/comfreylatch/_connection/host_list_client.py
+++ b/src/comfreylatch/_connection/host_list_client.py
@@ -15,7 +15,7 @@
 from comfreylatch._connection import json_call
 from comfreylatch._ports import hosts as hosts_port
 
-_logger = logbook.Logger(__name__)
+_events = logbook.Logger(__name__)
 
 
 @attrs.frozen
@@ -70,5 +70,5 @@
         try:
             hosts.append(msgspec.convert(line, type=hosts_port.ListedHost))
         except msgspec.ValidationError as error:
-            _logger.warning("bad host list line error={}", error)
+            _events.warning("bad host list line error={}", error)
     return result.Ok(hosts_port.HostList(tuple(hosts)))
--- a/src/comfreylatch/_connection/log_client.py
+++ b/src/comfreylatch/_connection/log_client.py
@@ -96,9 +96,7 @@
     def read(
         self, stream: str, offset: int, max_entries: int, wait_ms: int
     ) -> result.Result[log_port.LogBatch, log_port.ReadError]:
-        """See `LogPort.read`; a lost answer is `LogDown`, as reading again
-        does no harm.
-        """
+        """See `LogPort.read`; a lost answer is `LogDown`, too."""
         query = f"?from={offset}&max={max_entries}&wait_ms={wait_ms}"
         target = _target(stream) + query
         match self._call("GET", target, None, self._timeout_ms + wait_ms):
--- a/src/comfreylatch/_process/appender.py
+++ b/src/comfreylatch/_process/appender.py
@@ -20,17 +20,18 @@
 from comfreylatch._process import backoff
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
+from comfreylatch._process import stream_state
 from comfreylatch._version import records
 
 MAX_BATCH_RECORDS = 256
 MAX_BATCH_BYTES = 512 * 1_024
 MAX_QUEUED_RECORDS = 4_096
-MIN_RETRY_AFTER_MS = 100
+MIN_RETRY_AFTER_MS = 500
 # One batch may find its answer lost by chance; twice in a row is an outage.
 LOST_ANSWERS_OF_OUTAGE = 2
 DEFAULT_SPACING_MS = 50
 
-_logger = logbook.Logger(__name__)
+_events = logbook.Logger(__name__)
 
 Outcome = result.Result[streams.Appended, streams.AppendRefusal]
 
@@ -201,6 +202,12 @@
                 batch.settle_appended(first)
                 self._wake.notify_all()
 
+    def observe(self, applied: stream_state.Applied) -> None:
+        """Resolves unknown appends by what a follower has read back."""
+        line = applied.seen.get(self._writer)
+        if line is not None:
+            self.resolve(line.sequence, line.offset)
+
     def step(self) -> int:
         """Makes at most one call to the log.
 
@@ -332,7 +339,7 @@
         self._next_try_ms = max(
             self._next_try_ms, self._clock.monotonic_ms() + delay_ms
         )
-        _logger.warning(
+        _events.warning(
             "append failed stream={} reason={} failures={} detail={}",
             self._stream,
             reason,
@@ -366,7 +373,7 @@
             try:
                 delay_ms = self.step()
             except Exception:
-                _logger.exception("append step failed stream={}", self._stream)
+                _events.exception("append step failed stream={}", self._stream)
                 delay_ms = self._retry.max_ms
             with self._wake:
                 self._wait(delay_ms)
--- /dev/null
+++ b/src/comfreylatch/_process/catch_up.py
@@ -0,0 +1,138 @@
+"""State of a stream taken from, and given to, another entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import final
+from typing import Protocol
+
+import attrs
+import result
+
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._wire.gen.peer import ttypes
+
+
+@attrs.frozen
+class CatchUp:
+    """What brings a host from one offset of a stream to a later one.
+
+    Attributes:
+        snapshot: An encoded `StreamSnapshot`; empty when entries suffice.
+        entries: What follows the snapshot, or the offset asked for.
+        offset: Where the receiver is after them.
+        digest: Digest of the fold there.
+    """
+
+    snapshot: bytes
+    entries: tuple[log_port.LogEntry, ...]
+    offset: int
+    digest: str
+
+
+@attrs.frozen
+class NoCatchUp:
+    """No peer can give the state now."""
+
+    detail: str
+
+
+class CatchUpSource(Protocol):
+    """Where a follower gets records when the log can't give them."""
+
+    def fetch(
+        self, stream: str, after_offset: int
+    ) -> result.Result[CatchUp, NoCatchUp]:
+        """Fetches what follows an offset; may hold nothing new."""
+        ...
+
+
+@final
+class PeerCatchUp:
+    """Asks peers, the most advanced first, those of the own zone before others.
+
+    Args:
+        peers: The other entry hosts.
+        zone: This host's availability zone.
+        timeout_ms: For one call to a peer.
+        zone_only: Whether only peers of the own zone follow the stream.
+    """
+
+    def __init__(
+        self,
+        peers: peers_port.Peers,
+        zone: str,
+        timeout_ms: int,
+        *,
+        zone_only: bool = False,
+    ) -> None:
+        self._peers = peers
+        self._zone = zone
+        self._timeout_ms = timeout_ms
+        self._zone_only = zone_only
+
+    def fetch(
+        self, stream: str, after_offset: int
+    ) -> result.Result[CatchUp, NoCatchUp]:
+        """See `CatchUpSource.fetch`."""
+        request = ttypes.CatchUpRequest(
+            stream=stream, after_offset=after_offset
+        )
+        for seat in self._candidates():
+            answer = self._peers.catch_up(seat, request, self._timeout_ms)
+            if answer.is_ok():
+                return result.Ok(from_wire(answer.ok()))
+        return result.Err(NoCatchUp("no peer reached has the state"))
+
+    def _candidates(self) -> list[str]:
+        views = [
+            view
+            for view in self._peers.views()
+            if view.reachable
+            and (view.zone == self._zone or not self._zone_only)
+        ]
+        views.sort(
+            key=lambda view: (-view.config_offset, view.zone != self._zone)
+        )
+        return [view.seat for view in views]
+
+
+def to_wire(given: CatchUp) -> ttypes.CatchUpReply:
+    """The reply of `PeerHandler.catch_up`."""
+    return ttypes.CatchUpReply(
+        snapshot_offset=-1,
+        snapshot=given.snapshot,
+        entries=entries_to_wire(given.entries),
+        offset=given.offset,
+        digest=given.digest,
+    )
+
+
+def from_wire(reply: ttypes.CatchUpReply) -> CatchUp:
+    """Reverses `to_wire`."""
+    return CatchUp(
+        snapshot=reply.snapshot,
+        entries=entries_from_wire(reply.entries),
+        offset=reply.offset,
+        digest=reply.digest,
+    )
+
+
+def entries_to_wire(
+    entries: Sequence[log_port.LogEntry],
+) -> list[ttypes.StreamEntry]:
+    """Entries as `Peers.push` takes them."""
+    return [
+        ttypes.StreamEntry(offset=entry.offset, payload=entry.payload)
+        for entry in entries
+    ]
+
+
+def entries_from_wire(
+    entries: Sequence[ttypes.StreamEntry],
+) -> tuple[log_port.LogEntry, ...]:
+    """Reverses `entries_to_wire`."""
+    return tuple(
+        log_port.LogEntry(entry.offset, entry.payload) for entry in entries
+    )
--- /dev/null
+++ b/src/comfreylatch/_process/follower.py
@@ -0,0 +1,272 @@
+"""Follows one stream and folds its records in the order of their offsets."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import random
+import threading
+import types
+from typing import final
+
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import streams
+from comfreylatch._process import backoff
+from comfreylatch._process import catch_up as catch_up_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process import snapshot_stream
+from comfreylatch._process import stream_state
+from comfreylatch._version import snapshots
+
+MAX_READ_ENTRIES = 256
+DEFAULT_WAIT_MS = 2_000
+NEVER_MS = 2**53
+
+_events = logbook.Logger(__name__)
+
+
+@final
+class StreamFollower:
+    """Reads a stream with one thread; peers may add to it from others.
+
+    Args:
+        log: The platform's log.
+        stream: Name of the stream.
+        fold: Takes every record once, in the order of the offsets.
+        metrics: Counts malformed records and retries.
+        clock: For ages.
+        wait_ms: How long the log may hold a read that finds nothing new.
+        catch_up: Asked when the log is down or has dropped what is needed.
+        after_apply: Called after each change of the fold, outside any lock.
+        retry: Waits between reads that failed.
+        source: Randomness of those waits.
+    """
+
+    def __init__(
+        self,
+        log: log_port.LogPort,
+        stream: str,
+        fold: streams.RecordFold,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+        *,
+        wait_ms: int = DEFAULT_WAIT_MS,
+        catch_up: catch_up_module.CatchUpSource | None = None,
+        after_apply: stream_state.AfterApply | None = None,
+        retry: backoff.Backoff | None = None,
+        source: random.Random | None = None,
+    ) -> None:
+        self._log = log
+        self._stream = stream
+        self._metrics = metrics
+        self._clock = clock
+        self._wait_ms = wait_ms
+        self._catch_up = catch_up
+        self._retry = retry or backoff.Backoff()
+        self._source = source or random.Random()
+        self._state = stream_state.StreamState(
+            stream, fold, metrics, after_apply
+        )
+        self._at_head_ms = -1
+        self._ready = False
+        self._failures = 0
+        self._closing = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"follow-{stream}", daemon=True
+        )
+
+    def __enter__(self) -> StreamFollower:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Ends the thread, after the read under way."""
+        self._closing.set()
+        self._thread.join()
+
+    @property
+    def stream(self) -> str:
+        """Name of the stream."""
+        return self._stream
+
+    @property
+    def ready(self) -> bool:
+        """Whether the state was once as new as the log or a peer had it."""
+        return self._ready
+
+    def offset(self) -> int:
+        """Offset of the last record folded, -1 for none; never falls."""
+        return self._state.offset
+
+    def digest(self) -> str:
+        """Digest of the fold."""
+        return self._state.digest()
+
+    def position(self) -> tuple[int, str]:
+        """Offset and digest that belong together, for heartbeats."""
+        return self._state.position()
+
+    def age_ms(self) -> int:
+        """Time since the state was known to be as new as the log.
+
+        `NEVER_MS` when it never was.
+        """
+        if self._at_head_ms < 0:
+            return NEVER_MS
+        return max(0, self._clock.monotonic_ms() - self._at_head_ms)
+
+    def wait_for(self, offset: int, timeout_ms: int) -> bool:
+        """Waits until a record has been folded; False when time is up."""
+        return self._state.wait_for(offset, timeout_ms)
+
+    def snapshot(self) -> snapshots.StreamSnapshot:
+        """The state after the current offset."""
+        return self._state.snapshot()
+
+    def offer(self, entries: Sequence[log_port.LogEntry]) -> bool:
+        """Takes entries which a peer has read from the log.
+
+        Returns:
+            Whether they were new and continued exactly from the own offset;
+            otherwise nothing was done.
+        """
+        return self._state.take(entries, stream_state.EntrySource.PEER)
+
+    def serve_catch_up(
+        self, after_offset: int
+    ) -> result.Result[catch_up_module.CatchUp, catch_up_module.NoCatchUp]:
+        """What brings a peer forward; Err until this host is ready."""
+        if not self._ready:
+            return result.Err(catch_up_module.NoCatchUp("not ready"))
+        return result.Ok(self._state.since(after_offset))
+
+    def step(self) -> int:
+        """Makes one read of the log and folds what it gives.
+
+        Returns:
+            Milliseconds to wait before the next step.
+        """
+        started_ms = self._clock.monotonic_ms()
+        asked = self._state.offset + 1
+        answer = self._log.read(
+            self._stream, asked, MAX_READ_ENTRIES, self._wait_ms
+        )
+        match answer:
+            case result.Ok(batch):
+                return self._take_batch(batch, asked, started_ms)
+            case result.Err(log_port.LogExpired(first_offset)):
+                return self._recover(first_offset)
+            case result.Err(log_port.LogDown(detail)):
+                self._take_from_peer()
+                return self._failed(detail)
+
+    def _take_batch(
+        self, batch: log_port.LogBatch, asked: int, started_ms: int
+    ) -> int:
+        if not batch.entries and batch.next_offset != asked:
+            return self._failed(
+                f"the log goes on at {batch.next_offset}, not at {asked}"
+            )
+        if batch.entries:
+            self._state.take(batch.entries, stream_state.EntrySource.LOG)
+            if batch.entries[-1].offset > self._state.offset:
+                return self._failed("the log's answer leaves out records")
+        self._failures = 0
+        if len(batch.entries) < MAX_READ_ENTRIES:
+            self._reached_head(bool(batch.entries), started_ms)
+        return 0
+
+    def _reached_head(self, had_entries: bool, started_ms: int) -> None:
+        """Notes until when at least nothing newer was on the log."""
+        known_ms = started_ms
+        if not had_entries:
+            # An empty answer was held back for the whole of the wait.
+            elapsed_ms = self._clock.monotonic_ms() - started_ms
+            known_ms += min(elapsed_ms, self._wait_ms)
+        self._at_head_ms = max(self._at_head_ms, known_ms)
+        self._ready = True
+
+    def _failed(self, detail: str) -> int:
+        self._failures += 1
+        self._metrics.count(
+            metrics_module.Counter.RETRIES, reasons.RetryReason.LOG_DOWN
+        )
+        if self._failures == 1:
+            _events.warning(
+                "read failed stream={} offset={} detail={}",
+                self._stream,
+                self._state.offset,
+                detail,
+            )
+        return self._retry.delay_ms(self._failures, self._source)
+
+    def _recover(self, first_offset: int) -> int:
+        """Goes on from a snapshot when the next record has expired."""
+        loaded = snapshot_stream.load(self._log, self._stream)
+        if loaded.is_ok():
+            log_source = stream_state.EntrySource.LOG
+            self._state.restore(loaded.ok(), log_source)
+        if self._state.offset + 1 >= first_offset:
+            return 0
+        self._take_from_peer()
+        if self._state.offset + 1 >= first_offset:
+            return 0
+        return self._failed(
+            f"records before {first_offset} have expired and neither a"
+            " snapshot nor a peer has them"
+        )
+
+    def _take_from_peer(self) -> None:
+        """Catches up from a peer, if one has the state."""
+        if self._catch_up is None:
+            return
+        fetched = self._catch_up.fetch(self._stream, self._state.offset)
+        if fetched.is_err():
+            return
+        given = fetched.ok()
+        source = stream_state.EntrySource.PEER
+        if given.snapshot:
+            match snapshots.decode(given.snapshot):
+                case result.Ok(taken):
+                    self._state.restore(taken, source)
+                case result.Err(bad):
+                    self._bad_peer_message("snapshot", bad.detail)
+                    return
+        if given.entries:
+            self._state.take(given.entries, source)
+        self._check(given)
+
+    def _check(self, given: catch_up_module.CatchUp) -> None:
+        """Compares the position with the peer's before serving from it."""
+        offset, digest = self._state.position()
+        if offset == given.offset and digest != given.digest:
+            self._bad_peer_message("digest", f"at offset {offset}")
+        elif offset >= given.offset:
+            self._ready = True
+
+    def _bad_peer_message(self, what: str, detail: str) -> None:
+        self._metrics.count(metrics_module.Counter.BAD_PEER_MESSAGES, what)
+        _events.error(
+            "bad peer state stream={} what={} detail={}",
+            self._stream,
+            what,
+            detail,
+        )
+
+    def _run(self) -> None:
+        while not self._closing.is_set():
+            try:
+                delay_ms = self.step()
+            except Exception:
+                _events.exception("follow step failed stream={}", self._stream)
+                delay_ms = self._retry.max_ms
+            self._closing.wait(delay_ms / 1_000)
--- /dev/null
+++ b/src/comfreylatch/_process/snapshot_stream.py
@@ -0,0 +1,82 @@
+"""The stream on which snapshots of another stream are published."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+import result
+
+from comfreylatch._ports import log as log_port
+from comfreylatch._version import records
+from comfreylatch._version import snapshots
+
+MAX_READ_ENTRIES = 64
+
+
+@attrs.frozen
+class NoSnapshot:
+    """The stream holds no whole snapshot, or can't be read."""
+
+    detail: str
+
+
+def name_of(stream: str) -> str:
+    """Name of the stream with the snapshots of `stream`."""
+    return f"{stream}.snapshots"
+
+
+def load(
+    log: log_port.LogPort, stream: str
+) -> result.Result[snapshots.StreamSnapshot, NoSnapshot]:
+    """Reads the latest whole snapshot that the log still holds."""
+    parts: dict[tuple[int, str], dict[int, snapshots.SnapshotChunk]] = {}
+    whole: tuple[int, str] | None = None
+    start = 0
+    while True:
+        match read(log, stream, start):
+            case result.Ok(batch):
+                pass
+            case result.Err(error):
+                return result.Err(NoSnapshot(str(error)))
+        for chunk in chunks_of(batch):
+            key = (chunk.offset, chunk.checksum)
+            if whole is not None and key <= whole:
+                continue
+            parts.setdefault(key, {})[chunk.index] = chunk
+            if len(parts[key]) == chunk.count:
+                whole = key
+                parts = {key: parts[key]}
+        if not batch.entries:
+            break
+        start = batch.next_offset
+    if whole is None:
+        return result.Err(NoSnapshot("none is whole"))
+    joined = snapshots.join(parts[whole].values())
+    return joined.map_err(lambda bad: NoSnapshot(bad.detail))
+
+
+def read(
+    log: log_port.LogPort, stream: str, start: int
+) -> result.Result[log_port.LogBatch, log_port.ReadError]:
+    """Reads snapshots from an offset on, or from the first one kept."""
+    name = name_of(stream)
+    answer = log.read(name, start, MAX_READ_ENTRIES, 0)
+    match answer:
+        case result.Err(log_port.LogExpired(first_offset)):
+            return log.read(name, first_offset, MAX_READ_ENTRIES, 0)
+        case _:
+            return answer
+
+
+def chunks_of(
+    batch: log_port.LogBatch,
+) -> Iterator[snapshots.SnapshotChunk]:
+    """The chunks among the entries read; others are passed over."""
+    for entry in batch.entries:
+        decoded = records.decode(entry.payload)
+        if decoded.is_err():
+            continue
+        body = decoded.ok()[1]
+        if isinstance(body, snapshots.SnapshotChunk):
+            yield body
--- /dev/null
+++ b/src/comfreylatch/_process/stream_state.py
@@ -0,0 +1,245 @@
+"""The folded state of one stream: what was applied, and how far it reaches."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+import threading
+from typing import final
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import streams
+from comfreylatch._process import catch_up as catch_up_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._version import records
+from comfreylatch._version import snapshots
+from comfreylatch._version import writers
+
+# What is kept to bring a peer forward without a snapshot.
+MAX_RECENT_ENTRIES = 512
+MAX_RECENT_BYTES = 256 * 1_024
+
+_events = logbook.Logger(__name__)
+
+
+class EntrySource(enum.StrEnum):
+    """Where applied entries came from."""
+
+    LOG = "log"
+    PEER = "peer"
+
+
+@attrs.frozen
+class Applied:
+    """What one step added to the fold.
+
+    Attributes:
+        stream: Name of the stream.
+        source: The log, or a peer.
+        entries: The entries, also malformed and repeated ones, in order.
+        seen: Of each writer among them, or of all writers after a snapshot
+            was restored, the last record folded.
+    """
+
+    stream: str
+    source: EntrySource
+    entries: tuple[log_port.LogEntry, ...]
+    seen: Mapping[str, writers.WriterLine]
+
+
+AfterApply = Callable[[Applied], None]
+
+
+@final
+class StreamState:
+    """A fold, the writers it has seen, and its offset. Thread-safe.
+
+    Entries are taken only if they continue exactly from the offset, and
+    snapshots only if they are later, so that the offset never falls.
+    """
+
+    def __init__(
+        self,
+        stream: str,
+        fold: streams.RecordFold,
+        metrics: metrics_module.Metrics,
+        after_apply: AfterApply | None,
+    ) -> None:
+        self._stream = stream
+        self._fold = fold
+        self._metrics = metrics
+        self._after_apply = after_apply
+        self._changed = threading.Condition(threading.RLock())
+        self._writers = writers.WriterTable()
+        self._offset = -1
+        self._recent: collections.deque[log_port.LogEntry] = collections.deque()
+        self._recent_bytes = 0
+
+    @property
+    def offset(self) -> int:
+        """Offset of the last entry applied; -1 for none. Takes no lock."""
+        return self._offset
+
+    def digest(self) -> str:
+        """Digest of the fold."""
+        with self._changed:
+            return self._fold.digest()
+
+    def position(self) -> tuple[int, str]:
+        """Offset and digest that belong together."""
+        with self._changed:
+            return self._offset, self._fold.digest()
+
+    def wait_for(self, offset: int, timeout_ms: int) -> bool:
+        """Waits until an offset is applied; False when the time is up."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._offset >= offset, timeout_ms / 1_000
+            )
+
+    def snapshot(self) -> snapshots.StreamSnapshot:
+        """The state after the current offset."""
+        with self._changed:
+            return snapshots.StreamSnapshot(
+                stream=self._stream,
+                offset=self._offset,
+                digest=self._fold.digest(),
+                writers=self._writers.lines(),
+                fold=self._fold.snapshot(),
+            )
+
+    def since(self, after_offset: int) -> catch_up_module.CatchUp:
+        """What brings another host from `after_offset` to the offset here."""
+        with self._changed:
+            entries = tuple(
+                entry for entry in self._recent if entry.offset > after_offset
+            )
+            encoded = b""
+            if self._offset - after_offset > len(entries):
+                encoded = snapshots.encode(self.snapshot())
+                entries = ()
+            return catch_up_module.CatchUp(
+                encoded, entries, self._offset, self._fold.digest()
+            )
+
+    def take(
+        self, entries: Sequence[log_port.LogEntry], source: EntrySource
+    ) -> bool:
+        """Folds the entries above the offset.
+
+        Returns:
+            Whether there were any and they continue exactly from the offset;
+            otherwise nothing was done.
+        """
+        with self._changed:
+            fresh = tuple(
+                entry for entry in entries if entry.offset > self._offset
+            )
+            if not self._continues(fresh):
+                return False
+            seen: dict[str, writers.WriterLine] = {}
+            for entry in fresh:
+                self._apply(entry, seen)
+            self._changed.notify_all()
+        self._tell(Applied(self._stream, source, fresh, seen))
+        return True
+
+    def restore(
+        self, taken: snapshots.StreamSnapshot, source: EntrySource
+    ) -> bool:
+        """Replaces the state by a later one; False if it isn't sound."""
+        with self._changed:
+            if taken.stream != self._stream or taken.offset <= self._offset:
+                return False
+            if not self._restore_fold(taken):
+                return False
+            self._writers = writers.WriterTable(taken.writers)
+            self._offset = taken.offset
+            self._recent.clear()
+            self._recent_bytes = 0
+            self._changed.notify_all()
+        seen = {line.writer: line for line in taken.writers}
+        self._tell(Applied(self._stream, source, (), seen))
+        return True
+
+    def _restore_fold(self, taken: snapshots.StreamSnapshot) -> bool:
+        before = self._fold.snapshot()
+        try:
+            self._fold.restore(taken.offset, taken.fold)
+        except ValueError as error:
+            self._bad_record(taken.offset, f"snapshot: {error}")
+            return False
+        if self._fold.digest() == taken.digest:
+            return True
+        self._fold.restore(self._offset, before)
+        self._bad_record(taken.offset, "snapshot: the digest differs")
+        return False
+
+    def _continues(self, entries: Sequence[log_port.LogEntry]) -> bool:
+        start = self._offset + 1
+        expected = range(start, start + len(entries))
+        offsets = [entry.offset for entry in entries]
+        return bool(entries) and offsets == list(expected)
+
+    def _apply(
+        self, entry: log_port.LogEntry, seen: dict[str, writers.WriterLine]
+    ) -> None:
+        match records.decode(entry.payload):
+            case result.Ok((envelope, body)):
+                self._apply_record(entry.offset, envelope, body, seen)
+            case result.Err(bad):
+                self._bad_record(entry.offset, bad.detail)
+        self._offset = entry.offset
+        self._writers.sweep(entry.offset)
+        self._remember(entry)
+
+    def _apply_record(
+        self,
+        offset: int,
+        envelope: records.Envelope,
+        body: object,
+        seen: dict[str, writers.WriterLine],
+    ) -> None:
+        writer = envelope.writer
+        if not self._writers.take(writer, envelope.sequence, offset):
+            return
+        seen[writer] = writers.WriterLine(writer, envelope.sequence, offset)
+        try:
+            self._fold.apply(offset, envelope, body)
+        except Exception:
+            # Every host fails alike on it, and the stream must go on.
+            _events.exception("fold failed offset={}", offset)
+            self._bad_record(offset, f"fold of {envelope.kind} failed")
+
+    def _remember(self, entry: log_port.LogEntry) -> None:
+        self._recent.append(entry)
+        self._recent_bytes += len(entry.payload)
+        while (
+            len(self._recent) > MAX_RECENT_ENTRIES
+            or self._recent_bytes > MAX_RECENT_BYTES
+        ):
+            self._recent_bytes -= len(self._recent.popleft().payload)
+
+    def _tell(self, applied: Applied) -> None:
+        if self._after_apply is None:
+            return
+        try:
+            self._after_apply(applied)
+        except Exception:
+            _events.exception("after_apply failed stream={}", self._stream)
+
+    def _bad_record(self, offset: int, detail: str) -> None:
+        self._metrics.count(metrics_module.Counter.BAD_RECORDS, self._stream)
+        _events.error(
+            "bad record stream={} offset={} detail={}",
+            self._stream,
+            offset,
+            detail,
+        )
--- /dev/null
+++ b/src/comfreylatch/_process/ticket_desk.py
@@ -0,0 +1,287 @@
+"""Takes change tickets from operators and tells what became of them."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import final
+
+import attrs
+import msgspec
+import result
+
+from comfreylatch._connection import http
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._ports import streams
+from comfreylatch._process import follower as follower_module
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process import ticket_pages
+from comfreylatch._version import configuration_fold
+from comfreylatch._version import tickets
+from comfreylatch._version import verdicts
+
+DEFAULT_TIMEOUT_MS = 10_000
+MAX_TIMEOUT_MS = 60_000
+NOT_READY_RETRY_MS = 1_000
+TIMEOUT_HEADER = "x-timeout-ms"
+
+
+@attrs.frozen
+class _Refused:
+    """A ticket that was not appended."""
+
+    status: int
+    reason: reasons.RefusalReason
+    detail: str
+    retry_after_ms: int = 0
+
+
+@final
+class TicketDesk:
+    """Handlers of `/tickets` and `/objects` on the operators' address.
+
+    A ticket is answered for only by the fold: the answer is given once the
+    fold of this host has passed the ticket's record.
+    """
+
+    def __init__(
+        self,
+        appender: streams.RecordAppender,
+        fold: configuration_fold.ConfigurationFold,
+        follower: follower_module.StreamFollower,
+        peers: peers_port.Peers,
+        journal: journal_module.Journal,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+        seat: str,
+    ) -> None:
+        self._appender = appender
+        self._fold = fold
+        self._follower = follower
+        self._peers = peers
+        self._journal = journal
+        self._metrics = metrics
+        self._clock = clock
+        self._seat = seat
+
+    def submit(self, request: http.HttpRequest) -> http.HttpReply:
+        """`POST /tickets`."""
+        started_ms = self._clock.monotonic_ms()
+        match self._parse(request.body):
+            case result.Ok(ticket):
+                reply = self._submit(ticket, self._timeout_ms(request))
+            case result.Err(reply):
+                pass
+        elapsed_ms = self._clock.monotonic_ms() - started_ms
+        self._metrics.observe(metrics_module.Latency.TICKET, elapsed_ms * 1_000)
+        return reply
+
+    def list_tickets(self, request: http.HttpRequest) -> http.HttpReply:
+        """`GET /tickets`."""
+        del request
+        lines = self._fold.tickets()
+        return http.json_reply(200, ticket_pages.ticket_list(lines))
+
+    def show_ticket(self, request: http.HttpRequest) -> http.HttpReply:
+        """`GET /tickets/N`."""
+        text = request.path.rpartition("/")[2]
+        line = None
+        if text.isascii() and text.isdigit():
+            line = self._fold.ticket(int(text))
+        if line is None:
+            return http.error_reply(
+                404,
+                "unknown-ticket",
+                f"ticket {text} is not on the log as far as this host has read"
+                f" it: offset {self._follower.offset()},"
+                f" {ticket_pages.age(self._follower.age_ms())}",
+            )
+        page = ticket_pages.ticket_page(
+            line, self._own_view(), self._peers.views()
+        )
+        return http.json_reply(200, page)
+
+    def list_objects(self, request: http.HttpRequest) -> http.HttpReply:
+        """`GET /objects`."""
+        del request
+        page = ticket_pages.object_list(
+            self._fold.objects(),
+            self._fold.current(),
+            self._follower.age_ms(),
+        )
+        return http.json_reply(200, page)
+
+    def _own_view(self) -> ticket_pages.OwnView:
+        offset, digest = self._follower.position()
+        return ticket_pages.OwnView(
+            self._seat, offset, digest, self._follower.age_ms()
+        )
+
+    def _parse(
+        self, body: bytes
+    ) -> result.Result[tickets.Ticket, http.HttpReply]:
+        try:
+            value = msgspec.json.decode(body)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+            self._count(reasons.RefusalReason.BAD_TICKET)
+            return result.Err(
+                http.error_reply(
+                    400,
+                    reasons.RefusalReason.BAD_TICKET,
+                    f"the body is not JSON: {error}",
+                )
+            )
+        checked = tickets.check(value)
+        if checked.is_ok():
+            return result.Ok(checked.ok())
+        self._count(reasons.RefusalReason.BAD_TICKET)
+        page = ticket_pages.problem_page(checked.err())
+        headers = {"X-Reason": str(reasons.RefusalReason.BAD_TICKET)}
+        return result.Err(http.json_reply(400, page, headers))
+
+    def _submit(
+        self, ticket: tickets.Ticket, timeout_ms: int
+    ) -> http.HttpReply:
+        deadline_ms = self._clock.monotonic_ms() + timeout_ms
+        refused = self._early_refusal()
+        if refused is not None:
+            return self._refuse(ticket, refused)
+        known = self._fold.ticket(ticket.number)
+        if known is not None:
+            return self._reply(ticket, known)
+        line = self._fold.judge(-1, ticket)
+        if not line.accepted and not _needs_newer(line):
+            return self._refuse_stale(ticket, line)
+        record = tickets.TicketRecord(tickets.to_json(ticket))
+        match self._appender.append([record], timeout_ms):
+            case result.Ok(appended):
+                left_ms = deadline_ms - self._clock.monotonic_ms()
+                return self._await(ticket, appended.offset, left_ms)
+            case result.Err(streams.NotAccepted(detail, retry_after_ms)):
+                return self._refuse(
+                    ticket,
+                    _Refused(
+                        503,
+                        reasons.RefusalReason.LOG_DOWN,
+                        f"not accepted, nothing was written: {detail}",
+                        retry_after_ms,
+                    ),
+                )
+            case result.Err(streams.AppendUnknown(detail)):
+                return self._unknown(ticket, detail)
+
+    def _early_refusal(self) -> _Refused | None:
+        if self._follower.ready:
+            return None
+        return _Refused(
+            503,
+            reasons.RefusalReason.NO_CONFIGURATION,
+            "not accepted, nothing was written: this host has not read the"
+            " configuration stream to its end yet",
+            NOT_READY_RETRY_MS,
+        )
+
+    def _await(
+        self, ticket: tickets.Ticket, offset: int, left_ms: int
+    ) -> http.HttpReply:
+        """Answers once the fold has passed the ticket's record."""
+        if not self._follower.wait_for(offset, max(0, left_ms)):
+            return self._unknown(
+                ticket,
+                f"the ticket is on the log at offset {offset}, but this host"
+                f" has read only to {self._follower.offset()}",
+            )
+        line = self._fold.ticket(ticket.number)
+        if line is None:
+            return self._unknown(ticket, "the fold has forgotten the ticket")
+        return self._reply(ticket, line)
+
+    def _reply(
+        self, ticket: tickets.Ticket, line: verdicts.TicketLine
+    ) -> http.HttpReply:
+        """The verdict of the ticket that holds the number."""
+        if line.content_hash != tickets.content_hash(ticket):
+            return self._refuse(
+                ticket,
+                _Refused(
+                    409,
+                    reasons.RefusalReason.TICKET_NUMBER_TAKEN,
+                    f"number {ticket.number} belongs to another ticket, by"
+                    f" {line.author or 'an unknown author'} at offset"
+                    f" {line.offset}: take a new number",
+                ),
+            )
+        page = ticket_pages.verdict_page(line)
+        if line.accepted:
+            self._note(ticket, line.verdict, "accepted", line.offset)
+            return http.json_reply(200, page)
+        reason = _reason_of(line)
+        self._count(reason)
+        self._note(ticket, reason, line.detail, line.offset)
+        return http.json_reply(409, page, {"X-Reason": str(reason)})
+
+    def _refuse_stale(
+        self, ticket: tickets.Ticket, line: verdicts.TicketLine
+    ) -> http.HttpReply:
+        """Refuses before the append what the fold could only refuse."""
+        reason = _reason_of(line)
+        self._count(reason)
+        sentence = f"refused before it was appended: {line.detail}"
+        self._note(ticket, reason, sentence, -1)
+        page = ticket_pages.verdict_page(line)
+        return http.json_reply(409, page, {"X-Reason": str(reason)})
+
+    def _refuse(
+        self, ticket: tickets.Ticket, refused: _Refused
+    ) -> http.HttpReply:
+        self._count(refused.reason)
+        self._note(ticket, refused.reason, refused.detail, -1)
+        return http.error_reply(
+            refused.status,
+            refused.reason,
+            refused.detail,
+            refused.retry_after_ms,
+        )
+
+    def _unknown(self, ticket: tickets.Ticket, detail: str) -> http.HttpReply:
+        sentence = (
+            f"unknown: {detail}; ask for ticket {ticket.number} later, or"
+            " submit the same ticket again, which does no harm"
+        )
+        self._note(ticket, reasons.Outcome.UNKNOWN, sentence, -1)
+        return http.error_reply(504, reasons.Outcome.UNKNOWN, sentence)
+
+    def _count(self, reason: reasons.RefusalReason) -> None:
+        self._metrics.count(metrics_module.Counter.REFUSALS, reason)
+
+    def _note(
+        self, ticket: tickets.Ticket, reason: str, sentence: str, offset: int
+    ) -> None:
+        self._journal.note(
+            reasons.Subject.TICKET,
+            str(ticket.number),
+            reason,
+            sentence,
+            offset,
+        )
+
+    def _timeout_ms(self, request: http.HttpRequest) -> int:
+        text: Any = request.headers.get(TIMEOUT_HEADER, "")
+        if text.isascii() and text.isdigit() and len(text) < 10:
+            return min(max(int(text), 1), MAX_TIMEOUT_MS)
+        return DEFAULT_TIMEOUT_MS
+
+
+def _needs_newer(line: verdicts.TicketLine) -> bool:
+    """Whether the ticket names a version this host has not read yet."""
+    return any(
+        conflict.replaces > conflict.current for conflict in line.conflicts
+    )
+
+
+def _reason_of(line: verdicts.TicketLine) -> reasons.RefusalReason:
+    if line.verdict is verdicts.Verdict.CONFLICT:
+        return reasons.RefusalReason.TICKET_CONFLICT
+    return reasons.RefusalReason.BAD_TICKET
--- /dev/null
+++ b/src/comfreylatch/_process/ticket_pages.py
@@ -0,0 +1,244 @@
+"""What operators are shown of tickets and objects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import follower as follower_module
+from comfreylatch._version import configuration
+from comfreylatch._version import objects
+from comfreylatch._version import schema
+from comfreylatch._version import verdicts
+
+
+@attrs.frozen
+class OwnView:
+    """How far the configuration of this host reaches."""
+
+    seat: str
+    offset: int
+    digest: str
+    age_ms: int
+
+
+@attrs.frozen
+class SeatLine:
+    """Whether a ticket has reached one seat.
+
+    Attributes:
+        seat: Name of the seat.
+        applied: Whether the seat has folded the ticket's record.
+        offset: Offset of its configuration, as last heard.
+        digest: Digest of its configuration there.
+        reachable: Whether the seat answers now.
+    """
+
+    seat: str
+    applied: bool
+    offset: int
+    digest: str
+    reachable: bool
+
+
+@attrs.frozen
+class VerdictPage:
+    """Answer to a submitted ticket that was decided on."""
+
+    number: int
+    verdict: verdicts.Verdict
+    reason: str
+    detail: str
+    offset: int
+    conflicts: tuple[verdicts.Conflict, ...]
+
+
+@attrs.frozen
+class TicketPage:
+    """One ticket: what was decided, why, and where it is in force."""
+
+    number: int
+    author: str
+    reason: str
+    verdict: verdicts.Verdict
+    detail: str
+    offset: int
+    objects: tuple[str, ...]
+    conflicts: tuple[verdicts.Conflict, ...]
+    age_ms: int
+    in_force: tuple[SeatLine, ...]
+    not_yet: tuple[SeatLine, ...]
+    sentence: str
+
+
+@attrs.frozen
+class TicketSummary:
+    """One line in the list of tickets."""
+
+    number: int
+    author: str
+    reason: str
+    verdict: verdicts.Verdict
+    offset: int
+
+
+@attrs.frozen
+class ObjectLine:
+    """One object with the version a ticket has to name to replace it."""
+
+    kind: objects.ObjectKind
+    name: str
+    version: int
+    ticket: int
+    offset: int
+    state: Any
+
+
+@attrs.frozen
+class ObjectPage:
+    """All objects and how new the knowledge of them is."""
+
+    offset: int
+    digest: str
+    age_ms: int
+    objects: tuple[ObjectLine, ...]
+
+
+@attrs.frozen
+class ProblemPage:
+    """Answer to a malformed ticket."""
+
+    reason: str
+    detail: str
+    problems: tuple[schema.Problem, ...]
+
+
+def problem_page(problems: Sequence[schema.Problem]) -> ProblemPage:
+    """Every problem, by field and as one text."""
+    detail = "; ".join(map(str, problems))
+    return ProblemPage("bad-ticket", detail, tuple(problems))
+
+
+def verdict_page(line: verdicts.TicketLine) -> VerdictPage:
+    """The verdict as answered to the submitter."""
+    return VerdictPage(
+        number=line.number,
+        verdict=line.verdict,
+        reason=str(line.verdict),
+        detail=line.detail,
+        offset=line.offset,
+        conflicts=line.conflicts,
+    )
+
+
+def ticket_list(
+    lines: Iterable[verdicts.TicketLine],
+) -> tuple[TicketSummary, ...]:
+    """Tickets in the order of the log."""
+    return tuple(
+        TicketSummary(
+            line.number, line.author, line.reason, line.verdict, line.offset
+        )
+        for line in lines
+    )
+
+
+def ticket_page(
+    line: verdicts.TicketLine,
+    own: OwnView,
+    views: Iterable[peers_port.PeerView],
+) -> TicketPage:
+    """A ticket with the seats that have folded it and those that have not."""
+    seats = [
+        SeatLine(
+            own.seat, own.offset >= line.offset, own.offset, own.digest, True
+        )
+    ]
+    seats += [_seat_line(line, view) for view in views]
+    in_force = tuple(seat for seat in seats if seat.applied)
+    not_yet = tuple(seat for seat in seats if not seat.applied)
+    return TicketPage(
+        number=line.number,
+        author=line.author,
+        reason=line.reason,
+        verdict=line.verdict,
+        detail=line.detail,
+        offset=line.offset,
+        objects=line.objects,
+        conflicts=line.conflicts,
+        age_ms=own.age_ms,
+        in_force=in_force if line.accepted else (),
+        not_yet=not_yet,
+        sentence=_sentence(line, in_force, not_yet, own.age_ms),
+    )
+
+
+def object_list(
+    held: Mapping[tuple[objects.ObjectKind, str], configuration.Versioned],
+    current: configuration.Configuration,
+    age_ms: int,
+) -> ObjectPage:
+    """All objects, those removed not long ago with a null state."""
+    lines = tuple(
+        ObjectLine(
+            kind,
+            name,
+            versioned.version,
+            versioned.ticket,
+            versioned.offset,
+            versioned.state,
+        )
+        for (kind, name), versioned in sorted(held.items())
+    )
+    return ObjectPage(current.offset, current.digest, age_ms, lines)
+
+
+def age(age_ms: int) -> str:
+    """How old the knowledge of the log is, as a text."""
+    if age_ms >= follower_module.NEVER_MS:
+        return "never yet compared with the log"
+    return f"as of {age_ms} ms ago"
+
+
+def _seat_line(
+    line: verdicts.TicketLine, view: peers_port.PeerView
+) -> SeatLine:
+    return SeatLine(
+        seat=view.seat,
+        applied=view.config_offset >= line.offset,
+        offset=view.config_offset,
+        digest=view.config_digest,
+        reachable=view.reachable,
+    )
+
+
+def _sentence(
+    line: verdicts.TicketLine,
+    in_force: Sequence[SeatLine],
+    not_yet: Sequence[SeatLine],
+    age_ms: int,
+) -> str:
+    if not line.accepted:
+        return (
+            f"Ticket {line.number} was refused at offset {line.offset}"
+            f" ({line.verdict}) and changed nothing: {line.detail}."
+        )
+    text = (
+        f"Ticket {line.number} was accepted at offset {line.offset} and is in"
+        f" force on {len(in_force)} of {len(in_force) + len(not_yet)} seats"
+    )
+    if not_yet:
+        names = ", ".join(map(_seat_name, not_yet))
+        text += f"; not yet known to be on {names}"
+    return f"{text} ({age(age_ms)})."
+
+
+def _seat_name(seat: SeatLine) -> str:
+    if seat.reachable:
+        return f"{seat.seat} (at offset {seat.offset})"
+    return f"{seat.seat} (unreachable, last heard at offset {seat.offset})"
--- /dev/null
+++ b/src/comfreylatch/_version/tickets.py
@@ -0,0 +1,224 @@
+"""Change tickets: what operators submit, and the one schema they must meet.
+
+A ticket carries the whole new state of every object it touches, each with the
+version it replaces. `check` is used before a ticket is appended and again
+when its record is folded.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import typing
+from typing import Any
+
+import attrs
+import msgspec
+import result
+import xxhash
+
+from comfreylatch._version import object_rules
+from comfreylatch._version import objects
+from comfreylatch._version import records
+from comfreylatch._version import schema
+
+MAX_NUMBER = 2**53 - 1
+MAX_TEXT_CHARACTERS = 1_000
+MAX_NAME_CHARACTERS = 128
+MAX_CHANGES = 1_000
+REMOVAL = "an object, or null to remove it"
+
+
+@attrs.frozen
+class Change:
+    """The whole new state of one object.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Name of the object, unique within its kind.
+        replaces: Version it replaces, 0 for a new object.
+        state: The new state; None removes the object.
+    """
+
+    kind: objects.ObjectKind
+    name: str
+    replaces: int
+    state: objects.ConfigObject | None
+
+
+@attrs.frozen
+class Ticket:
+    """A numbered set of changes, in force whole or not at all."""
+
+    number: int
+    author: str
+    reason: str
+    changes: tuple[Change, ...]
+
+
+@attrs.frozen
+class TicketRecord:
+    """Body of a record that carries a ticket, in the form of `to_json`."""
+
+    ticket: dict[str, Any]
+
+
+records.register("ticket", TicketRecord)
+
+
+def check(value: Any) -> result.Result[Ticket, tuple[schema.Problem, ...]]:
+    """Builds a ticket from a JSON value; Err holds every problem found."""
+    problems = _ticket_problems(value)
+    if problems:
+        return result.Err(tuple(problems))
+    changes = tuple(_change(change) for change in value["changes"])
+    return result.Ok(
+        Ticket(value["number"], value["author"], value["reason"], changes)
+    )
+
+
+def to_json(ticket: Ticket) -> dict[str, Any]:
+    """The ticket as a JSON value, all defaults filled in."""
+    return msgspec.to_builtins(ticket)
+
+
+def is_number(value: Any) -> bool:
+    """Whether a JSON value can be the number of a ticket."""
+    return type(value) is int and 1 <= value <= MAX_NUMBER
+
+
+def content_hash(ticket: Ticket) -> str:
+    """Equal for tickets of equal content, however they were written."""
+    encoded = msgspec.json.encode(to_json(ticket), order="sorted")
+    return xxhash.xxh3_128_hexdigest(encoded)
+
+
+def _change(value: Mapping[str, Any]) -> Change:
+    kind = objects.ObjectKind(value["kind"])
+    state = value["state"]
+    if state is not None:
+        state = msgspec.convert(state, type=objects.CLASS_BY_KIND[kind])
+    return Change(kind, value["name"], value["replaces"], state)
+
+
+def _ticket_problems(value: Any) -> schema.Problems:
+    if not isinstance(value, Mapping):
+        return [schema.Problem("ticket", "an object", schema.show(value))]
+    known = [field.name for field in attrs.fields(Ticket)]
+    problems = schema.unknown_keys(value, known, "")
+    problems += _missing(value, known, "")
+    problems += _number_problems(value, "number", "", lowest=1)
+    for key in ("author", "reason"):
+        problems += _text_problems(value, key, "", MAX_TEXT_CHARACTERS)
+    if "changes" in value:
+        problems += _changes_problems(value["changes"])
+    return problems
+
+
+def _changes_problems(value: Any) -> schema.Problems:
+    if not isinstance(value, list) or not 1 <= len(value) <= MAX_CHANGES:
+        expected = f"a list of 1 to {MAX_CHANGES} changes"
+        found = schema.show(value)
+        if isinstance(value, list):
+            found = f"{len(value)} changes"
+        return [schema.Problem("changes", expected, found)]
+    problems: schema.Problems = []
+    for index, change in enumerate(value):
+        problems += _change_problems(change, f"changes[{index}]")
+    return problems + _repeated(value)
+
+
+def _change_problems(value: Any, path: str) -> schema.Problems:
+    if not isinstance(value, Mapping):
+        return [schema.Problem(path, "an object", schema.show(value))]
+    known = [field.name for field in attrs.fields(Change)]
+    problems = schema.unknown_keys(value, known, path)
+    problems += _missing(value, known, path)
+    problems += _text_problems(value, "name", path, MAX_NAME_CHARACTERS)
+    problems += _number_problems(value, "replaces", path, lowest=0)
+    if "kind" not in value:
+        return problems
+    where = schema.join(path, "kind")
+    bad_kind = schema.check(value["kind"], objects.ObjectKind, where)
+    if bad_kind or "state" not in value:
+        return problems + bad_kind
+    return problems + _state_problems(value, path)
+
+
+def _state_problems(value: Mapping[str, Any], path: str) -> schema.Problems:
+    kind = objects.ObjectKind(value["kind"])
+    where = schema.join(path, "state")
+    state = value["state"]
+    if state is None:
+        if value.get("replaces") == 0:
+            expected = "an object, as a new one can't be removed"
+            return [schema.Problem(where, expected, "null")]
+        return []
+    if not isinstance(state, Mapping):
+        return [schema.Problem(where, REMOVAL, schema.show(state))]
+    object_class = objects.CLASS_BY_KIND[kind]
+    problems = schema.check(state, object_class, where)
+    if problems:
+        return problems
+    found = msgspec.convert(state, type=object_class)
+    return object_rules.problems(value.get("name"), found, path)
+
+
+def _missing(
+    value: Mapping[str, Any], known: list[str], path: str
+) -> schema.Problems:
+    return [
+        schema.Problem(schema.join(path, key), "a value", "nothing")
+        for key in known
+        if key not in value
+    ]
+
+
+def _number_problems(
+    value: Mapping[str, Any], key: str, path: str, lowest: int
+) -> schema.Problems:
+    if key not in value:
+        return []
+    number = value[key]
+    if type(number) is int and lowest <= number <= MAX_NUMBER:
+        return []
+    expected = f"a whole number from {lowest}"
+    return [schema.Problem(schema.join(path, key), expected, repr(number))]
+
+
+def _text_problems(
+    value: Mapping[str, Any], key: str, path: str, longest: int
+) -> schema.Problems:
+    if key not in value:
+        return []
+    text = value[key]
+    usable = isinstance(text, str) and text.strip() and text.isprintable()
+    if usable and len(text) <= longest:
+        return []
+    expected = f"a text of 1 to {longest} printable characters"
+    where = schema.join(path, key)
+    return [schema.Problem(where, expected, schema.show(text))]
+
+
+def _repeated(changes: list[Any]) -> schema.Problems:
+    """Problems for objects that one ticket touches twice."""
+    problems: schema.Problems = []
+    seen: set[tuple[str, str]] = set()
+    for index, change in enumerate(changes):
+        if not isinstance(change, Mapping):
+            continue
+        key = (str(change.get("kind")), str(change.get("name")))
+        if key in seen:
+            problems.append(
+                schema.Problem(
+                    f"changes[{index}]",
+                    "each object once in a ticket",
+                    f"{key[0]} {key[1]!r} again",
+                )
+            )
+        seen.add(key)
+    return problems
+
+
+def describe(problems: typing.Iterable[schema.Problem]) -> str:
+    """All problems as one text."""
+    return "; ".join(map(str, problems))
--- /dev/null
+++ b/src/comfreylatch/_version/writers.py
@@ -0,0 +1,67 @@
+"""Which records of which writers a stream's fold has seen."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+# A writer is forgotten when its last record lies this many offsets back. A
+# host is replaced long before, and none waits so long with an open append.
+WRITER_KEPT_OFFSETS = 200_000
+SWEEP_OFFSETS = 4_096
+
+
+@attrs.frozen
+class WriterLine:
+    """The last record folded of one writer.
+
+    Attributes:
+        writer: Writer id.
+        sequence: Its highest sequence folded.
+        offset: Offset of that record.
+    """
+
+    writer: str
+    sequence: int
+    offset: int
+
+
+@final
+class WriterTable:
+    """Tells records from repetitions, by writer and sequence.
+
+    Its content depends on the records and their offsets alone, so that it is
+    equal on every host at the same offset.
+    """
+
+    def __init__(self, lines: Iterable[WriterLine] = ()) -> None:
+        self._lines = {line.writer: line for line in lines}
+
+    def take(self, writer: str, sequence: int, offset: int) -> bool:
+        """Notes a record; False when it is a repetition."""
+        known = self._lines.get(writer)
+        if known is not None and sequence <= known.sequence:
+            return False
+        self._lines[writer] = WriterLine(writer, sequence, offset)
+        return True
+
+    def sweep(self, offset: int) -> None:
+        """To be called at each offset; forgets writers of long ago."""
+        if offset % SWEEP_OFFSETS:
+            return
+        oldest = offset - WRITER_KEPT_OFFSETS
+        self._lines = {
+            writer: line
+            for writer, line in self._lines.items()
+            if line.offset >= oldest
+        }
+
+    def line(self, writer: str) -> WriterLine | None:
+        """The last record of a writer; None when it is not known."""
+        return self._lines.get(writer)
+
+    def lines(self) -> tuple[WriterLine, ...]:
+        """All writers known."""
+        return tuple(self._lines.values())
