--- a/src/comfreylatch/_ports/streams.py
+++ b/src/comfreylatch/_ports/streams.py
@@ -39,7 +39,9 @@
     """The records are on the stream.
 
     Attributes:
-        offset: Offset of the first record of the call.
+        offset: Offset of the first record of the call. After a resend it
+            may be that of a later copy; a fold that has passed it has folded
+            the record.
     """
 
     offset: int
--- a/src/comfreylatch/_process/appender.py
+++ b/src/comfreylatch/_process/appender.py
@@ -161,6 +161,13 @@
         """Whether the log is known not to take records now."""
         return self._down
 
+    @property
+    def busy(self) -> bool:
+        """Whether records wait for the log or for its answer."""
+        with self._wake:
+            self._drop_settled()
+            return self._batch is not None or bool(self._queue)
+
     def append(self, bodies: Sequence[Any], timeout_ms: int) -> Outcome:
         """See `RecordAppender.append`.
 
@@ -169,7 +176,7 @@
         """
         pending = self.submit(bodies)
         if not pending.done.wait(timeout_ms / 1_000):
-            self._give_up(pending)
+            self.give_up(pending)
         assert pending.outcome is not None
         return pending.outcome
 
@@ -186,6 +193,21 @@
             self._wake.notify_all()
             return pending
 
+    def give_up(self, pending: PendingAppend) -> None:
+        """Ends the wait for records; those not yet sent are taken back."""
+        with self._wake:
+            if pending.outcome is not None:
+                return
+            if pending in self._queue:
+                self._queue.remove(pending)
+                self._queued_records -= len(pending.payloads)
+                refusal = self._not_accepted("the log is slow")
+                pending.settle(result.Err(refusal))
+                return
+            pending.settle(
+                result.Err(streams.AppendUnknown("no answer from the log yet"))
+            )
+
     def resolve(self, seen_sequence: int, offset: int) -> None:
         """Tells that a record of this writer was read back from the stream.
 
@@ -253,20 +275,6 @@
         retry_after_ms = max(MIN_RETRY_AFTER_MS, left_ms)
         return streams.NotAccepted(detail, retry_after_ms)
 
-    def _give_up(self, pending: PendingAppend) -> None:
-        with self._wake:
-            if pending.outcome is not None:
-                return
-            if pending in self._queue:
-                self._queue.remove(pending)
-                self._queued_records -= len(pending.payloads)
-                refusal = self._not_accepted("the log is slow")
-                pending.settle(result.Err(refusal))
-                return
-            pending.settle(
-                result.Err(streams.AppendUnknown("no answer from the log yet"))
-            )
-
     def _has_work(self) -> bool:
         return self._batch is not None or bool(self._queue) or self._down
 
--- a/src/comfreylatch/_process/follower.py
+++ b/src/comfreylatch/_process/follower.py
@@ -71,6 +71,7 @@
         self._state = stream_state.StreamState(
             stream, fold, metrics, after_apply
         )
+        self._first_offset = 0
         self._at_head_ms = -1
         self._ready = False
         self._failures = 0
@@ -103,6 +104,11 @@
         """Whether the state was once as new as the log or a peer had it."""
         return self._ready
 
+    @property
+    def first_offset(self) -> int:
+        """Lowest offset the log still keeps, as last heard."""
+        return self._first_offset
+
     def offset(self) -> int:
         """Offset of the last record folded, -1 for none; never falls."""
         return self._state.offset
@@ -181,6 +187,7 @@
             if batch.entries[-1].offset > self._state.offset:
                 return self._failed("the log's answer leaves out records")
         self._failures = 0
+        self._first_offset = max(self._first_offset, batch.first_offset)
         if len(batch.entries) < MAX_READ_ENTRIES:
             self._reached_head(bool(batch.entries), started_ms)
         return 0
--- /dev/null
+++ b/src/comfreylatch/_process/snapshot_publisher.py
@@ -0,0 +1,196 @@
+"""Publishes snapshots of a stream before its records expire."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import threading
+import types
+from typing import final
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import log as log_port
+from comfreylatch._process import follower as follower_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import snapshot_stream
+from comfreylatch._process import snapshot_turn
+from comfreylatch._version import records
+from comfreylatch._version import snapshots
+
+CHECK_MS = 5_000
+
+_events = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class _Published:
+    """The last whole snapshot seen on the log.
+
+    `at` is where its last chunk lies on the stream of snapshots.
+    """
+
+    offset: int = -1
+    at: int = -1
+    seen_ms: int = 0
+
+
+@final
+class SnapshotPublisher:
+    """Watches the snapshots of a followed stream and adds to them in turn.
+
+    Any host may publish; the turn only spares the log. Two snapshots of one
+    offset are equal, so that a race or a lost answer does no harm.
+
+    Args:
+        log: The platform's log.
+        follower: Follows the stream.
+        writer: Host id, for the records.
+        seat: Seat of this host.
+        seats: Returns the seats that follow the stream.
+        metrics: Counts appends.
+        clock: For ages and turns.
+        rule: When snapshots are published.
+    """
+
+    def __init__(
+        self,
+        log: log_port.LogPort,
+        follower: follower_module.StreamFollower,
+        writer: str,
+        seat: str,
+        seats: Callable[[], Sequence[str]],
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+        *,
+        rule: snapshot_turn.SnapshotRule | None = None,
+    ) -> None:
+        self._log = log
+        self._follower = follower
+        self._writer = writer
+        self._seat = seat
+        self._seats = seats
+        self._metrics = metrics
+        self._clock = clock
+        self._rule = rule or snapshot_turn.SnapshotRule()
+        self._last = _Published(seen_ms=clock.monotonic_ms())
+        self._next_read = 0
+        self._due_since_ms = -1
+        self._sequence = 0
+        self._closing = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"snapshot-{follower.stream}", daemon=True
+        )
+
+    def __enter__(self) -> SnapshotPublisher:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._closing.set()
+        self._thread.join()
+
+    def step(self) -> bool:
+        """Looks at what is published; publishes if it is this seat's turn.
+
+        Returns:
+            Whether a snapshot was published.
+        """
+        if not self._follower.ready or not self._watch():
+            return False
+        now_ms = self._clock.monotonic_ms()
+        reason = snapshot_turn.due(self._position(now_ms), self._rule)
+        if reason is None:
+            self._due_since_ms = -1
+            return False
+        if self._due_since_ms < 0:
+            self._due_since_ms = now_ms
+        wait_ms = snapshot_turn.wait_ms(
+            self._seat, self._seats(), self._last.offset, self._rule.turn_ms
+        )
+        if now_ms - self._due_since_ms < wait_ms:
+            return False
+        return self._publish(reason)
+
+    def _position(self, now_ms: int) -> snapshot_turn.SnapshotPosition:
+        return snapshot_turn.SnapshotPosition(
+            offset=self._follower.offset(),
+            first_offset=self._follower.first_offset,
+            snapshot_offset=self._last.offset,
+            snapshot_age_ms=now_ms - self._last.seen_ms,
+        )
+
+    def _watch(self) -> bool:
+        """Reads what was published since; False while the log is down."""
+        stream = self._follower.stream
+        while True:
+            answer = snapshot_stream.read(self._log, stream, self._next_read)
+            if answer.is_err():
+                return False
+            batch = answer.ok()
+            if batch.first_offset > self._last.at >= 0:
+                self._last = _Published(seen_ms=self._last.seen_ms)
+            self._note(batch)
+            self._next_read = batch.next_offset
+            if not batch.entries:
+                return True
+
+    def _note(self, batch: log_port.LogBatch) -> None:
+        """Notes whole snapshots: those whose last chunk was read."""
+        for entry in batch.entries:
+            chunk = snapshot_stream.chunk_of(entry)
+            if chunk is None or chunk.index + 1 < chunk.count:
+                continue
+            if chunk.offset >= self._last.offset:
+                self._last = _Published(
+                    chunk.offset, entry.offset, self._clock.monotonic_ms()
+                )
+                self._due_since_ms = -1
+
+    def _publish(self, reason: snapshot_turn.DueReason) -> bool:
+        snapshot = self._follower.snapshot()
+        chunks = snapshots.split(snapshot)
+        payloads: list[bytes] = []
+        for chunk in chunks:
+            self._sequence += 1
+            payloads.append(records.encode(self._writer, self._sequence, chunk))
+        name = snapshot_stream.name_of(snapshot.stream)
+        self._metrics.count(metrics_module.Counter.LOG_APPENDS, name)
+        match self._log.append(name, payloads):
+            case result.Ok(_):
+                self._metrics.count(
+                    metrics_module.Counter.LOG_RECORDS, name, len(payloads)
+                )
+                _events.info(
+                    "snapshot published stream={} offset={} reason={}"
+                    " chunks={}",
+                    snapshot.stream,
+                    snapshot.offset,
+                    reason,
+                    len(payloads),
+                )
+                return True
+            case result.Err(error):
+                _events.warning(
+                    "snapshot failed stream={} detail={}",
+                    snapshot.stream,
+                    error.detail,
+                )
+                return False
+
+    def _run(self) -> None:
+        while not self._closing.wait(CHECK_MS / 1_000):
+            try:
+                self.step()
+            except Exception:
+                _events.exception(
+                    "snapshot step failed stream={}", self._follower.stream
+                )
--- a/src/comfreylatch/_process/snapshot_stream.py
+++ b/src/comfreylatch/_process/snapshot_stream.py
@@ -74,9 +74,17 @@
 ) -> Iterator[snapshots.SnapshotChunk]:
     """The chunks among the entries read; others are passed over."""
     for entry in batch.entries:
-        decoded = records.decode(entry.payload)
-        if decoded.is_err():
-            continue
-        body = decoded.ok()[1]
-        if isinstance(body, snapshots.SnapshotChunk):
-            yield body
+        chunk = chunk_of(entry)
+        if chunk is not None:
+            yield chunk
+
+
+def chunk_of(entry: log_port.LogEntry) -> snapshots.SnapshotChunk | None:
+    """The chunk in an entry; None when it holds something else."""
+    decoded = records.decode(entry.payload)
+    if decoded.is_err():
+        return None
+    body = decoded.ok()[1]
+    if isinstance(body, snapshots.SnapshotChunk):
+        return body
+    return None
--- a/src/comfreylatch/_version/configuration_fold.py
+++ b/src/comfreylatch/_version/configuration_fold.py
@@ -33,6 +33,7 @@
 
 Key = tuple[objects.ObjectKind, str]
 Listener = Callable[[configuration.Configuration], None]
+TicketListener = Callable[[verdicts.TicketLine], None]
 
 
 @attrs.frozen
@@ -78,6 +79,7 @@
         self._sum = 0
         self._current = configuration.Configuration(digest=_hex(0))
         self._listeners: list[Listener] = []
+        self._ticket_listeners: list[TicketListener] = []
         self._age_source: Callable[[], int] = lambda: UNKNOWN_AGE_MS
         self._ignored = 0
 
@@ -109,11 +111,13 @@
         del envelope
         match tickets.check(body.ticket):
             case result.Ok(ticket):
-                self._fold_ticket(offset, ticket)
+                line = self._fold_ticket(offset, ticket)
             case result.Err(problems):
-                self._fold_malformed(offset, body.ticket, problems)
+                line = self._fold_malformed(offset, body.ticket, problems)
         self._sweep(offset)
         self._publish(offset)
+        if line is not None:
+            _tell(self._ticket_listeners, line)
 
     def snapshot(self) -> bytes:
         """See `RecordFold.snapshot`."""
@@ -167,6 +171,10 @@
         """Records folded so far that were no tickets."""
         return self._ignored
 
+    def on_ticket(self, listener: TicketListener) -> None:
+        """Calls `listener` with every later verdict, in order."""
+        self._ticket_listeners.append(listener)
+
     def ticket(self, number: int) -> verdicts.TicketLine | None:
         """What was decided about a ticket; None when it is not known."""
         return self._tickets.get(number)
@@ -224,34 +232,38 @@
                 )
         return tuple(found)
 
-    def _fold_ticket(self, offset: int, ticket: tickets.Ticket) -> None:
+    def _fold_ticket(
+        self, offset: int, ticket: tickets.Ticket
+    ) -> verdicts.TicketLine | None:
+        """Decides on a ticket; None when its number is taken."""
         if ticket.number in self._tickets:
             # The number belongs to its first record, whatever follows.
-            return
+            return None
         line = self.judge(offset, ticket)
         self._remember(line)
         if line.accepted:
             self._put_in_force(offset, ticket)
+        return line
 
     def _fold_malformed(
         self, offset: int, value: Mapping[str, Any], problems: Any
-    ) -> None:
+    ) -> verdicts.TicketLine | None:
         """Remembers a malformed ticket by its number, if it has one."""
         self._ignored += 1
         number = value.get("number")
         if not tickets.is_number(number) or number in self._tickets:
-            return
-        self._remember(
-            verdicts.TicketLine(
-                number=number,
-                content_hash="",
-                author="",
-                reason="",
-                offset=offset,
-                verdict=verdicts.Verdict.MALFORMED,
-                detail=tickets.describe(problems)[:MAX_DETAIL_CHARACTERS],
-            )
+            return None
+        line = verdicts.TicketLine(
+            number=number,
+            content_hash="",
+            author="",
+            reason="",
+            offset=offset,
+            verdict=verdicts.Verdict.MALFORMED,
+            detail=tickets.describe(problems)[:MAX_DETAIL_CHARACTERS],
         )
+        self._remember(line)
+        return line
 
     def _remember(self, line: verdicts.TicketLine) -> None:
         self._tickets[line.number] = line
@@ -317,12 +329,16 @@
         self._current = attrs.evolve(
             self._current, offset=offset, digest=self.digest()
         )
-        for listener in self._listeners:
-            try:
-                listener(self._current)
-            except Exception:
-                # The state is right; one faulty listener must not stop it.
-                _events.exception("listener failed offset={}", offset)
+        _tell(self._listeners, self._current)
+
+
+def _tell(listeners: list[Callable[[Any], None]], news: Any) -> None:
+    for listener in listeners:
+        try:
+            listener(news)
+        except Exception:
+            # The state is right; one faulty listener must not stop it.
+            _events.exception("listener failed")
 
 
 _FIELDS = tuple(_FIELD_BY_KIND.items())
--- a/testing/fakes/log.py
+++ b/testing/fakes/log.py
@@ -21,6 +21,7 @@
     DOWN = enum.auto()
     LOST_BEFORE_EFFECT = enum.auto()
     LOST_AFTER_EFFECT = enum.auto()
+    LOST_AND_LATE = enum.auto()
 
 
 @final
@@ -39,6 +40,7 @@
         self.faults: collections.deque[AppendFault] = collections.deque()
         self.append_s = 0.0
         self.appends: collections.Counter[str] = collections.Counter()
+        self._late: list[tuple[str, tuple[bytes, ...]]] = []
         self._changed = threading.Condition()
         self._streams: dict[str, list[bytes]] = {}
         self._first: collections.Counter[str] = collections.Counter()
@@ -55,6 +57,9 @@
                 return result.Err(log_port.LogDown("down"))
             if fault is AppendFault.LOST_BEFORE_EFFECT:
                 return result.Err(log_port.LogAnswerLost("lost before"))
+            if fault is AppendFault.LOST_AND_LATE:
+                self._late.append((stream, tuple(payloads)))
+                return result.Err(log_port.LogAnswerLost("late"))
             offset = self.put(stream, payloads)
             if fault is AppendFault.LOST_AFTER_EFFECT:
                 return result.Err(log_port.LogAnswerLost("lost after"))
@@ -94,6 +99,12 @@
             self._changed.notify_all()
             return len(held) - len(payloads)
 
+    def deliver_late(self) -> None:
+        """Lets the appends that were held up on the way take effect."""
+        late, self._late = self._late, []
+        for stream, payloads in late:
+            self.put(stream, payloads)
+
     def expire_below(self, stream: str, offset: int) -> None:
         """Drops what lies below an offset."""
         with self._changed:
