--- /dev/null
+++ b/src/comfreylatch/_connection/connection_pool.py
@@ -0,0 +1,232 @@
+"""Connections to endpoints, kept for reuse and counted against a share."""
+
+from __future__ import annotations
+
+import collections
+import socket
+import threading
+import time
+from typing import Any
+from typing import final
+
+import attrs
+from urllib3 import connection as urllib3_connection
+
+MAX_IDLE_MS = 4_000
+# An endpoint rarely closes a connection this soon after an answer; a request
+# that must not run twice goes on no older one.
+FRESH_IDLE_MS = 500
+
+
+@final
+class DeadlineSocket(socket.socket):
+    """A socket whose reads all end by one deadline.
+
+    Attributes:
+        received: Some bytes have come since the deadline was set.
+        ended: The other side has sent its end of stream.
+    """
+
+    deadline_s = 0.0
+    received = False
+    ended = False
+
+    def set_deadline(self, remaining_ms: int) -> None:
+        """Sets the deadline, counted from now."""
+        self.deadline_s = time.monotonic() + remaining_ms / 1_000
+        self.received = False
+
+    def recv_into(self, *arguments: Any) -> int:
+        """Reads what is there, waiting no longer than the deadline."""
+        remaining_s = self.deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError("the deadline has passed")
+        self.settimeout(remaining_s)
+        count = super().recv_into(*arguments)
+        if count == 0:
+            self.ended = True
+        else:
+            self.received = True
+        return count
+
+
+@attrs.define(eq=False)
+class _Idle:
+    """A connection without a request, and since when."""
+
+    connection: urllib3_connection.HTTPConnection
+    since_s: float
+
+
+@attrs.define(eq=False)
+class _Pool:
+    """The connections to one address."""
+
+    open_count: int = 0
+    idle: collections.deque[_Idle] = attrs.field(factory=collections.deque)
+
+    def pop_usable(
+        self, oldest_s: float, useless: list[urllib3_connection.HTTPConnection]
+    ) -> urllib3_connection.HTTPConnection | None:
+        """Takes the connection used last, if it is young and still open."""
+        while self.idle and self.idle[-1].since_s >= oldest_s:
+            connection = self.idle.pop().connection
+            # Readable before a request: closed, or something unasked.
+            if connection.is_connected:
+                return connection
+            self.open_count -= 1
+            useless.append(connection)
+        return None
+
+    def drop_old(
+        self, oldest_s: float, useless: list[urllib3_connection.HTTPConnection]
+    ) -> None:
+        """Drops connections unused since before a monotonic time."""
+        while self.idle and self.idle[0].since_s < oldest_s:
+            self.drop_oldest(useless)
+
+    def drop_oldest(
+        self, useless: list[urllib3_connection.HTTPConnection]
+    ) -> None:
+        """Drops the connection unused for longest, if there is one."""
+        if self.idle:
+            useless.append(self.idle.popleft().connection)
+            self.open_count -= 1
+
+
+@final
+class Lease:
+    """The right to one connection, for one request."""
+
+    def __init__(
+        self,
+        pools: ConnectionPools,
+        address: str,
+        connection: urllib3_connection.HTTPConnection | None,
+    ) -> None:
+        self._pools = pools
+        self._address = address
+        self._connection = connection
+        self._channel = None if connection is None else connection.sock
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection of an earlier request is reused."""
+        return self._connection is not None
+
+    @property
+    def connection(self) -> urllib3_connection.HTTPConnection:
+        """The connection; only after `attach` or when connected."""
+        assert self._connection is not None
+        return self._connection
+
+    @property
+    def channel(self) -> DeadlineSocket:
+        """The socket of the connection."""
+        assert isinstance(self._channel, DeadlineSocket)
+        return self._channel
+
+    def attach(self, connection: urllib3_connection.HTTPConnection) -> None:
+        """Takes a new, open connection."""
+        plain = connection.sock
+        family, kind, protocol = plain.family, plain.type, plain.proto
+        self._channel = DeadlineSocket(
+            family, kind, protocol, fileno=plain.detach()
+        )
+        connection.sock = self._channel
+        self._connection = connection
+
+    def release(self, reusable: bool) -> None:
+        """Gives the connection back after a whole answer."""
+        connection = self._connection
+        if reusable and connection is not None and connection.sock is not None:
+            self._pools.keep(self._address, connection)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the connection, if there is one."""
+        if self._connection is not None:
+            self._connection.close()
+        if self._channel is not None:
+            self._channel.close()
+        self.forget()
+
+    def hand_over(self) -> socket.socket:
+        """The socket, out of this object's care; it stays counted."""
+        channel = self.channel
+        handed = socket.socket(fileno=channel.detach())
+        self.connection.sock = None
+        return handed
+
+    def forget(self) -> None:
+        """Stops counting the connection; something else closes it."""
+        self._pools.count_closed(self._address)
+
+
+@final
+class ConnectionPools:
+    """The connections to all endpoints. Thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._pools: dict[str, _Pool] = {}
+
+    def take(
+        self, address: str, max_idle_ms: int, max_connections: int
+    ) -> Lease | None:
+        """A kept connection, or the right to open one; None when neither.
+
+        A kept connection is one that was last used `max_idle_ms` ago at most.
+        """
+        now_s = time.monotonic()
+        useless: list[urllib3_connection.HTTPConnection] = []
+        with self._lock:
+            pool = self._pools.setdefault(address, _Pool())
+            pool.drop_old(now_s - MAX_IDLE_MS / 1_000, useless)
+            kept = pool.pop_usable(now_s - max_idle_ms / 1_000, useless)
+            if kept is None and pool.open_count >= max_connections:
+                pool.drop_oldest(useless)
+            may_open = pool.open_count < max_connections
+            if kept is None and may_open:
+                pool.open_count += 1
+        for connection in useless:
+            connection.close()
+        if kept is None and not may_open:
+            return None
+        return Lease(self, address, kept)
+
+    def keep(
+        self, address: str, connection: urllib3_connection.HTTPConnection
+    ) -> None:
+        """Keeps a connection whose request was answered whole."""
+        with self._lock:
+            pool = self._pools[address]
+            pool.idle.append(_Idle(connection, time.monotonic()))
+
+    def count_closed(self, address: str) -> None:
+        """Notes that a connection no longer exists."""
+        with self._lock:
+            self._pools[address].open_count -= 1
+
+    def open_connections(self, address: str) -> int:
+        """Connections to an address, used or not."""
+        with self._lock:
+            pool = self._pools.get(address)
+            return 0 if pool is None else pool.open_count
+
+    def forget(self, address: str) -> None:
+        """Closes the unused connections to an address."""
+        with self._lock:
+            pool = self._pools.get(address)
+            idle = [] if pool is None else list(pool.idle)
+            if pool is not None:
+                pool.idle.clear()
+                pool.open_count -= len(idle)
+        for kept in idle:
+            kept.connection.close()
+
+    def close(self) -> None:
+        """Closes every unused connection."""
+        for address in list(self._pools):
+            self.forget(address)
--- a/src/comfreylatch/_connection/http.py
+++ b/src/comfreylatch/_connection/http.py
@@ -23,6 +23,9 @@
         headers: Keys in lower case.
         body: The whole body.
         client: IP number of the sender.
+        target: Path and query as sent, still percent-encoded.
+        received_ms: Monotonic time of the request's first bytes; -1 when not
+            known. A deadline counts from here, not from the start of handling.
     """
 
     method: str
@@ -31,6 +34,8 @@
     headers: Mapping[str, str]
     body: bytes
     client: str = ""
+    target: str = ""
+    received_ms: int = -1
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/comfreylatch/_connection/late_answers.py
@@ -0,0 +1,180 @@
+"""Watches connections whose answer nobody waits for any more.
+
+An endpoint goes on running a request after its caller has given up. Its slot
+is free again only when the answer arrives, or when the longest possible
+request must have ended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import itertools
+import os
+import selectors
+import socket
+import threading
+from types import TracebackType
+from typing import final
+from typing import Self
+
+import attrs
+import logbook
+
+from comfreylatch._ports import clock as clock_port
+
+MAX_WAIT_S = 1.0
+
+_log = logbook.Logger("comfreylatch.late-answers")
+
+
+@attrs.define(eq=False)
+class _Watched:
+    """One abandoned request; `connection` is None once it is closed."""
+
+    connection: socket.socket | None
+    ended: Callable[[], None]
+    done: bool = False
+
+
+@final
+class LateAnswers:
+    """One thread that waits for the ends of abandoned requests."""
+
+    def __init__(self, clock: clock_port.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._selector = selectors.DefaultSelector()
+        self._due: list[tuple[int, int, _Watched]] = []
+        self._sequence = itertools.count()
+        self._wake_read, self._wake_write = os.pipe()
+        os.set_blocking(self._wake_read, False)
+        os.set_blocking(self._wake_write, False)
+        self._selector.register(self._wake_read, selectors.EVENT_READ)
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="late-answers", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stopping = True
+        self._wake()
+        self._thread.join()
+        for key in list(self._selector.get_map().values()):
+            if isinstance(key.fileobj, socket.socket):
+                key.fileobj.close()
+        self._selector.close()
+        os.close(self._wake_read)
+        os.close(self._wake_write)
+
+    def watch(
+        self,
+        connection: socket.socket | None,
+        hold_until_ms: int,
+        ended: Callable[[], None],
+    ) -> None:
+        """Calls `ended` once, when the request has or must have ended.
+
+        Owns `connection` from now on and closes it; None means that it is
+        closed already and only `hold_until_ms`, a monotonic time, tells.
+        """
+        watched = _Watched(connection, ended)
+        entry = (hold_until_ms, next(self._sequence), watched)
+        with self._lock:
+            heapq.heappush(self._due, entry)
+            if connection is not None:
+                self._selector.register(
+                    connection, selectors.EVENT_READ, watched
+                )
+        self._wake()
+
+    @property
+    def watched_count(self) -> int:
+        """Abandoned requests that may still be running."""
+        with self._lock:
+            return sum(not watched.done for _, _, watched in self._due)
+
+    def _wake(self) -> None:
+        try:
+            os.write(self._wake_write, b"\0")
+        except BlockingIOError:
+            pass
+
+    def _run(self) -> None:
+        while not self._stopping:
+            for key, _ in self._selector.select(self._next_wait_s()):
+                if key.data is None:
+                    self._drain_wakes()
+                else:
+                    self._on_readable(key.data)
+            self._end_due()
+
+    def _next_wait_s(self) -> float:
+        with self._lock:
+            while self._due and self._due[0][2].done:
+                heapq.heappop(self._due)
+            if not self._due:
+                return MAX_WAIT_S
+            wait_ms = self._due[0][0] - self._clock.monotonic_ms()
+        return min(max(wait_ms, 1) / 1_000, MAX_WAIT_S)
+
+    def _drain_wakes(self) -> None:
+        try:
+            while os.read(self._wake_read, 4_096):
+                pass
+        except BlockingIOError:
+            pass
+
+    def _on_readable(self, watched: _Watched) -> None:
+        answered = self._has_answer(watched.connection)
+        self._close(watched)
+        # A closed connection doesn't tell that the request has ended.
+        if answered:
+            self._end(watched)
+
+    @staticmethod
+    def _has_answer(connection: socket.socket | None) -> bool:
+        if connection is None:
+            return False
+        try:
+            connection.settimeout(0)
+            return bool(connection.recv(1))
+        except OSError:
+            return False
+
+    def _end_due(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        due: list[_Watched] = []
+        with self._lock:
+            while self._due and self._due[0][0] <= now_ms:
+                due.append(heapq.heappop(self._due)[2])
+        for watched in due:
+            self._close(watched)
+            self._end(watched)
+
+    def _close(self, watched: _Watched) -> None:
+        connection = watched.connection
+        if connection is None:
+            return
+        watched.connection = None
+        with self._lock:
+            self._selector.unregister(connection)
+        connection.close()
+
+    def _end(self, watched: _Watched) -> None:
+        if watched.done:
+            return
+        watched.done = True
+        try:
+            watched.ended()
+        except Exception:
+            _log.exception("end-of-request-failed")
