--- a/src/comfreylatch/_connection/endpoint_client.py
+++ b/src/comfreylatch/_connection/endpoint_client.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 import enum
 import http.client
+import socket
 from types import TracebackType
 from typing import Any
 from typing import final
@@ -59,6 +60,7 @@
 class SendFailure(enum.StrEnum):
     """Why no byte of a request was sent."""
 
+    CONNECT_REFUSED = "connect-refused"
     CONNECT_FAILED = "connect-failed"
     CONNECT_TIMED_OUT = "connect-timed-out"
     NO_CONNECTION_FREE = "no-connection-free"
@@ -368,6 +370,19 @@
             return result.Err(LostAfterSend(_loss_in_write(error), repr(error)))
         return result.Ok(PendingAnswer(self, lease, request, limits, ended))
 
+    def accepts(self, address: str) -> bool:
+        """Whether an address takes connections; sends nothing."""
+        parsed = address_module.parse(address).unwrap()
+        timeout_s = self._connect_timeout_ms / 1_000
+        try:
+            probe = socket.create_connection(
+                (parsed.ip, parsed.port), timeout_s
+            )
+        except OSError:
+            return False
+        probe.close()
+        return True
+
     def forget(self, address: str) -> None:
         """Closes the unused connections to an address."""
         self._pools.forget(address)
@@ -411,21 +426,24 @@
     except result.UnwrapError as error:
         lease.close()
         return result.Err(NotSent(SendFailure.BAD_REQUEST, str(error)))
-    except urllib3_exceptions.ConnectTimeoutError as error:
-        lease.close()
-        failure = (
-            SendFailure.CONNECT_FAILED
-            if isinstance(error, urllib3_exceptions.NewConnectionError)
-            else SendFailure.CONNECT_TIMED_OUT
-        )
-        return result.Err(NotSent(failure, str(error)))
     except (urllib3_exceptions.HTTPError, OSError) as error:
         lease.close()
-        return result.Err(NotSent(SendFailure.CONNECT_FAILED, str(error)))
+        return result.Err(NotSent(_connect_failure(error), str(error)))
     lease.attach(connection)
     return result.Ok(lease)
 
 
+def _connect_failure(error: Exception) -> SendFailure:
+    if isinstance(error.__cause__, ConnectionRefusedError):
+        return SendFailure.CONNECT_REFUSED
+    # NewConnectionError is a kind of ConnectTimeoutError.
+    if isinstance(
+        error, urllib3_exceptions.ConnectTimeoutError
+    ) and not isinstance(error, urllib3_exceptions.NewConnectionError):
+        return SendFailure.CONNECT_TIMED_OUT
+    return SendFailure.CONNECT_FAILED
+
+
 def _loss_in_write(error: Exception) -> Loss:
     return Loss.TIMED_OUT if isinstance(error, TimeoutError) else Loss.RESET
 
--- a/src/comfreylatch/_ports/slots.py
+++ b/src/comfreylatch/_ports/slots.py
@@ -22,7 +22,10 @@
         ...
 
     def on_free(self, callback: Callable[[str], None]) -> None:
-        """Calls back with an endpoint's name when it has a slot again."""
+        """Calls back with an endpoint's name when it has a slot again.
+
+        Never from within `try_take` or `free`, whose callers hold locks.
+        """
         ...
 
     def share_connections(self, endpoint: str) -> int:
--- a/src/comfreylatch/_process/reasons.py
+++ b/src/comfreylatch/_process/reasons.py
@@ -37,6 +37,9 @@
     TICKET_NUMBER_TAKEN = "ticket-number-taken"
     BAD_TICKET = "bad-ticket"
     UNKNOWN_JOB = "unknown-job"
+    NO_FREE_THREAD = "no-free-thread"
+    ANSWER_LOST = "answer-lost"
+    RETRIES_SPENT = "retries-spent"
 
 
 class RetryReason(enum.StrEnum):
@@ -52,6 +55,10 @@
     LOG_ANSWER_LOST = "log-answer-lost"
     LOG_DOWN = "log-down"
     WORKER_UNREACHABLE = "worker-unreachable"
+    NO_CONNECTION_FREE = "no-connection-free"
+    WRONG_ANSWER_ID = "wrong-answer-id"
+    HEDGE_CANCELLED = "hedge-cancelled"
+    SPILLED = "spilled"
 
 
 class Subject(enum.StrEnum):
--- /dev/null
+++ b/src/comfreylatch/_process/routing/retry_budget.py
@@ -0,0 +1,52 @@
+"""How many retries and hedges a service may add to its first tries."""
+
+from __future__ import annotations
+
+import random
+import threading
+from typing import final
+
+MAX_TOKENS = 20.0
+START_TOKENS = 2.0
+BASE_BACKOFF_MS = 10
+MAX_BACKOFF_MS = 200
+
+
+@final
+class RetryBudget:
+    """Tokens of one service: first tries earn them, retries spend them.
+
+    Over any stretch, retries stay below the given percentage of first tries
+    plus `MAX_TOKENS`. Thread-safe.
+    """
+
+    def __init__(self, percent: int) -> None:
+        self._lock = threading.Lock()
+        self._percent = percent
+        self._tokens = START_TOKENS if percent > 0 else 0.0
+
+    def set_percent(self, percent: int) -> None:
+        """Changes the percentage; tokens earned so far are kept."""
+        with self._lock:
+            self._percent = percent
+            if percent == 0:
+                self._tokens = 0.0
+
+    def earn(self) -> None:
+        """Notes a first try."""
+        with self._lock:
+            self._tokens = min(self._tokens + self._percent / 100, MAX_TOKENS)
+
+    def try_spend(self) -> bool:
+        """Takes a token for a retry or hedge; False when there is none."""
+        with self._lock:
+            if self._tokens < 1:
+                return False
+            self._tokens -= 1
+            return True
+
+
+def backoff_ms(retry: int, rng: random.Random) -> int:
+    """Wait before retry number `retry` (from 1), with full jitter."""
+    ceiling_ms = min(BASE_BACKOFF_MS << min(retry - 1, 10), MAX_BACKOFF_MS)
+    return rng.randint(0, ceiling_ms)
--- /dev/null
+++ b/src/comfreylatch/_process/routing/service_state.py
@@ -0,0 +1,182 @@
+"""All that a host keeps of each service, rebuilt as configuration changes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import random
+import threading
+from typing import final
+
+import attrs
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import slots as slots_port
+from comfreylatch._process import shares
+from comfreylatch._process.routing import admission
+from comfreylatch._process.routing import choice
+from comfreylatch._process.routing import endpoint_stats
+from comfreylatch._process.routing import latency_quantile
+from comfreylatch._process.routing import leaving
+from comfreylatch._process.routing import retry_budget
+from comfreylatch._version import configuration
+from comfreylatch._version import objects
+
+
+@attrs.define(eq=False)
+class ServiceState:
+    """One service on this host.
+
+    Attributes:
+        name: Name of the service.
+        service: Its configuration.
+        weight_share: Its weight as a share of all weights, 0 to 1.
+        addresses: Address by name, of the endpoints of this zone.
+        usable: Names of those that are not leaving.
+        stats: Observations of them.
+        chooser: Picks one of them.
+        queue: Requests that wait for one.
+        budget: For retries and hedges.
+        hedge_quantile: Follows `service.hedge_percentile`.
+    """
+
+    name: str
+    service: objects.Service
+    weight_share: float
+    addresses: Mapping[str, str]
+    usable: tuple[str, ...]
+    stats: endpoint_stats.StatsTable
+    chooser: choice.Chooser
+    queue: admission.ServiceQueue
+    budget: retry_budget.RetryBudget
+    hedge_quantile: latency_quantile.LatencyQuantile
+
+
+@final
+class ServiceTable:
+    """The services in force. Thread-safe; reading takes no lock."""
+
+    def __init__(
+        self,
+        zone: str,
+        slots: slots_port.SlotLedger,
+        clock: clock_port.Clock,
+        policy: choice.Policy,
+        rng: random.Random,
+    ) -> None:
+        self._zone = zone
+        self._clock = clock
+        self._policy = policy
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._states: dict[str, ServiceState] = {}
+        self._service_by_endpoint: dict[str, str] = {}
+        self._configuration = configuration.Configuration()
+        self.leaving = leaving.LeavingEndpoints(clock)
+        self.longest_request_ms = shares.longest_request_ms(self._configuration)
+        slots.on_free(self._on_free)
+
+    @property
+    def longest_timeout_ms(self) -> int:
+        """The longest time a caller may ask for."""
+        margin_ms = self._configuration.limits.drift_margin_ms
+        return self.longest_request_ms - margin_ms
+
+    @property
+    def configured(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._configuration.offset >= 0
+
+    def get(self, service: str) -> ServiceState | None:
+        """The state of a service; None when there is no such service."""
+        return self._states.get(service)
+
+    def all(self) -> tuple[ServiceState, ...]:
+        """The states of all services."""
+        return tuple(self._states.values())
+
+    def apply(self, new: configuration.Configuration) -> None:
+        """Takes a new version; what was learned of what stays is kept."""
+        with self._lock:
+            if new.offset < self._configuration.offset:
+                return
+            self._configuration = new
+            self.longest_request_ms = shares.longest_request_ms(new)
+            self.leaving.keep_only(frozenset(new.endpoints))
+            total_weight = sum(s.weight for s in new.services.values())
+            addresses = self._addresses(new)
+            states = dict(self._states)
+            for name in states.keys() - new.services.keys():
+                del states[name]
+            for name, service in new.services.items():
+                state = states.get(name) or self._new_state(name, service)
+                states[name] = state
+                self._update(state, service, addresses.get(name, {}))
+                state.weight_share = service.weight / max(total_weight, 1)
+            self._states = states
+            self._service_by_endpoint = {
+                endpoint: state.name
+                for state in states.values()
+                for endpoint in state.addresses
+            }
+
+    def leaving_changed(self) -> None:
+        """Takes endpoints that are now, or no longer, leaving into account."""
+        with self._lock:
+            for state in self._states.values():
+                state.usable = self._usable(state.addresses)
+
+    def _addresses(
+        self, new: configuration.Configuration
+    ) -> dict[str, dict[str, str]]:
+        by_service: dict[str, dict[str, str]] = {}
+        for name, endpoint in sorted(new.endpoints.items()):
+            if endpoint.zone == self._zone:
+                found = by_service.setdefault(endpoint.service, {})
+                found[name] = endpoint.address
+        return by_service
+
+    def _new_state(self, name: str, service: objects.Service) -> ServiceState:
+        stats = endpoint_stats.StatsTable(self._clock, self._rng)
+        return ServiceState(
+            name=name,
+            service=service,
+            weight_share=1.0,
+            addresses={},
+            usable=(),
+            stats=stats,
+            chooser=choice.make_chooser(
+                self._policy, stats, self._clock, self._rng
+            ),
+            queue=admission.ServiceQueue(self._clock),
+            budget=retry_budget.RetryBudget(service.retry_budget_percent),
+            hedge_quantile=latency_quantile.LatencyQuantile(
+                service.hedge_percentile
+            ),
+        )
+
+    def _update(
+        self,
+        state: ServiceState,
+        service: objects.Service,
+        addresses: Mapping[str, str],
+    ) -> None:
+        if service.hedge_percentile != state.service.hedge_percentile:
+            state.hedge_quantile = latency_quantile.LatencyQuantile(
+                service.hedge_percentile
+            )
+        state.budget.set_percent(service.retry_budget_percent)
+        state.service = service
+        state.addresses = addresses
+        state.usable = self._usable(addresses)
+        state.stats.keep_only(addresses)
+
+    def _usable(self, addresses: Mapping[str, str]) -> tuple[str, ...]:
+        return tuple(
+            name for name in addresses if not self.leaving.is_leaving(name)
+        )
+
+    def _on_free(self, endpoint: str) -> None:
+        service = self._service_by_endpoint.get(endpoint)
+        state = None if service is None else self._states.get(service)
+        if state is not None:
+            state.queue.slot_freed()
--- a/src/comfreylatch/_process/settings.py
+++ b/src/comfreylatch/_process/settings.py
@@ -54,6 +54,21 @@
     stop_timeout_ms: int = 60_000
 
 
+@attrs.frozen
+class RoutingSettings:
+    """How requests are routed.
+
+    Attributes:
+        policy: `least-expected`; for comparison `round-robin` or `random`.
+        spill: Whether other zones are used when the own one has no slot.
+        seed: Seed of all random choices; 0 takes a new one at each start.
+    """
+
+    policy: str = "least-expected"
+    spill: bool = True
+    seed: int = 0
+
+
 @attrs.frozen
 class Settings:
     """The whole settings file.
@@ -68,6 +83,7 @@
         peers: Every other seat of every zone.
         threads: Threads for callers' connections.
         log_level: One of logbook's level names, in lower case.
+        routing: How requests are routed.
     """
 
     seat: str
@@ -80,3 +96,4 @@
     timing: TimingSettings = TimingSettings()
     threads: int = 96
     log_level: str = "info"
+    routing: RoutingSettings = RoutingSettings()
--- /dev/null
+++ b/src/comfreylatch/_process/shares.py
@@ -0,0 +1,281 @@
+"""This host's fixed share of the endpoints' slots and connections.
+
+The limits of an endpoint are divided over the seats of its zone by
+configuration alone, so that no view of who is alive can break them. A seat
+that loses slots stops using them at once; a seat that gains waits until every
+other host has applied the change and its requests have ended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+from typing import final
+
+import attrs
+import xxhash
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import configuration as configuration_port
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._version import configuration
+from comfreylatch._version import objects
+
+RECHECK_MS = 100
+
+
+@attrs.frozen
+class Share:
+    """What one seat may use of one endpoint."""
+
+    slots: int
+    connections: int
+
+
+NO_SHARE = Share(0, 0)
+
+
+def seat_share(
+    endpoint_name: str,
+    endpoint: objects.Endpoint,
+    zone: objects.Zone,
+    seat: str,
+) -> Share:
+    """The seat's part of an endpoint's limits; parts add up to the limits.
+
+    What can't be divided evenly goes to seats that differ by endpoint.
+    """
+    if seat not in zone.seats:
+        return NO_SHARE
+    count = len(zone.seats)
+    shift = xxhash.xxh32_intdigest(endpoint_name.encode()) % count
+    turn = (zone.seats.index(seat) + shift) % count
+    slots = _part(endpoint.slots, count, turn)
+    connections = _part(endpoint.connections, count, turn)
+    return Share(min(slots, connections), connections)
+
+
+def _part(total: int, count: int, turn: int) -> int:
+    return total // count + (1 if turn < total % count else 0)
+
+
+def longest_request_ms(current: configuration.Configuration) -> int:
+    """Bound on how long an endpoint may run a request, from its sending."""
+    longest_ms = max(
+        (service.timeout_ms for service in current.services.values()),
+        default=objects.Service().timeout_ms,
+    )
+    return longest_ms + current.limits.drift_margin_ms
+
+
+@attrs.define(eq=False)
+class _Gain:
+    """A larger share that may not be used yet.
+
+    Attributes:
+        target: The share by configuration.
+        offset: Configuration offset that all other hosts must have applied.
+        removed_seats: Seats that the change took away.
+        applied_ms: Monotonic time since when all have; -1 before.
+    """
+
+    target: Share
+    offset: int
+    removed_seats: frozenset[str]
+    applied_ms: int = -1
+
+
+@attrs.define(eq=False)
+class _Held:
+    """What this host uses of one endpoint."""
+
+    usable: Share = NO_SHARE
+    taken: int = 0
+    gain: _Gain | None = None
+
+
+@final
+class FixedShares:
+    """Slots and connections of this host's seat. Thread-safe.
+
+    Args:
+        source: Configuration in force.
+        zone: This host's zone; only its endpoints are used from here.
+        seat: This host's seat.
+        clock: Monotonic time.
+        start_after_ms: Time from construction until the first slot is given
+            out; a predecessor that was killed may have left requests running.
+        peers: Tells which offsets other seats have applied; without it, a
+            gain waits for the time bound alone.
+    """
+
+    def __init__(
+        self,
+        source: configuration_port.ConfigurationSource,
+        zone: str,
+        seat: str,
+        clock: clock_port.Clock,
+        start_after_ms: int,
+        peers: peers_port.Peers | None = None,
+    ) -> None:
+        self._zone = zone
+        self._seat = seat
+        self._clock = clock
+        self._peers = peers
+        self._lock = threading.Lock()
+        self._held: dict[str, _Held] = {}
+        self._listeners: list[Callable[[str], None]] = []
+        self._closed_until_ms = clock.monotonic_ms() + start_after_ms
+        self._next_check_ms = 0
+        self._gaining = False
+        self._configuration = configuration.Configuration()
+        source.on_change(self._apply)
+        self._apply(source.current())
+
+    def try_take(self, endpoint: str, duration_ms: int) -> bool:
+        """See `SlotLedger.try_take`; a fixed share has no end."""
+        del duration_ms
+        self._check_gains()
+        with self._lock:
+            held = self._held.get(endpoint)
+            if held is None or held.taken >= held.usable.slots:
+                return False
+            if self._clock.monotonic_ms() < self._closed_until_ms:
+                return False
+            held.taken += 1
+            return True
+
+    def give_back(self, endpoint: str) -> None:
+        """See `SlotLedger.give_back`."""
+        with self._lock:
+            held = self._held[endpoint]
+            held.taken -= 1
+            is_free = held.taken < held.usable.slots
+            if held.taken == 0 and self._is_gone(endpoint, held):
+                del self._held[endpoint]
+        if is_free:
+            self._tell(endpoint)
+
+    def free(self, endpoint: str) -> int:
+        """See `SlotLedger.free`."""
+        self._check_gains()
+        held = self._held.get(endpoint)
+        if held is None or self._clock.monotonic_ms() < self._closed_until_ms:
+            return 0
+        return max(held.usable.slots - held.taken, 0)
+
+    def on_free(self, callback: Callable[[str], None]) -> None:
+        """See `SlotLedger.on_free`."""
+        self._listeners.append(callback)
+
+    def share_connections(self, endpoint: str) -> int:
+        """See `SlotLedger.share_connections`."""
+        held = self._held.get(endpoint)
+        return 0 if held is None else held.usable.connections
+
+    def hold_until(self, monotonic_ms: int) -> None:
+        """Gives out no slot before a time; used after a long pause."""
+        with self._lock:
+            self._closed_until_ms = max(self._closed_until_ms, monotonic_ms)
+
+    def _apply(self, new: configuration.Configuration) -> None:
+        """Takes a new version: losses at once, gains after their wait."""
+        with self._lock:
+            old = self._configuration
+            if new.offset < old.offset:
+                return
+            self._configuration = new
+            removed = self._removed_seats(old, new)
+            targets = self._targets(new)
+            for endpoint in self._held.keys() | targets.keys():
+                held = self._held.setdefault(endpoint, _Held())
+                is_new = endpoint not in old.endpoints
+                target = targets.get(endpoint, NO_SHARE)
+                self._change(held, target, new.offset, removed, is_new)
+                if held.taken == 0 and self._is_gone(endpoint, held):
+                    del self._held[endpoint]
+            self._gaining = any(held.gain for held in self._held.values())
+
+    def _targets(self, new: configuration.Configuration) -> dict[str, Share]:
+        zone = new.zones.get(self._zone)
+        if zone is None:
+            return {}
+        return {
+            name: seat_share(name, endpoint, zone, self._seat)
+            for name, endpoint in new.endpoints.items()
+            if endpoint.zone == self._zone
+        }
+
+    def _removed_seats(
+        self, old: configuration.Configuration, new: configuration.Configuration
+    ) -> frozenset[str]:
+        old_zone = old.zones.get(self._zone, objects.Zone(()))
+        new_zone = new.zones.get(self._zone, objects.Zone(()))
+        return frozenset(old_zone.seats) - frozenset(new_zone.seats)
+
+    @staticmethod
+    def _change(
+        held: _Held,
+        target: Share,
+        offset: int,
+        removed_seats: frozenset[str],
+        is_new: bool,
+    ) -> None:
+        if is_new and held.taken == 0:
+            # No host used it before, so there is nobody to wait for.
+            held.usable = target
+            held.gain = None
+            return
+        held.usable = Share(
+            min(held.usable.slots, target.slots),
+            min(held.usable.connections, target.connections),
+        )
+        if held.usable == target:
+            held.gain = None
+        elif held.gain is None or held.gain.target != target:
+            held.gain = _Gain(target, offset, removed_seats)
+
+    def _is_gone(self, endpoint: str, held: _Held) -> bool:
+        return (
+            endpoint not in self._configuration.endpoints and held.gain is None
+        )
+
+    def _check_gains(self) -> None:
+        """Brings gains into use whose wait is over; cheap when none waits."""
+        if not self._gaining:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if now_ms < self._next_check_ms:
+            return
+        with self._lock:
+            self._next_check_ms = now_ms + RECHECK_MS
+            wait_ms = longest_request_ms(self._configuration)
+            for held in self._held.values():
+                gain = held.gain
+                if gain is not None and self._is_due(gain, now_ms, wait_ms):
+                    held.usable = gain.target
+                    held.gain = None
+            self._gaining = any(held.gain for held in self._held.values())
+
+    def _is_due(self, gain: _Gain, now_ms: int, wait_ms: int) -> bool:
+        if gain.applied_ms < 0 and self._is_applied_by_all(gain):
+            gain.applied_ms = now_ms
+        return gain.applied_ms >= 0 and now_ms >= gain.applied_ms + wait_ms
+
+    def _is_applied_by_all(self, gain: _Gain) -> bool:
+        if self._peers is None:
+            return True
+        return all(
+            view.config_offset >= gain.offset
+            or (view.seat in gain.removed_seats and not view.reachable)
+            for view in self._peers.views()
+            if view.zone == self._zone and self._matters(view.seat, gain)
+        )
+
+    def _matters(self, seat: str, gain: _Gain) -> bool:
+        zone = self._configuration.zones.get(self._zone, objects.Zone(()))
+        return seat in zone.seats or seat in gain.removed_seats
+
+    def _tell(self, endpoint: str) -> None:
+        for listener in self._listeners:
+            listener(endpoint)
--- /dev/null
+++ b/src/comfreylatch/_request/call.py
@@ -0,0 +1,225 @@
+"""A caller's request, as checked and understood."""
+
+from __future__ import annotations
+
+import os
+
+import attrs
+import result
+
+from comfreylatch._connection import endpoint_client
+from comfreylatch._connection import http
+from comfreylatch._process import reasons
+from comfreylatch._process.routing import service_state
+from comfreylatch._request import outcomes
+from comfreylatch._wire.gen.peer import ttypes
+
+PATH_PREFIX = "/services/"
+MAX_ID_LENGTH = 128
+RANDOM_ID_BYTES = 12
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
+
+_OWN_HEADERS = frozenset(
+    {"x-request-id", "x-caller", "x-idempotent", "x-timeout-ms"}
+)
+
+
+@attrs.frozen
+class Call:
+    """A request to a service.
+
+    Attributes:
+        state: The service.
+        caller: Name of the caller, for fairness.
+        request: What an endpoint shall get.
+        deadline_ms: Monotonic time by which the caller wants the answer.
+    """
+
+    state: service_state.ServiceState
+    caller: str
+    request: endpoint_client.EndpointRequest
+    deadline_ms: int
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.request.request_id
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        return self.request.idempotent
+
+
+def make_id() -> str:
+    """A new request id, unlike any other host's."""
+    return os.urandom(RANDOM_ID_BYTES).hex()
+
+
+def is_good_id(text: str) -> bool:
+    """Whether a caller's request id can be used."""
+    return (
+        0 < len(text) <= MAX_ID_LENGTH
+        and text.isascii()
+        and text.isprintable()
+        and " " not in text
+    )
+
+
+def parse(
+    request: http.HttpRequest,
+    request_id: str,
+    table: service_state.ServiceTable,
+    now_ms: int,
+) -> result.Result[Call, outcomes.NotRun]:
+    """Understands a request to `/services/...`."""
+    if not is_good_id(request_id):
+        return _bad(
+            "X-Request-Id must have 1 to 128 printable characters, no spaces"
+        )
+    name, target = split_target(request.target)
+    state = table.get(name)
+    if state is None:
+        return result.Err(_no_service(name, table))
+    if len(request.body) > state.service.max_body_bytes:
+        sentence = (
+            f"the body has {len(request.body)} bytes; {name} takes "
+            f"{state.service.max_body_bytes}"
+        )
+        reason = reasons.RefusalReason.BODY_TOO_LONG
+        return result.Err(outcomes.NotRun(reason, sentence))
+    match _timeout_ms(request, state, table):
+        case result.Ok(timeout_ms):
+            pass
+        case result.Err(refused):
+            return result.Err(refused)
+    match _idempotent(request):
+        case result.Ok(idempotent):
+            pass
+        case result.Err(refused):
+            return result.Err(refused)
+    received_ms = request.received_ms if request.received_ms >= 0 else now_ms
+    return result.Ok(
+        Call(
+            state=state,
+            caller=request.headers.get("x-caller") or request.client,
+            request=endpoint_client.EndpointRequest(
+                method=request.method,
+                target=target,
+                headers=_passed_on(request),
+                body=request.body,
+                request_id=request_id,
+                idempotent=idempotent,
+            ),
+            deadline_ms=received_ms + timeout_ms,
+        )
+    )
+
+
+def from_forwarded(
+    forwarded: ttypes.ForwardRequest,
+    table: service_state.ServiceTable,
+    now_ms: int,
+) -> result.Result[Call, outcomes.NotRun]:
+    """Understands a request handed over by another zone's host."""
+    state = table.get(forwarded.service_name)
+    if state is None:
+        return result.Err(_no_service(forwarded.service_name, table))
+    remaining_ms = min(forwarded.remaining_ms, table.longest_timeout_ms)
+    return result.Ok(
+        Call(
+            state=state,
+            caller=forwarded.caller,
+            request=endpoint_client.EndpointRequest(
+                method=forwarded.method,
+                target=forwarded.path,
+                headers=forwarded.headers,
+                body=forwarded.body,
+                request_id=forwarded.request_id,
+                idempotent=forwarded.idempotent,
+            ),
+            deadline_ms=now_ms + remaining_ms,
+        )
+    )
+
+
+def to_forwarded(call: Call, remaining_ms: int) -> ttypes.ForwardRequest:
+    """The request as handed over to another zone's host."""
+    request = call.request
+    return ttypes.ForwardRequest(
+        request_id=request.request_id,
+        caller=call.caller,
+        service_name=call.state.name,
+        path=request.target,
+        method=request.method,
+        headers=endpoint_client.end_to_end(request.headers),
+        body=request.body,
+        remaining_ms=remaining_ms,
+        idempotent=request.idempotent,
+    )
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Service name and target for the endpoint, from `/services/NAME/REST`."""
+    if not target.startswith(PATH_PREFIX):
+        return "", "/"
+    path, mark, query = target[len(PATH_PREFIX) :].partition("?")
+    name, _, rest = path.partition("/")
+    return name, f"/{rest}{mark}{query}"
+
+
+def _passed_on(request: http.HttpRequest) -> dict[str, str]:
+    return {
+        key: value
+        for key, value in request.headers.items()
+        if key not in _OWN_HEADERS
+    }
+
+
+def _bad(sentence: str) -> result.Err[outcomes.NotRun]:
+    reason = reasons.RefusalReason.BAD_REQUEST
+    return result.Err(outcomes.NotRun(reason, sentence))
+
+
+def _no_service(
+    name: str, table: service_state.ServiceTable
+) -> outcomes.NotRun:
+    if not table.configured:
+        return outcomes.NotRun(
+            reasons.RefusalReason.NO_CONFIGURATION,
+            "this host has no configuration yet",
+            retry_after_ms=1_000,
+        )
+    return outcomes.NotRun(
+        reasons.RefusalReason.UNKNOWN_SERVICE,
+        f"there is no service {name!r}; paths are /services/NAME/REST",
+    )
+
+
+def _timeout_ms(
+    request: http.HttpRequest,
+    state: service_state.ServiceState,
+    table: service_state.ServiceTable,
+) -> result.Result[int, outcomes.NotRun]:
+    text = request.headers.get("x-timeout-ms")
+    if text is None:
+        return result.Ok(state.service.timeout_ms)
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        return _bad("X-Timeout-Ms must be a whole number of milliseconds")
+    # An endpoint's slot is given to others after the longest request.
+    return result.Ok(min(int(text), table.longest_timeout_ms))
+
+
+def _idempotent(
+    request: http.HttpRequest,
+) -> result.Result[bool, outcomes.NotRun]:
+    text = request.headers.get("x-idempotent")
+    if text is None:
+        return result.Ok(request.method in IDEMPOTENT_METHODS)
+    match text.lower():
+        case "true":
+            return result.Ok(True)
+        case "false":
+            return result.Ok(False)
+        case _:
+            return _bad("X-Idempotent must be true or false")
--- /dev/null
+++ b/src/comfreylatch/_request/outcomes.py
@@ -0,0 +1,170 @@
+"""What becomes of a request, and how a caller or a peer is told."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from comfreylatch._connection import http
+from comfreylatch._process import reasons
+from comfreylatch._wire.gen.peer import ttypes
+
+ID_HEADER = "X-Request-Id"
+OUTCOME_HEADER = "X-Outcome"
+STATUS_NOT_RUN = 503
+STATUS_UNKNOWN = 504
+
+_STATUS_BY_REASON = {
+    reasons.RefusalReason.BAD_REQUEST: 400,
+    reasons.RefusalReason.UNKNOWN_SERVICE: 404,
+    reasons.RefusalReason.BODY_TOO_LONG: 413,
+}
+
+
+@attrs.frozen
+class Answered:
+    """The whole answer of an endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint, or of the seat that forwarded it.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    endpoint: str = ""
+
+
+@attrs.frozen
+class NotRun:
+    """No endpoint has seen the request.
+
+    Attributes:
+        reason: Why.
+        sentence: The same for a person.
+        retry_after_ms: When to come back; 0 when that is of no use.
+    """
+
+    reason: reasons.RefusalReason
+    sentence: str
+    retry_after_ms: int = 0
+
+
+@attrs.frozen
+class Unknown:
+    """An endpoint may have run the request."""
+
+    reason: reasons.RefusalReason
+    sentence: str
+    retry_after_ms: int = 0
+
+
+RequestOutcome = Answered | NotRun | Unknown
+
+
+def to_http(request_id: str, outcome: RequestOutcome) -> http.HttpReply:
+    """The reply for a caller."""
+    match outcome:
+        case Answered():
+            headers = {
+                **outcome.headers,
+                ID_HEADER: request_id,
+                OUTCOME_HEADER: reasons.Outcome.ANSWERED.value,
+            }
+            return http.HttpReply(outcome.status, outcome.body, headers)
+        case NotRun():
+            status = _STATUS_BY_REASON.get(outcome.reason, STATUS_NOT_RUN)
+            return _refusal(
+                request_id, outcome, status, reasons.Outcome.NOT_RUN
+            )
+        case Unknown():
+            return _refusal(
+                request_id, outcome, STATUS_UNKNOWN, reasons.Outcome.UNKNOWN
+            )
+
+
+def _refusal(
+    request_id: str,
+    outcome: NotRun | Unknown,
+    status: int,
+    word: reasons.Outcome,
+) -> http.HttpReply:
+    reply = http.error_reply(
+        status, outcome.reason.value, outcome.sentence, outcome.retry_after_ms
+    )
+    headers = {
+        **reply.headers,
+        ID_HEADER: request_id,
+        OUTCOME_HEADER: word.value,
+    }
+    return attrs.evolve(reply, headers=headers)
+
+
+def to_forward_reply(
+    request_id: str, outcome: RequestOutcome
+) -> ttypes.ForwardReply:
+    """The reply for the host of another zone."""
+    match outcome:
+        case Answered():
+            return ttypes.ForwardReply(
+                request_id=request_id,
+                outcome=reasons.Outcome.ANSWERED.value,
+                reason="",
+                status=outcome.status,
+                headers=dict(outcome.headers),
+                body=outcome.body,
+                retry_after_ms=0,
+            )
+        case NotRun() | Unknown():
+            word = (
+                reasons.Outcome.NOT_RUN
+                if isinstance(outcome, NotRun)
+                else reasons.Outcome.UNKNOWN
+            )
+            return ttypes.ForwardReply(
+                request_id=request_id,
+                outcome=word.value,
+                reason=outcome.reason.value,
+                status=0,
+                headers={},
+                body=outcome.sentence.encode(),
+                retry_after_ms=outcome.retry_after_ms,
+            )
+
+
+def from_forward_reply(
+    request_id: str, seat: str, reply: ttypes.ForwardReply
+) -> RequestOutcome:
+    """What a reply of another zone's host says, checked.
+
+    Anything that isn't clearly `answered` or `not-run` is unknown.
+    """
+    if reply.request_id != request_id:
+        return Unknown(
+            reasons.RefusalReason.ANSWER_LOST,
+            f"{seat} replied for another request",
+        )
+    if reply.outcome == reasons.Outcome.ANSWERED:
+        return Answered(reply.status, reply.headers, reply.body, seat)
+    sentence = f"{seat}: {reply.body.decode('utf-8', 'replace')}"
+    if reply.outcome == reasons.Outcome.NOT_RUN:
+        return NotRun(
+            _reason(reply.reason, reasons.RefusalReason.NO_FREE_SLOT),
+            sentence,
+            reply.retry_after_ms,
+        )
+    return Unknown(
+        _reason(reply.reason, reasons.RefusalReason.ANSWER_LOST),
+        sentence,
+        reply.retry_after_ms,
+    )
+
+
+def _reason(
+    word: str, otherwise: reasons.RefusalReason
+) -> reasons.RefusalReason:
+    try:
+        return reasons.RefusalReason(word)
+    except ValueError:
+        return otherwise
--- /dev/null
+++ b/src/comfreylatch/_request/router.py
@@ -0,0 +1,275 @@
+"""Callers' requests, from arrival to the reply."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from types import TracebackType
+from typing import final
+from typing import Self
+
+import logbook
+import result
+
+from comfreylatch._connection import endpoint_client
+from comfreylatch._connection import http
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import configuration as configuration_port
+from comfreylatch._ports import hosts
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._ports import slots as slots_port
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process import settings as settings_module
+from comfreylatch._process.routing import admission
+from comfreylatch._process.routing import choice
+from comfreylatch._process.routing import service_state
+from comfreylatch._request import call as call_module
+from comfreylatch._request import outcomes
+from comfreylatch._request import parts as parts_module
+from comfreylatch._request import tries
+from comfreylatch._wire.gen.peer import ttypes
+
+UPKEEP_INTERVAL_MS = 500
+SPARE_SHARE = 0.5
+RETRY_AFTER_STOP_MS = 1_000
+RETRY_AFTER_BUSY_MS = 100
+
+_log = logbook.Logger("comfreylatch.router")
+
+
+@final
+class RequestRouter:
+    """Routes requests to endpoints of this zone, or to other zones' hosts.
+
+    A context manager: a thread looks after leaving endpoints while it is open.
+
+    Args:
+        source: Configuration in force.
+        slots: This host's part of the endpoints' limits.
+        client: Sends single tries.
+        peers: Other entry hosts.
+        metrics: Counts outcomes, refusals and retries by reason.
+        journal: Keeps the reasons for `explain`.
+        clock: Monotonic time.
+        settings: Seat, zone, threads and routing policy.
+        seed: Seed of all random choices.
+        guard: Lets non-idempotent ids be dispatched once.
+    """
+
+    def __init__(
+        self,
+        source: configuration_port.ConfigurationSource,
+        slots: slots_port.SlotLedger,
+        client: endpoint_client.EndpointClient,
+        peers: peers_port.Peers,
+        metrics: metrics_module.Metrics,
+        journal: journal_module.Journal,
+        clock: clock_port.Clock,
+        settings: settings_module.Settings,
+        seed: int,
+        guard: parts_module.DispatchGuard | None = None,
+    ) -> None:
+        rng = random.Random(seed)
+        self._table = service_state.ServiceTable(
+            settings.zone,
+            slots,
+            clock,
+            choice.Policy(settings.routing.policy),
+            rng,
+        )
+        self._parts = parts_module.Parts(
+            table=self._table,
+            slots=slots,
+            client=client,
+            metrics=metrics,
+            journal=journal,
+            clock=clock,
+            rng=rng,
+            guard=guard,
+        )
+        self._peers = peers
+        self._threads = admission.ThreadShares(settings.threads)
+        self._stopping = threading.Event()
+        self._closed = threading.Event()
+        self._upkeep_thread = threading.Thread(
+            target=self._upkeep, name="router-upkeep", daemon=True
+        )
+        source.on_change(self._table.apply)
+        self._table.apply(source.current())
+
+    def __enter__(self) -> Self:
+        self._upkeep_thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._closed.set()
+        self._upkeep_thread.join()
+
+    def handle(self, request: http.HttpRequest) -> http.HttpReply:
+        """Answers a caller's request to `/services/...`."""
+        started_s = time.monotonic()
+        given_id = request.headers.get("x-request-id")
+        request_id = call_module.make_id() if given_id is None else given_id
+        parsed = call_module.parse(
+            request, request_id, self._table, self._parts.clock.monotonic_ms()
+        )
+        match parsed:
+            case result.Ok(call):
+                outcome = self._run(call)
+                label = call.state.name
+            case result.Err(refused):
+                outcome = refused
+                label = ""
+        self._account(request_id, label, outcome, started_s)
+        shown_id = request_id if call_module.is_good_id(request_id) else ""
+        return outcomes.to_http(shown_id, outcome)
+
+    def run_forwarded(
+        self, request: ttypes.ForwardRequest
+    ) -> ttypes.ForwardReply:
+        """Runs a request handed over by a host of another zone."""
+        started_s = time.monotonic()
+        parsed = call_module.from_forwarded(
+            request, self._table, self._parts.clock.monotonic_ms()
+        )
+        match parsed:
+            case result.Ok(call):
+                # The host that handed it over has claimed its id.
+                outcome = self._run_here(call, is_claimed=True)
+            case result.Err(refused):
+                outcome = refused
+        self._account(
+            request.request_id, request.service_name, outcome, started_s
+        )
+        return outcomes.to_forward_reply(request.request_id, outcome)
+
+    def stop_taking(self) -> None:
+        """Refuses every new request; those in progress go on."""
+        self._stopping.set()
+
+    def update_listed(self, listed: hosts.HostList) -> None:
+        """Takes the platform's list of hosts, as often as it is fetched."""
+        self._drained(self._table.leaving.update_listed(listed), "listed")
+
+    def leaving_endpoints(self) -> frozenset[str]:
+        """Endpoints this host has seen leave, for its heartbeats."""
+        return self._table.leaving.observed
+
+    def spare_slots(self) -> dict[str, int]:
+        """Slots other zones may use now, by service, for heartbeats."""
+        free = self._parts.slots.free
+        return {
+            state.name: int(sum(map(free, state.usable)) * SPARE_SHARE)
+            for state in self._table.all()
+            if state.queue.waiting == 0 and not self._stopping.is_set()
+        }
+
+    def services(self) -> tuple[service_state.ServiceState, ...]:
+        """The state of every service, for the status page."""
+        return self._table.all()
+
+    def _run(self, call: call_module.Call) -> outcomes.RequestOutcome:
+        return self._run_here(call, is_claimed=False)
+
+    def _run_here(
+        self, call: call_module.Call, is_claimed: bool
+    ) -> outcomes.RequestOutcome:
+        """Runs a request on this zone's endpoints."""
+        if self._stopping.is_set():
+            return outcomes.NotRun(
+                reasons.RefusalReason.STOPPING,
+                "this host is stopping; ask again through another one",
+                RETRY_AFTER_STOP_MS,
+            )
+        name = call.state.name
+        if not self._threads.try_enter(name, call.state.weight_share):
+            return outcomes.NotRun(
+                reasons.RefusalReason.NO_FREE_THREAD,
+                "this host has as many requests in progress as it takes",
+                max(call.state.queue.retry_after_ms(), RETRY_AFTER_BUSY_MS),
+            )
+        try:
+            return tries.Tries(self._parts, call, is_claimed).run()
+        finally:
+            self._threads.leave(name)
+
+    def _account(
+        self,
+        request_id: str,
+        service: str,
+        outcome: outcomes.RequestOutcome,
+        started_s: float,
+    ) -> None:
+        """Counts and journals what became of a request."""
+        metrics = self._parts.metrics
+        elapsed_us = int((time.monotonic() - started_s) * 1_000_000)
+        metrics.observe(metrics_module.Latency.REQUEST, elapsed_us, service)
+        match outcome:
+            case outcomes.Answered():
+                metrics.count(
+                    metrics_module.Counter.OUTCOMES,
+                    reasons.Outcome.ANSWERED.value,
+                )
+                return
+            case outcomes.NotRun():
+                word = reasons.Outcome.NOT_RUN
+            case outcomes.Unknown():
+                word = reasons.Outcome.UNKNOWN
+        metrics.count(metrics_module.Counter.OUTCOMES, word.value)
+        metrics.count(metrics_module.Counter.REFUSALS, outcome.reason.value)
+        self._parts.journal.note(
+            reasons.Subject.REQUEST,
+            request_id,
+            outcome.reason.value,
+            f"{word.value}: {outcome.sentence}",
+        )
+
+    def _upkeep(self) -> None:
+        while not self._closed.wait(UPKEEP_INTERVAL_MS / 1_000):
+            try:
+                self._take_peers_signs()
+                self._probe_leaving()
+            except Exception:
+                _log.exception("router-upkeep-failed")
+
+    def _take_peers_signs(self) -> None:
+        seen = frozenset[str]().union(
+            *(view.leaving_endpoints for view in self._peers.views())
+        )
+        self._drained(self._table.leaving.update_peers(seen), "seen by a peer")
+
+    def _probe_leaving(self) -> None:
+        """Tries connections to endpoints that refused them, in turn."""
+        addresses = {
+            endpoint: address
+            for state in self._table.all()
+            for endpoint, address in state.addresses.items()
+        }
+        for endpoint in self._table.leaving.to_probe():
+            address = addresses.get(endpoint)
+            if address is None or not self._parts.client.accepts(address):
+                continue
+            self._table.leaving.accepts_again(endpoint)
+            self._table.leaving_changed()
+            self._note_endpoint(endpoint, "back", "takes connections again")
+
+    def _drained(self, endpoints: frozenset[str], how: str) -> None:
+        self._table.leaving_changed()
+        for state in self._table.all():
+            for endpoint in endpoints & state.addresses.keys():
+                self._parts.client.forget(state.addresses[endpoint])
+                sign = self._table.leaving.sign(endpoint)
+                self._note_endpoint(endpoint, "leaving", f"{how}: {sign}")
+
+    def _note_endpoint(self, endpoint: str, reason: str, sentence: str) -> None:
+        self._parts.journal.note(
+            reasons.Subject.ENDPOINT, endpoint, reason, sentence
+        )
--- /dev/null
+++ b/src/comfreylatch/_request/tries.py
@@ -0,0 +1,373 @@
+"""The tries of one request on this zone's endpoints.
+
+A try that was lost after sending makes the request `unknown` unless it is
+idempotent and a later try is answered. `not-run` is said only while no try
+was sent, or each was declined by its endpoint.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import select
+import time
+from typing import final
+
+import attrs
+import result
+
+from comfreylatch._connection import endpoint_client
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process.routing import admission
+from comfreylatch._process.routing import choice
+from comfreylatch._process.routing import retry_budget
+from comfreylatch._request import call as call_module
+from comfreylatch._request import observations
+from comfreylatch._request import outcomes
+from comfreylatch._request import parts as parts_module
+
+MAX_TRIES = 4
+LATE_HEDGE_SHARE = 0.5
+MIN_HEDGE_MS = 2
+
+_RETRY_REASON_BY_LOSS = {
+    endpoint_client.Loss.RESET: reasons.RetryReason.CONNECTION_LOST,
+    endpoint_client.Loss.TIMED_OUT: reasons.RetryReason.TRY_TIMED_OUT,
+    endpoint_client.Loss.TRUNCATED: reasons.RetryReason.ANSWER_TRUNCATED,
+    endpoint_client.Loss.WRONG_ID: reasons.RetryReason.WRONG_ANSWER_ID,
+    endpoint_client.Loss.MALFORMED: reasons.RetryReason.ANSWER_TRUNCATED,
+}
+
+
+@attrs.frozen
+class _Sent:
+    """A try that was sent."""
+
+    endpoint: str
+    pending: endpoint_client.PendingAnswer
+    started_s: float
+
+    @property
+    def elapsed_ms(self) -> float:
+        """Time since it was begun."""
+        return (time.monotonic() - self.started_s) * 1_000
+
+
+@final
+class Tries:
+    """Runs one request; made anew for each."""
+
+    def __init__(
+        self,
+        parts: parts_module.Parts,
+        call: call_module.Call,
+        is_claimed: bool = False,
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._state = call.state
+        self._observer = observations.Observer(parts, call.state)
+        self._excluded: frozenset[str] = frozenset()
+        # Whose id was claimed elsewhere is released there too.
+        self._guard = None if is_claimed else parts.guard
+        self._claimed = False
+        self._lost: endpoint_client.LostAfterSend | None = None
+        self._tries = 0
+
+    @property
+    def seen(self) -> bool:
+        """Whether an endpoint may have seen the request."""
+        return self._lost is not None
+
+    def run(self) -> outcomes.RequestOutcome:
+        """Tries until there is an answer or no further try is allowed."""
+        self._state.budget.earn()
+        while True:
+            match self._enter():
+                case result.Ok(endpoint):
+                    pass
+                case result.Err(refused):
+                    return self._given_up(refused)
+            match self._claim(endpoint):
+                case result.Err(told):
+                    return told
+                case result.Ok(_):
+                    pass
+            tried = self._try(endpoint)
+            if isinstance(tried, result.Ok):
+                answer = tried.ok_value
+                return outcomes.Answered(
+                    answer.status, answer.headers, answer.body, endpoint
+                )
+            ended = self._after_failure(endpoint, tried.err_value)
+            if ended is not None:
+                return ended
+
+    def _enter(self) -> result.Result[str, admission.Refused]:
+        """Waits for a slot of an endpoint."""
+        if not self._state.usable:
+            return result.Err(
+                admission.Refused(
+                    reasons.RefusalReason.NO_ENDPOINT,
+                    f"{self._state.name} has no endpoint here that stays",
+                    admission.MAX_RETRY_AFTER_MS // 10,
+                )
+            )
+        arrival = admission.Arrival(
+            caller=self._call.caller,
+            deadline_ms=self._call.deadline_ms,
+            pick=self._pick,
+            is_retry=self._tries > 0,
+        )
+        return self._state.queue.enter(arrival)
+
+    def _pick(self) -> str | None:
+        """Takes a slot of the best endpoint, if one has a free slot."""
+        state = self._state
+        slots = self._parts.slots
+        endpoint = state.chooser.choose(
+            choice.Choice(
+                endpoints=state.usable,
+                free=slots.free,
+                idempotent=self._call.idempotent,
+                excluded=self._excluded,
+            )
+        )
+        if endpoint is None:
+            return None
+        # Sent at the deadline at the latest, it may run for the longest time.
+        left_ms = self._call.deadline_ms - self._parts.clock.monotonic_ms()
+        longest_ms = self._parts.table.longest_request_ms
+        if not slots.try_take(endpoint, max(left_ms, 0) + longest_ms):
+            return None
+        state.stats.begin(endpoint)
+        return endpoint
+
+    def _claim(
+        self, endpoint: str
+    ) -> result.Result[None, outcomes.NotRun | outcomes.Unknown]:
+        """Marks the id of a non-idempotent request before its first try."""
+        guard = self._guard
+        if self._call.idempotent or guard is None or self._claimed:
+            return result.Ok(None)
+        claimed = guard.claim(self._call.request_id, self._call.deadline_ms)
+        if claimed.is_err():
+            self._state.stats.skipped(endpoint)
+            self._slot_returner(endpoint)()
+        else:
+            self._claimed = True
+        return claimed
+
+    def _slot_returner(self, endpoint: str) -> Callable[[], None]:
+        """What is to be done when the request in a taken slot has ended."""
+        state = self._state
+        slots = self._parts.slots
+        taken_s = time.monotonic()
+
+        def ended() -> None:
+            state.stats.ended(endpoint)
+            state.queue.left((time.monotonic() - taken_s) * 1_000)
+            slots.give_back(endpoint)
+
+        return ended
+
+    def _try(self, endpoint: str) -> endpoint_client.TryResult:
+        """One try, with a second one beside it if the answer is late."""
+        begun = self._begin(endpoint)
+        if isinstance(begun, result.Err):
+            self._observer.failed(endpoint, begun.err_value, 0.0)
+            return result.Err(begun.err_value)
+        sent = begun.ok_value
+        if not self._call.idempotent:
+            return self._finish(sent)
+        hedge = self._await_or_hedge(sent)
+        if hedge is None:
+            return self._finish(sent)
+        return self._first_of(sent, hedge)
+
+    def _begin(
+        self, endpoint: str
+    ) -> result.Result[_Sent, endpoint_client.EndpointError]:
+        self._tries += 1
+        parts = self._parts
+        now_ms = parts.clock.monotonic_ms()
+        started_s = time.monotonic()
+        limits = endpoint_client.TryLimits(
+            deadline_ms=self._call.deadline_ms,
+            hold_until_ms=now_ms + parts.table.longest_request_ms,
+            max_connections=parts.slots.share_connections(endpoint),
+        )
+        begun = parts.client.begin(
+            self._state.addresses.get(endpoint, ""),
+            self._call.request,
+            limits,
+            self._slot_returner(endpoint),
+        )
+        return begun.map(lambda pending: _Sent(endpoint, pending, started_s))
+
+    def _finish(self, sent: _Sent) -> endpoint_client.TryResult:
+        """Waits for the answer to a try and learns from it."""
+        tried = sent.pending.finish()
+        match tried:
+            case result.Ok(answer):
+                self._observer.answered(sent.endpoint, answer, sent.elapsed_ms)
+            case result.Err(error):
+                self._observer.failed(sent.endpoint, error, sent.elapsed_ms)
+        return tried
+
+    def _await_or_hedge(self, sent: _Sent) -> _Sent | None:
+        """Waits for the first byte; sends a second try if it is late."""
+        wait_ms = self._hedge_wait_ms()
+        if _readable([sent], wait_ms):
+            return None
+        if self._left_ms() < MIN_HEDGE_MS or self._state.queue.waiting:
+            return None
+        if not self._state.budget.try_spend():
+            self._count_retry(reasons.RetryReason.BUDGET_SPENT)
+            return None
+        self._excluded |= {sent.endpoint}
+        endpoint = self._state.queue.try_enter(self._pick)
+        if endpoint is None:
+            return None
+        self._note_retry(
+            reasons.RetryReason.HEDGED,
+            f"{sent.endpoint} had not answered after {wait_ms:.0f} ms; "
+            f"also sent to {endpoint}",
+        )
+        begun = self._begin(endpoint)
+        if isinstance(begun, result.Err):
+            self._observer.failed(endpoint, begun.err_value, 0.0)
+            return None
+        return begun.ok_value
+
+    def _hedge_wait_ms(self) -> float:
+        late_ms = self._left_ms() * LATE_HEDGE_SHARE
+        if self._state.service.hedge_percentile == 0:
+            return late_ms
+        usual_ms = self._state.hedge_quantile.estimate_ms
+        return min(max(usual_ms, MIN_HEDGE_MS), late_ms)
+
+    def _first_of(
+        self, first: _Sent, second: _Sent
+    ) -> endpoint_client.TryResult:
+        """The answer of whichever try answers first; the other is left."""
+        ready = _readable([first, second], self._left_ms())
+        winner = ready or first
+        other = second if winner is first else first
+        tried = self._finish(winner)
+        if tried.is_ok():
+            other.pending.abandon()
+            self._state.stats.skipped(other.endpoint)
+            self._count_retry(reasons.RetryReason.HEDGE_CANCELLED)
+            return tried
+        if isinstance(tried.err_value, endpoint_client.LostAfterSend):
+            self._lost = tried.err_value
+        return self._finish(other)
+
+    def _after_failure(
+        self, endpoint: str, error: endpoint_client.EndpointError
+    ) -> outcomes.RequestOutcome | None:
+        """The final outcome after a failed try; None for another try."""
+        match error:
+            case endpoint_client.NotSent(
+                endpoint_client.SendFailure.DEADLINE_PASSED, detail
+            ):
+                reason = reasons.RefusalReason.DEADLINE_PASSED
+                return self._final(reason, detail, 0)
+            case endpoint_client.NotSent(
+                endpoint_client.SendFailure.BAD_REQUEST, detail
+            ):
+                reason = reasons.RefusalReason.BAD_REQUEST
+                return self._final(reason, detail, 0)
+            case endpoint_client.NotSent(failure, detail):
+                is_full = (
+                    failure == endpoint_client.SendFailure.NO_CONNECTION_FREE
+                )
+                retry_reason = (
+                    reasons.RetryReason.NO_CONNECTION_FREE
+                    if is_full
+                    else reasons.RetryReason.CONNECT_FAILED
+                )
+                return self._retry(endpoint, retry_reason, detail)
+            case endpoint_client.DeclinedByEndpoint(detail):
+                busy = reasons.RetryReason.ENDPOINT_BUSY
+                return self._retry(endpoint, busy, detail)
+            case endpoint_client.LostAfterSend(loss, detail):
+                self._lost = error
+                if not self._call.idempotent:
+                    return self._unknown(f"{endpoint}: {loss}: {detail}")
+                lost = _RETRY_REASON_BY_LOSS[loss]
+                return self._retry(endpoint, lost, detail)
+
+    def _retry(
+        self, endpoint: str, reason: reasons.RetryReason, detail: str
+    ) -> outcomes.RequestOutcome | None:
+        """Allows one more try, or says why there is none."""
+        sentence = f"{endpoint}: {detail}"
+        left_ms = self._left_ms()
+        if left_ms <= 0:
+            passed = reasons.RefusalReason.DEADLINE_PASSED
+            return self._final(passed, sentence, 0)
+        is_spent = self._tries >= MAX_TRIES
+        if is_spent or not self._state.budget.try_spend():
+            self._count_retry(reasons.RetryReason.BUDGET_SPENT)
+            spent = reasons.RefusalReason.RETRIES_SPENT
+            return self._final(
+                spent, sentence, self._state.queue.retry_after_ms()
+            )
+        self._excluded |= {endpoint}
+        self._note_retry(reason, sentence)
+        if self._lost is not None:
+            pause_ms = retry_budget.backoff_ms(self._tries, self._parts.rng)
+            time.sleep(min(pause_ms, left_ms) / 1_000)
+        return None
+
+    def _given_up(self, refused: admission.Refused) -> outcomes.RequestOutcome:
+        return self._final(
+            refused.reason, refused.sentence, refused.retry_after_ms
+        )
+
+    def _final(
+        self,
+        reason: reasons.RefusalReason,
+        sentence: str,
+        retry_after_ms: int,
+    ) -> outcomes.RequestOutcome:
+        """`not-run` if no endpoint has seen the request, else `unknown`."""
+        if self._lost is not None:
+            return self._unknown(f"{self._lost.detail}; then: {sentence}")
+        if self._claimed and self._guard is not None:
+            self._guard.release(self._call.request_id)
+        return outcomes.NotRun(reason, sentence, retry_after_ms)
+
+    def _unknown(self, sentence: str) -> outcomes.Unknown:
+        return outcomes.Unknown(
+            reasons.RefusalReason.ANSWER_LOST,
+            sentence,
+            self._state.queue.retry_after_ms(),
+        )
+
+    def _left_ms(self) -> int:
+        return self._call.deadline_ms - self._parts.clock.monotonic_ms()
+
+    def _count_retry(self, reason: reasons.RetryReason) -> None:
+        self._parts.metrics.count(metrics_module.Counter.RETRIES, reason.value)
+
+    def _note_retry(self, reason: reasons.RetryReason, sentence: str) -> None:
+        self._count_retry(reason)
+        self._parts.journal.note(
+            reasons.Subject.REQUEST,
+            self._call.request_id,
+            reason.value,
+            f"tried again: {sentence}",
+        )
+
+
+def _readable(sent: list[_Sent], timeout_ms: float) -> _Sent | None:
+    """The first try whose answer begins to arrive; None when none does."""
+    poll = select.poll()
+    by_descriptor = {one.pending.fileno(): one for one in sent}
+    for descriptor in by_descriptor:
+        poll.register(descriptor, select.POLLIN)
+    ready = poll.poll(max(timeout_ms, 0))
+    return by_descriptor[ready[0][0]] if ready else None
