--- /dev/null
+++ b/src/comfreylatch/_process/batch/__init__.py
@@ -0,0 +1,3 @@
+"""Batch work: who runs a zone's workers, and what they run."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/process/batch/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of batch work."""
+
+from __future__ import annotations
