--- /dev/null
+++ b/src/comfreylatch/_process/batch/attempt.py
@@ -0,0 +1,90 @@
+"""One assigned attempt, as the zone's owner knows it."""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol
+
+import attrs
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import worker_session
+from comfreylatch._version import job_state
+
+
+class StopReason(enum.StrEnum):
+    """Why the owner stops an attempt."""
+
+    CANCELLED = "cancelled"
+    EVICTED = "evicted"
+
+
+class CommandSink(Protocol):
+    """Where commands for workers go."""
+
+    def request(
+        self, worker: str, command: workers.Command, at_once: bool = True
+    ) -> None:
+        """Queues a command; dropped when the worker isn't known.
+
+        Unless `at_once`, it waits for the next renewal of the lease.
+        """
+        ...
+
+    def withdraw(self, worker: str, command: workers.Command) -> bool:
+        """Takes a queued command back; False if it may be on its way."""
+        ...
+
+    def session(self, worker: str) -> worker_session.WorkerSession | None:
+        """The worker's session, else None."""
+        ...
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One assigned attempt, as this owner knows it.
+
+    Attributes:
+        state: The job as folded when the attempt was assigned.
+        since_ms: When this owner first knew of it.
+        start_asked_ms: When its start was last handed to the link; -1 if not.
+        unsettled_ms: When a start was sent whose answer was lost; -1 if none.
+        seen: Whether the worker has confirmed it.
+        stop_reason: Why it is being stopped.
+        stop_asked_ms: When the stop was last handed to the link; -1 if not.
+        progress_ms: Progress in the last report.
+        checkpoint_ms: Checkpoint in the last report.
+        share_milli: Throttle in the last report.
+        recorded_ms: When its last checkpoint record was made.
+        recorded_checkpoint_ms: Progress in that record.
+    """
+
+    state: job_state.JobState
+    since_ms: int
+    start_asked_ms: int = -1
+    unsettled_ms: int = -1
+    seen: bool = False
+    stop_reason: StopReason | None = None
+    stop_asked_ms: int = -1
+    progress_ms: int = 0
+    checkpoint_ms: int = 0
+    share_milli: int = 1_000
+    recorded_ms: int = 0
+    recorded_checkpoint_ms: int = 0
+
+    @property
+    def job(self) -> str:
+        """Job id."""
+        return self.state.spec.id
+
+    def start_command(self) -> workers.StartTask:
+        """The command that starts it."""
+        spec = self.state.spec
+        return workers.StartTask(
+            job=spec.id,
+            attempt=self.state.attempt,
+            job_class=spec.job_class,
+            resources=self.state.size,
+            run_time_ms=spec.run_time_ms,
+            checkpoint_ms=self.state.checkpoint_ms,
+        )
--- /dev/null
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -0,0 +1,383 @@
+"""Attempts assigned in the zone, and what their workers say of them.
+
+The fold says which attempts exist; reports say how they do. From both follow
+the records to append (ends, checkpoints) and the commands to send.
+"""
+
+from __future__ import annotations
+
+from typing import final
+
+from comfreylatch._ports import workers
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import worker_session
+from comfreylatch._version import job_records
+from comfreylatch._version import job_state
+from comfreylatch._version import zone_fold
+
+CHECKPOINT_RECORD_MS = 30_000
+RESEND_MS = 2_000
+GIVE_UP_UNSENT_MS = 2_000
+
+
+@final
+class AttemptTable:
+    """All assigned attempts of the zone. Used by one thread."""
+
+    def __init__(
+        self,
+        fold: zone_fold.ZoneFold,
+        sink: attempt_module.CommandSink,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._fold = fold
+        self._sink = sink
+        self._metrics = metrics
+        self._term = 0
+        self._attempts: dict[str, attempt_module.Attempt] = {}
+        self._by_worker: dict[str, dict[str, attempt_module.Attempt]] = {}
+        self._todo: dict[str, None] = {}
+        self._ends: dict[str, job_records.AttemptEnded] = {}
+        self._checkpoints: dict[str, job_records.AttemptCheckpointed] = {}
+
+    def reset(self, term: int) -> None:
+        """Forgets everything, as at the start of a term."""
+        self._term = term
+        self._attempts.clear()
+        self._by_worker.clear()
+        self._todo.clear()
+        self._ends.clear()
+        self._checkpoints.clear()
+
+    def attempt(self, job: str) -> attempt_module.Attempt | None:
+        """The running attempt of a job, else None."""
+        return self._attempts.get(job)
+
+    def on_worker(self, worker: str) -> tuple[attempt_module.Attempt, ...]:
+        """Attempts assigned to a worker."""
+        return tuple(self._by_worker.get(worker, {}).values())
+
+    def workers(self) -> tuple[str, ...]:
+        """Workers with attempts."""
+        return tuple(self._by_worker)
+
+    def pending_records(self) -> list[job_records.AttemptEnded]:
+        """Ends and checkpoints not yet on the stream."""
+        return [*self._ends.values(), *self._checkpoints.values()]
+
+    def sync(self, state: job_state.JobState, now_ms: int) -> None:
+        """Takes a job's state from the fold."""
+        job = state.spec.id
+        known = self._attempts.get(job)
+        assigned = state.phase is job_state.JobPhase.ASSIGNED
+        if known is not None:
+            same = assigned and known.state.attempt == state.attempt
+            if same and known.state.worker == state.worker:
+                known.state = state
+                if state.cancelled:
+                    self._todo[job] = None
+                self._forget_recorded(known)
+                return
+            self._drop(known)
+        if not assigned:
+            return
+        fresh = attempt_module.Attempt(
+            state=state, since_ms=now_ms, recorded_ms=now_ms
+        )
+        fresh.checkpoint_ms = state.checkpoint_ms
+        fresh.progress_ms = state.checkpoint_ms
+        fresh.recorded_checkpoint_ms = state.checkpoint_ms
+        self._attempts[job] = fresh
+        self._todo[job] = None
+        self._by_worker.setdefault(state.worker, {})[job] = fresh
+
+    def _forget_recorded(self, attempt: attempt_module.Attempt) -> None:
+        pending = self._checkpoints.get(attempt.job)
+        folded_ms = attempt.state.checkpoint_ms
+        if pending is not None and pending.checkpoint_ms <= folded_ms:
+            del self._checkpoints[attempt.job]
+
+    def _drop(self, attempt: attempt_module.Attempt) -> None:
+        job = attempt.job
+        worker = attempt.state.worker
+        del self._attempts[job]
+        del self._by_worker[worker][job]
+        if not self._by_worker[worker]:
+            del self._by_worker[worker]
+        self._ends.pop(job, None)
+        self._checkpoints.pop(job, None)
+        if attempt.seen:
+            # Lets the worker forget the ended line.
+            command = workers.StopTask(job, attempt.state.attempt)
+            self._sink.request(worker, command, at_once=False)
+        elif attempt.start_asked_ms >= 0:
+            self._sink.withdraw(worker, attempt.start_command())
+
+    # Reports.
+
+    def on_reported(
+        self,
+        event: worker_session.Reported,
+        bounds: job_records.HoldBounds,
+        now_ms: int,
+    ) -> None:
+        """Takes a worker's answer under the current term."""
+        if event.report.highest_term != self._term:
+            return
+        lines = {(line.job, line.attempt): line for line in event.report.tasks}
+        for attempt in self.on_worker(event.worker):
+            line = lines.pop((attempt.job, attempt.state.attempt), None)
+            if line is None:
+                self._absent(attempt, event, bounds)
+            else:
+                self._take_line(attempt, line, now_ms)
+        for command, status in zip(
+            event.commands, event.report.statuses, strict=True
+        ):
+            self._take_status(command, status)
+        for line in lines.values():
+            self._take_stray(event.worker, line)
+
+    def on_unanswered(self, event: worker_session.Unanswered) -> None:
+        """Takes the lack of an answer to an exchange."""
+        for command in event.commands:
+            attempt = self._attempts.get(command.job)
+            if attempt is None or attempt.state.attempt != command.attempt:
+                continue
+            match command:
+                case workers.StartTask():
+                    attempt.start_asked_ms = -1
+                    if event.was_sent:
+                        attempt.unsettled_ms = event.sent_ms
+                case workers.StopTask():
+                    attempt.stop_asked_ms = -1
+                case _:
+                    pass
+
+    def _absent(
+        self,
+        attempt: attempt_module.Attempt,
+        event: worker_session.Reported,
+        bounds: job_records.HoldBounds,
+    ) -> None:
+        """An attempt that the report doesn't name."""
+        if attempt.state.term < self._term or attempt.seen:
+            self._lost(attempt)
+            return
+        # A start whose answer was lost may arrive until its report is stale.
+        settled_ms = (
+            attempt.unsettled_ms
+            + bounds.command_ttl_ms
+            + bounds.drift_margin_ms
+        )
+        if attempt.unsettled_ms >= 0 and event.sent_ms > settled_ms:
+            attempt.unsettled_ms = -1
+
+    def _take_line(
+        self,
+        attempt: attempt_module.Attempt,
+        line: workers.TaskLine,
+        now_ms: int,
+    ) -> None:
+        attempt.seen = True
+        attempt.unsettled_ms = -1
+        attempt.progress_ms = line.progress_ms
+        attempt.checkpoint_ms = max(attempt.checkpoint_ms, line.checkpoint_ms)
+        attempt.share_milli = line.share_milli
+        match line.state:
+            case workers.TaskState.RUNNING:
+                self._record_checkpoint(attempt, now_ms)
+            case workers.TaskState.FINISHED:
+                self._end(attempt, job_records.AttemptEnd.FINISHED)
+            case workers.TaskState.FAILED:
+                self._end(attempt, job_records.AttemptEnd.FAILED)
+            case workers.TaskState.STOPPED:
+                evicted = (
+                    attempt.stop_reason is attempt_module.StopReason.EVICTED
+                )
+                end = job_records.AttemptEnd
+                self._end(attempt, end.EVICTED if evicted else end.LOST)
+
+    def _take_status(
+        self, command: workers.Command, status: workers.CommandStatus
+    ) -> None:
+        self._metrics.count(
+            metrics_module.Counter.WORKER_COMMANDS,
+            f"{type(command).__name__} {status}",
+        )
+        attempt = self._attempts.get(command.job)
+        if attempt is None or attempt.state.attempt != command.attempt:
+            return
+        statuses = workers.CommandStatus
+        match command, status:
+            case workers.StartTask(), statuses.DONE:
+                attempt.seen = True
+                attempt.unsettled_ms = -1
+            case workers.StartTask(), statuses.REFUSED_DUPLICATE:
+                attempt.seen = True
+                attempt.unsettled_ms = -1
+            case workers.StartTask(), statuses.REFUSED_CAPACITY:
+                attempt.start_asked_ms = -1
+                # An earlier copy on its way might still find room.
+                if attempt.unsettled_ms < 0:
+                    self._lost(attempt)
+            case workers.StartTask(), _:
+                attempt.start_asked_ms = -1
+            case workers.StopTask(), statuses.DONE:
+                pass
+            case workers.StopTask(), _:
+                attempt.stop_asked_ms = -1
+            case _:
+                pass
+
+    def _take_stray(self, worker: str, line: workers.TaskLine) -> None:
+        """A line of an attempt that isn't assigned to this worker."""
+        state = self._fold.job(line.job)
+        if state is not None:
+            assigned = state.phase is job_state.JobPhase.ASSIGNED
+            if assigned and state.attempt == line.attempt:
+                return
+        if line.state is workers.TaskState.RUNNING:
+            self._metrics.count(
+                metrics_module.Counter.JOB_EVENTS, "stray-attempt"
+            )
+        running = line.state is workers.TaskState.RUNNING
+        command = workers.StopTask(line.job, line.attempt)
+        self._sink.request(worker, command, at_once=running)
+
+    def _record_checkpoint(
+        self, attempt: attempt_module.Attempt, now_ms: int
+    ) -> None:
+        if now_ms - attempt.recorded_ms < CHECKPOINT_RECORD_MS:
+            return
+        if attempt.checkpoint_ms <= attempt.recorded_checkpoint_ms:
+            return
+        attempt.recorded_ms = now_ms
+        attempt.recorded_checkpoint_ms = attempt.checkpoint_ms
+        self._checkpoints[attempt.job] = job_records.AttemptCheckpointed(
+            term=self._term,
+            job=attempt.job,
+            attempt=attempt.state.attempt,
+            checkpoint_ms=attempt.checkpoint_ms,
+        )
+
+    def _lost(self, attempt: attempt_module.Attempt) -> None:
+        self._end(attempt, job_records.AttemptEnd.LOST)
+
+    def _end(
+        self, attempt: attempt_module.Attempt, end: job_records.AttemptEnd
+    ) -> None:
+        if attempt.job in self._ends:
+            return
+        self._ends[attempt.job] = job_records.AttemptEnded(
+            term=self._term,
+            job=attempt.job,
+            attempt=attempt.state.attempt,
+            end=end,
+            progress_ms=attempt.progress_ms,
+            checkpoint_ms=attempt.checkpoint_ms,
+        )
+
+    # Time.
+
+    def declare_lost(
+        self,
+        worker: str,
+        guard_until_ms: int,
+        bounds: job_records.HoldBounds,
+        now_ms: int,
+    ) -> None:
+        """Ends attempts of a silent worker once they can't run any more."""
+        session = self._sink.session(worker)
+        sent_ms = -1
+        if session is not None:
+            # The predecessor's lease may date from just before the answer.
+            sent_ms = max(session.last_sent_ms, session.answered_ms)
+        silent = session is None or session.failures > 0
+        if not silent:
+            return
+        span_ms = (
+            bounds.lease_ms + bounds.command_ttl_ms + bounds.drift_margin_ms
+        )
+        gone_ms = sent_ms + span_ms if sent_ms >= 0 else 0
+        for attempt in self.on_worker(worker):
+            inherited = attempt.state.term < self._term
+            until_ms = max(gone_ms, guard_until_ms) if inherited else gone_ms
+            if not inherited and self._never_sent(attempt, now_ms):
+                until_ms = attempt.since_ms + GIVE_UP_UNSENT_MS
+            if now_ms >= until_ms:
+                self._lost(attempt)
+
+    def _never_sent(self, attempt: attempt_module.Attempt, now_ms: int) -> bool:
+        if attempt.seen or attempt.unsettled_ms >= 0:
+            return False
+        if attempt.state.term < self._term:
+            return False
+        if now_ms - attempt.since_ms < GIVE_UP_UNSENT_MS:
+            return False
+        return self._withdraw_start(attempt)
+
+    def _withdraw_start(self, attempt: attempt_module.Attempt) -> bool:
+        """Makes sure that no start goes out; False if one may be."""
+        if attempt.start_asked_ms < 0:
+            return True
+        command = attempt.start_command()
+        if not self._sink.withdraw(attempt.state.worker, command):
+            return False
+        attempt.start_asked_ms = -1
+        return True
+
+    def drive(self, may_start: bool, now_ms: int) -> None:
+        """Asks for the starts and stops that are due."""
+        for job in tuple(self._todo):
+            attempt = self._attempts.get(job)
+            if attempt is None or job in self._ends:
+                del self._todo[job]
+                continue
+            self._drive_one(attempt, may_start, now_ms)
+
+    def _drive_one(
+        self, attempt: attempt_module.Attempt, may_start: bool, now_ms: int
+    ) -> None:
+        if attempt.state.cancelled and attempt.stop_reason is None:
+            attempt.stop_reason = attempt_module.StopReason.CANCELLED
+        if attempt.stop_reason is not None:
+            self._drive_stop(attempt, now_ms)
+            return
+        if attempt.seen:
+            del self._todo[attempt.job]
+            return
+        if attempt.state.term != self._term or not may_start:
+            return
+        asked_ms = attempt.start_asked_ms
+        if asked_ms >= 0 and now_ms - asked_ms < RESEND_MS:
+            return
+        attempt.start_asked_ms = now_ms
+        self._sink.request(attempt.state.worker, attempt.start_command())
+
+    def _drive_stop(self, attempt: attempt_module.Attempt, now_ms: int) -> None:
+        own = attempt.state.term == self._term
+        unsent = not attempt.seen and attempt.unsettled_ms < 0
+        if own and unsent:
+            if self._withdraw_start(attempt):
+                self._lost(attempt)
+            return
+        asked_ms = attempt.stop_asked_ms
+        if asked_ms >= 0 and now_ms - asked_ms < RESEND_MS:
+            return
+        attempt.stop_asked_ms = now_ms
+        worker = attempt.state.worker
+        key = (attempt.job, attempt.state.attempt)
+        if attempt.stop_reason is attempt_module.StopReason.EVICTED:
+            self._sink.request(worker, workers.CheckpointTask(*key))
+        self._sink.request(worker, workers.StopTask(*key))
+
+    def evict(self, job: str) -> bool:
+        """Asks for a checkpoint and a stop; False if it isn't running."""
+        attempt = self._attempts.get(job)
+        if attempt is None or attempt.stop_reason is not None:
+            return False
+        attempt.stop_reason = attempt_module.StopReason.EVICTED
+        self._todo[job] = None
+        return True
--- /dev/null
+++ b/src/comfreylatch/_process/batch/capacity.py
@@ -0,0 +1,240 @@
+"""What is free on each worker, in whole units, indexed for placement."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import itertools
+from typing import final
+
+import attrs
+
+from comfreylatch._ports import workers
+
+MAX_LOOKS = 96
+NOTHING = workers.Resources(0, 0, 0)
+
+
+def plus(
+    left: workers.Resources, right: workers.Resources
+) -> workers.Resources:
+    """Sum by dimension."""
+    return workers.Resources(
+        left.processors_milli + right.processors_milli,
+        left.memory_mib + right.memory_mib,
+        left.accelerators + right.accelerators,
+    )
+
+
+def minus(
+    left: workers.Resources, right: workers.Resources
+) -> workers.Resources:
+    """Difference by dimension; may be negative."""
+    return workers.Resources(
+        left.processors_milli - right.processors_milli,
+        left.memory_mib - right.memory_mib,
+        left.accelerators - right.accelerators,
+    )
+
+
+def least(
+    left: workers.Resources, right: workers.Resources
+) -> workers.Resources:
+    """Smaller amount by dimension."""
+    return workers.Resources(
+        min(left.processors_milli, right.processors_milli),
+        min(left.memory_mib, right.memory_mib),
+        min(left.accelerators, right.accelerators),
+    )
+
+
+def fits(size: workers.Resources, free: workers.Resources) -> bool:
+    """Whether `size` fits into `free` in every dimension."""
+    return (
+        size.processors_milli <= free.processors_milli
+        and size.memory_mib <= free.memory_mib
+        and size.accelerators <= free.accelerators
+    )
+
+
+def short_dimensions(
+    size: workers.Resources, free: workers.Resources
+) -> tuple[str, ...]:
+    """Names of the dimensions in which `size` is more than `free`."""
+    return tuple(
+        name
+        for name in ("processors_milli", "memory_mib", "accelerators")
+        if getattr(size, name) > getattr(free, name)
+    )
+
+
+@attrs.define(eq=False)
+class WorkerAccount:
+    """One worker's ledger.
+
+    Attributes:
+        name: Worker.
+        rack: Its rack.
+        total: What it has.
+        services: What endpoints on it reserve.
+        open: Whether new work may be placed on it.
+        reserved: Sum of all attempts' reservations.
+        by_job: Reservation of each attempt, by job.
+    """
+
+    name: str
+    rack: str = ""
+    total: workers.Resources = NOTHING
+    services: workers.Resources = NOTHING
+    open: bool = False
+    reserved: workers.Resources = NOTHING
+    by_job: dict[str, workers.Resources] = attrs.field(factory=dict)
+    cell: tuple[int, int, int] | None = None
+
+    @property
+    def free(self) -> workers.Resources:
+        """What is left; negative while over-committed by a shrink."""
+        return minus(minus(self.total, self.services), self.reserved)
+
+    @property
+    def usable(self) -> workers.Resources:
+        """What batch work may ever use of it."""
+        return minus(self.total, self.services)
+
+
+def _cell_of(free: workers.Resources) -> tuple[int, int, int]:
+    return (
+        max(free.processors_milli, 0).bit_length(),
+        max(free.memory_mib, 0).bit_length(),
+        max(free.accelerators, 0).bit_length(),
+    )
+
+
+@final
+class CapacityLedger:
+    """Accounts of all workers of a zone. Used by one thread.
+
+    Workers with room stand in cells by the binary order of magnitude of what
+    they have free. A search visits cells, of which there are a fixed number,
+    and then a few workers of the cells that can hold the size.
+    """
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, WorkerAccount] = {}
+        self._worker_by_job: dict[str, str] = {}
+        self._cells: dict[tuple[int, int, int], dict[str, None]] = {}
+
+    def account(self, worker: str) -> WorkerAccount | None:
+        """One worker's account, else None."""
+        return self._accounts.get(worker)
+
+    def accounts(self) -> Iterator[WorkerAccount]:
+        """All accounts."""
+        return iter(self._accounts.values())
+
+    def set_worker(
+        self,
+        worker: str,
+        rack: str,
+        total: workers.Resources,
+        services: workers.Resources,
+        is_open: bool,
+    ) -> None:
+        """Declares a worker, or changes what it has."""
+        account = self._accounts.get(worker)
+        if account is None:
+            account = WorkerAccount(worker)
+            self._accounts[worker] = account
+        account.rack = rack
+        account.total = total
+        account.services = services
+        account.open = is_open
+        self._index(account)
+
+    def set_open(self, worker: str, is_open: bool) -> None:
+        """Opens a worker for placement, or closes it."""
+        account = self._accounts.get(worker)
+        if account is not None and account.open != is_open:
+            account.open = is_open
+            self._index(account)
+
+    def remove_worker(self, worker: str) -> None:
+        """Forgets a worker that has no reservations."""
+        account = self._accounts.get(worker)
+        if account is None or account.by_job:
+            return
+        account.open = False
+        self._index(account)
+        del self._accounts[worker]
+
+    def reserve(self, job: str, worker: str, size: workers.Resources) -> None:
+        """Reserves for a job's attempt; replaces its earlier reservation."""
+        self.release(job)
+        account = self._accounts.get(worker)
+        if account is None:
+            account = WorkerAccount(worker)
+            self._accounts[worker] = account
+        account.by_job[job] = size
+        account.reserved = plus(account.reserved, size)
+        self._worker_by_job[job] = worker
+        self._index(account)
+
+    def release(self, job: str) -> str | None:
+        """Frees a job's reservation; returns the worker it was on."""
+        worker = self._worker_by_job.pop(job, None)
+        if worker is None:
+            return None
+        account = self._accounts[worker]
+        size = account.by_job.pop(job)
+        account.reserved = minus(account.reserved, size)
+        self._index(account)
+        return worker
+
+    def worker_of(self, job: str) -> str | None:
+        """Worker on which a job holds a reservation."""
+        return self._worker_by_job.get(job)
+
+    def candidates(
+        self, size: workers.Resources, limit: int
+    ) -> list[WorkerAccount]:
+        """Up to `limit` open workers with room, tightest cells first.
+
+        At most `MAX_LOOKS` workers are looked at; those found too full go to
+        the end of their cell, so that later searches see the others.
+        """
+        least_cell = _cell_of(size)
+        reachable = sorted(
+            cell
+            for cell in self._cells
+            if cell[0] >= least_cell[0]
+            and cell[1] >= least_cell[1]
+            and cell[2] >= least_cell[2]
+        )
+        found: list[WorkerAccount] = []
+        looks_left = MAX_LOOKS
+        for cell in reachable:
+            names = self._cells[cell]
+            for name in list(itertools.islice(names, looks_left)):
+                looks_left -= 1
+                account = self._accounts[name]
+                if not fits(size, account.free):
+                    # The next search starts with others of this cell.
+                    del names[name]
+                    names[name] = None
+                    continue
+                found.append(account)
+                if len(found) >= limit:
+                    return found
+        return found
+
+    def _index(self, account: WorkerAccount) -> None:
+        cell = _cell_of(account.free) if account.open else None
+        if cell == account.cell:
+            return
+        if account.cell is not None:
+            names = self._cells[account.cell]
+            del names[account.name]
+            if not names:
+                del self._cells[account.cell]
+        if cell is not None:
+            self._cells.setdefault(cell, {})[account.name] = None
+        account.cell = cell
--- /dev/null
+++ b/src/comfreylatch/_process/batch/end_observer.py
@@ -0,0 +1,106 @@
+"""Notes decisions once they are folded, and learns from ends of attempts."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+from typing import final
+
+import attrs
+import logbook
+
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process.batch import worker_health
+from comfreylatch._version import job_records
+from comfreylatch._version import zone_fold
+
+_events = logbook.Logger(__name__)
+
+
+@final
+class EndObserver:
+    """Journal, counters and the workers' health. Used by one thread."""
+
+    def __init__(
+        self,
+        zone: str,
+        fold: zone_fold.ZoneFold,
+        health: worker_health.WorkerHealth,
+        journal: journal_module.Journal,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._zone = zone
+        self._fold = fold
+        self._health = health
+        self._journal = journal
+        self._metrics = metrics
+
+    def judge(self, body: Any) -> Any:
+        """Says in the record of a failure whose fault it was."""
+        if not isinstance(body, job_records.AttemptEnded):
+            return body
+        state = self._fold.job(body.job)
+        failed = body.end is job_records.AttemptEnd.FAILED
+        if state is None or not failed:
+            return body
+        suspect = self._health.is_suspect(state.worker)
+        return attrs.evolve(body, worker_fault=suspect)
+
+    def note_folded(
+        self, bodies: Sequence[Any], worker_count: int, now_ms: int
+    ) -> None:
+        """Takes records that are now folded."""
+        for body in bodies:
+            match body:
+                case job_records.AttemptAssigned():
+                    sentence = f"attempt {body.attempt} on {body.worker}"
+                    self._note(body.job, "assigned", sentence)
+                case job_records.AttemptEnded():
+                    self._note_end(body, worker_count, now_ms)
+                case job_records.JobParked():
+                    self._note(body.job, body.reason, body.detail)
+                case _:
+                    pass
+
+    def _note_end(
+        self, body: job_records.AttemptEnded, worker_count: int, now_ms: int
+    ) -> None:
+        sentence = (
+            f"attempt {body.attempt} {body.end} after {body.progress_ms} ms, "
+            f"kept {body.checkpoint_ms} ms"
+        )
+        self._note(body.job, f"attempt-{body.end}", sentence)
+        state = self._fold.job(body.job)
+        if state is None or state.attempt != body.attempt:
+            return
+        match body.end:
+            case job_records.AttemptEnd.FINISHED:
+                if self._health.finished(state.worker):
+                    self._note_worker(state.worker, "quarantine-ended")
+            case job_records.AttemptEnd.FAILED:
+                elsewhere = any(
+                    worker != state.worker for worker in state.failed_workers
+                )
+                if self._health.failed(
+                    state.worker, body.job, elsewhere, worker_count, now_ms
+                ):
+                    self._note_worker(state.worker, "quarantined")
+            case job_records.AttemptEnd.EVICTED:
+                self._metrics.count(
+                    metrics_module.Counter.EVICTIONS, state.spec.job_class
+                )
+            case _:
+                pass
+
+    def _note(self, job: str, reason: str, sentence: str) -> None:
+        self._metrics.count(metrics_module.Counter.JOB_EVENTS, reason)
+        offset = self._fold.offset()
+        self._journal.note(reasons.Subject.JOB, job, reason, sentence, offset)
+
+    def _note_worker(self, worker: str, reason: str) -> None:
+        _events.info("{} worker={} zone={}", reason, worker, self._zone)
+        self._metrics.count(metrics_module.Counter.JOB_EVENTS, reason)
+        sentence = "compared with the other workers' ends of attempts"
+        self._journal.note(reasons.Subject.WORKER, worker, reason, sentence)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/link_pool.py
@@ -0,0 +1,145 @@
+"""The links to a zone's workers, by the list of hosts."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Collection
+import threading
+import types
+from typing import final
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import hosts
+from comfreylatch._ports import workers
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.batch import ownership
+from comfreylatch._process.batch import worker_link
+from comfreylatch._process.batch import worker_session
+
+THREAD_STACK_BYTES = 256 * 1_024
+
+
+@final
+class LinkPool:
+    """A session and a thread for each worker while this host is the owner.
+
+    Implements `attempt.CommandSink`. Sessions outlive a lost claim, as
+    they remember when the worker was last sent something.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        port: workers.WorkerPort,
+        holder: ownership.Ownership,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._host_id = host_id
+        self._port = port
+        self._holder = holder
+        self._metrics = metrics
+        self._clock = clock
+        self._sessions: dict[str, worker_session.WorkerSession] = {}
+        self._links: dict[str, worker_link.WorkerLink] = {}
+        self._events: collections.deque[worker_session.LinkEvent] = (
+            collections.deque()
+        )
+        self.woken = threading.Event()
+
+    def __enter__(self) -> LinkPool:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.stop_all()
+
+    def update(
+        self,
+        listed: Collection[hosts.ListedHost],
+        needed: Collection[str],
+    ) -> None:
+        """Follows the list; unlisted workers stay while they are needed."""
+        by_name = {host.name: host for host in listed}
+        for host in by_name.values():
+            session = self._sessions.get(host.name)
+            if session is None:
+                session = worker_session.WorkerSession(
+                    host.name, host.address, self._host_id
+                )
+                self._sessions[host.name] = session
+            session.address = host.address
+            self._ensure_link(session)
+        for name in [name for name in self._links if name not in by_name]:
+            if name not in needed:
+                self._links.pop(name).stop()
+                del self._sessions[name]
+
+    def stop_all(self) -> None:
+        """Ends all threads and waits for them; sessions are kept."""
+        links = list(self._links.values())
+        self._links.clear()
+        for link in links:
+            link.stop()
+        for link in links:
+            link.__exit__(None, None, None)
+
+    def clear_commands(self) -> None:
+        """Drops what is queued, as when the claim was lost."""
+        for session in self._sessions.values():
+            session.clear()
+        self._events.clear()
+
+    def take_events(self) -> list[worker_session.LinkEvent]:
+        """Events since the last call, in order for each worker."""
+        taken: list[worker_session.LinkEvent] = []
+        while self._events:
+            taken.append(self._events.popleft())
+        return taken
+
+    def session(self, worker: str) -> worker_session.WorkerSession | None:
+        """See `attempt.CommandSink.session`."""
+        return self._sessions.get(worker)
+
+    def request(
+        self, worker: str, command: workers.Command, at_once: bool = True
+    ) -> None:
+        """See `attempt.CommandSink.request`."""
+        session = self._sessions.get(worker)
+        if session is None:
+            return
+        session.request(command, at_once)
+        link = self._links.get(worker)
+        if at_once and link is not None:
+            link.wake()
+
+    def withdraw(self, worker: str, command: workers.Command) -> bool:
+        """See `attempt.CommandSink.withdraw`."""
+        session = self._sessions.get(worker)
+        return session is not None and session.withdraw(command)
+
+    def _ensure_link(self, session: worker_session.WorkerSession) -> None:
+        if session.worker in self._links:
+            return
+        link = worker_link.WorkerLink(
+            session,
+            self._port,
+            self._holder,
+            self._deliver,
+            self._metrics,
+            self._clock,
+        )
+        self._links[session.worker] = link
+        before = threading.stack_size(THREAD_STACK_BYTES)
+        try:
+            link.__enter__()
+        finally:
+            threading.stack_size(before)
+
+    def _deliver(self, event: worker_session.LinkEvent) -> None:
+        self._events.append(event)
+        self.woken.set()
--- /dev/null
+++ b/src/comfreylatch/_process/batch/ownership.py
@@ -0,0 +1,363 @@
+"""Holding a zone's workers: claims, renewals, lapses and waits.
+
+A host holds the zone by a claim on the zone's stream. What it may do follows
+from its last proof: a renewal known to stand on the stream under its own term,
+dated from before that renewal was sent. Until `claim_ms` after the proof
+nobody else claims, and everything is allowed. Until `autonomy_ms` after it the
+host goes on renewing the leases of workers that no later term has fenced, and
+starts nothing. A successor counts the tasks of workers it has not fenced as
+running until the predecessor's bounds have passed.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import types
+from typing import final
+from typing import Protocol
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import configuration as configuration_port
+from comfreylatch._ports import streams
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._version import job_records
+from comfreylatch._version import job_state
+from comfreylatch._version import zone_fold
+
+APPEND_TIMEOUT_MS = 1_500
+STEP_MS = 100
+RENEWALS_PER_CLAIM = 3
+MAX_JITTER_MS = 1_000
+# What a claim without a configured zone uses.
+DEFAULT_AUTONOMY_MS = 60_000
+
+_events = logbook.Logger(__name__)
+
+
+class Follower(Protocol):
+    """Reads the zone's stream into the fold."""
+
+    def offset(self) -> int:
+        """Offset of the last record folded."""
+        ...
+
+    def wait_for(self, offset: int, timeout_ms: int) -> bool:
+        """Waits until a record is folded; False when the time was up."""
+        ...
+
+    def age_ms(self) -> int:
+        """Time since the fold was known to be at the head of the stream."""
+        ...
+
+
+@attrs.frozen
+class Hold:
+    """What this host may do as owner, on its monotonic clock.
+
+    Attributes:
+        term: Term of its claim; 0 when it isn't the owner.
+        bounds: Bounds of that claim; None when it isn't the owner.
+        command_until_ms: Until when it may start work.
+        renew_until_ms: Until when it may renew leases and send the rest.
+    """
+
+    term: int = 0
+    bounds: job_records.HoldBounds | None = None
+    command_until_ms: int = 0
+    renew_until_ms: int = 0
+
+    def may_start(self, now_ms: int) -> bool:
+        """Whether nobody else can have claimed the zone yet."""
+        return self.term > 0 and now_ms < self.command_until_ms
+
+    def may_renew(self, now_ms: int) -> bool:
+        """Whether leases may still be renewed."""
+        return self.term > 0 and now_ms < self.renew_until_ms
+
+
+NO_HOLD = Hold()
+
+
+def hold_span_ms(claim: job_state.Claim) -> int:
+    """Longest time after its last proof in which a claim's tasks can run."""
+    bounds = claim.bounds
+    tail_ms = (
+        bounds.lease_ms + bounds.command_ttl_ms + 2 * bounds.drift_margin_ms
+    )
+    if claim.released:
+        return tail_ms
+    return max(bounds.autonomy_ms, bounds.claim_ms) + tail_ms
+
+
+@final
+class Ownership:
+    """This host's part in who owns the zone's workers. Thread-safe.
+
+    As a context manager it runs `step` on a thread of its own.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        zone: str,
+        appender: streams.RecordAppender,
+        follower: Follower,
+        fold: zone_fold.ZoneFold,
+        source: configuration_port.ConfigurationSource,
+        journal: journal_module.Journal,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._host_id = host_id
+        self._zone = zone
+        self._appender = appender
+        self._follower = follower
+        self._fold = fold
+        self._source = source
+        self._journal = journal
+        self._metrics = metrics
+        self._clock = clock
+        self._jitter_ms = random.Random(host_id).randrange(MAX_JITTER_MS)
+        self._lock = threading.Lock()
+        self._hold = NO_HOLD
+        self._proved_ms = -1
+        self._renewal_sent_ms: int | None = None
+        self._unresolved_ms: int | None = None
+        self._own_touched_offset = -1
+        self._seen: dict[int, tuple[int, bool]] = {}
+        self._guards_ms: dict[int, int] = {}
+        self._changed_ms = clock.monotonic_ms()
+        self._fenced_term = 0
+        self._claiming = False
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="ownership", daemon=True
+        )
+
+    def __enter__(self) -> Ownership:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._stopping.set()
+        self._thread.join()
+
+    @property
+    def host_id(self) -> str:
+        """Id of this host, as in its claims."""
+        return self._host_id
+
+    def hold(self) -> Hold:
+        """What this host may do now; check it right before each exchange."""
+        with self._lock:
+            if self._fenced_term > self._hold.term:
+                return NO_HOLD
+            return self._hold
+
+    def guard_until_ms(self) -> int:
+        """Until when unfenced workers may run what other hosts started."""
+        with self._lock:
+            return max(self._guards_ms.values(), default=0)
+
+    def fenced(self, term: int) -> None:
+        """Tells that a worker has seen a higher term than this host's."""
+        with self._lock:
+            self._fenced_term = max(self._fenced_term, term)
+
+    def step(self) -> int:
+        """Looks at the stream, then claims or renews if it is time.
+
+        Returns:
+            Milliseconds until the next step is due.
+        """
+        self._observe()
+        claims = self._fold.claims()
+        claim = claims[-1] if claims else None
+        now_ms = self._clock.monotonic_ms()
+        if claim is not None and self._is_own(claim):
+            self._renew_if_due(claim, now_ms)
+        elif self._may_claim(claim, now_ms):
+            self._claim(0 if claim is None else claim.term)
+        return STEP_MS
+
+    def release(self) -> None:
+        """Gives the claim up; nothing may be sent to workers any more."""
+        self._stopping.set()
+        with self._lock:
+            hold = self._hold
+            self._hold = NO_HOLD
+        if hold.term == 0:
+            return
+        body = job_records.OwnerReleased(hold.term, self._host_id)
+        outcome = self._appender.append([body], APPEND_TIMEOUT_MS)
+        _events.info(
+            "released zone={} term={} known={}",
+            self._zone,
+            hold.term,
+            outcome.is_ok(),
+        )
+
+    def _is_own(self, claim: job_state.Claim) -> bool:
+        return claim.host == self._host_id and not claim.released
+
+    def _observe(self) -> None:
+        """Notes new claims and renewals, with the time they were seen."""
+        now_ms = self._clock.monotonic_ms()
+        claims = self._fold.claims()
+        with self._lock:
+            for claim in claims:
+                mark = (claim.touched_offset, claim.released)
+                if self._seen.get(claim.term) == mark:
+                    continue
+                self._seen[claim.term] = mark
+                self._changed_ms = now_ms
+                if claim.host != self._host_id:
+                    self._guards_ms[claim.term] = now_ms + hold_span_ms(claim)
+            self._forget_old(claims, now_ms)
+            self._update_hold(claims[-1] if claims else None)
+
+    def _forget_old(
+        self, claims: tuple[job_state.Claim, ...], now_ms: int
+    ) -> None:
+        known = {claim.term for claim in claims}
+        for term in [term for term in self._seen if term not in known]:
+            del self._seen[term]
+        passed = [
+            term for term, until in self._guards_ms.items() if until <= now_ms
+        ]
+        for term in passed:
+            del self._guards_ms[term]
+
+    def _update_hold(self, claim: job_state.Claim | None) -> None:
+        if claim is None or not self._is_own(claim) or self._stopping.is_set():
+            self._hold = NO_HOLD
+            return
+        if claim.touched_offset > self._own_touched_offset:
+            self._own_touched_offset = claim.touched_offset
+            if self._unresolved_ms is not None:
+                self._proved_ms = max(self._proved_ms, self._unresolved_ms)
+                self._unresolved_ms = None
+        bounds = claim.bounds
+        renew_ms = max(bounds.autonomy_ms, bounds.claim_ms)
+        gained = self._hold.term != claim.term
+        self._hold = Hold(
+            term=claim.term,
+            bounds=bounds,
+            command_until_ms=self._proved_ms + bounds.claim_ms,
+            renew_until_ms=self._proved_ms + renew_ms,
+        )
+        if gained:
+            self._note("owner-gained", f"claim {claim.term} won", claim.offset)
+
+    def _may_claim(self, claim: job_state.Claim | None, now_ms: int) -> bool:
+        if self._stopping.is_set():
+            return False
+        bounds = self._configured_bounds()
+        if self._follower.age_ms() > bounds.claim_ms // 2:
+            return False
+        waited_ms = now_ms - self._changed_ms - self._jitter_ms
+        if claim is None or claim.released or claim.host == self._host_id:
+            return waited_ms >= 0
+        lapse_ms = claim.bounds.claim_ms + claim.bounds.drift_margin_ms
+        return waited_ms >= lapse_ms
+
+    def _configured_bounds(self) -> job_records.HoldBounds:
+        configuration = self._source.current()
+        limits = configuration.limits
+        zone = configuration.zones.get(self._zone)
+        autonomy_ms = zone.autonomy_ms if zone else DEFAULT_AUTONOMY_MS
+        return job_records.HoldBounds(
+            claim_ms=limits.claim_ms,
+            lease_ms=limits.lease_ms,
+            autonomy_ms=autonomy_ms,
+            command_ttl_ms=limits.command_ttl_ms,
+            drift_margin_ms=limits.drift_margin_ms,
+        )
+
+    def _claim(self, replaced_term: int) -> None:
+        body = job_records.OwnerClaimed(
+            term=replaced_term + 1,
+            replaces=replaced_term,
+            host=self._host_id,
+            bounds=self._configured_bounds(),
+        )
+        self._append(body)
+        with self._lock:
+            # A claim that lost the race waits for the winner's lapse.
+            self._changed_ms = self._clock.monotonic_ms()
+            lost = self._hold.term != body.term
+        if lost:
+            self._metrics.count(
+                metrics_module.Counter.JOB_EVENTS, "claim-not-won"
+            )
+
+    def _renew_if_due(self, claim: job_state.Claim, now_ms: int) -> None:
+        interval_ms = claim.bounds.claim_ms // RENEWALS_PER_CLAIM
+        last_ms = self._renewal_sent_ms
+        if last_ms is not None and now_ms - last_ms < interval_ms:
+            return
+        if self._stopping.is_set():
+            return
+        self._append(job_records.OwnerRenewed(claim.term, self._host_id))
+
+    def _append(
+        self, body: job_records.OwnerClaimed | job_records.OwnerRenewed
+    ) -> None:
+        """Appends and, if it is known to stand, counts it as a proof."""
+        sent_ms = self._clock.monotonic_ms()
+        self._renewal_sent_ms = sent_ms
+        outcome = self._appender.append([body], APPEND_TIMEOUT_MS)
+        match outcome:
+            case result.Ok(appended):
+                folded = self._follower.wait_for(
+                    appended.offset, APPEND_TIMEOUT_MS
+                )
+                self._record_sent(sent_ms, folded, appended.offset)
+            case result.Err(streams.AppendUnknown()):
+                self._record_sent(sent_ms, False, -1)
+            case result.Err(streams.NotAccepted(detail)):
+                _events.warning(
+                    "claim not kept zone={} detail={}", self._zone, detail
+                )
+        self._observe()
+
+    def _record_sent(self, sent_ms: int, folded: bool, offset: int) -> None:
+        claims = self._fold.claims()
+        with self._lock:
+            if not folded:
+                if self._unresolved_ms is None:
+                    self._unresolved_ms = sent_ms
+                return
+            stands = claims and claims[-1].touched_offset >= offset
+            if stands and self._is_own(claims[-1]):
+                self._proved_ms = max(self._proved_ms, sent_ms)
+                self._own_touched_offset = claims[-1].touched_offset
+                self._unresolved_ms = None
+
+    def _note(self, reason: str, sentence: str, offset: int) -> None:
+        _events.info("{} zone={} {}", reason, self._zone, sentence)
+        self._metrics.count(metrics_module.Counter.JOB_EVENTS, reason)
+        self._journal.note(
+            reasons.Subject.WORKER, self._zone, reason, sentence, offset
+        )
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                delay_ms = self.step()
+            except Exception:
+                _events.exception("ownership step failed zone={}", self._zone)
+                delay_ms = STEP_MS
+            self._stopping.wait(delay_ms / 1_000)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/placement.py
@@ -0,0 +1,160 @@
+"""Which worker takes the next attempt, and which jobs can never run."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+import enum
+from typing import final
+from typing import Protocol
+
+import attrs
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import capacity
+from comfreylatch._version import job_state
+
+MAX_CANDIDATES = 24
+RACK_COST_MILLI = 20
+LEFTOVER_COST_MILLI = 100
+
+
+class Policy(enum.StrEnum):
+    """How a worker is chosen."""
+
+    PREDICTED_COST = "predicted-cost"
+    FIRST_FIT = "first-fit"
+
+
+class CostModel(Protocol):
+    """Predicts what an attempt would cost the work beside it."""
+
+    def cost_milli(self, job_class: str, worker: str) -> int:
+        """Predicted slowdown caused and suffered, in thousandths."""
+        ...
+
+
+@attrs.frozen
+class NeverFits:
+    """No worker can hold the size, now or ever.
+
+    Attributes:
+        dimensions: Those in which it exceeds the nearest worker.
+        largest: What the nearest worker could give.
+    """
+
+    dimensions: tuple[str, ...]
+    largest: workers.Resources
+
+    def sentence(self, size: workers.Resources) -> str:
+        """What is too large, for a person."""
+        parts = []
+        for name in self.dimensions:
+            asked = getattr(size, name)
+            most = getattr(self.largest, name)
+            parts.append(f"{name} {asked} is above {most}")
+        return "no worker can hold it: " + ", ".join(parts)
+
+
+def never_fits(
+    size: workers.Resources, usable: Iterable[workers.Resources]
+) -> NeverFits | None:
+    """Compares a size with what each kind of worker can give to batch work.
+
+    None is returned if one can hold it, or if no worker is known. The answer
+    names the worker that falls short in the fewest dimensions.
+    """
+    nearest: NeverFits | None = None
+    for amount in set(usable):
+        short = capacity.short_dimensions(size, amount)
+        if not short:
+            return None
+        closer = nearest is None or len(short) < len(nearest.dimensions)
+        if closer:
+            nearest = NeverFits(short, amount)
+    return nearest
+
+
+@final
+class Placement:
+    """Chooses workers. Used by one thread."""
+
+    def __init__(
+        self,
+        ledger: capacity.CapacityLedger,
+        model: CostModel,
+        policy: Policy = Policy.PREDICTED_COST,
+    ) -> None:
+        self._ledger = ledger
+        self._model = model
+        self._policy = policy
+        self._team_on_rack: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._placed: dict[str, tuple[str, str]] = {}
+
+    def choose(
+        self, state: job_state.JobState, size: workers.Resources
+    ) -> str | None:
+        """The worker for a job's next attempt, or None if none has room.
+
+        Workers on which the job has failed come last.
+        """
+        limit = 1
+        if self._policy is Policy.PREDICTED_COST or state.failed_workers:
+            limit = MAX_CANDIDATES
+        candidates = self._ledger.candidates(size, limit)
+        if not candidates:
+            return None
+        untried = [
+            account
+            for account in candidates
+            if account.name not in state.failed_workers
+        ]
+        candidates = untried or candidates
+        if self._policy is Policy.FIRST_FIT:
+            return candidates[0].name
+        best = min(
+            candidates, key=lambda account: self._cost(state, size, account)
+        )
+        return best.name
+
+    def place(
+        self,
+        state: job_state.JobState,
+        worker: str,
+        size: workers.Resources,
+    ) -> None:
+        """Reserves for a job's attempt."""
+        self.remove(state.spec.id)
+        self._ledger.reserve(state.spec.id, worker, size)
+        account = self._ledger.account(worker)
+        rack = account.rack if account else ""
+        key = (state.spec.team, rack)
+        self._placed[state.spec.id] = key
+        self._team_on_rack[key] += 1
+
+    def remove(self, job: str) -> str | None:
+        """Frees what a job holds; returns the worker it was on."""
+        key = self._placed.pop(job, None)
+        if key is not None:
+            self._team_on_rack[key] -= 1
+            if not self._team_on_rack[key]:
+                del self._team_on_rack[key]
+        return self._ledger.release(job)
+
+    def _cost(
+        self,
+        state: job_state.JobState,
+        size: workers.Resources,
+        account: capacity.WorkerAccount,
+    ) -> tuple[int, str]:
+        on_rack = self._team_on_rack[state.spec.team, account.rack]
+        left = account.free.processors_milli - size.processors_milli
+        whole = max(1, account.total.processors_milli)
+        cost_milli = (
+            self._model.cost_milli(state.spec.job_class, account.name)
+            + RACK_COST_MILLI * on_rack
+            + LEFTOVER_COST_MILLI * left // whole
+        )
+        return cost_milli, account.name
--- /dev/null
+++ b/src/comfreylatch/_process/batch/worker_session.py
@@ -0,0 +1,238 @@
+"""What one worker was told and has answered, apart from the thread."""
+
+from __future__ import annotations
+
+import threading
+from typing import final
+
+import attrs
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import ownership
+
+MAX_COMMANDS_PER_EXCHANGE = 64
+MAX_QUEUED_COMMANDS = 4_096
+
+
+@attrs.frozen
+class Reported:
+    """A worker answered an exchange.
+
+    Attributes:
+        term: Term of the exchange.
+        commands: Commands of the exchange; the report has a status for each.
+        sent_ms: Monotonic time before it was sent.
+        fresh_boot: Whether the worker has restarted since its last report.
+        renewal_refused: Whether a lease was asked for and not granted.
+    """
+
+    worker: str
+    term: int
+    report: workers.WorkerReport
+    commands: tuple[workers.Command, ...]
+    sent_ms: int
+    fresh_boot: bool
+    renewal_refused: bool = False
+
+
+@attrs.frozen
+class Unanswered:
+    """An exchange got no answer.
+
+    Attributes:
+        was_sent: False if certainly no byte reached the worker.
+    """
+
+    worker: str
+    term: int
+    commands: tuple[workers.Command, ...]
+    sent_ms: int
+    was_sent: bool
+    detail: str
+
+
+LinkEvent = Reported | Unanswered
+
+
+@final
+class WorkerSession:
+    """Decides the next exchange with one worker. Thread-safe."""
+
+    def __init__(self, worker: str, address: str, host_id: str) -> None:
+        self.worker = worker
+        self.address = address
+        self._host_id = host_id
+        self._lock = threading.Lock()
+        self._commands: list[workers.Command] = []
+        self._later: list[workers.Command] = []
+        self._boot = ""
+        self._report = 0
+        self._report_sent_ms = 0
+        self._fenced_term = 0
+        self._lease_sent_ms = -1
+        self._last_sent_ms = -1
+        self._answered_ms = -1
+        self._failures = 0
+
+    @property
+    def fenced_term(self) -> int:
+        """Highest own term under which the worker has answered."""
+        return self._fenced_term
+
+    @property
+    def last_sent_ms(self) -> int:
+        """Before the last exchange that may have been received; -1: none."""
+        return self._last_sent_ms
+
+    @property
+    def answered_ms(self) -> int:
+        """When the last answer came; -1 before the first."""
+        return self._answered_ms
+
+    @property
+    def failures(self) -> int:
+        """Exchanges without an answer since the last answer."""
+        return self._failures
+
+    def request(self, command: workers.Command, at_once: bool = True) -> None:
+        """Queues a command; unless `at_once`, for the next renewal."""
+        with self._lock:
+            queue = self._commands if at_once else self._later
+            if command not in queue and len(queue) < MAX_QUEUED_COMMANDS:
+                queue.append(command)
+
+    def withdraw(self, command: workers.Command) -> bool:
+        """Takes a queued command back; False if it may be on its way."""
+        with self._lock:
+            if command not in self._commands:
+                return False
+            self._commands.remove(command)
+            return True
+
+    def clear(self) -> None:
+        """Drops all queued commands, as when the claim was lost."""
+        with self._lock:
+            self._commands.clear()
+            self._later.clear()
+
+    def due_in_ms(self, hold: ownership.Hold, now_ms: int) -> int:
+        """Time until the next exchange is due; 0 when it is."""
+        if hold.bounds is None or self._fenced_term < hold.term:
+            return 0
+        with self._lock:
+            if self._sendable(hold.may_start(now_ms)):
+                return 0
+        interval_ms = hold.bounds.lease_ms // 3
+        return max(0, self._lease_sent_ms + interval_ms - now_ms)
+
+    def next_exchange(
+        self, hold: ownership.Hold, now_ms: int
+    ) -> workers.Exchange | None:
+        """The exchange to send now, or None when none may be sent.
+
+        A report that would be stale on arrival is renewed first, by an
+        exchange that carries nothing.
+        """
+        if not hold.may_renew(now_ms) or hold.bounds is None:
+            return None
+        ttl_ms = hold.bounds.command_ttl_ms
+        with self._lock:
+            age_ms = now_ms - self._report_sent_ms
+            fenced = self._fenced_term == hold.term
+            if not fenced or self._report == 0 or age_ms > ttl_ms // 2:
+                return workers.Exchange(self._host_id, hold.term, 0, 0)
+            return workers.Exchange(
+                owner=self._host_id,
+                term=hold.term,
+                quoted_report=self._report,
+                lease_ms=hold.bounds.lease_ms,
+                commands=self._take(hold.may_start(now_ms)),
+            )
+
+    def sending(self, exchange: workers.Exchange, now_ms: int) -> int:
+        """Notes that an exchange is about to go out.
+
+        Returns:
+            The earlier `last_sent_ms`, to be given back to `unanswered`.
+        """
+        with self._lock:
+            before_ms = self._last_sent_ms
+            self._last_sent_ms = now_ms
+            if exchange.lease_ms > 0:
+                self._lease_sent_ms = now_ms
+            return before_ms
+
+    def answered(
+        self,
+        exchange: workers.Exchange,
+        report: workers.WorkerReport,
+        sent_ms: int,
+        now_ms: int,
+    ) -> Reported:
+        """Takes the worker's answer."""
+        with self._lock:
+            fresh_boot = self._boot not in ("", report.boot)
+            self._boot = report.boot
+            self._report = report.report
+            self._report_sent_ms = sent_ms
+            self._answered_ms = now_ms
+            self._failures = 0
+            if report.highest_term == exchange.term:
+                self._fenced_term = max(self._fenced_term, exchange.term)
+            refused = report.lease_left_ms < exchange.lease_ms // 2
+            if refused:
+                self._lease_sent_ms = -1
+        return Reported(
+            worker=self.worker,
+            term=exchange.term,
+            report=report,
+            commands=exchange.commands,
+            sent_ms=sent_ms,
+            fresh_boot=fresh_boot,
+            renewal_refused=refused,
+        )
+
+    def unanswered(
+        self,
+        exchange: workers.Exchange,
+        error: workers.WorkerError,
+        sent_ms: int,
+        before_ms: int,
+    ) -> Unanswered:
+        """Takes the lack of an answer."""
+        was_sent = isinstance(error, workers.WorkerAnswerLost)
+        with self._lock:
+            self._failures += 1
+            self._report = 0
+            self._lease_sent_ms = -1
+            if not was_sent:
+                self._last_sent_ms = before_ms
+        return Unanswered(
+            worker=self.worker,
+            term=exchange.term,
+            commands=exchange.commands,
+            sent_ms=sent_ms,
+            was_sent=was_sent,
+            detail=error.detail,
+        )
+
+    def _take(self, may_start: bool) -> tuple[workers.Command, ...]:
+        """Takes queued commands; starts stay queued while not allowed."""
+        taken: list[workers.Command] = []
+        for queue in (self._commands, self._later):
+            kept: list[workers.Command] = []
+            for command in queue:
+                start = isinstance(command, workers.StartTask)
+                room = len(taken) < MAX_COMMANDS_PER_EXCHANGE
+                goes = room and (may_start or not start)
+                (taken if goes else kept).append(command)
+            queue[:] = kept
+        return tuple(taken)
+
+    def _sendable(self, may_start: bool) -> bool:
+        if may_start:
+            return bool(self._commands)
+        return any(
+            not isinstance(command, workers.StartTask)
+            for command in self._commands
+        )
--- /dev/null
+++ b/src/comfreylatch/_process/batch/zone_workers.py
@@ -0,0 +1,127 @@
+"""The zone's workers as listed and configured, kept in the ledger."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+from typing import final
+
+from comfreylatch._ports import hosts
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import capacity
+from comfreylatch._version import configuration as configuration_module
+
+
+@final
+class ZoneWorkers:
+    """What each listed worker has for batch work. Used by one thread."""
+
+    def __init__(self, zone: str, ledger: capacity.CapacityLedger) -> None:
+        self._zone = zone
+        self._ledger = ledger
+        self._listed: dict[str, hosts.ListedHost] = {}
+        self._reported: dict[str, workers.Resources] = {}
+        self._services: dict[str, workers.Resources] = {}
+        self._configuration = configuration_module.Configuration()
+        self._dirty = True
+
+    def listed(self) -> dict[str, hosts.ListedHost]:
+        """The zone's listed workers by name."""
+        return self._listed
+
+    def set_list(self, host_list: hosts.HostList) -> None:
+        """Takes a new list of hosts."""
+        self._listed = zone_workers(host_list, self._zone)
+        self._dirty = True
+
+    def set_configuration(
+        self, configuration: configuration_module.Configuration
+    ) -> None:
+        """Takes a new version of the configuration."""
+        if configuration is self._configuration:
+            return
+        self._configuration = configuration
+        services: dict[str, workers.Resources] = collections.defaultdict(
+            lambda: capacity.NOTHING
+        )
+        for endpoint in configuration.endpoints.values():
+            if endpoint.worker:
+                held = services[endpoint.worker]
+                services[endpoint.worker] = capacity.plus(
+                    held, endpoint.resources
+                )
+        self._services = dict(services)
+        self._dirty = True
+
+    def set_reported(self, worker: str, amount: workers.Resources) -> None:
+        """Takes what a worker says it has."""
+        if self._reported.get(worker) != amount:
+            self._reported[worker] = amount
+            self._dirty = True
+
+    def refresh(self) -> bool:
+        """Brings the ledger up to date; False if nothing has changed."""
+        if not self._dirty:
+            return False
+        self._dirty = False
+        for name, host in self._listed.items():
+            account = self._ledger.account(name)
+            self._ledger.set_worker(
+                name,
+                host.rack,
+                self._total(host),
+                self._services.get(name, capacity.NOTHING),
+                is_open=account is not None and account.open,
+            )
+        for account in tuple(self._ledger.accounts()):
+            if account.name not in self._listed:
+                self._ledger.set_open(account.name, False)
+                self._ledger.remove_worker(account.name)
+                self._reported.pop(account.name, None)
+        return True
+
+    def _total(self, host: hosts.ListedHost) -> workers.Resources:
+        configured = self._configuration.worker_classes.get(host.worker_class)
+        reported = self._reported.get(host.name)
+        if configured is None:
+            return reported or capacity.NOTHING
+        if reported is None:
+            return configured.capacity
+        return capacity.least(configured.capacity, reported)
+
+
+def zone_workers(
+    host_list: hosts.HostList, zone: str
+) -> dict[str, hosts.ListedHost]:
+    """Workers of one zone by name."""
+    return {
+        host.name: host
+        for host in host_list.hosts
+        if host.kind is hosts.HostKind.WORKER and host.zone == zone
+    }
+
+
+def usable_amounts(
+    listed: Mapping[str, hosts.ListedHost],
+    configuration: configuration_module.Configuration,
+) -> list[workers.Resources]:
+    """What each listed worker of a configured class can give to batch work.
+
+    Without listed workers, what each configured class has.
+    """
+    classes = configuration.worker_classes
+    if not listed:
+        return [worker_class.capacity for worker_class in classes.values()]
+    services: dict[str, workers.Resources] = {}
+    for endpoint in configuration.endpoints.values():
+        if endpoint.worker:
+            held = services.get(endpoint.worker, capacity.NOTHING)
+            services[endpoint.worker] = capacity.plus(held, endpoint.resources)
+    return [
+        capacity.minus(
+            classes[host.worker_class].capacity,
+            services.get(host.name, capacity.NOTHING),
+        )
+        for host in listed.values()
+        if host.worker_class in classes
+    ]
--- a/src/comfreylatch/_process/reasons.py
+++ b/src/comfreylatch/_process/reasons.py
@@ -37,6 +37,9 @@
     TICKET_NUMBER_TAKEN = "ticket-number-taken"
     BAD_TICKET = "bad-ticket"
     UNKNOWN_JOB = "unknown-job"
+    BAD_JOB = "bad-job"
+    JOB_ID_TAKEN = "job-id-taken"
+    URGENT_NOT_ALLOWED = "urgent-not-allowed"
 
 
 class RetryReason(enum.StrEnum):
