Add stand-ins for the platform, a relay and a fleet launcher

Tests need the platform's log, host list, workers and endpoints without the platform. Each stand-in is one process with its own record of what ran, which later checks take as the truth. The relay injects delay, loss, cuts, half-open and truncated connections. The fleet launcher starts all of it with entry hosts and stops whatever it started.

Found on the way: an answer cut within its headers is taken by urllib3 (by http.client below it) as a whole, empty one; the test client checks for a length.

--- /dev/null
+++ b/testing/client.py
@@ -0,0 +1,163 @@
+"""Calls to an entry host as callers and operators make them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import time
+from typing import Any
+
+import attrs
+import msgspec
+import urllib3
+
+OPERATOR_TIMEOUT_S = 20.0
+CONNECT_TIMEOUT_S = 2.0
+# What a caller waits beyond the deadline it gave.
+GRACE_S = 2.0
+POOL_SIZE = 128
+
+
+@attrs.frozen
+class Answer:
+    """An answer, or why there was none.
+
+    Attributes:
+        status: HTTP status; 0 when the connection failed.
+        outcome: `X-Outcome`; `lost` when the connection broke after the
+            request was sent, `unreachable` when none was made.
+        reason: `X-Reason`, or the error's text.
+        elapsed_ms: Time from sending to the whole answer.
+    """
+
+    status: int
+    outcome: str
+    reason: str
+    request_id: str
+    body: bytes
+    headers: Mapping[str, str]
+    elapsed_ms: float
+
+    def json(self) -> Any:
+        """The decoded body."""
+        return msgspec.json.decode(self.body)
+
+    @property
+    def retry_after_ms(self) -> int:
+        """`X-Retry-After-Ms`, 0 when absent."""
+        return int(self.headers.get("X-Retry-After-Ms", "0"))
+
+
+class Client:
+    """A pool of connections to entry hosts. Thread-safe; never retries."""
+
+    def __init__(self, pool_size: int = POOL_SIZE) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=POOL_SIZE, maxsize=pool_size, retries=False
+        )
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.clear()
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = OPERATOR_TIMEOUT_S,
+    ) -> Answer:
+        """One HTTP call; failures are answers too."""
+        started = time.monotonic()
+        try:
+            raw = self._pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_S, read=timeout_s
+                ),
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            return _failure("unreachable", error, started)
+        except urllib3.exceptions.ConnectTimeoutError as error:
+            return _failure("unreachable", error, started)
+        except urllib3.exceptions.HTTPError as error:
+            return _failure("lost", error, started)
+        if not _is_whole(raw.headers):
+            # The library takes an end within the headers for their end.
+            return _failure("lost", EOFError("cut in the headers"), started)
+        return Answer(
+            status=raw.status,
+            outcome=raw.headers.get("X-Outcome", ""),
+            reason=raw.headers.get("X-Reason", ""),
+            request_id=raw.headers.get("X-Request-Id", ""),
+            body=raw.data,
+            headers=raw.headers,
+            elapsed_ms=(time.monotonic() - started) * 1_000,
+        )
+
+    def request(
+        self,
+        address: str,
+        service: str,
+        request_id: str,
+        body: bytes = b"",
+        *,
+        path: str = "/",
+        idempotent: bool = False,
+        timeout_ms: int = 2_000,
+        work_ms: float | None = None,
+        caller: str = "",
+    ) -> Answer:
+        """A caller's request to a service through the host at `address`."""
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Idempotent": "true" if idempotent else "false",
+            "X-Timeout-Ms": str(timeout_ms),
+        }
+        if work_ms is not None:
+            headers["X-Work-Ms"] = f"{work_ms:.3f}"
+        if caller:
+            headers["X-Caller"] = caller
+        return self.call(
+            "POST",
+            f"http://{address}/services/{service}{path}",
+            body,
+            headers,
+            timeout_ms / 1_000 + GRACE_S,
+        )
+
+    def post_json(self, address: str, path: str, value: Any) -> Answer:
+        """An operator's POST."""
+        return self.call(
+            "POST",
+            f"http://{address}{path}",
+            msgspec.json.encode(value),
+            {"Content-Type": "application/json"},
+        )
+
+    def get(self, address: str, path: str) -> Answer:
+        """An operator's GET."""
+        return self.call("GET", f"http://{address}{path}")
+
+    def delete(self, address: str, path: str) -> Answer:
+        """An operator's DELETE."""
+        return self.call("DELETE", f"http://{address}{path}")
+
+
+def _is_whole(headers: Mapping[str, str]) -> bool:
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
+
+
+def _failure(outcome: str, error: Exception, started: float) -> Answer:
+    return Answer(
+        status=0,
+        outcome=outcome,
+        reason=repr(error),
+        request_id="",
+        body=b"",
+        headers={},
+        elapsed_ms=(time.monotonic() - started) * 1_000,
+    )
--- /dev/null
+++ b/testing/fleet.py
@@ -0,0 +1,360 @@
+"""A whole fleet of real processes on loopback: stand-ins, relays, hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import pathlib
+import signal
+import tempfile
+import time
+from typing import Any
+from typing import Self
+
+import attrs
+import msgspec
+
+from comfreylatch._ports import hosts as hosts_port
+from testing import client as client_module
+from testing import deployments
+from testing import fleet_plan
+from testing import network
+from testing import processes
+from testing import relay
+from testing.standins import endpoint as endpoint_stand_in
+from testing.standins import log as log_stand_in
+from testing.standins import worker_records
+
+READY_TIMEOUT_S = 30.0
+FORCE_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+class Fleet:
+    """Starts everything on entry and stops everything on exit.
+
+    Args:
+        deployment: Sizes and names.
+        options: How to start it.
+        folder: Where settings and logs go; a temporary one when absent.
+        start_hosts: Whether entry hosts are started on entry.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        options: fleet_plan.FleetOptions | None = None,
+        folder: pathlib.Path | None = None,
+        start_hosts: bool = True,
+    ) -> None:
+        self.deployment = deployment
+        self.options = options or fleet_plan.FleetOptions()
+        self.client = client_module.Client()
+        self.hosts: dict[str, fleet_plan.Host] = {}
+        self.endpoint_addresses: dict[str, str] = {}
+        self.worker_addresses: dict[str, str] = {}
+        self._folder = folder
+        self._start_hosts = start_hosts
+        self._stack = contextlib.ExitStack()
+        self._ports = fleet_plan.PortPicker()
+
+    def __enter__(self) -> Self:
+        try:
+            self._enter()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+
+    def _enter(self) -> None:
+        if self._folder is None:
+            temporary = tempfile.TemporaryDirectory(prefix="fleet-")
+            self._folder = pathlib.Path(self._stack.enter_context(temporary))
+        self.folder = self._folder
+        self._stack.callback(self.client.close)
+        self._start_stand_ins()
+        self._plan_hosts()
+        self._start_relays()
+        self._fill_host_list()
+        self._stack.callback(self._stop_hosts)
+        if self._start_hosts:
+            for seat in self.hosts:
+                self.start_host(seat)
+            self.wait_ready()
+
+    # Stand-ins and relays.
+
+    def _stand_in(
+        self, module: str, arguments: Iterable[str], specs: Any = None
+    ) -> processes.StandIn:
+        stand_in = processes.start_stand_in(
+            module, self.folder, tuple(arguments), specs
+        )
+        self._stack.callback(stand_in.process.stop)
+        return stand_in
+
+    def _start_stand_ins(self) -> None:
+        options = self.options
+        seed = ("--seed", str(options.seed))
+        self.log = self._stand_in("standins.log", options.log_arguments)
+        self.host_list = self._stand_in(
+            "standins.hosts", ("--lag-ms", str(options.list_lag_ms))
+        )
+        self.endpoints = self._stand_in(
+            "standins.endpoint", seed, self.deployment.endpoint_specs()
+        )
+        model = msgspec.json.encode(options.model).decode()
+        speed = ("--speed", str(options.speed), "--model", model)
+        self.workers = self._stand_in(
+            "standins.worker", (*seed, *speed), self.deployment.worker_specs()
+        )
+
+    def _plan_hosts(self) -> None:
+        for seat in self.deployment.all_seats():
+            self.hosts[seat] = fleet_plan.Host(
+                seat=seat,
+                zone=self.deployment.zone_of_seat(seat),
+                caller_address=self._ports.address(),
+                operator_address=self._ports.address(),
+                peer_address=self._ports.address(),
+                settings_path=self.folder / f"{seat}.json",
+            )
+
+    def _start_relays(self) -> None:
+        platform = fleet_plan.PlatformAddresses(
+            log=self.log.ready["address"],
+            host_list=self.host_list.ready["address"],
+            workers=self.workers.ready["addresses"],
+            endpoints=self.endpoints.ready["addresses"],
+        )
+        targets = fleet_plan.relay_targets(
+            self.options.links, self.hosts, platform
+        )
+        relays = self._stand_in(
+            "relay",
+            ("--seed", str(self.options.seed)),
+            [relay.RelaySpec(*item) for item in targets.items()],
+        )
+        self.network = network.Network(relays, self.deployment)
+        routes: dict[str, str] = relays.ready["addresses"]
+        for name, address in self.endpoints.ready["addresses"].items():
+            self.endpoint_addresses[name] = routes.get(
+                f"endpoint/{name}", address
+            )
+        for name, address in self.workers.ready["addresses"].items():
+            self.worker_addresses[name] = routes.get(f"worker/{name}", address)
+        for host in self.hosts.values():
+            settings = fleet_plan.settings_of(
+                host, self.hosts, routes, platform, self.options
+            )
+            host.settings_path.write_bytes(msgspec.json.encode(settings))
+        for host in self.hosts.values():
+            host.caller_address = routes.get(
+                f"caller/{host.seat}", host.caller_address
+            )
+        if self.options.delays:
+            self.network.set_delays()
+
+    def _fill_host_list(self) -> None:
+        entries = [
+            hosts_port.ListedHost(
+                name=host.seat,
+                kind=hosts_port.HostKind.ENTRY,
+                state=hosts_port.HostState.LIVE,
+                zone=host.zone,
+                rack="",
+                address=host.caller_address,
+            )
+            for host in self.hosts.values()
+        ]
+        entries += self.deployment.listed_workers(self.worker_addresses)
+        entries += self.deployment.listed_endpoints(self.endpoint_addresses)
+        self.host_list.control(
+            put=[attrs.asdict(entry) for entry in entries], at_once=True
+        )
+
+    def list_host(
+        self, kind: hosts_port.HostKind, name: str, **changes: Any
+    ) -> None:
+        """Changes one line of the host list, seen after its lag."""
+        lines = self.deployment.listed_workers(self.worker_addresses)
+        lines += self.deployment.listed_endpoints(self.endpoint_addresses)
+        for line in lines:
+            if (line.kind, line.name) == (kind, name):
+                changed = attrs.evolve(line, **changes)
+                self.host_list.control(put=[attrs.asdict(changed)])
+                return
+        raise fleet_plan.FleetError(f"no {kind} {name!r} is listed")
+
+    # Entry hosts.
+
+    def start_host(self, seat: str) -> fleet_plan.Host:
+        """Starts a process in an empty seat; does not wait for it."""
+        host = self.hosts[seat]
+        if host.process is not None and host.process.exit_code is None:
+            raise fleet_plan.FleetError(f"seat {seat} is taken")
+        host.starts += 1
+        host.process = processes.ChildProcess(
+            f"{seat}-{host.starts}",
+            [*self.options.command, "serve", str(host.settings_path)],
+            self.folder,
+        )
+        return host
+
+    def replace_host(self, seat: str) -> fleet_plan.Host:
+        """Kills the process in a seat and starts another, ready on return."""
+        self.kill_host(seat)
+        host = self.start_host(seat)
+        self.wait_ready(seat)
+        return host
+
+    def kill_host(self, seat: str) -> None:
+        """Ends a host by SIGKILL."""
+        self._process(seat).kill()
+
+    def signal_host(self, seat: str, number: signal.Signals) -> None:
+        """Sends SIGSTOP, SIGCONT, SIGTERM or another signal to a host."""
+        self._process(seat).send_signal(number)
+
+    def wait_host(self, seat: str, timeout_s: float = READY_TIMEOUT_S) -> int:
+        """Waits for the end of a host and returns its exit code."""
+        return self._process(seat).wait(timeout_s)
+
+    def _process(self, seat: str) -> processes.ChildProcess:
+        process = self.hosts[seat].process
+        if process is None:
+            raise fleet_plan.FleetError(f"seat {seat} is empty")
+        return process
+
+    def _stop_hosts(self) -> None:
+        started = [one.process for one in self.hosts.values() if one.process]
+        for process in started:
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGTERM)
+        for process in started:
+            process.stop()
+
+    def wait_ready(self, *seats: str) -> None:
+        """Waits until the hosts of the seats, or all, say they are ready."""
+        for seat in seats or tuple(self.hosts):
+            self.wait_until(
+                lambda seat=seat: self._is_ready(seat),
+                f"{seat} is ready",
+                READY_TIMEOUT_S,
+            )
+
+    def _is_ready(self, seat: str) -> bool:
+        process = self._process(seat)
+        if process.exit_code is not None:
+            raise fleet_plan.FleetError(f"{seat} ended: {process.tail()}")
+        answer = self.client.get(
+            self.hosts[seat].operator_address, "/health/ready"
+        )
+        return answer.status == 200
+
+    def wait_until(
+        self, holds: Callable[[], bool], what: str, timeout_s: float
+    ) -> None:
+        """Polls a condition; raises FleetError when it never holds."""
+        until = time.monotonic() + timeout_s
+        while not holds():
+            if time.monotonic() > until:
+                raise fleet_plan.FleetError(f"not within {timeout_s} s: {what}")
+            time.sleep(POLL_S)
+
+    # Operators and callers.
+
+    def submit_ticket(
+        self, ticket: dict[str, Any], seat: str | None = None
+    ) -> client_module.Answer:
+        """Submits a ticket through one host."""
+        return self.client.post_json(self._operator(seat), "/tickets", ticket)
+
+    def put_in_force(self, number: int = 1) -> None:
+        """Submits the first ticket and waits until every host has it."""
+        ticket = deployments.first_ticket(
+            self.deployment, self.endpoint_addresses, number
+        )
+        answer = self.submit_ticket(ticket)
+        if answer.status != 200:
+            raise fleet_plan.FleetError(f"ticket refused: {answer.body!r}")
+        self.wait_until(
+            self._all_have_objects, "ticket in force", FORCE_TIMEOUT_S
+        )
+
+    def _all_have_objects(self) -> bool:
+        pages = [
+            self.client.get(host.operator_address, "/objects")
+            for host in self.hosts.values()
+            if host.process is not None and host.process.exit_code is None
+        ]
+        service = self.deployment.service.encode()
+        return all(
+            page.status == 200 and service in page.body for page in pages
+        )
+
+    def submit_job(
+        self, job: dict[str, Any], seat: str | None = None
+    ) -> client_module.Answer:
+        """Submits a job through one host."""
+        return self.client.post_json(self._operator(seat), "/jobs", job)
+
+    def job(self, name: str, seat: str | None = None) -> client_module.Answer:
+        """Asks one host about a job."""
+        return self.client.get(self._operator(seat), f"/jobs/{name}")
+
+    def cancel_job(
+        self, name: str, seat: str | None = None
+    ) -> client_module.Answer:
+        """Cancels a job through one host."""
+        return self.client.delete(self._operator(seat), f"/jobs/{name}")
+
+    def status(self, seat: str) -> dict[str, Any]:
+        """The status page of a host."""
+        page: dict[str, Any] = self.client.get(
+            self.hosts[seat].operator_address, "/status"
+        ).json()
+        return page
+
+    def request(
+        self, seat: str, request_id: str, body: bytes = b"", **options: Any
+    ) -> client_module.Answer:
+        """A caller's request; `options` as `Client.request` takes them."""
+        return self.client.request(
+            self.hosts[seat].caller_address,
+            self.deployment.service,
+            request_id,
+            body,
+            **options,
+        )
+
+    def _operator(self, seat: str | None) -> str:
+        chosen = next(iter(self.hosts)) if seat is None else seat
+        return self.hosts[chosen].operator_address
+
+    # Records of the stand-ins.
+
+    def endpoint_events(self) -> list[endpoint_stand_in.EndpointEvent]:
+        """Every request that reached an endpoint."""
+        events: list[endpoint_stand_in.EndpointEvent] = self.endpoints.journal(
+            endpoint_stand_in.EndpointEvent
+        )
+        return events
+
+    def worker_events(self) -> list[worker_records.WorkerEvent]:
+        """Everything that happened on workers."""
+        events: list[worker_records.WorkerEvent] = self.workers.journal(
+            worker_records.WorkerEvent
+        )
+        return events
+
+    def log_events(self) -> list[log_stand_in.LogEvent]:
+        """Every append that reached the log."""
+        events: list[log_stand_in.LogEvent] = self.log.journal(
+            log_stand_in.LogEvent
+        )
+        return events
--- /dev/null
+++ b/testing/network.py
@@ -0,0 +1,69 @@
+"""Faults of the connections of a fleet."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from testing import deployments
+from testing import fleet_plan
+from testing import processes
+
+
+class Network:
+    """The relays of a fleet, by zone and seat."""
+
+    def __init__(
+        self,
+        relays: processes.StandIn,
+        deployment: deployments.Deployment,
+    ) -> None:
+        self._relays = relays
+        self._deployment = deployment
+
+    def set(self, pattern: str, **faults: Any) -> int:
+        """Sets faults of the relays that fit; returns how many did.
+
+        Names are `peer/ZONE/SEAT/OTHER-ZONE/OTHER-SEAT`, `log/SEAT`,
+        `list/SEAT`, `caller/SEAT`, `worker/NAME` and `endpoint/NAME`.
+        """
+        answer = self._relays.control(relay=pattern, **faults)
+        return int(answer["relays"])
+
+    def cut_zones(self, one: str, other: str, cut: bool = True) -> None:
+        """Cuts, or heals, every peer connection between two zones."""
+        matched = self.set(f"peer/{one}/*/{other}/*", cut=cut)
+        matched += self.set(f"peer/{other}/*/{one}/*", cut=cut)
+        if not matched:
+            raise fleet_plan.FleetError("the fleet has no relays between peers")
+
+    def cut_platform(self, zone: str, cut: bool = True) -> None:
+        """Cuts, or heals, the hosts of a zone from log and host list."""
+        matched = sum(
+            self.set(f"{service}/{seat}", cut=cut)
+            for service in ("log", "list")
+            for seat in self._deployment.seats(zone)
+        )
+        if not matched:
+            raise fleet_plan.FleetError(
+                "the fleet has no relays to the platform"
+            )
+
+    def isolate_zone(self, zone: str, cut: bool = True) -> None:
+        """Cuts, or heals, a zone from all other zones and the platform."""
+        for other in self._deployment.zones:
+            if other != zone:
+                self.cut_zones(zone, other, cut)
+        self.cut_platform(zone, cut)
+
+    def set_delays(self) -> None:
+        """Sets the deployment's delays between zones and to callers."""
+        between_ms = self._deployment.zone_delay_ms
+        for one in self._deployment.zones:
+            for other in self._deployment.zones:
+                if one != other:
+                    self.set(
+                        f"peer/{one}/*/{other}/*",
+                        delay_ms=between_ms,
+                        jitter_ms=between_ms / 3,
+                    )
+        self.set("caller/*", delay_ms=self._deployment.client_delay_ms)
--- /dev/null
+++ b/testing/standins/serving.py
@@ -0,0 +1,328 @@
+"""HTTP listeners, control calls and journals shared by the stand-ins.
+
+The standard library's server is used because faults need the bare socket: an
+answer can be dropped, cut short or ended by a reset.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from http import server as http_server
+import json
+import os
+import signal
+import socket
+import socketserver
+import struct
+import threading
+import time
+from typing import Any
+import urllib.parse
+
+import attrs
+import msgspec
+
+LOOPBACK = "127.0.0.1"
+ACCEPT_BACKLOG = 512
+POLL_S = 0.5
+# Linger on, for no time at all: closing sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@attrs.frozen
+class Call:
+    """A request as received; header names are matched in any case."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """The body decoded; an empty body is an empty object."""
+        return msgspec.json.decode(self.body) if self.body else {}
+
+
+@attrs.frozen
+class Reply:
+    """An answer sent whole; `close` ends the connection after it."""
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    close: bool = False
+
+
+@attrs.frozen
+class Drop:
+    """No answer: the connection is closed."""
+
+
+@attrs.frozen
+class Reset:
+    """No answer: the connection is reset."""
+
+
+@attrs.frozen
+class Truncated:
+    """The answer announces its whole length and stops after some bytes."""
+
+    reply: Reply
+    sent_bytes: int
+
+
+Answer = Reply | Drop | Reset | Truncated
+CallHandler = Callable[[Call], Answer]
+
+
+def json_reply(status: int, value: Any) -> Reply:
+    """A reply with a JSON body."""
+    return Reply(
+        status,
+        msgspec.json.encode(value),
+        {"Content-Type": "application/json"},
+    )
+
+
+def now_ms() -> float:
+    """Monotonic milliseconds, comparable across processes of one machine."""
+    return time.monotonic_ns() / 1_000_000
+
+
+class _Handler(http_server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    wbufsize = -1
+    disable_nagle_algorithm = True
+    server: _Server
+
+    def setup(self) -> None:
+        super().setup()
+        self.server.opened(self.connection)
+
+    def finish(self) -> None:
+        self.server.ended(self.connection)
+        try:
+            super().finish()
+        except OSError:
+            pass
+
+    def handle(self) -> None:
+        try:
+            super().handle()
+        except OSError:
+            pass
+
+    def log_message(self, format: str, *args: Any) -> None:
+        pass
+
+    def _serve(self) -> None:
+        split = urllib.parse.urlsplit(self.path)
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length) if length else b""
+        if len(body) < length:
+            self.close_connection = True
+            return
+        call = Call(
+            method=self.command,
+            path=split.path,
+            query=dict(urllib.parse.parse_qsl(split.query)),
+            headers=self.headers,  # type: ignore[arg-type]
+            body=body,
+        )
+        self._send(self.server.call_handler(call))
+
+    do_GET = do_POST = do_PUT = do_DELETE = do_HEAD = do_PATCH = _serve  # noqa: N815
+
+    def _send(self, answer: Answer) -> None:
+        match answer:
+            case Reply():
+                self._write(answer, len(answer.body), answer.close)
+            case Truncated(reply, sent_bytes):
+                self._write(reply, sent_bytes, close=True)
+            case Drop():
+                self.close_connection = True
+            case Reset():
+                self.close_connection = True
+                self.connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+
+    def _write(self, reply: Reply, sent_bytes: int, close: bool) -> None:
+        self.send_response(reply.status)
+        for name, value in reply.headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(reply.body)))
+        if close:
+            self.send_header("Connection", "close")
+            self.close_connection = True
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(reply.body[:sent_bytes])
+        self.wfile.flush()
+
+
+class _Server(socketserver.ThreadingTCPServer):
+    allow_reuse_address = True
+    daemon_threads = True
+    block_on_close = False
+    request_queue_size = ACCEPT_BACKLOG
+
+    def __init__(self, port: int, listener: Listener) -> None:
+        super().__init__((LOOPBACK, port), _Handler)
+        self._listener = listener
+        self.call_handler = listener.handler
+
+    def opened(self, connection: socket.socket) -> None:
+        self._listener.opened(connection)
+
+    def ended(self, connection: socket.socket) -> None:
+        self._listener.ended(connection)
+
+    def shutdown_request(self, request: Any) -> None:
+        # A shutdown before the close would send an orderly end, no reset.
+        linger = request.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+        if linger == RESET_ON_CLOSE:
+            request.close()
+        else:
+            super().shutdown_request(request)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        del request, client_address
+
+
+class Listener:
+    """One listening address; it can refuse for a while and come back.
+
+    Args:
+        handler: Called on the connection's own thread.
+        port: Port to take; 0 takes a free one, kept afterwards.
+        on_connections: Told the count of open connections when one opens.
+    """
+
+    def __init__(
+        self,
+        handler: CallHandler,
+        port: int = 0,
+        on_connections: Callable[[int], None] | None = None,
+    ) -> None:
+        self.handler = handler
+        self._on_connections = on_connections
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._server: _Server | None = None
+        self.port = port
+
+    @property
+    def address(self) -> str:
+        """`IP:port`."""
+        return f"{LOOPBACK}:{self.port}"
+
+    def opened(self, connection: socket.socket) -> None:
+        """Notes an accepted connection."""
+        with self._lock:
+            self._open.add(connection)
+            count = len(self._open)
+        if self._on_connections is not None:
+            self._on_connections(count)
+
+    def ended(self, connection: socket.socket) -> None:
+        """Notes the end of a connection."""
+        with self._lock:
+            self._open.discard(connection)
+
+    def start(self) -> None:
+        """Listens; does nothing when it already does."""
+        if self._server is not None:
+            return
+        self._server = _Server(self.port, self)
+        self.port = self._server.server_address[1]
+        threading.Thread(
+            target=self._server.serve_forever, args=(POLL_S,), daemon=True
+        ).start()
+
+    def refuse(self) -> None:
+        """Stops listening; open connections stay."""
+        if self._server is None:
+            return
+        server = self._server
+        self._server = None
+        server.socket.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=_close, args=(server,), daemon=True).start()
+
+    def drop_connections(self) -> None:
+        """Ends every open connection at once."""
+        with self._lock:
+            connections = tuple(self._open)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def _close(server: _Server) -> None:
+    server.shutdown()
+    server.server_close()
+
+
+class Journal:
+    """What a stand-in did, in order. Thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._events: list[Any] = []
+
+    def add(self, event: Any) -> None:
+        """Appends an event; a mutable one may still be filled in later."""
+        with self._lock:
+            self._events.append(event)
+
+    def page(self, first: int) -> dict[str, Any]:
+        """Events from index `first` on, and the next index."""
+        with self._lock:
+            events = self._events[first:]
+        return {"next": first + len(events), "events": events}
+
+
+class ControlServer:
+    """`POST /control` and `GET /journal` of one stand-in process."""
+
+    def __init__(
+        self, journal: Journal, on_control: Callable[[Any], Any], port: int = 0
+    ) -> None:
+        self._journal = journal
+        self._on_control = on_control
+        self.listener = Listener(self._handle, port)
+        self.listener.start()
+
+    def _handle(self, call: Call) -> Answer:
+        if call.method == "GET" and call.path == "/journal":
+            first = int(call.query.get("from", "0"))
+            return json_reply(200, self._journal.page(first))
+        if call.method == "POST" and call.path == "/control":
+            return self._control(call)
+        return json_reply(404, {"detail": "try /control or /journal"})
+
+    def _control(self, call: Call) -> Reply:
+        try:
+            answer = self._on_control(call.json())
+        except (KeyError, TypeError, ValueError) as error:
+            return json_reply(400, {"detail": repr(error)})
+        return json_reply(200, {} if answer is None else answer)
+
+
+def announce(**ports: Any) -> None:
+    """Prints the one line that says the stand-in is ready."""
+    print(json.dumps(ports), flush=True)
+
+
+def wait_for_stop() -> None:
+    """Blocks until SIGTERM, SIGINT or the end of the parent process."""
+    parent = os.getppid()
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    while not stopped.wait(POLL_S) and os.getppid() == parent:
+        pass
--- /dev/null
+++ b/testing/standins/worker_host.py
@@ -0,0 +1,251 @@
+"""One stand-in worker: the rules of docs/PLATFORM.md and its faults."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from typing import Any
+
+import attrs
+import msgspec
+
+from comfreylatch._ports import workers
+from testing.standins import serving
+from testing.standins import worker_codec
+from testing.standins import worker_model as models
+from testing.standins import worker_records as records
+from testing.standins import worker_tasks
+
+STALE_REPORT_MS = 2_000
+
+
+class WorkerHost:
+    """State of one worker. Thread-safe; time passes in `advance`."""
+
+    def __init__(
+        self,
+        spec: records.WorkerSpec,
+        model: models.WorkModel,
+        speed: float,
+        journal: serving.Journal,
+    ) -> None:
+        self.spec = spec
+        self.faults = records.WorkerFaults()
+        self._model = model
+        self._speed = speed
+        self._journal = journal
+        self._changed = threading.Condition(threading.RLock())
+        self._boots = itertools.count(1)
+        self.listener = serving.Listener(self._handle, spec.port)
+        self._forget()
+        self.listener.start()
+
+    def change(self, change: dict[str, Any]) -> None:
+        """Sets faults by name, loads of services, or kills the worker."""
+        with self._changed:
+            self.advance()
+            self._tasks.service_load.update(change.pop("service_load", {}))
+            if change.pop("kill", False):
+                self._kill()
+            self.faults = attrs.evolve(self.faults, **change)
+            self._tasks.fail_all = self.faults.fail_all
+            self._changed.notify_all()
+        if self.faults.refuse:
+            self.listener.refuse()
+        else:
+            self.listener.start()
+
+    def _kill(self) -> None:
+        now = serving.now_ms()
+        for task in self._tasks.running():
+            self._tasks.end(task, workers.TaskState.STOPPED, "killed", now)
+        self._note(now, "kill")
+        self.listener.drop_connections()
+        self._forget()
+
+    def _forget(self) -> None:
+        now = serving.now_ms()
+        self._boot = f"{self.spec.name}-boot-{next(self._boots)}"
+        self._report = 0
+        self._report_times: dict[int, float] = {}
+        self._highest_term = 0
+        self._lease_until_ms = 0.0
+        self._tasks = worker_tasks.TaskTable(
+            self.spec, self._model, self._speed, self._ended
+        )
+        self._tasks.fail_all = self.faults.fail_all
+        self._advanced_ms = now
+        self._note(now, "boot")
+
+    def advance(self) -> None:
+        """Lets the time since the last call pass: work, ends, the lease."""
+        with self._changed:
+            now = serving.now_ms()
+            lapsed = 0.0 < self._lease_until_ms <= now
+            until = self._lease_until_ms if lapsed else now
+            self._tasks.work(max(until - self._advanced_ms, 0.0), until)
+            self._advanced_ms = now
+            if lapsed:
+                self._lapse()
+            self._tasks.guard_memory(now)
+            self._tasks.measure(now)
+
+    def _lapse(self) -> None:
+        until = self._lease_until_ms
+        self._lease_until_ms = 0.0
+        for task in self._tasks.running():
+            self._tasks.end(task, workers.TaskState.STOPPED, "lapsed", until)
+        self._note(until, "lapse")
+
+    def _handle(self, call: serving.Call) -> serving.Answer:
+        if call.path != "/exchange" or call.method != "POST":
+            return serving.json_reply(404, {"detail": call.path})
+        try:
+            exchange = worker_codec.decode(call.body)
+        except (msgspec.MsgspecError, TypeError, ValueError) as error:
+            return serving.json_reply(400, {"detail": str(error)})
+        with self._changed:
+            boot = self._boot
+            while self.faults.pause:
+                self._changed.wait()
+            if self._boot != boot:
+                return serving.Drop()
+            self.advance()
+            return serving.json_reply(200, self._exchange(exchange))
+
+    def _exchange(self, exchange: workers.Exchange) -> workers.WorkerReport:
+        now = serving.now_ms()
+        refusal = self._refusal(exchange, now)
+        if refusal is None:
+            statuses = self._accept(exchange, now)
+        else:
+            statuses = tuple(refusal for _ in exchange.commands)
+            self._note(now, refusal.value, detail=exchange.owner)
+        report = self._make_report(now, statuses)
+        if refusal is None:
+            for command in exchange.commands:
+                self._tasks.drop_ended((command.job, command.attempt))
+        return report
+
+    def _refusal(
+        self, exchange: workers.Exchange, now: float
+    ) -> workers.CommandStatus | None:
+        if exchange.term < self._highest_term:
+            return workers.CommandStatus.REFUSED_TERM
+        # A first exchange has nothing to quote; it may only ask.
+        asks = not exchange.commands and exchange.lease_ms == 0
+        if exchange.quoted_report == 0 and asks:
+            return None
+        made_ms = self._report_times.get(exchange.quoted_report)
+        if made_ms is None or now - made_ms > STALE_REPORT_MS:
+            return workers.CommandStatus.REFUSED_STALE
+        return None
+
+    def _accept(
+        self, exchange: workers.Exchange, now: float
+    ) -> tuple[workers.CommandStatus, ...]:
+        if exchange.term > self._highest_term:
+            self._highest_term = exchange.term
+            self._note(now, "term", detail=exchange.owner)
+        if exchange.lease_ms > 0:
+            self._lease_until_ms = now + exchange.lease_ms
+        return tuple(
+            self._carry_out(command, now) for command in exchange.commands
+        )
+
+    def _carry_out(
+        self, command: workers.Command, now: float
+    ) -> workers.CommandStatus:
+        if isinstance(command, workers.StartTask):
+            return self._start(command, now)
+        task = self._tasks.get((command.job, command.attempt))
+        if task is None:
+            return workers.CommandStatus.UNKNOWN_ATTEMPT
+        if not task.running:
+            return workers.CommandStatus.DONE
+        match command:
+            case workers.StopTask():
+                self._tasks.end(task, workers.TaskState.STOPPED, "stopped", now)
+            case workers.CheckpointTask():
+                task.checkpoint_ms = task.progress_ms
+                self._note(now, "checkpoint", task)
+            case workers.ThrottleTask():
+                share_milli = min(command.share_milli, models.FULL_SHARE_MILLI)
+                task.share_milli = max(share_milli, 1)
+                self._note(now, "throttle", task, str(task.share_milli))
+        return workers.CommandStatus.DONE
+
+    def _start(
+        self, command: workers.StartTask, now: float
+    ) -> workers.CommandStatus:
+        task = records.Task(
+            start=command,
+            progress_ms=command.checkpoint_ms,
+            checkpoint_ms=command.checkpoint_ms,
+        )
+        refusal = self._start_refusal(task)
+        if refusal is not None:
+            self._note(now, refusal.value, task)
+            return refusal
+        self._tasks.add(task)
+        self._note(now, "start", task)
+        return workers.CommandStatus.DONE
+
+    def _start_refusal(
+        self, task: records.Task
+    ) -> workers.CommandStatus | None:
+        if not self._lease_until_ms:
+            return workers.CommandStatus.REFUSED_LEASE
+        if self._tasks.knows(task.key):
+            return workers.CommandStatus.REFUSED_DUPLICATE
+        wanted = models.add(self._tasks.used(), task.start.resources)
+        if self.spec.guards and not models.fits(wanted, self.spec.capacity):
+            return workers.CommandStatus.REFUSED_CAPACITY
+        return None
+
+    def _make_report(
+        self, now: float, statuses: tuple[workers.CommandStatus, ...]
+    ) -> workers.WorkerReport:
+        self._report += 1
+        self._report_times[self._report] = now
+        for number, made_ms in tuple(self._report_times.items()):
+            if now - made_ms <= STALE_REPORT_MS:
+                break
+            del self._report_times[number]
+        return workers.WorkerReport(
+            worker=self.spec.name,
+            boot=self._boot,
+            report=self._report,
+            highest_term=self._highest_term,
+            lease_left_ms=int(max(self._lease_until_ms - now, 0.0)),
+            capacity=self.spec.capacity,
+            tasks=self._tasks.lines(),
+            usage=self._tasks.late_usage(now),
+            statuses=statuses,
+        )
+
+    def _ended(self, at_ms: float, task: records.Task, detail: str) -> None:
+        self._note(at_ms, "end", task, detail)
+
+    def _note(
+        self,
+        at_ms: float,
+        kind: str,
+        task: records.Task | None = None,
+        detail: str = "",
+    ) -> None:
+        self._journal.add(
+            records.WorkerEvent(
+                at_ms=at_ms,
+                worker=self.spec.name,
+                boot=self._boot,
+                kind=kind,
+                job=task.start.job if task else "",
+                attempt=task.start.attempt if task else 0,
+                term=self._highest_term,
+                detail=detail,
+                progress_ms=int(task.progress_ms) if task else 0,
+                used=self._tasks.used(),
+                capacity=self.spec.capacity,
+            )
+        )
--- /dev/null
+++ b/testing/standins/worker_model.py
@@ -0,0 +1,124 @@
+"""How tasks on one stand-in worker slow each other and services down."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import functools
+
+import attrs
+import xxhash
+
+from comfreylatch._ports import workers
+
+FULL_SHARE_MILLI = 1_000
+HASH_STEPS = 1_000
+MAX_PAIR_SLOWDOWN = 1.2
+NEVER_WORKS = "never-works"
+
+
+@functools.cache
+def _pair_slowdown(seed: int, victim: str, aggressor: str) -> float:
+    key = f"{seed}/{victim}/{aggressor}".encode()
+    step = xxhash.xxh64_intdigest(key) % HASH_STEPS
+    # Squared, so that most pairs get along and a few do not.
+    return MAX_PAIR_SLOWDOWN * (step / HASH_STEPS) ** 2
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A latency-critical service that shares the worker.
+
+    Attributes:
+        service: Name of the service.
+        resources: What is set apart for it.
+        load: Part of its processors it uses, 0 to 1.
+    """
+
+    service: str
+    resources: workers.Resources
+    load: float = 0.5
+
+
+@attrs.frozen
+class WorkModel:
+    """What is hidden from the scheduler.
+
+    Attributes:
+        seed: Picks the table of interference.
+        size_factors: Real size over declared size, by job class.
+        time_factors: Real run time over declared run time, by job class.
+    """
+
+    seed: int = 1
+    size_factors: Mapping[str, float] = attrs.field(factory=dict)
+    time_factors: Mapping[str, float] = attrs.field(factory=dict)
+
+    def pair_slowdown(self, victim: str, aggressor: str) -> float:
+        """Slowdown of a victim when an aggressor fills the whole host."""
+        return _pair_slowdown(self.seed, victim, aggressor)
+
+    def size_factor(self, job_class: str) -> float:
+        """Real size over declared size."""
+        return self.size_factors.get(job_class, 1.0)
+
+    def time_factor(self, job_class: str) -> float:
+        """Real run time over declared run time."""
+        return self.time_factors.get(job_class, 1.0)
+
+
+@attrs.frozen
+class Presence:
+    """Something that runs on a worker, with the processors it really uses."""
+
+    name: str
+    job_class: str
+    processors_milli: float
+
+
+def slowdowns(
+    model: WorkModel, present: Iterable[Presence], capacity_milli: int
+) -> dict[str, float]:
+    """Slowdown of each presence by name, 1 when alone on the host."""
+    everyone = tuple(present)
+    used = sum(one.processors_milli for one in everyone)
+    crowding = max(1.0, used / max(capacity_milli, 1))
+    load_by_class: dict[str, float] = {}
+    for one in everyone:
+        load = one.processors_milli / max(capacity_milli, 1)
+        load_by_class[one.job_class] = (
+            load_by_class.get(one.job_class, 0.0) + load
+        )
+    found = {}
+    for one in everyone:
+        own = one.processors_milli / max(capacity_milli, 1)
+        extra = sum(
+            model.pair_slowdown(one.job_class, job_class)
+            * (load - own if job_class == one.job_class else load)
+            for job_class, load in load_by_class.items()
+        )
+        found[one.name] = crowding * (1.0 + max(extra, 0.0))
+    return found
+
+
+def add(left: workers.Resources, right: workers.Resources) -> workers.Resources:
+    """Sum, dimension by dimension."""
+    return workers.Resources(
+        left.processors_milli + right.processors_milli,
+        left.memory_mib + right.memory_mib,
+        left.accelerators + right.accelerators,
+    )
+
+
+def fits(need: workers.Resources, capacity: workers.Resources) -> bool:
+    """Whether no dimension of `need` is above `capacity`."""
+    return (
+        need.processors_milli <= capacity.processors_milli
+        and need.memory_mib <= capacity.memory_mib
+        and need.accelerators <= capacity.accelerators
+    )
+
+
+def never_works(start: workers.StartTask) -> bool:
+    """Whether an attempt fails wherever it runs."""
+    return start.job_class == NEVER_WORKS or NEVER_WORKS in start.job
--- /dev/null
+++ b/testing/standins/worker_tasks.py
@@ -0,0 +1,231 @@
+"""The tasks of one stand-in worker: their work, ends and measured usage."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+
+import attrs
+
+from comfreylatch._ports import workers
+from testing.standins import worker_model as models
+from testing.standins import worker_records as records
+
+USAGE_EVERY_MS = 1_000
+USAGE_HORIZON_MS = 10_000
+KEEP_ENDED_MS = 600_000
+FAIL_AFTER_MS = 50.0
+# Told of an attempt's end: when, which, and how it ended.
+EndListener = Callable[[float, records.Task, str], None]
+
+
+@attrs.frozen
+class Measured:
+    """One measurement of usage with the time it was made."""
+
+    at_ms: float
+    usage: workers.Usage
+
+
+class TaskTable:
+    """Attempts on one worker. Its owner holds the lock."""
+
+    def __init__(
+        self,
+        spec: records.WorkerSpec,
+        model: models.WorkModel,
+        speed: float,
+        on_end: EndListener,
+    ) -> None:
+        self._spec = spec
+        self._model = model
+        self._speed = speed
+        self._on_end = on_end
+        self._by_key: dict[records.TaskKey, records.Task] = {}
+        self._known: set[records.TaskKey] = set()
+        self._measured: collections.deque[Measured] = collections.deque()
+        self._reported_ms = 0.0
+        self.fail_all = False
+        self.service_load = {one.service: one.load for one in spec.services}
+
+    def get(self, key: records.TaskKey) -> records.Task | None:
+        """The attempt, running or lately ended."""
+        return self._by_key.get(key)
+
+    def knows(self, key: records.TaskKey) -> bool:
+        """Whether the attempt was ever started since the last boot."""
+        return key in self._known
+
+    def add(self, task: records.Task) -> None:
+        """Starts an attempt."""
+        self._known.add(task.key)
+        self._by_key[task.key] = task
+
+    def drop_ended(self, key: records.TaskKey) -> None:
+        """Forgets the line of an ended attempt."""
+        task = self._by_key.get(key)
+        if task is not None and not task.running:
+            del self._by_key[key]
+
+    def running(self) -> list[records.Task]:
+        """Attempts that run."""
+        return [task for task in self._by_key.values() if task.running]
+
+    def lines(self) -> tuple[workers.TaskLine, ...]:
+        """All attempts as reported."""
+        return tuple(task.line() for task in self._by_key.values())
+
+    def end(
+        self,
+        task: records.Task,
+        state: workers.TaskState,
+        detail: str,
+        now: float,
+    ) -> None:
+        """Ends a running attempt."""
+        task.state = state
+        task.ended_ms = now
+        self._on_end(now, task, detail)
+
+    def used(self) -> workers.Resources:
+        """Declared sizes of services and running attempts."""
+        total = workers.Resources(0, 0, 0)
+        for one in self._spec.services:
+            total = models.add(total, one.resources)
+        for task in self.running():
+            total = models.add(total, task.start.resources)
+        return total
+
+    def work(self, elapsed_ms: float, now: float) -> None:
+        """Lets running attempts work for a time."""
+        running = self.running()
+        if running:
+            slowed = self._slowdowns()
+            for task in running:
+                self._work_one(task, elapsed_ms, slowed[task.name], now)
+        for key, task in tuple(self._by_key.items()):
+            if not task.running and task.ended_ms < now - KEEP_ENDED_MS:
+                del self._by_key[key]
+
+    def _work_one(
+        self,
+        task: records.Task,
+        elapsed_ms: float,
+        slowdown: float,
+        now: float,
+    ) -> None:
+        share = task.share_milli / models.FULL_SHARE_MILLI
+        slowness = slowdown * self._model.time_factor(task.start.job_class)
+        task.ran_ms += elapsed_ms
+        task.progress_ms += elapsed_ms * self._speed * share / slowness
+        if self.fail_all or models.never_works(task.start):
+            if task.ran_ms >= FAIL_AFTER_MS:
+                self.end(task, workers.TaskState.FAILED, "failed", now)
+        elif task.progress_ms >= task.start.run_time_ms:
+            task.progress_ms = task.start.run_time_ms
+            self.end(task, workers.TaskState.FINISHED, "finished", now)
+
+    def guard_memory(self, now: float) -> None:
+        """Fails the attempt furthest above its size when memory runs out."""
+        while self._spec.guards:
+            running = self.running()
+            used_mib = self._memory_mib(running)
+            if not running or used_mib <= self._spec.capacity.memory_mib:
+                return
+            worst = max(running, key=self._memory_excess)
+            self.end(worst, workers.TaskState.FAILED, "memory", now)
+
+    def _memory_excess(self, task: records.Task) -> float:
+        declared_mib = max(task.start.resources.memory_mib, 1)
+        return self._real_memory_mib(task) / declared_mib
+
+    def _memory_mib(self, running: list[records.Task]) -> float:
+        tasks_mib = sum(self._real_memory_mib(task) for task in running)
+        return tasks_mib + sum(
+            one.resources.memory_mib for one in self._spec.services
+        )
+
+    def _real_memory_mib(self, task: records.Task) -> float:
+        factor = self._model.size_factor(task.start.job_class)
+        return task.start.resources.memory_mib * factor
+
+    def _real_processors(self, task: records.Task) -> float:
+        share = task.share_milli / models.FULL_SHARE_MILLI
+        factor = self._model.size_factor(task.start.job_class)
+        return task.start.resources.processors_milli * share * factor
+
+    def _present(self) -> list[models.Presence]:
+        services = [
+            models.Presence(
+                one.service,
+                one.service,
+                one.resources.processors_milli
+                * self.service_load.get(one.service, one.load),
+            )
+            for one in self._spec.services
+        ]
+        tasks = [
+            models.Presence(
+                task.name, task.start.job_class, self._real_processors(task)
+            )
+            for task in self.running()
+        ]
+        return services + tasks
+
+    def _slowdowns(self) -> dict[str, float]:
+        capacity_milli = self._spec.capacity.processors_milli
+        return models.slowdowns(self._model, self._present(), capacity_milli)
+
+    def measure(self, now: float) -> None:
+        """Takes a measurement when one is due."""
+        if self._measured and now - self._measured[-1].at_ms < USAGE_EVERY_MS:
+            return
+        self._measured.append(Measured(now, self._usage()))
+        while self._measured[0].at_ms < now - USAGE_HORIZON_MS:
+            self._measured.popleft()
+
+    def _usage(self) -> workers.Usage:
+        slowed = self._slowdowns()
+        used_milli = sum(one.processors_milli for one in self._present())
+        running = self.running()
+        return workers.Usage(
+            age_ms=0,
+            processors_milli=int(
+                min(used_milli, self._spec.capacity.processors_milli)
+            ),
+            memory_mib=int(self._memory_mib(running)),
+            services=tuple(
+                workers.ServiceSlowdown(
+                    one.service, int(slowed[one.service] * 1_000)
+                )
+                for one in self._spec.services
+            ),
+            tasks=tuple(
+                self._task_usage(task, slowed[task.name]) for task in running
+            ),
+        )
+
+    def _task_usage(
+        self, task: records.Task, slowdown: float
+    ) -> workers.TaskSlowdown:
+        return workers.TaskSlowdown(
+            job=task.start.job,
+            attempt=task.start.attempt,
+            slowdown_milli=int(slowdown * 1_000),
+            processors_milli=int(self._real_processors(task)),
+            memory_mib=int(self._real_memory_mib(task)),
+        )
+
+    def late_usage(self, now: float) -> tuple[workers.Usage, ...]:
+        """Measurements old enough to be reported, and not reported yet."""
+        ripe = [
+            one
+            for one in self._measured
+            if one.at_ms > self._reported_ms
+            and one.at_ms <= now - self._spec.usage_lag_ms
+        ]
+        if ripe:
+            self._reported_ms = ripe[-1].at_ms
+        return tuple(
+            attrs.evolve(one.usage, age_ms=int(now - one.at_ms)) for one in ripe
+        )
--- /dev/null
+++ b/tests/system/test_fleet.py
@@ -0,0 +1,63 @@
+"""The launcher of a whole fleet, without entry hosts."""
+
+from __future__ import annotations
+
+import msgspec
+import testtools
+import urllib3
+
+from comfreylatch._ports import hosts as hosts_port
+from comfreylatch._process import settings as settings_module
+from testing import deployments
+from testing import fleet
+from testing import fleet_plan
+
+
+class FleetTest(testtools.TestCase):
+    """Settings, host list and clean-up of a fleet."""
+
+    def start(self, **options: object) -> fleet.Fleet:
+        started = fleet.Fleet(
+            deployments.small(),
+            fleet_plan.FleetOptions(**options),
+            start_hosts=False,
+        )
+        return self.enterContext(started)
+
+    def test_settings_reach_peers_through_relays(self) -> None:
+        running = self.start(links=frozenset(fleet_plan.Link))
+        host = running.hosts["bole-1"]
+        settings = msgspec.json.decode(
+            host.settings_path.read_bytes(), type=settings_module.Settings
+        )
+        self.assertEqual(3, len(settings.peers))
+        direct = {one.peer_address for one in running.hosts.values()}
+        for peer in settings.peers:
+            self.assertNotIn(peer.peer_address, direct)
+        running.network.cut_zones("bole", "entoto")
+
+    def test_host_list_changes_are_seen_after_the_lag(self) -> None:
+        running = self.start(list_lag_ms=300)
+        running.list_host(
+            hosts_port.HostKind.ENDPOINT,
+            "ex-1",
+            state=hosts_port.HostState.LEAVING,
+        )
+        address = running.host_list.ready["address"]
+
+        def leaving() -> list[str]:
+            page = urllib3.request("GET", f"http://{address}/hosts").json()
+            return [
+                one["name"]
+                for one in page["hosts"]
+                if one["state"] == "leaving"
+            ]
+
+        self.assertEqual([], leaving())
+        running.wait_until(lambda: leaving() == ["ex-1"], "the lag", 2.0)
+
+    def test_processes_are_stopped_on_exit(self) -> None:
+        with fleet.Fleet(deployments.small(), start_hosts=False) as running:
+            started = [running.log, running.endpoints, running.workers]
+        codes = [one.process.exit_code for one in started]
+        self.assertEqual([0, 0, 0], codes)
