--- /dev/null
+++ b/testing/demo.py
@@ -0,0 +1,231 @@
+"""`make demo`: a whole fleet for a minute, told plainly."""
+
+from __future__ import annotations
+
+from concurrent import futures
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+
+from testing import checker
+from testing import deployments
+from testing import fleet
+from testing import fleet_plan
+from testing import processes
+
+JOB = "stack-0412"
+JOB_RUN_TIME_MS = 3_000
+JOB_TIMEOUT_S = 25.0
+CALLERS = 8
+LOAD_S = 3.0
+COMMAND_TIMEOUT_S = 15.0
+
+
+class DemoError(Exception):
+    """Something did not go as it should."""
+
+
+def main() -> None:
+    """Runs the demo and exits 0 when all went well."""
+    try:
+        _run()
+    except (
+        DemoError,
+        fleet_plan.FleetError,
+        processes.ProcessError,
+        OSError,
+        subprocess.SubprocessError,
+    ) as error:
+        reason = " ".join(str(error).split())
+        print(f"demo: FAILED {reason}")
+        sys.exit(1)
+    print("demo: ok")
+
+
+def _run() -> None:
+    deployment = deployments.small(zones=3)
+    options = fleet_plan.FleetOptions(
+        links=frozenset({fleet_plan.Link.PEERS}), delays=True
+    )
+    _say(
+        f"Starting stand-ins, {deployment.endpoints} endpoints, "
+        f"{deployment.workers} workers and two entry hosts in each of "
+        f"{', '.join(deployment.zones)}."
+    )
+    with contextlib.ExitStack() as stack:
+        running = stack.enter_context(fleet.Fleet(deployment, options))
+        demo = Demo(running)
+        demo.put_configuration_in_force()
+        demo.answer_requests()
+        demo.run_job()
+        demo.stop_host_under_load()
+        demo.check_records()
+
+
+class Demo:
+    """The steps of the demo, on a running fleet."""
+
+    def __init__(self, running: fleet.Fleet) -> None:
+        self._fleet = running
+        self._sent: list[checker.Sent] = []
+
+    def put_configuration_in_force(self) -> None:
+        """Submits the first ticket."""
+        started = time.monotonic()
+        self._fleet.put_in_force()
+        elapsed_ms = (time.monotonic() - started) * 1_000
+        _say(
+            f"Ticket 1 is in force on {len(self._fleet.hosts)} hosts "
+            f"{elapsed_ms:.0f} ms after it was submitted."
+        )
+        self._explain("ticket", "1")
+
+    def answer_requests(self) -> None:
+        """Sends a few requests through every host."""
+        for seat in self._fleet.hosts:
+            for number in range(3):
+                self._request(seat, f"calibrate-{seat}-{number}")
+        answered = [one for one in self._sent if _is_answered(one)]
+        slowest_ms = max(one.answer.elapsed_ms for one in self._sent)
+        _say(
+            f"{len(answered)} of {len(self._sent)} requests answered, "
+            f"the slowest in {slowest_ms:.0f} ms."
+        )
+        if len(answered) < len(self._sent):
+            raise DemoError(f"not answered: {_failures(self._sent)}")
+        self._explain("request", self._sent[0].request_id)
+
+    def run_job(self) -> None:
+        """Submits a batch job and waits for its end."""
+        zone = self._fleet.deployment.zones[0]
+        answer = self._fleet.submit_job(
+            {
+                "id": JOB,
+                "team": self._fleet.deployment.teams[0],
+                "zone": zone,
+                "job_class": self._fleet.deployment.job_classes[0],
+                "resources": {
+                    "processors_milli": 4_000,
+                    "memory_mib": 8_192,
+                    "accelerators": 0,
+                },
+                "run_time_ms": JOB_RUN_TIME_MS,
+                "urgent": False,
+            }
+        )
+        if answer.status != 200:
+            raise DemoError(f"job refused: {answer.body!r}")
+        started = time.monotonic()
+        self._fleet.wait_until(
+            self._job_finished, f"end of job {JOB}", JOB_TIMEOUT_S
+        )
+        elapsed_s = time.monotonic() - started
+        _say(
+            f"Job {JOB}, {JOB_RUN_TIME_MS} ms of work, finished "
+            f"{elapsed_s:.1f} s after it was accepted."
+        )
+        self._explain("job", JOB)
+
+    def _job_finished(self) -> bool:
+        answer = self._fleet.job(JOB)
+        if answer.status != 200:
+            return False
+        return bool(answer.json()["phase"] == "finished")
+
+    def stop_host_under_load(self) -> None:
+        """Stops one host by SIGTERM while callers use it."""
+        seat = next(iter(self._fleet.hosts))
+        with futures.ThreadPoolExecutor(CALLERS) as pool:
+            until = time.monotonic() + LOAD_S
+            loads = [
+                pool.submit(self._load, seat, caller, until)
+                for caller in range(CALLERS)
+            ]
+            time.sleep(LOAD_S / 2)
+            self._fleet.signal_host(seat, signal.SIGTERM)
+            sent = [one for load in loads for one in load.result()]
+        code = self._fleet.wait_host(seat)
+        self._sent += sent
+        cut = [one for one in sent if one.answer.outcome in ("lost", "unknown")]
+        answered = sum(_is_answered(one) for one in sent)
+        _say(
+            f"SIGTERM to {seat} under load: {answered} requests answered, "
+            f"{len(sent) - answered - len(cut)} refused or turned away, "
+            f"{len(cut)} cut off, exit code {code}."
+        )
+        if cut or code != 0:
+            raise DemoError(
+                f"stop of {seat} was not graceful: {_failures(cut)}"
+            )
+
+    def _load(self, seat: str, caller: int, until: float) -> list[checker.Sent]:
+        """Sends until the host no longer takes requests."""
+        sent = []
+        while time.monotonic() < until:
+            name = f"load-{caller}-{len(sent)}"
+            sent.append(self._send(seat, name))
+            if sent[-1].answer.outcome == "unreachable":
+                break
+        return sent
+
+    def check_records(self) -> None:
+        """Checks the promises against the stand-ins' records."""
+        breaches = checker.check_requests(
+            self._sent, self._fleet.endpoint_events()
+        )
+        breaches += checker.check_jobs(self._fleet.worker_events(), {JOB})
+        _say(
+            f"Records of endpoints and workers: {len(breaches)} promises "
+            "broken."
+        )
+        if breaches:
+            raise DemoError(str(breaches[:3]))
+
+    def _request(self, seat: str, name: str) -> None:
+        self._sent.append(self._send(seat, name))
+
+    def _send(self, seat: str, name: str) -> checker.Sent:
+        body = name.encode()
+        answer = self._fleet.request(seat, name, body)
+        return checker.Sent(name, body, idempotent=False, answer=answer)
+
+    def _explain(self, subject: str, name: str) -> None:
+        arguments = ["explain", subject, name]
+        host = self._fleet.hosts["bole-2"].operator_address
+        finished = subprocess.run(
+            [*self._fleet.options.command, *arguments],
+            env={**os.environ, "COMFREYLATCH_HOST": host},
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+            check=False,
+        )
+        print(f"$ comfreylatch {' '.join(arguments)}")
+        print(finished.stdout + finished.stderr, end="", flush=True)
+        if finished.returncode != 0:
+            raise DemoError(
+                f"explain {subject} {name}: exit code {finished.returncode}"
+            )
+
+
+def _is_answered(one: checker.Sent) -> bool:
+    return one.answer.outcome == "answered" and one.answer.status == 200
+
+
+def _failures(sent: list[checker.Sent]) -> str:
+    return ", ".join(
+        f"{one.request_id} {one.answer.outcome} {one.answer.reason}"
+        for one in sent
+        if not _is_answered(one)
+    )[:500]
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
+
+
+if __name__ == "__main__":
+    main()
