--- a/src/comfreylatch/_process/reasons.py
+++ b/src/comfreylatch/_process/reasons.py
@@ -40,6 +40,9 @@
     NO_FREE_THREAD = "no-free-thread"
     ANSWER_LOST = "answer-lost"
     RETRIES_SPENT = "retries-spent"
+    BAD_JOB = "bad-job"
+    JOB_ID_TAKEN = "job-id-taken"
+    URGENT_NOT_ALLOWED = "urgent-not-allowed"
 
 
 class RetryReason(enum.StrEnum):
