--- a/src/comfreylatch/_process/loans.py
+++ b/src/comfreylatch/_process/loans.py
@@ -128,23 +128,21 @@
         self._thread.join()
         self._return_idle(0)
 
-    def take(
-        self, endpoint: str, duration_ms: int
-    ) -> slot_book.SlotHold | None:
-        """See `SlotLedger.take`."""
+    def try_take(self, endpoint: str, duration_ms: int) -> bool:
+        """See `SlotLedger.try_take`."""
         now_ms = self._clock.monotonic_ms()
         with self._lock:
             book = self._book(endpoint)
-            hold = book.take(now_ms, duration_ms)
-        if hold is None:
+            taken = book.take(now_ms, duration_ms)
+        if not taken:
             self.want(endpoint)
-        return hold
+        return taken
 
-    def give_back(self, hold: slot_book.SlotHold) -> None:
+    def give_back(self, endpoint: str) -> None:
         """See `SlotLedger.give_back`."""
         with self._lock:
-            self._book(hold.endpoint).release(hold, self._clock.monotonic_ms())
-        self._tell(hold.endpoint)
+            self._book(endpoint).release(self._clock.monotonic_ms())
+        self._tell(endpoint)
 
     def free(self, endpoint: str) -> int:
         """See `SlotLedger.free`."""
--- /dev/null
+++ b/src/comfreylatch/_process/peer_service.py
@@ -0,0 +1,133 @@
+"""What this host does for its peers: answers to the thrift calls."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import final
+from typing import Protocol
+
+import result
+
+from comfreylatch._process import catch_up
+from comfreylatch._process import explanation
+from comfreylatch._process import follower as follower_module
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import loans
+from comfreylatch._process import membership as membership_module
+from comfreylatch._process import reasons
+from comfreylatch._request import router as router_module
+from comfreylatch._wire.gen.peer import ttypes
+
+
+class MarkHolder(Protocol):
+    """Keeps dispatch marks for other hosts."""
+
+    def mark(self, request: ttypes.MarkRequest) -> ttypes.MarkReply:
+        """Marks a request id, once."""
+        ...
+
+
+class OwnState(Protocol):
+    """What this host says of itself."""
+
+    def heartbeat(self) -> ttypes.Heartbeat:
+        """Its state now, as sent to peers."""
+        ...
+
+
+@final
+class PeerService:
+    """Implements `_ports.peers.PeerHandler` on the parts of this host."""
+
+    def __init__(
+        self,
+        own: OwnState,
+        membership: membership_module.Membership,
+        followers: Mapping[str, follower_module.StreamFollower],
+        ledger: loans.LoanLedger,
+        router: router_module.RequestRouter,
+        marks: MarkHolder | None,
+        journal: journal_module.Journal,
+    ) -> None:
+        self._own = own
+        self._membership = membership
+        self._followers = followers
+        self._ledger = ledger
+        self._router = router
+        self._marks = marks
+        self._journal = journal
+
+    def heartbeat(self, beat: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
+        """Answers with this host's state and the caller's predecessor."""
+        if beat.protocol != membership_module.PROTOCOL:
+            raise ttypes.PeerRefused(
+                "protocol", f"this host speaks {membership_module.PROTOCOL}"
+            )
+        held = self._membership.remember(
+            beat.seat, beat.host_id, bool(beat.drained)
+        )
+        if not held:
+            raise ttypes.PeerRefused(
+                membership_module.SUPERSEDED,
+                f"another process has taken seat {beat.seat}",
+            )
+        own = self._own.heartbeat()
+        before = self._membership.predecessor(beat.seat)
+        return ttypes.HeartbeatReply(
+            protocol=own.protocol,
+            host_id=own.host_id,
+            config_offset=own.config_offset,
+            config_digest=own.config_digest,
+            stopping=own.stopping,
+            leaving_endpoints=own.leaving_endpoints,
+            zone_offset=own.zone_offset,
+            zone_digest=own.zone_digest,
+            spare_slots=own.spare_slots,
+            predecessor_host_id=before.host_id if before else None,
+            predecessor_drained=before.drained if before else None,
+        )
+
+    def catch_up(self, request: ttypes.CatchUpRequest) -> ttypes.CatchUpReply:
+        """Serves what this host has folded of a stream."""
+        follower = self._followers.get(request.stream)
+        if follower is None:
+            raise ttypes.PeerRefused("unknown-stream", request.stream)
+        match follower.serve_catch_up(request.after_offset):
+            case result.Ok(given):
+                return catch_up.to_wire(given)
+            case result.Err(none):
+                raise ttypes.PeerRefused("not-ready", none.detail)
+
+    def push(self, stream: str, entries: list[ttypes.StreamEntry]) -> None:
+        """Takes records that continue this host's own."""
+        follower = self._followers.get(stream)
+        if follower is not None:
+            follower.offer(catch_up.entries_from_wire(entries))
+
+    def borrow(self, request: ttypes.LoanRequest) -> ttypes.LoanReply:
+        """Lends slots out of this host's share."""
+        return self._ledger.lend(request)
+
+    def give_back(self, loan: ttypes.LoanReturn) -> None:
+        """Takes lent slots back."""
+        self._ledger.take_back(loan)
+
+    def forward(self, request: ttypes.ForwardRequest) -> ttypes.ForwardReply:
+        """Runs a request of another zone here."""
+        return self._router.run_forwarded(request)
+
+    def mark(self, request: ttypes.MarkRequest) -> ttypes.MarkReply:
+        """Marks a request id, as its home or as the holder of a copy."""
+        if self._marks is None:
+            raise ttypes.PeerRefused("no-marks", "this host keeps no marks")
+        return self._marks.mark(request)
+
+    def explain(self, subject: str, name: str) -> bytes:
+        """Tells what this host's journal holds."""
+        try:
+            known = reasons.Subject(subject)
+        except ValueError as error:
+            raise ttypes.PeerRefused("unknown-subject", subject) from error
+        return explanation.encode(
+            explanation.of_host(self._journal, known, name)
+        )
--- a/src/comfreylatch/_process/slot_book.py
+++ b/src/comfreylatch/_process/slot_book.py
@@ -51,23 +51,21 @@
 
 
 @attrs.define(eq=False)
-class SlotHold:
-    """One slot in use by one request.
+class _Hold:
+    """One slot in use; `loan` is None for the host's own."""
 
-    Attributes:
-        endpoint: Name of the endpoint.
-        loan: The loan it comes from; None for the host's own.
-        until_ms: By when the request has surely ended.
-    """
-
-    endpoint: str
     loan: Borrowed | None
     until_ms: int
 
 
 @final
 class SlotBook:
-    """Slots of one endpoint. Not thread-safe: the owner holds a lock."""
+    """Slots of one endpoint. Not thread-safe: the owner holds a lock.
+
+    A slot is given back without saying which. The book then takes the request
+    with the earliest bound for ended: what it goes on counting is never less,
+    nor sooner over, than what really runs.
+    """
 
     def __init__(self, endpoint: str) -> None:
         self._endpoint = endpoint
@@ -75,27 +73,31 @@
         self._own_used = 0
         self._lent: list[Lent] = []
         self._borrowed: list[Borrowed] = []
-        self._in_doubt: list[SlotHold] = []
+        self._holds: list[_Hold] = []
 
     def set_own(self, slots: int) -> None:
         """Sets the host's own share; what is in use beyond it runs out."""
         self._own_slots = slots
 
-    def take(self, now_ms: int, duration_ms: int) -> SlotHold | None:
+    def take(self, now_ms: int, duration_ms: int) -> bool:
         """Takes a slot for a request that ends within `duration_ms`."""
         self._expire(now_ms)
         until_ms = now_ms + duration_ms
         if self._own_free() > 0:
             self._own_used += 1
-            return SlotHold(self._endpoint, None, until_ms)
+            self._holds.append(_Hold(None, until_ms))
+            return True
         for loan in self._borrowed:
             if loan.used < loan.slots and until_ms <= loan.ends_ms:
                 loan.used += 1
-                return SlotHold(self._endpoint, loan, until_ms)
-        return None
-
-    def release(self, hold: SlotHold, now_ms: int) -> None:
-        """Frees the slot of a request known to have ended."""
+                self._holds.append(_Hold(loan, until_ms))
+                return True
+        return False
+
+    def release(self, now_ms: int) -> None:
+        """Frees the slot of one request known to have ended."""
+        hold = min(self._holds, key=lambda held: held.until_ms)
+        self._holds.remove(hold)
         if hold.loan is None:
             self._own_used -= 1
             return
@@ -103,10 +105,6 @@
         if hold.loan.used == 0:
             hold.loan.idle_since_ms = now_ms
 
-    def release_in_doubt(self, hold: SlotHold) -> None:
-        """Frees the slot at `hold.until_ms`: the endpoint may still run it."""
-        self._in_doubt.append(hold)
-
     def free(self, now_ms: int, duration_ms: int) -> int:
         """Slots a request of `duration_ms` could take now."""
         self._expire(now_ms)
@@ -171,7 +169,7 @@
 
     @property
     def own_used(self) -> int:
-        """Own slots in use, those in doubt included."""
+        """Own slots in use."""
         return self._own_used
 
     @property
@@ -193,11 +191,6 @@
         return self._own_slots - self.lent_slots - self._own_used
 
     def _expire(self, now_ms: int) -> None:
-        if self._in_doubt:
-            over = [h for h in self._in_doubt if h.until_ms <= now_ms]
-            self._in_doubt = [h for h in self._in_doubt if h.until_ms > now_ms]
-            for hold in over:
-                self.release(hold, now_ms)
         if self._lent:
             self._lent = [a for a in self._lent if a.ends_ms > now_ms]
         if self._borrowed:
