--- a/src/comfreylatch/_process/follower.py
+++ b/src/comfreylatch/_process/follower.py
@@ -24,6 +24,7 @@
 
 MAX_READ_ENTRIES = 256
 DEFAULT_WAIT_MS = 2_000
+EARLY_ANSWER_PAUSE_MS = 100
 NEVER_MS = 2**53
 
 _events = logbook.Logger(__name__)
@@ -190,7 +191,11 @@
         self._first_offset = max(self._first_offset, batch.first_offset)
         if len(batch.entries) < MAX_READ_ENTRIES:
             self._reached_head(bool(batch.entries), started_ms)
-        return 0
+        if batch.entries:
+            return 0
+        # A log that does not hold empty answers back must not be flooded.
+        elapsed_ms = self._clock.monotonic_ms() - started_ms
+        return max(0, min(EARLY_ANSWER_PAUSE_MS, self._wait_ms - elapsed_ms))
 
     def _reached_head(self, had_entries: bool, started_ms: int) -> None:
         """Notes until when at least nothing newer was on the log."""
--- a/src/comfreylatch/_process/ticket_desk.py
+++ b/src/comfreylatch/_process/ticket_desk.py
@@ -65,6 +65,7 @@
         self._metrics = metrics
         self._clock = clock
         self._seat = seat
+        fold.on_ticket(self._note_folded)
 
     def submit(self, request: http.HttpRequest) -> http.HttpReply:
         """`POST /tickets`."""
@@ -98,8 +99,9 @@
                 f" it: offset {self._follower.offset()},"
                 f" {ticket_pages.age(self._follower.age_ms())}",
             )
+        decisions = self._journal.about(reasons.Subject.TICKET, text)
         page = ticket_pages.ticket_page(
-            line, self._own_view(), self._peers.views()
+            line, self._own_view(), self._peers.views(), decisions
         )
         return http.json_reply(200, page)
 
@@ -113,6 +115,22 @@
         )
         return http.json_reply(200, page)
 
+    def _note_folded(self, line: verdicts.TicketLine) -> None:
+        """Notes since when a verdict holds here; not those read at start."""
+        if not self._follower.ready:
+            return
+        what = "came into force" if line.accepted else "was refused"
+        sentence = f"{what} on {self._seat}"
+        if line.detail:
+            sentence += f": {line.detail}"
+        self._journal.note(
+            reasons.Subject.TICKET,
+            str(line.number),
+            line.verdict,
+            sentence,
+            line.offset,
+        )
+
     def _own_view(self) -> ticket_pages.OwnView:
         offset, digest = self._follower.position()
         return ticket_pages.OwnView(
@@ -215,11 +233,9 @@
             )
         page = ticket_pages.verdict_page(line)
         if line.accepted:
-            self._note(ticket, line.verdict, "accepted", line.offset)
             return http.json_reply(200, page)
         reason = _reason_of(line)
         self._count(reason)
-        self._note(ticket, reason, line.detail, line.offset)
         return http.json_reply(409, page, {"X-Reason": str(reason)})
 
     def _refuse_stale(
--- a/src/comfreylatch/_process/ticket_pages.py
+++ b/src/comfreylatch/_process/ticket_pages.py
@@ -11,6 +11,7 @@
 
 from comfreylatch._ports import peers as peers_port
 from comfreylatch._process import follower as follower_module
+from comfreylatch._process import journal as journal_module
 from comfreylatch._version import configuration
 from comfreylatch._version import objects
 from comfreylatch._version import schema
@@ -60,7 +61,24 @@
 
 @attrs.frozen
 class TicketPage:
-    """One ticket: what was decided, why, and where it is in force."""
+    """One ticket: what was decided, why, and where it is in force.
+
+    Attributes:
+        number: Number of the ticket.
+        author: Who wrote it.
+        reason: Why it was written.
+        verdict: Accepted, or why not.
+        detail: The same for a person; empty when accepted.
+        offset: Offset of its record.
+        objects: What it touches, as `kind/name`.
+        conflicts: The changes that lost.
+        age_ms: How old this host's knowledge of the log is.
+        since_wall_ms: When this host folded it, in milliseconds since the
+            epoch; 0 when that was before this host was ready.
+        in_force: Seats on which it is in force.
+        not_yet: Seats that are not known to have folded it.
+        sentence: All of it in words.
+    """
 
     number: int
     author: str
@@ -71,6 +89,7 @@
     objects: tuple[str, ...]
     conflicts: tuple[verdicts.Conflict, ...]
     age_ms: int
+    since_wall_ms: int
     in_force: tuple[SeatLine, ...]
     not_yet: tuple[SeatLine, ...]
     sentence: str
@@ -152,6 +171,7 @@
     line: verdicts.TicketLine,
     own: OwnView,
     views: Iterable[peers_port.PeerView],
+    decisions: Iterable[journal_module.Decision],
 ) -> TicketPage:
     """A ticket with the seats that have folded it and those that have not."""
     seats = [
@@ -172,6 +192,7 @@
         objects=line.objects,
         conflicts=line.conflicts,
         age_ms=own.age_ms,
+        since_wall_ms=_since_wall_ms(line, decisions),
         in_force=in_force if line.accepted else (),
         not_yet=not_yet,
         sentence=_sentence(line, in_force, not_yet, own.age_ms),
@@ -205,6 +226,15 @@
     return f"as of {age_ms} ms ago"
 
 
+def _since_wall_ms(
+    line: verdicts.TicketLine, decisions: Iterable[journal_module.Decision]
+) -> int:
+    for decision in decisions:
+        if decision.offset == line.offset and decision.reason == line.verdict:
+            return decision.wall_ms
+    return 0
+
+
 def _seat_line(
     line: verdicts.TicketLine, view: peers_port.PeerView
 ) -> SeatLine:
--- /dev/null
+++ b/testing/fakes/tickets.py
@@ -0,0 +1,44 @@
+"""Tickets for tests, as JSON values."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+def change(
+    kind: str, name: str, replaces: int, state: dict[str, Any] | None
+) -> dict[str, Any]:
+    """One change of a ticket."""
+    return {"kind": kind, "name": name, "replaces": replaces, "state": state}
+
+
+def ticket(number: int, *changes: dict[str, Any]) -> dict[str, Any]:
+    """A ticket with these changes."""
+    return {
+        "number": number,
+        "author": "mona",
+        "reason": "a test",
+        "changes": list(changes),
+    }
+
+
+def service(name: str, replaces: int = 0, **state: int) -> dict[str, Any]:
+    """A change that sets a service."""
+    return change("service", name, replaces, dict(state))
+
+
+def zone(name: str, replaces: int = 0) -> dict[str, Any]:
+    """A change that sets a zone with one seat."""
+    return change("zone", name, replaces, {"seats": [f"{name}-1"]})
+
+
+def endpoint(
+    name: str, service_name: str, zone_name: str, replaces: int = 0
+) -> dict[str, Any]:
+    """A change that sets an endpoint."""
+    state = {
+        "service": service_name,
+        "zone": zone_name,
+        "address": "127.0.0.1:8000",
+    }
+    return change("endpoint", name, replaces, state)
--- /dev/null
+++ b/tests/process/test_follower.py
@@ -0,0 +1,212 @@
+"""Tests of following a stream."""
+
+from __future__ import annotations
+
+import attrs
+import testtools
+
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import catch_up
+from comfreylatch._process import follower
+from comfreylatch._process import metrics
+from comfreylatch._process import record_push
+from comfreylatch._process import snapshot_stream
+from comfreylatch._process import stream_state
+from comfreylatch._version import records
+from comfreylatch._version import snapshots
+from testing import stream_history
+from testing.fakes import clock as fake_clock
+from testing.fakes import log as fake_log
+from testing.fakes import peers as fake_peers
+
+ZONE = "bole"
+
+
+def payload(note: int, sequence: int, writer: str = "writer") -> bytes:
+    return records.encode(writer, sequence, stream_history.Note(note))
+
+
+def entries(*notes: int) -> list[log_port.LogEntry]:
+    """Entries at the offsets of the same numbers as the notes."""
+    return [log_port.LogEntry(note, payload(note, note + 1)) for note in notes]
+
+
+class FollowerTest(testtools.TestCase):
+    """A follower driven step by step."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = fake_log.FakeLog()
+        self.clock = fake_clock.FakeClock()
+        self.metrics = metrics.Metrics()
+        self.peers = fake_peers.FakePeers()
+        self.applied: list[stream_state.Applied] = []
+        self.fold = stream_history.NoteFold()
+        self.follower = self.make(self.fold)
+
+    def make(self, fold: stream_history.NoteFold) -> follower.StreamFollower:
+        return follower.StreamFollower(
+            self.log,
+            "s",
+            fold,
+            self.metrics,
+            self.clock,
+            wait_ms=0,
+            catch_up=catch_up.PeerCatchUp(self.peers, ZONE, 100),
+            after_apply=self.applied.append,
+        )
+
+    def add_peer(self, notes: int) -> stream_history.NoteFold:
+        """A ready peer that has folded this many notes."""
+        fold = stream_history.NoteFold()
+        peer = self.make(fold)
+        self.put(notes)
+        while not peer.ready:
+            peer.step()
+        self.peers.followers["peer"] = peer
+        view = peers_port.PeerView("peer", ZONE, reachable=True)
+        self.peers.shown = (view,)
+        return fold
+
+    def put(self, notes: int) -> None:
+        for note in range(notes):
+            self.log.put("s", [payload(note, note + 1)])
+
+    def publish(self, taken: snapshots.StreamSnapshot) -> None:
+        chunks = [
+            records.encode("publisher", index + 1, chunk)
+            for index, chunk in enumerate(snapshots.split(taken))
+        ]
+        self.log.put(snapshot_stream.name_of("s"), chunks)
+
+    def test_ready_at_the_head(self) -> None:
+        self.put(follower.MAX_READ_ENTRIES + 1)
+        self.follower.step()
+        self.assertFalse(self.follower.ready)
+        self.follower.step()
+        self.assertTrue(self.follower.ready)
+        self.assertEqual(follower.MAX_READ_ENTRIES, self.follower.offset())
+
+    def test_repeated_record_is_folded_once(self) -> None:
+        self.log.put("s", [payload(1, 1), payload(2, 2), payload(1, 1)])
+        self.follower.step()
+        self.assertEqual([1, 2], self.fold.notes)
+        self.assertEqual(2, self.follower.offset())
+
+    def test_bad_record_is_counted_and_passed_over(self) -> None:
+        self.log.put("s", [b"{", b'{"kind": "none"}', payload(1, 1)])
+        self.follower.step()
+        self.assertEqual([1], self.fold.notes)
+        self.assertEqual(
+            2, self.metrics.value(metrics.Counter.BAD_RECORDS, "s")
+        )
+
+    def test_entries_from_a_peer_must_continue_exactly(self) -> None:
+        self.assertFalse(self.follower.offer(entries(1)))
+        self.assertTrue(self.follower.offer(entries(0, 1)))
+        self.assertTrue(self.follower.offer(entries(1, 2)))
+        self.assertFalse(self.follower.offer(entries(0, 1, 2)))
+        self.assertFalse(self.follower.offer(entries(4)))
+        self.assertEqual([0, 1, 2], self.fold.notes)
+
+    def test_age_grows_while_the_log_is_down(self) -> None:
+        self.assertEqual(follower.NEVER_MS, self.follower.age_ms())
+        self.follower.step()
+        self.log.down = True
+        self.clock.advance(180_000)
+        self.follower.step()
+        self.assertEqual(180_000, self.follower.age_ms())
+
+    def test_expired_records_are_replaced_by_a_snapshot(self) -> None:
+        peer_fold = self.add_peer(5)
+        peer = self.peers.followers.pop("peer")
+        self.peers.shown = ()
+        self.publish(peer.snapshot())
+        self.log.put("s", [payload(9, 9)])
+        self.log.expire_below("s", 4)
+        for _ in range(3):
+            self.follower.step()
+        peer.step()
+        self.assertEqual(peer_fold.notes, self.fold.notes)
+        self.assertEqual(peer.position(), self.follower.position())
+
+    def test_snapshot_keeps_repetitions_out(self) -> None:
+        self.add_peer(3)
+        self.publish(self.peers.followers["peer"].snapshot())
+        self.log.expire_below("s", 3)
+        self.log.put("s", [payload(2, 3)])
+        for _ in range(3):
+            self.follower.step()
+        self.assertEqual([0, 1, 2], self.fold.notes)
+
+    def test_damaged_snapshot_is_not_taken(self) -> None:
+        self.add_peer(3)
+        taken = self.peers.followers.pop("peer").snapshot()
+        self.peers.shown = ()
+        self.publish(attrs.evolve(taken, digest="another"))
+        self.log.expire_below("s", 3)
+        for _ in range(3):
+            self.follower.step()
+        self.assertEqual(-1, self.follower.offset())
+        self.assertFalse(self.follower.ready)
+
+    def test_new_host_takes_state_from_a_peer_when_log_is_down(self) -> None:
+        peer_fold = self.add_peer(5)
+        self.log.down = True
+        self.follower.step()
+        self.assertTrue(self.follower.ready)
+        self.assertEqual(peer_fold.notes, self.fold.notes)
+
+    def test_new_host_takes_a_snapshot_from_a_far_peer(self) -> None:
+        peer_fold = self.add_peer(stream_state.MAX_RECENT_ENTRIES + 5)
+        self.log.down = True
+        self.follower.step()
+        self.assertTrue(self.follower.ready)
+        self.assertEqual(peer_fold.notes, self.fold.notes)
+
+    def test_peer_with_another_digest_is_not_served_from(self) -> None:
+        peer_fold = self.add_peer(5)
+        peer_fold.notes[0] = 77
+        self.log.down = True
+        self.follower.step()
+        self.assertFalse(self.follower.ready)
+        self.assertEqual(
+            1,
+            self.metrics.value(metrics.Counter.BAD_PEER_MESSAGES, "digest"),
+        )
+
+    def test_unready_host_gives_no_catch_up(self) -> None:
+        self.assertTrue(self.follower.serve_catch_up(-1).is_err())
+
+    def test_older_peer_does_not_take_the_state_back(self) -> None:
+        self.add_peer(2)
+        self.put(3)
+        self.follower.step()
+        before = self.follower.position()
+        self.log.down = True
+        self.follower.step()
+        self.assertEqual(before, self.follower.position())
+
+    def test_own_record_reaches_a_host_cut_from_the_log(self) -> None:
+        push = record_push.OwnRecordPush(self.peers, "writer")
+        cut_fold = stream_history.NoteFold()
+        self.peers.followers["cut"] = self.make(cut_fold)
+        self.put(2)
+        self.follower.step()
+        push.observe(self.applied[-1])
+        self.assertEqual([0, 1], cut_fold.notes)
+
+    def test_log_that_lost_its_tail_does_not_take_the_state_back(self) -> None:
+        self.follower.offer(entries(0, 1, 2))
+        self.put(1)
+        self.follower.step()
+        self.assertEqual(2, self.follower.offset())
+        self.assertFalse(self.follower.ready)
+
+    def test_thread_follows_until_closed(self) -> None:
+        with self.make(self.fold) as running:
+            self.put(3)
+            self.assertTrue(running.wait_for(2, 2_000))
+            self.assertFalse(running.wait_for(3, 10))
+        self.assertEqual([0, 1, 2], self.fold.notes)
