--- a/src/comfreylatch/_version/tickets.py
+++ b/src/comfreylatch/_version/tickets.py
@@ -78,7 +78,7 @@
 
 def to_json(ticket: Ticket) -> dict[str, Any]:
     """The ticket as a JSON value, all defaults filled in."""
-    return msgspec.to_builtins(ticket)
+    return msgspec.json.decode(msgspec.json.encode(ticket))
 
 
 def is_number(value: Any) -> bool:
