Add replay of recorded traces, and a maker of traces

Requests go out when they are due and are timed from then, so that a slow system can't hide its queue. Jobs are submitted, cancelled and followed to their ends. A trace states its outcomes and the replay says which were kept.

--- /dev/null
+++ b/src/comfreylatch/_commands/load.py
@@ -0,0 +1,236 @@
+"""Sends the requests of a trace at their times, whatever the answers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+import itertools
+import queue
+import random
+import threading
+import time
+from typing import final
+
+import attrs
+import urllib3
+from urllib3 import exceptions
+
+from comfreylatch._commands import trace as traces
+from comfreylatch._connection import address as addresses
+
+CONNECT_TIMEOUT_MS = 2_000
+# What a caller waits beyond the deadline it gave, for the answer's way back.
+GRACE_MS = 2_000
+# A request that starts later than this was held up by the tool itself.
+LATE_START_MS = 10.0
+MAX_POOLS = 256
+
+
+class Seen(enum.StrEnum):
+    """What became of a request, as its caller saw it."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+    MISMATCHED = "mismatched"
+
+
+@attrs.frozen
+class Sample:
+    """One request of a replay.
+
+    Attributes:
+        due_ms: When it was due, from the start of the replay.
+        late_ms: How much later it was sent.
+        elapsed_ms: From the time it was due to the whole answer.
+        timeout_ms: Time its caller would wait.
+        status: HTTP status; 0 when there was no answer.
+        reason: `X-Reason`, or the kind of error.
+        retry_after_ms: When it was told to come back; 0 when it was not.
+    """
+
+    service: str
+    due_ms: float
+    late_ms: float
+    elapsed_ms: float
+    timeout_ms: int
+    seen: Seen
+    status: int
+    reason: str
+    retry_after_ms: int
+
+
+@attrs.frozen
+class LoadOptions:
+    """How requests are sent.
+
+    Attributes:
+        callers: Addresses for callers, by zone; the key `""` holds those
+            that take any zone.
+        run: Prefix of request ids, new for each replay.
+        speed: Trace time per real time.
+        threads: Requests that can be open at once.
+    """
+
+    callers: Mapping[str, Sequence[addresses.Address]]
+    run: str
+    speed: float = 1.0
+    threads: int = 256
+
+
+@attrs.frozen
+class _Due:
+    number: int
+    request: traces.TracedRequest
+    due_ms: float
+
+
+@final
+class Load:
+    """Sends each request when it is due, on a thread of its own.
+
+    Args:
+        trace: What to send; jobs in it are left to others.
+        options: How.
+    """
+
+    def __init__(self, trace: traces.Trace, options: LoadOptions) -> None:
+        self._options = options
+        self._seed = trace.header.seed
+        requests = (
+            line
+            for line in trace.lines
+            if isinstance(line, traces.TracedRequest)
+        )
+        self._due = iter(
+            [
+                _Due(number, one, one.at_ms / options.speed)
+                for number, one in enumerate(requests)
+            ]
+        )
+        self._lock = threading.Lock()
+        self._turn = itertools.count()
+        self._samples: queue.SimpleQueue[Sample] = queue.SimpleQueue()
+        self._pool = urllib3.PoolManager(
+            num_pools=MAX_POOLS, maxsize=options.threads, retries=False
+        )
+        self._threads: list[threading.Thread] = []
+        self._started_s = 0.0
+
+    def start(self, started_s: float) -> None:
+        """Starts sending; times count from `started_s`, monotonic seconds."""
+        self._started_s = started_s
+        for _ in range(self._options.threads):
+            thread = threading.Thread(target=self._send_due, daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    def finish(self) -> list[Sample]:
+        """Waits until all is sent and answered, and returns the samples."""
+        for thread in self._threads:
+            thread.join()
+        self._pool.clear()
+        samples = []
+        while not self._samples.empty():
+            samples.append(self._samples.get())
+        samples.sort(key=lambda sample: sample.due_ms)
+        return samples
+
+    def _send_due(self) -> None:
+        while True:
+            with self._lock:
+                due = next(self._due, None)
+            if due is None:
+                return
+            wait_s = self._started_s + due.due_ms / 1_000 - time.monotonic()
+            if wait_s > 0:
+                time.sleep(wait_s)
+            self._samples.put(self._send(due))
+
+    def _now_ms(self) -> float:
+        return (time.monotonic() - self._started_s) * 1_000
+
+    def _address(self, zone: str) -> addresses.Address:
+        callers = self._options.callers
+        choices = callers.get(zone) or callers.get("")
+        if not choices:
+            choices = [one for each in callers.values() for one in each]
+        return choices[next(self._turn) % len(choices)]
+
+    def _send(self, due: _Due) -> Sample:
+        request = due.request
+        late_ms = self._now_ms() - due.due_ms
+        name = f"{self._options.run}-{due.number}"
+        status = 0
+        retry_after_ms = 0
+        try:
+            answer = self._exchange(request, name, self._body(due))
+        except (
+            exceptions.NewConnectionError,
+            exceptions.ConnectTimeoutError,
+        ) as error:
+            seen, reason = Seen.UNREACHABLE, type(error).__name__
+        except (exceptions.HTTPError, OSError) as error:
+            seen, reason = Seen.LOST, type(error).__name__
+        else:
+            status = answer.status
+            seen, reason = _classify(answer, name)
+            retry_after_ms = _whole(answer.headers.get("X-Retry-After-Ms"))
+        return Sample(
+            service=request.service,
+            due_ms=due.due_ms,
+            late_ms=late_ms,
+            elapsed_ms=self._now_ms() - due.due_ms,
+            timeout_ms=request.timeout_ms,
+            seen=seen,
+            status=status,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _body(self, due: _Due) -> bytes:
+        generator = random.Random(f"{self._seed}/{due.number}")
+        return generator.randbytes(due.request.body_bytes)
+
+    def _exchange(
+        self, request: traces.TracedRequest, name: str, body: bytes
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {
+            "X-Request-Id": name,
+            "X-Idempotent": "true" if request.idempotent else "false",
+            "X-Timeout-Ms": str(request.timeout_ms),
+        }
+        if request.caller:
+            headers["X-Caller"] = request.caller
+        if request.work_ms >= 0:
+            headers["X-Work-Ms"] = f"{request.work_ms:.3f}"
+        address = self._address(request.zone)
+        return self._pool.request(
+            "POST",
+            f"http://{address}/services/{request.service}{request.path}",
+            body=body,
+            headers=headers,
+            redirect=False,
+            timeout=urllib3.Timeout(
+                connect=CONNECT_TIMEOUT_MS / 1_000,
+                read=(request.timeout_ms + GRACE_MS) / 1_000,
+            ),
+        )
+
+
+def _classify(answer: urllib3.BaseHTTPResponse, name: str) -> tuple[Seen, str]:
+    reason = answer.headers.get("X-Reason", "")
+    outcome = answer.headers.get("X-Outcome", "")
+    if outcome not in (Seen.ANSWERED, Seen.NOT_RUN, Seen.UNKNOWN):
+        # Cut within its headers, or no answer of an entry host at all.
+        return Seen.LOST, f"no outcome, status {answer.status}"
+    if answer.headers.get("X-Request-Id") != name:
+        return Seen.MISMATCHED, reason
+    return Seen(outcome), reason
+
+
+def _whole(text: str | None) -> int:
+    return int(text) if text and text.isascii() and text.isdigit() else 0
--- a/src/comfreylatch/_commands/main.py
+++ b/src/comfreylatch/_commands/main.py
@@ -11,6 +11,7 @@
 from comfreylatch._commands import host
 from comfreylatch._commands import job
 from comfreylatch._commands import options
+from comfreylatch._commands import replay
 from comfreylatch._commands import serve
 from comfreylatch._commands import ticket
 
@@ -52,6 +53,7 @@
 app.command(epilog=exits.HELP)(host.status)
 app.command(epilog=exits.HELP)(host.explain)
 app.command(epilog=exits.HELP)(host.metrics)
+app.command(epilog=exits.HELP)(replay.replay)
 
 
 def run() -> None:
--- /dev/null
+++ b/src/comfreylatch/_commands/replay.py
@@ -0,0 +1,125 @@
+"""The command `replay`: a recorded trace against a running system."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import time
+from typing import Annotated
+
+import result
+import typer
+
+from comfreylatch._commands import exits
+from comfreylatch._commands import options
+from comfreylatch._commands import output
+from comfreylatch._commands import trace as traces
+from comfreylatch._connection import address as addresses
+
+
+def replay(
+    trace: Annotated[
+        str, typer.Argument(metavar="TRACE", help="Trace of JSON lines.")
+    ],
+    callers: Annotated[
+        list[str],
+        typer.Option(
+            "--caller",
+            metavar="[ZONE=]IP:PORT",
+            help="Caller address of an entry host; may be given several "
+            "times. Requests of a zone go to the hosts of that zone, if any.",
+        ),
+    ],
+    hosts: options.OptionalHosts = None,
+    speed: Annotated[
+        float,
+        typer.Option(min=0.01, max=100, help="Trace time per real time."),
+    ] = 1.0,
+    threads: Annotated[
+        int,
+        typer.Option(min=1, max=2_000, help="Requests open at once."),
+    ] = 256,
+    settle_ms: Annotated[
+        int,
+        typer.Option(
+            min=0, metavar="MS", help="How long to wait for jobs at the end."
+        ),
+    ] = 60_000,
+    run: Annotated[
+        str,
+        typer.Option(help="Prefix of all ids; must be new for each replay."),
+    ] = "",
+    label: Annotated[
+        str, typer.Option(help="Name of the policy under test.")
+    ] = "",
+    as_json: options.AsJson = False,
+) -> None:
+    """Sends what a trace recorded, at its times, and reports what came.
+
+    Requests are sent when they are due, whether or not earlier ones were
+    answered, and times count from then. Jobs and the count of tries need the
+    operator addresses (--host). Exits 1 when an outcome that the trace
+    states was not kept.
+    """
+    from comfreylatch._commands import load
+    from comfreylatch._commands import replay_run
+
+    found = _read(trace, as_json)
+    operators = _addresses(hosts or [], "--host")
+    if found.has_jobs and not operators:
+        raise typer.BadParameter(
+            "the trace has jobs, and they need a host of each zone",
+            param_hint="--host",
+        )
+    report = replay_run.run(
+        found,
+        load.LoadOptions(
+            callers=_callers_by_zone(callers),
+            run=run or f"replay-{time.time_ns() // 1_000_000}",
+            speed=speed,
+            threads=threads,
+        ),
+        operators,
+        label,
+        settle_ms,
+    )
+    if as_json:
+        output.show(report, as_json)
+    else:
+        for line in replay_run.text_lines(report):
+            typer.echo(line)
+    if not report.kept:
+        raise typer.Exit(exits.ExitCode.REFUSED)
+
+
+def _read(path: str, as_json: bool) -> traces.Trace:
+    match traces.read(path):
+        case result.Ok(found):
+            return found
+        case result.Err(bad):
+            detail = f"{path}:{bad.line}: {bad.detail}"
+            if as_json:
+                error = output.CommandError("bad trace", detail)
+                output.show(error, as_json)
+                raise typer.Exit(exits.ExitCode.USAGE)
+            return output.fail("bad trace", detail, exits.ExitCode.USAGE)
+
+
+def _addresses(texts: Sequence[str], option: str) -> list[addresses.Address]:
+    found = []
+    for text in texts:
+        match addresses.parse(text):
+            case result.Ok(address):
+                found.append(address)
+            case result.Err(bad):
+                raise typer.BadParameter(bad.detail, param_hint=option)
+    return found
+
+
+def _callers_by_zone(
+    texts: Sequence[str],
+) -> dict[str, list[addresses.Address]]:
+    found: dict[str, list[addresses.Address]] = {}
+    for text in texts:
+        zone, _, address = text.rpartition("=")
+        found.setdefault(zone, []).extend(_addresses([address], "--caller"))
+    return found
--- /dev/null
+++ b/src/comfreylatch/_commands/replay_jobs.py
@@ -0,0 +1,213 @@
+"""Submits the jobs of a trace, cancels them, and waits for their ends."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from concurrent import futures
+import contextlib
+import threading
+import time
+from typing import Any
+from typing import final
+from typing import Self
+from urllib import parse
+
+import attrs
+import msgspec
+import result
+
+from comfreylatch._commands import client as clients
+from comfreylatch._commands import trace as traces
+from comfreylatch._connection import address as addresses
+from comfreylatch._process import reasons
+
+CALL_TIMEOUT_MS = 10_000
+POLL_INTERVAL_S = 0.5
+THREADS = 8
+END_PHASES = ("finished", "cancelled", "parked", "ended")
+
+
+@attrs.define
+class JobSample:
+    """One job of a replay, filled in as it goes.
+
+    Attributes:
+        due_ms: When it was due, from the start of the replay.
+        submitted: `accepted`, `unknown`, or the reason of its refusal.
+        phase: Last phase seen.
+        ended_ms: When an end was first seen, from the start; 0 when none.
+        cancelled: Whether the trace cancelled it.
+    """
+
+    id: str
+    due_ms: float
+    run_time_ms: int
+    processors_milli: int
+    submitted: str = ""
+    phase: str = ""
+    ended_ms: float = 0.0
+    cancelled: bool = False
+    evictions: int = 0
+    losses: int = 0
+
+
+@final
+class JobReplay:
+    """Plays the jobs of a trace against operator addresses.
+
+    Args:
+        trace: What to submit; requests in it are left to others.
+        hosts: Operator addresses; each zone's jobs go to the first that
+            takes jobs of the zone.
+        run: Prefix of job ids, new for each replay.
+        speed: Trace time per real time; job run times are left as they are.
+    """
+
+    def __init__(
+        self,
+        trace: traces.Trace,
+        hosts: Sequence[addresses.Address],
+        run: str,
+        speed: float,
+    ) -> None:
+        self._lines = [
+            line
+            for line in trace.lines
+            if not isinstance(line, traces.TracedRequest)
+        ]
+        self._stack = contextlib.ExitStack()
+        self._clients = [
+            self._stack.enter_context(clients.Client([one], CALL_TIMEOUT_MS))
+            for one in hosts
+        ]
+        self._run = run
+        self._speed = speed
+        self._started_s = 0.0
+        self._samples: dict[str, JobSample] = {}
+        self._client_by_zone: dict[str, clients.Client] = {}
+        self._pending: set[str] = set()
+        self._lock = threading.Lock()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._stack.close()
+
+    def play(self, started_s: float, settle_ms: int) -> list[JobSample]:
+        """Plays everything; waits up to `settle_ms` for ends afterwards."""
+        self._started_s = started_s
+        with futures.ThreadPoolExecutor(THREADS) as pool:
+            for line in self._lines:
+                self._wait_until(line.at_ms / self._speed, pool)
+                if isinstance(line, traces.TracedJob):
+                    pool.submit(self._submit, self._add(line), line)
+                else:
+                    pool.submit(self._cancel, line)
+            self._wait_for_ends(settle_ms, pool)
+        return list(self._samples.values())
+
+    def _now_ms(self) -> float:
+        return (time.monotonic() - self._started_s) * 1_000
+
+    def _wait_until(self, due_ms: float, pool: futures.Executor) -> None:
+        left_s = (due_ms - self._now_ms()) / 1_000
+        while left_s > 0:
+            time.sleep(min(left_s, POLL_INTERVAL_S))
+            left_s = (due_ms - self._now_ms()) / 1_000
+            if left_s > POLL_INTERVAL_S:
+                self._poll(pool)
+
+    def _wait_for_ends(self, settle_ms: int, pool: futures.Executor) -> None:
+        until_ms = self._now_ms() + settle_ms
+        while self._now_ms() < until_ms:
+            self._poll(pool)
+            with self._lock:
+                unsent = any(
+                    not one.submitted for one in self._samples.values()
+                )
+                if not self._pending and not unsent:
+                    return
+            time.sleep(POLL_INTERVAL_S)
+
+    def _add(self, line: traces.TracedJob) -> JobSample:
+        sample = JobSample(
+            id=f"{self._run}-{line.job.id}",
+            due_ms=line.at_ms / self._speed,
+            run_time_ms=line.job.run_time_ms,
+            processors_milli=line.job.resources.processors_milli,
+        )
+        self._samples[line.job.id] = sample
+        return sample
+
+    def _submit(self, sample: JobSample, line: traces.TracedJob) -> None:
+        document = attrs.evolve(line.job, id=sample.id)
+        body = msgspec.json.encode(document)
+        known = self._client_by_zone.get(document.zone)
+        answered: Any = None
+        for client in [known] if known else self._clients:
+            answered = client.change("POST", "/jobs", body)
+            if not _is_other_zone(answered):
+                self._client_by_zone[document.zone] = client
+                break
+        match answered:
+            case result.Ok(reply) if reply.status == 200:
+                sample.submitted = "accepted"
+                with self._lock:
+                    self._pending.add(line.job.id)
+            case result.Ok(reply) if reply.status == 504:
+                sample.submitted = "unknown"
+            case result.Ok(reply):
+                sample.submitted = reply.headers.get("x-reason", "refused")
+            case result.Err(clients.AnswerLost()):
+                sample.submitted = "unknown"
+            case _:
+                sample.submitted = "unreachable"
+
+    def _cancel(self, line: traces.TracedCancellation) -> None:
+        sample = self._samples.get(line.job)
+        if sample is None:
+            return
+        sample.cancelled = True
+        path = "/jobs/" + parse.quote(sample.id, safe="")
+        for client in self._clients:
+            answer = client.change("DELETE", path)
+            if answer.is_ok() and answer.ok_value.status == 200:
+                return
+
+    def _poll(self, pool: futures.Executor) -> None:
+        with self._lock:
+            pending = sorted(self._pending)
+        list(pool.map(self._look, pending))
+
+    def _look(self, name: str) -> None:
+        sample = self._samples[name]
+        path = "/jobs/" + parse.quote(sample.id, safe="")
+        for client in self._clients:
+            answer = client.read(path)
+            if answer.is_ok() and answer.ok_value.status == 200:
+                self._take(name, sample, answer.ok_value.value)
+                return
+
+    def _take(self, name: str, sample: JobSample, page: dict[str, Any]) -> None:
+        sample.phase = str(page.get("phase", ""))
+        sample.evictions = int(page.get("evictions", sample.evictions))
+        sample.losses = int(page.get("losses", sample.losses))
+        if sample.phase in END_PHASES:
+            sample.ended_ms = self._now_ms()
+            with self._lock:
+                self._pending.discard(name)
+
+
+def _is_other_zone(
+    answer: result.Result[clients.Reply, clients.CallError],
+) -> bool:
+    """Whether a job should be offered to another host."""
+    match answer:
+        case result.Ok(reply):
+            reason = reply.headers.get("x-reason", "")
+            return reason == reasons.RefusalReason.UNKNOWN_ZONE
+        case result.Err(clients.NoHostReached()):
+            return True
+        case _:
+            return False
--- /dev/null
+++ b/testing/traces.py
@@ -0,0 +1,295 @@
+"""Makes traces of both deployments from a seed.
+
+`python -m testing.traces FOLDER` writes one file for each deployment and
+shape of load. Rates follow from the deployment's slots and the work of a
+request, so that a load of 1 fills every slot.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Iterator
+import enum
+import math
+import pathlib
+import random
+
+import attrs
+
+from comfreylatch._commands import job as job_module
+from comfreylatch._commands import trace as traces
+from comfreylatch._ports import workers
+from testing import deployments
+from testing.standins import worker_model
+
+DEFAULT_DURATION_MS = 60_000
+SLOTS = 8
+CALLERS = 40
+CALM_LOAD = 0.35
+SHIFTED_LOAD = 0.75
+BURST_LOAD = 1.3
+BURST_EVERY_MS = 20_000
+BURST_MS = 2_000
+# Normal deviate of the 99th percentile.
+P99_DEVIATE = 2.326
+JOB_LOAD = 0.6
+NEVER_WORKS_CHANCE = 0.02
+NEVER_FITS_CHANCE = 0.01
+URGENT_CHANCE = 0.05
+CANCELLED_CHANCE = 0.05
+CANCEL_AT = 0.6
+
+
+class Shape(enum.StrEnum):
+    """How the load moves over a trace."""
+
+    CALM = "calm"
+    SHIFT = "shift"
+    BURST = "burst"
+
+
+@attrs.frozen
+class Workload:
+    """What one user sends.
+
+    Attributes:
+        deployment: Where it is sent.
+        work_ms: Median work of a request.
+        spread: Standard deviation of the logarithm of the work.
+        timeout_ms: What callers wait.
+        idempotent_chance: Part of the requests that may run twice.
+        body_bytes: Size of a request's body.
+        job_run_time_ms: Median declared run time of a job.
+        job_processors_milli: Sizes that jobs declare.
+    """
+
+    deployment: deployments.Deployment
+    work_ms: float
+    spread: float
+    timeout_ms: int
+    idempotent_chance: float
+    body_bytes: int
+    job_run_time_ms: float
+    job_processors_milli: tuple[int, ...]
+
+    @property
+    def full_rate_per_s(self) -> float:
+        """Requests a second that fill every slot."""
+        mean_s = self.work_ms / 1_000 * math.exp(self.spread**2 / 2)
+        return self.deployment.endpoints * SLOTS / mean_s
+
+
+def utility_night() -> Workload:
+    """Calibrations by night, stacks beside them."""
+    return Workload(
+        deployment=deployments.utility(),
+        work_ms=400.0,
+        spread=0.4,
+        timeout_ms=3_000,
+        idempotent_chance=0.8,
+        body_bytes=2_048,
+        job_run_time_ms=8_000.0,
+        job_processors_milli=(2_000, 4_000, 8_000),
+    )
+
+
+def workshop_day() -> Workload:
+    """Quotes and orders by day, mandrel plans beside them."""
+    return Workload(
+        deployment=deployments.workshop(),
+        work_ms=300.0,
+        spread=0.4,
+        timeout_ms=1_500,
+        idempotent_chance=0.6,
+        body_bytes=512,
+        job_run_time_ms=4_000.0,
+        job_processors_milli=(1_000, 2_000, 4_000),
+    )
+
+
+WORKLOADS: dict[str, Callable[[], Workload]] = {
+    "utility-night": utility_night,
+    "workshop-day": workshop_day,
+}
+
+
+class TraceMaker:
+    """Draws one trace from a seed."""
+
+    def __init__(
+        self,
+        name: str,
+        workload: Workload,
+        shape: Shape,
+        seed: int,
+        duration_ms: int,
+        scale: float = 1.0,
+    ) -> None:
+        self._name = f"{name}-{shape}"
+        self._workload = workload
+        self._shape = shape
+        self._seed = seed
+        self._duration_ms = duration_ms
+        self._scale = scale
+        self._random = random.Random(f"{seed}/{self._name}")
+
+    def make(self, with_jobs: bool = True) -> traces.Trace:
+        """The whole trace."""
+        lines: list[traces.TraceLine] = list(self._requests())
+        if with_jobs:
+            jobs = list(self._jobs())
+            lines += jobs
+            lines += self._cancellations(jobs)
+        lines.sort(key=lambda line: line.at_ms)
+        header = traces.Header(
+            format=traces.FORMAT,
+            name=self._name,
+            seed=self._seed,
+            duration_ms=self._duration_ms,
+            outcomes=self._outcomes(with_jobs),
+        )
+        return traces.Trace(header, tuple(lines))
+
+    def _load(self, at_ms: float) -> float:
+        match self._shape:
+            case Shape.CALM:
+                return CALM_LOAD
+            case Shape.SHIFT:
+                shifted = at_ms >= self._duration_ms / 3
+                return SHIFTED_LOAD if shifted else CALM_LOAD
+            case Shape.BURST:
+                in_burst = at_ms % BURST_EVERY_MS >= BURST_EVERY_MS - BURST_MS
+                return BURST_LOAD if in_burst else CALM_LOAD
+
+    def _requests(self) -> Iterator[traces.TracedRequest]:
+        peak = max(CALM_LOAD, SHIFTED_LOAD, BURST_LOAD)
+        rate = self._workload.full_rate_per_s * peak * self._scale
+        at_ms = 0.0
+        while True:
+            at_ms += self._random.expovariate(rate) * 1_000
+            if at_ms >= self._duration_ms:
+                return
+            # Thinning: a Poisson process whose rate follows the load.
+            if self._random.random() < self._load(at_ms) / peak:
+                yield self._request(at_ms)
+
+    def _request(self, at_ms: float) -> traces.TracedRequest:
+        workload = self._workload
+        # Few callers send most; the first ones are the busiest.
+        caller = int(CALLERS * self._random.random() ** 2)
+        work_ms = workload.work_ms * self._random.lognormvariate(
+            0.0, workload.spread
+        )
+        return traces.TracedRequest(
+            at_ms=round(at_ms, 3),
+            service=workload.deployment.service,
+            caller=f"caller-{caller}",
+            zone=self._zone(at_ms),
+            idempotent=self._random.random() < workload.idempotent_chance,
+            timeout_ms=workload.timeout_ms,
+            body_bytes=workload.body_bytes,
+            work_ms=round(work_ms, 3),
+        )
+
+    def _zone(self, at_ms: float) -> str:
+        zones = self._workload.deployment.zones
+        weights = [1.0] * len(zones)
+        if self._shape is Shape.SHIFT and at_ms >= self._duration_ms / 3:
+            weights[0] = 2.0
+        return self._random.choices(zones, weights)[0]
+
+    def _jobs(self) -> Iterator[traces.TracedJob]:
+        workload = self._workload
+        deployment = workload.deployment
+        free_milli = deployment.workers * (
+            deployment.worker_capacity.processors_milli
+            - deployment.endpoint_resources.processors_milli
+        )
+        sizes = workload.job_processors_milli
+        mean_milli = sum(sizes) / len(sizes)
+        job_work = mean_milli * workload.job_run_time_ms / 1_000
+        rate = JOB_LOAD * free_milli / job_work * self._scale
+        at_ms = 0.0
+        number = 0
+        while True:
+            at_ms += self._random.expovariate(rate) * 1_000
+            if at_ms >= self._duration_ms:
+                return
+            number += 1
+            yield traces.TracedJob(round(at_ms, 3), self._job(number))
+
+    def _job(self, number: int) -> job_module.JobDocument:
+        workload = self._workload
+        deployment = workload.deployment
+        processors_milli = self._random.choice(workload.job_processors_milli)
+        job_class = self._random.choice(deployment.job_classes)
+        drawn = self._random.random()
+        if drawn < NEVER_WORKS_CHANCE:
+            job_class = worker_model.NEVER_WORKS
+        elif drawn < NEVER_WORKS_CHANCE + NEVER_FITS_CHANCE:
+            processors_milli = deployment.worker_capacity.processors_milli * 2
+        run_time_ms = workload.job_run_time_ms * self._random.lognormvariate(
+            0.0, 0.5
+        )
+        team = self._random.choice(deployment.teams)
+        may_be_urgent = team == deployment.teams[0]
+        return job_module.JobDocument(
+            id=f"job-{number}",
+            team=team,
+            job_class=job_class,
+            resources=workers.Resources(processors_milli, processors_milli, 0),
+            run_time_ms=int(run_time_ms),
+            zone=self._random.choice(deployment.zones),
+            urgent=may_be_urgent and self._random.random() < URGENT_CHANCE,
+        )
+
+    def _cancellations(
+        self, jobs: list[traces.TracedJob]
+    ) -> Iterator[traces.TracedCancellation]:
+        """One burst, of jobs submitted before it."""
+        at_ms = self._duration_ms * CANCEL_AT
+        for one in jobs:
+            chosen = self._random.random() < CANCELLED_CHANCE
+            if one.at_ms < at_ms and chosen:
+                yield traces.TracedCancellation(at_ms, one.job.id)
+
+    def _outcomes(self, with_jobs: bool) -> traces.StatedOutcomes:
+        workload = self._workload
+        work_p99_ms = workload.work_ms * math.exp(P99_DEVIATE * workload.spread)
+        calm = self._shape is Shape.CALM
+        return traces.StatedOutcomes(
+            answered_percent_min=99.5 if calm else 95.0,
+            p99_ms_max=round(work_p99_ms * (1.25 if calm else 1.6)),
+            unknown_percent_max=0.5,
+            tries_per_request_max=1.1,
+            jobs_finished_percent_min=95.0 if with_jobs else None,
+        )
+
+
+def main() -> None:
+    """Writes all traces."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--duration-ms", type=int, default=DEFAULT_DURATION_MS)
+    parser.add_argument("--scale", type=float, default=1.0)
+    given = parser.parse_args()
+    given.folder.mkdir(parents=True, exist_ok=True)
+    for name, workload in WORKLOADS.items():
+        for shape in Shape:
+            maker = TraceMaker(
+                name,
+                workload(),
+                shape,
+                given.seed,
+                given.duration_ms,
+                given.scale,
+            )
+            path = given.folder / f"{name}-{shape}.jsonl"
+            path.write_bytes(traces.encode(maker.make()))
+            print(path)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/commands/test_trace.py
@@ -0,0 +1,47 @@
+"""Trace files."""
+
+from __future__ import annotations
+
+import testtools
+
+from comfreylatch._commands import trace as traces
+from testing import traces as maker
+
+HEADER = b'{"format": 1, "name": "t", "seed": 3, "duration_ms": 100}'
+
+
+class TraceTest(testtools.TestCase):
+    """Reading and making of traces."""
+
+    def refusal(self, *lines: bytes) -> traces.BadTrace:
+        return traces.decode(lines).err_value
+
+    def test_made_trace_reads_back_the_same(self) -> None:
+        workload = maker.utility_night()
+        made = [
+            maker.TraceMaker("n", workload, shape, seed=5, duration_ms=2_000)
+            for shape in (maker.Shape.CALM, maker.Shape.CALM)
+        ]
+        first, second = (one.make() for one in made)
+        self.assertEqual(first, second)
+        lines = traces.encode(first).splitlines()
+        self.assertEqual(first, traces.decode(lines).ok_value)
+
+    def test_bad_lines_are_named(self) -> None:
+        request = b'{"kind": "request", "at_ms": 5, "service": "s"}'
+        early = b'{"kind": "request", "at_ms": 4, "service": "s"}'
+        refusals = [
+            self.refusal(),
+            self.refusal(b'{"format": 9}'),
+            self.refusal(HEADER, b"{"),
+            self.refusal(HEADER, b'{"kind": "reqest", "at_ms": 1}'),
+            self.refusal(HEADER, b'{"kind": "request", "at_ms": 1}'),
+            self.refusal(HEADER, b'{"kind": "request", "at": 1}'),
+            self.refusal(HEADER, request, early),
+        ]
+        lines = [one.line for one in refusals]
+        self.assertEqual([1, 1, 2, 2, 2, 2, 3], lines)
+
+    def test_deeply_nested_line_is_refused(self) -> None:
+        nested = b"[" * 100_000
+        self.assertEqual(2, self.refusal(HEADER, nested).line)
