Tie batch work together in one service

The worker client read an empty body because urllib3 had already taken it; preload_content is off now.

--- a/src/comfreylatch/_connection/worker_client.py
+++ b/src/comfreylatch/_connection/worker_client.py
@@ -110,7 +110,13 @@
 
     headers = {"Content-Type": "application/json", "Connection": "close"}
     try:
-        connection.request("POST", EXCHANGE_PATH, body=body, headers=headers)
+        connection.request(
+            "POST",
+            EXCHANGE_PATH,
+            body=body,
+            headers=headers,
+            preload_content=False,
+        )
         response = connection.getresponse()
         answer = response.read(MAX_REPORT_BYTES + 1)
     except (exceptions.HTTPError, client.HTTPException, OSError) as error:
--- /dev/null
+++ b/src/comfreylatch/_process/batch/service.py
@@ -0,0 +1,171 @@
+"""Everything of batch work that one entry host runs for its zone."""
+
+from __future__ import annotations
+
+import contextlib
+import types
+from typing import final
+
+import attrs
+
+from comfreylatch._connection import http
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import configuration as configuration_port
+from comfreylatch._ports import hosts
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import workers
+from comfreylatch._process import appender as appender_module
+from comfreylatch._process import catch_up as catch_up_module
+from comfreylatch._process import follower as follower_module
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import settings as settings_module
+from comfreylatch._process.batch import job_desk
+from comfreylatch._process.batch import link_pool
+from comfreylatch._process.batch import ownership as ownership_module
+from comfreylatch._process.batch import placement
+from comfreylatch._process.batch import zone_owner
+from comfreylatch._version import job_records
+from comfreylatch._version import zone_fold
+
+# A shorter wait tells sooner that the fold is at the head of the stream.
+READ_WAIT_MS = 1_000
+
+
+@attrs.frozen
+class BatchStatus:
+    """What `status` shows of batch work.
+
+    Attributes:
+        zone: Zone whose stream this host follows.
+        age_ms: Time since it was known to be at the head of that stream.
+        digest: Hash of the folded state.
+        owner: Who owns the zone's workers, and its counts.
+    """
+
+    zone: str
+    age_ms: int
+    digest: str
+    owner: zone_owner.OwnerStatus
+
+
+@final
+class BatchService:
+    """Appender, follower, fold, ownership, owner's loop and job desk.
+
+    A context manager; `release` comes before the exit in a planned stop.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        host_id: str,
+        log: log_port.LogPort,
+        source: configuration_port.ConfigurationSource,
+        worker_port: workers.WorkerPort,
+        journal: journal_module.Journal,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+        *,
+        catch_up: catch_up_module.CatchUpSource | None = None,
+        policy: placement.Policy = placement.Policy.PREDICTED_COST,
+    ) -> None:
+        zone = settings.zone
+        stream = job_records.zone_stream(zone)
+        self._zone = zone
+        self._stack = contextlib.ExitStack()
+        self.fold = zone_fold.ZoneFold()
+        self.appender = appender_module.StreamAppender(
+            log, stream, host_id, metrics, clock
+        )
+        self.follower = follower_module.StreamFollower(
+            log,
+            stream,
+            self.fold,
+            metrics,
+            clock,
+            wait_ms=READ_WAIT_MS,
+            catch_up=catch_up,
+            after_apply=self.appender.observe,
+        )
+        self._ownership = ownership_module.Ownership(
+            host_id,
+            zone,
+            self.appender,
+            self.follower,
+            self.fold,
+            source,
+            journal,
+            metrics,
+            clock,
+        )
+        self._pool = link_pool.LinkPool(
+            host_id, worker_port, self._ownership, metrics, clock
+        )
+        self._owner = zone_owner.ZoneOwner(
+            zone,
+            self._ownership,
+            self.appender,
+            self.follower,
+            self.fold,
+            source,
+            self._pool,
+            journal,
+            metrics,
+            clock,
+            policy,
+        )
+        self._desk = job_desk.JobDesk(
+            zone,
+            self.appender,
+            self.follower,
+            self.fold,
+            source,
+            journal,
+            metrics,
+        )
+        self._owner_stack = contextlib.ExitStack()
+
+    def __enter__(self) -> BatchService:
+        self._stack.enter_context(self.appender)
+        self._stack.enter_context(self.follower)
+        self._owner_stack.enter_context(self._ownership)
+        self._owner_stack.enter_context(self._pool)
+        self._owner_stack.enter_context(self._owner)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._owner_stack.close()
+        self._stack.close()
+
+    def handle(self, request: http.HttpRequest) -> http.HttpReply:
+        """Answers `/jobs` and `/jobs/ID`."""
+        return self._desk.handle(request)
+
+    def update_listed(self, host_list: hosts.HostList) -> None:
+        """Takes a new list of hosts."""
+        self._owner.update_listed(host_list)
+        self._desk.update_listed(host_list)
+
+    def release(self) -> None:
+        """Stops commanding workers, then gives the claim up.
+
+        Tasks go on under their leases until the next owner takes over.
+        """
+        self._desk.stop_taking()
+        self._owner_stack.close()
+        self._ownership.release()
+
+    def status(self) -> BatchStatus:
+        """What `status` shows."""
+        return BatchStatus(
+            zone=self._zone,
+            age_ms=self.follower.age_ms(),
+            digest=self.follower.digest(),
+            owner=self._owner.status(),
+        )
--- a/src/comfreylatch/_version/job_state.py
+++ b/src/comfreylatch/_version/job_state.py
@@ -109,4 +109,4 @@
 
 def id_hash(job: str) -> int:
     """64-bit hash of a job's id."""
-    return xxhash.xxh3_64_intdigest(job)
+    return xxhash.xxh3_64_intdigest(job.encode("utf-8", "surrogatepass"))
--- a/src/comfreylatch/_version/zone_fold.py
+++ b/src/comfreylatch/_version/zone_fold.py
@@ -23,7 +23,6 @@
 
 RETIRE_AFTER_RECORDS = 20_000
 MAX_RETIRED_IDS = 20_000
-MAX_WRITERS = 256
 MAX_CLAIMS = 16
 
 _encoder = msgspec.json.Encoder()
@@ -38,7 +37,6 @@
     jobs: tuple[job_state.JobState, ...]
     ended: tuple[tuple[int, str], ...]
     retired: tuple[tuple[int, int], ...]
-    writers: tuple[tuple[str, int], ...]
     claims: tuple[job_state.Claim, ...]
 
 
@@ -75,22 +73,19 @@
         self._jobs_hash = 0
         self._ended: collections.deque[tuple[int, str]] = collections.deque()
         self._retired: dict[int, int] = {}
-        self._writers: dict[str, int] = {}
         self._claims: tuple[job_state.Claim, ...] = ()
 
     # What `streams.RecordFold` asks for.
 
     def apply(self, offset: int, envelope: records.Envelope, body: Any) -> None:
         """See `streams.RecordFold.apply`."""
+        del envelope
         with self._lock:
             if offset <= self._offset:
                 self._events[FoldEvent.REPEATED_RECORD] += 1
                 return
             self._offset = offset
             self._retire(offset)
-            if not self._is_new(envelope):
-                self._events[FoldEvent.REPEATED_RECORD] += 1
-                return
             refused = self._fold(offset, body)
             if refused is not None:
                 self._events[refused] += 1
@@ -104,20 +99,21 @@
                     jobs=tuple(self._jobs.values()),
                     ended=tuple(self._ended),
                     retired=tuple(self._retired.items()),
-                    writers=tuple(self._writers.items()),
                     claims=self._claims,
                 )
             )
 
     def restore(self, offset: int, snapshot: bytes) -> None:
-        """See `streams.RecordFold.restore`."""
-        taken = _snapshot_decoder.decode(snapshot)
+        """See `streams.RecordFold.restore`; ValueError if malformed."""
+        try:
+            taken = _snapshot_decoder.decode(snapshot)
+        except msgspec.MsgspecError as error:
+            raise ValueError(str(error)) from error
         with self._lock:
             self._clear()
             self._offset = max(offset, taken.offset)
             self._ended.extend(taken.ended)
             self._retired.update(taken.retired)
-            self._writers.update(taken.writers)
             self._claims = taken.claims
             for state in taken.jobs:
                 self._put(state)
@@ -308,10 +304,3 @@
             self._retired[job_state.id_hash(name)] = content
         while len(self._retired) > self._max_retired_ids:
             del self._retired[next(iter(self._retired))]
-
-    def _is_new(self, envelope: records.Envelope) -> bool:
-        last = self._writers.pop(envelope.writer, -1)
-        self._writers[envelope.writer] = max(last, envelope.sequence)
-        if len(self._writers) > MAX_WRITERS:
-            del self._writers[next(iter(self._writers))]
-        return envelope.sequence > last
