--- a/src/comfreylatch/_process/catch_up.py
+++ b/src/comfreylatch/_process/catch_up.py
@@ -23,12 +23,15 @@
         entries: What follows the snapshot, or the offset asked for.
         offset: Where the receiver is after them.
         digest: Digest of the fold there.
+        floor: Highest offset that any peer is known to have; a host that
+            has no state of its own must not serve below it.
     """
 
     snapshot: bytes
     entries: tuple[log_port.LogEntry, ...]
     offset: int
     digest: str
+    floor: int = -1
 
 
 @attrs.frozen
@@ -56,7 +59,8 @@
         peers: The other entry hosts.
         zone: This host's availability zone.
         timeout_ms: For one call to a peer.
-        zone_only: Whether only peers of the own zone follow the stream.
+        zone_only: Whether only peers of the own zone follow the stream; if
+            not, it is the configuration stream, of which views give offsets.
     """
 
     def __init__(
@@ -79,13 +83,17 @@
         request = ttypes.CatchUpRequest(
             stream=stream, after_offset=after_offset
         )
-        for seat in self._candidates():
-            answer = self._peers.catch_up(seat, request, self._timeout_ms)
+        views = self._candidates()
+        floor = -1
+        if not self._zone_only:
+            floor = max((view.config_offset for view in views), default=-1)
+        for view in views:
+            answer = self._peers.catch_up(view.seat, request, self._timeout_ms)
             if answer.is_ok():
-                return result.Ok(from_wire(answer.ok()))
+                return result.Ok(from_wire(answer.ok(), floor))
         return result.Err(NoCatchUp("no peer reached has the state"))
 
-    def _candidates(self) -> list[str]:
+    def _candidates(self) -> list[peers_port.PeerView]:
         views = [
             view
             for view in self._peers.views()
@@ -95,13 +103,13 @@
         views.sort(
             key=lambda view: (-view.config_offset, view.zone != self._zone)
         )
-        return [view.seat for view in views]
+        return views
 
 
 def to_wire(given: CatchUp) -> ttypes.CatchUpReply:
     """The reply of `PeerHandler.catch_up`."""
     return ttypes.CatchUpReply(
-        snapshot_offset=-1,
+        snapshot_offset=given.offset if given.snapshot else -1,
         snapshot=given.snapshot,
         entries=entries_to_wire(given.entries),
         offset=given.offset,
@@ -109,13 +117,14 @@
     )
 
 
-def from_wire(reply: ttypes.CatchUpReply) -> CatchUp:
+def from_wire(reply: ttypes.CatchUpReply, floor: int) -> CatchUp:
     """Reverses `to_wire`."""
     return CatchUp(
         snapshot=reply.snapshot,
         entries=entries_from_wire(reply.entries),
         offset=reply.offset,
         digest=reply.digest,
+        floor=floor,
     )
 
 
--- a/src/comfreylatch/_process/follower.py
+++ b/src/comfreylatch/_process/follower.py
@@ -262,7 +262,7 @@
         offset, digest = self._state.position()
         if offset == given.offset and digest != given.digest:
             self._bad_peer_message("digest", f"at offset {offset}")
-        elif offset >= given.offset:
+        elif offset >= max(given.offset, given.floor):
             self._ready = True
 
     def _bad_peer_message(self, what: str, detail: str) -> None:
--- a/src/comfreylatch/_process/ticket_pages.py
+++ b/src/comfreylatch/_process/ticket_pages.py
@@ -38,6 +38,8 @@
         offset: Offset of its configuration, as last heard.
         digest: Digest of its configuration there.
         reachable: Whether the seat answers now.
+        diverged: Whether it has another state at the same offset as this
+            host, which is a fault of one of them.
     """
 
     seat: str
@@ -45,6 +47,7 @@
     offset: int
     digest: str
     reachable: bool
+    diverged: bool = False
 
 
 @attrs.frozen
@@ -179,7 +182,7 @@
             own.seat, own.offset >= line.offset, own.offset, own.digest, True
         )
     ]
-    seats += [_seat_line(line, view) for view in views]
+    seats += [_seat_line(line, own, view) for view in views]
     in_force = tuple(seat for seat in seats if seat.applied)
     not_yet = tuple(seat for seat in seats if not seat.applied)
     return TicketPage(
@@ -236,14 +239,16 @@
 
 
 def _seat_line(
-    line: verdicts.TicketLine, view: peers_port.PeerView
+    line: verdicts.TicketLine, own: OwnView, view: peers_port.PeerView
 ) -> SeatLine:
+    same_offset = view.config_offset == own.offset
     return SeatLine(
         seat=view.seat,
         applied=view.config_offset >= line.offset,
         offset=view.config_offset,
         digest=view.config_digest,
         reachable=view.reachable,
+        diverged=same_offset and view.config_digest != own.digest,
     )
 
 
@@ -265,6 +270,9 @@
     if not_yet:
         names = ", ".join(map(_seat_name, not_yet))
         text += f"; not yet known to be on {names}"
+    diverged = [seat.seat for seat in (*in_force, *not_yet) if seat.diverged]
+    if diverged:
+        text += f"; its state differs on {', '.join(diverged)}: restart them"
     return f"{text} ({age(age_ms)})."
 
 
--- a/testing/fakes/peers.py
+++ b/testing/fakes/peers.py
@@ -36,6 +36,8 @@
     ) -> result.Result[ttypes.CatchUpReply, Any]:
         """See `Peers.catch_up`."""
         del timeout_ms
+        if seat not in self.followers:
+            return result.Err(peers_port.PeerUnreachable("no such peer"))
         served = self.followers[seat].serve_catch_up(request.after_offset)
         if served.is_err():
             detail = served.err().detail
--- a/tests/process/test_follower.py
+++ b/tests/process/test_follower.py
@@ -176,6 +176,17 @@
             self.metrics.value(metrics.Counter.BAD_PEER_MESSAGES, "digest"),
         )
 
+    def test_state_below_a_known_offset_is_not_served_from(self) -> None:
+        self.add_peer(5)
+        ahead = peers_port.PeerView(
+            "silent", ZONE, reachable=True, config_offset=9
+        )
+        self.peers.shown = (ahead, *self.peers.shown)
+        self.log.down = True
+        self.follower.step()
+        self.assertEqual(4, self.follower.offset())
+        self.assertFalse(self.follower.ready)
+
     def test_unready_host_gives_no_catch_up(self) -> None:
         self.assertTrue(self.follower.serve_catch_up(-1).is_err())
 
--- a/tests/process/test_ticket_desk.py
+++ b/tests/process/test_ticket_desk.py
@@ -219,7 +219,11 @@
         self.host.submit(samples.ticket(1, samples.zone("bole")))
         self.host.peers.shown = (
             peers_port.PeerView(
-                "seat-2", "bole", reachable=True, config_offset=0
+                "seat-2",
+                "bole",
+                reachable=True,
+                config_offset=0,
+                config_digest="another",
             ),
             peers_port.PeerView("seat-3", "entoto", config_offset=-1),
         )
@@ -229,6 +233,7 @@
         self.assertEqual("seat-3", page["not_yet"][0]["seat"])
         self.assertGreater(page["since_wall_ms"], 0)
         self.assertIn("in force on 2 of 3 seats", page["sentence"])
+        self.assertIn("differs on seat-2", page["sentence"])
 
     def test_unknown_ticket_is_not_found(self) -> None:
         self.assertEqual(404, self.host.show(9).status)
