--- /dev/null
+++ b/testing/bench.py
@@ -0,0 +1,264 @@
+"""`make bench`: the request path against a bare relay, in one run.
+
+Both relay to the same endpoints, which answer at once. Rounds of the two
+alternate, so that other work on the machine falls on both.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import pathlib
+import statistics
+import sys
+import time
+
+import attrs
+from hdrh import histogram
+
+from testing import bench_load
+from testing import deployments
+from testing import fleet
+from testing import fleet_plan
+from testing import processes
+
+BARE = "bare relay"
+HOST = "entry host"
+HOST_ONCE = "entry host, not idempotent"
+LOAD_PROCESSES = 4
+IDLE_S = 10.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+MIB = 1_048_576
+
+
+@attrs.frozen
+class Target:
+    """Something that is loaded."""
+
+    name: str
+    address: str
+    path: str
+    method: str = "GET"
+
+
+@attrs.frozen
+class Round:
+    """What one round measured."""
+
+    target: str
+    callers: int
+    answered: int
+    failed: int
+    per_s: float
+    p50_ms: float
+    p99_ms: float
+
+
+@attrs.frozen
+class BenchOptions:
+    """How long and how wide."""
+
+    callers: tuple[int, ...]
+    rounds: int
+    warm_s: float
+    measured_s: float
+
+
+class Bench:
+    """One run of the benchmark on a running fleet of one host."""
+
+    def __init__(self, running: fleet.Fleet, options: BenchOptions) -> None:
+        self._fleet = running
+        self._options = options
+        self._runs = 0
+
+    def run(self, bare_address: str) -> list[Round]:
+        """All rounds, the targets in turn."""
+        seat = next(iter(self._fleet.hosts))
+        host = self._fleet.hosts[seat].caller_address
+        path = f"/services/{self._fleet.deployment.service}/bench"
+        targets = [
+            Target(BARE, bare_address, "/bench"),
+            Target(HOST, host, path),
+            Target(HOST_ONCE, host, path, "POST"),
+        ]
+        rounds = []
+        for callers in self._options.callers:
+            for _ in range(self._options.rounds):
+                for target in targets:
+                    rounds.append(self._round(target, callers))
+                    print(_round_line(rounds[-1]), flush=True)
+        return rounds
+
+    def _round(self, target: Target, callers: int) -> Round:
+        self._runs += 1
+        count = min(LOAD_PROCESSES, callers)
+        shares = [
+            callers // count + (number < callers % count)
+            for number in range(count)
+        ]
+        started = [
+            self._start_load(target, share, number)
+            for number, share in enumerate(shares)
+        ]
+        merged = histogram.HdrHistogram(
+            bench_load.LOWEST_US,
+            bench_load.HIGHEST_US,
+            bench_load.SIGNIFICANT_DIGITS,
+        )
+        failed = 0
+        for process in started:
+            line = process.first_line()
+            process.stop()
+            merged.decode_and_add(line["encoded"].encode())
+            failed += line["failed"]
+        answered = merged.get_total_count()
+        return Round(
+            target=target.name,
+            callers=callers,
+            answered=answered,
+            failed=failed,
+            per_s=answered / self._options.measured_s,
+            p50_ms=merged.get_value_at_percentile(50) / 1_000,
+            p99_ms=merged.get_value_at_percentile(99) / 1_000,
+        )
+
+    def _start_load(
+        self, target: Target, callers: int, number: int
+    ) -> processes.ChildProcess:
+        arguments = {
+            "--path": target.path,
+            "--method": target.method,
+            "--run": f"bench-{self._runs}-{number}",
+            "--callers": callers,
+            "--warm-s": self._options.warm_s,
+            "--measured-s": self._options.measured_s,
+        }
+        texts = [str(word) for pair in arguments.items() for word in pair]
+        return processes.ChildProcess(
+            f"load-{self._runs}-{number}",
+            [
+                sys.executable,
+                "-m",
+                "testing.bench_load",
+                target.address,
+                *texts,
+            ],
+            self._fleet.folder,
+        )
+
+
+def _round_line(one: Round) -> str:
+    return (
+        f"{one.target:28} {one.callers:4} callers {one.per_s:8.0f} /s  "
+        f"p50 {one.p50_ms:7.2f} ms  p99 {one.p99_ms:7.2f} ms  "
+        f"failed {one.failed}"
+    )
+
+
+def summary(rounds: list[Round], callers: tuple[int, ...]) -> list[str]:
+    """The medians of each target, against the bare relay's."""
+    lines = []
+    for count in callers:
+        bare = _medians(rounds, BARE, count)
+        for name in (HOST, HOST_ONCE):
+            found = _medians(rounds, name, count)
+            lines.append(
+                f"{name}, {count} callers: {found.per_s:.0f} of "
+                f"{bare.per_s:.0f} /s ({_percent(found, bare):+.1f}%), "
+                f"p50 {found.p50_ms - bare.p50_ms:+.2f} ms, "
+                f"p99 {found.p99_ms - bare.p99_ms:+.2f} ms, "
+                f"failed {found.failed}"
+            )
+    return lines
+
+
+def _percent(found: Round, bare: Round) -> float:
+    return 100 * (found.per_s / max(bare.per_s, 1e-9) - 1)
+
+
+def _medians(rounds: list[Round], target: str, callers: int) -> Round:
+    found = [
+        one for one in rounds if one.target == target and one.callers == callers
+    ]
+    return Round(
+        target=target,
+        callers=callers,
+        answered=sum(one.answered for one in found),
+        failed=sum(one.failed for one in found),
+        per_s=statistics.median(one.per_s for one in found),
+        p50_ms=statistics.median(one.p50_ms for one in found),
+        p99_ms=statistics.median(one.p99_ms for one in found),
+    )
+
+
+def _resident_mib(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/statm").read_text()
+    return int(text.split()[1]) * PAGE_BYTES / MIB
+
+
+def _idle_lines(running: fleet.Fleet, ready_ms: float) -> list[str]:
+    seat, host = next(iter(running.hosts.items()))
+    assert host.process is not None
+    time.sleep(IDLE_S)
+    resident_mib = _resident_mib(host.process.pid)
+    split = json.dumps(running.status(seat).get("memory"))
+    return [
+        f"start of serve to ready: {ready_ms:.0f} ms",
+        f"resident memory of an idle serve: {resident_mib:.1f} MiB",
+        f"  as it splits it: {split}",
+    ]
+
+
+def main() -> None:
+    """Runs the benchmark and prints medians last."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--callers", type=int, nargs="+", default=[1, 8, 32])
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--warm-s", type=float, default=1.0)
+    parser.add_argument("--measured-s", type=float, default=4.0)
+    parser.add_argument("--command", nargs="+", default=None)
+    given = parser.parse_args()
+    options = BenchOptions(
+        tuple(given.callers), given.rounds, given.warm_s, given.measured_s
+    )
+    deployment = deployments.small(
+        1, seats_per_zone=1, endpoints=8, work_ms=0.0
+    )
+    plan = fleet_plan.FleetOptions()
+    if given.command:
+        plan = attrs.evolve(plan, command=tuple(given.command))
+    with fleet.Fleet(deployment, plan, start_hosts=False) as running:
+        seat = next(iter(running.hosts))
+        started_s = time.monotonic()
+        running.start_host(seat)
+        running.wait_ready(seat)
+        ready_ms = (time.monotonic() - started_s) * 1_000
+        running.put_in_force()
+        idle = _idle_lines(running, ready_ms)
+        rounds = _run(running, options)
+    for line in (*idle, *summary(rounds, options.callers)):
+        print(line)
+
+
+def _run(running: fleet.Fleet, options: BenchOptions) -> list[Round]:
+    bare = processes.ChildProcess(
+        "bare-relay",
+        [
+            sys.executable,
+            "-m",
+            "testing.bare_relay",
+            *running.endpoint_addresses.values(),
+        ],
+        running.folder,
+    )
+    try:
+        address = bare.first_line()["address"]
+        return Bench(running, options).run(address)
+    finally:
+        bare.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/bench_load.py
@@ -0,0 +1,90 @@
+"""One process of callers for `testing.bench`: closed loop, fixed time."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import threading
+import time
+
+from hdrh import histogram
+import urllib3
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+
+
+class Callers:
+    """Some callers, each sending its next request after an answer."""
+
+    def __init__(self, address: str, path: str, method: str, run: str) -> None:
+        ip, _, port = address.rpartition(":")
+        self._address = (ip, int(port))
+        self._path = path
+        self._method = method
+        self._run = run
+        self._lock = threading.Lock()
+        self.failed = 0
+        self.latency = histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+
+    def run(self, callers: int, warm_s: float, measured_s: float) -> None:
+        """Runs all callers; only answers after the warm-up are counted."""
+        start_s = time.monotonic() + warm_s
+        threads = [
+            threading.Thread(
+                target=self._call, args=(number, start_s, start_s + measured_s)
+            )
+            for number in range(callers)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _call(self, caller: int, start_s: float, end_s: float) -> None:
+        pool = urllib3.HTTPConnectionPool(*self._address, retries=False)
+        number = 0
+        while (sent_s := time.monotonic()) < end_s:
+            number += 1
+            name = f"{self._run}-{caller}-{number}"
+            idempotent = "true" if self._method == "GET" else "false"
+            headers = {"X-Request-Id": name, "X-Idempotent": idempotent}
+            answer = pool.request(self._method, self._path, headers=headers)
+            elapsed_us = int((time.monotonic() - sent_s) * 1_000_000)
+            whole = answer.headers.get("X-Request-Id") == name
+            if sent_s < start_s:
+                continue
+            with self._lock:
+                if answer.status == 200 and whole:
+                    self.latency.record_value(elapsed_us)
+                else:
+                    self.failed += 1
+        pool.close()
+
+
+def main() -> None:
+    """Prints one JSON line with the answers, failures and latencies."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("address")
+    parser.add_argument("--path", default="/")
+    parser.add_argument("--method", default="GET")
+    parser.add_argument("--run", required=True)
+    parser.add_argument("--callers", type=int, default=1)
+    parser.add_argument("--warm-s", type=float, default=1.0)
+    parser.add_argument("--measured-s", type=float, default=4.0)
+    given = parser.parse_args()
+    callers = Callers(given.address, given.path, given.method, given.run)
+    callers.run(given.callers, given.warm_s, given.measured_s)
+    line = {
+        "answered": callers.latency.get_total_count(),
+        "failed": callers.failed,
+        "encoded": callers.latency.encode().decode("ascii"),
+    }
+    print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/experiment.py
@@ -0,0 +1,128 @@
+"""Replays a trace against a whole deployment and checks the records.
+
+`python -m testing.experiment utility-night burst --duration-ms 30000`
+"""
+
+from __future__ import annotations
+
+import argparse
+import pathlib
+import subprocess
+import sys
+
+import attrs
+
+from comfreylatch._commands import trace as trace_module
+from testing import checker
+from testing import fleet
+from testing import fleet_plan
+from testing import traces
+
+SETTLE_MS = 60_000
+SHOWN_BREACHES = 10
+
+
+@attrs.frozen
+class Experiment:
+    """What is replayed, and against what.
+
+    Attributes:
+        workload: Name of the workload, as in `traces.WORKLOADS`.
+        duration_ms: Length of the trace.
+        scale: Part of the workload's rates.
+        delays: Whether links between zones and to callers carry the
+            deployment's delays.
+        speed: Task time per real time, on the workers.
+        label: Name of the policy, for the report.
+    """
+
+    workload: str
+    shape: traces.Shape
+    seed: int
+    duration_ms: int
+    scale: float
+    delays: bool
+    speed: float
+    label: str
+    with_jobs: bool
+    as_json: bool
+
+
+def run(experiment: Experiment) -> int:
+    """Runs it; 0 when outcomes were kept and no promise was broken."""
+    workload = traces.WORKLOADS[experiment.workload]()
+    links = frozenset({fleet_plan.Link.PEERS, fleet_plan.Link.CALLERS})
+    options = fleet_plan.FleetOptions(
+        links=links if experiment.delays else frozenset(),
+        delays=experiment.delays,
+        seed=experiment.seed,
+        speed=experiment.speed,
+        threads=None,
+    )
+    maker = traces.TraceMaker(
+        experiment.workload,
+        workload,
+        experiment.shape,
+        experiment.seed,
+        experiment.duration_ms,
+        experiment.scale,
+    )
+    trace = maker.make(experiment.with_jobs)
+    with fleet.Fleet(workload.deployment, options) as running:
+        running.put_in_force()
+        code = _replay(running, trace, experiment)
+        breaches = _breaches(running)
+        for breach in breaches[:SHOWN_BREACHES]:
+            print(f"BROKEN {breach.rule}: {breach.subject}: {breach.detail}")
+        print(f"promises broken, by the stand-ins' records: {len(breaches)}")
+    return 1 if code or breaches else 0
+
+
+def _replay(
+    running: fleet.Fleet,
+    trace: trace_module.Trace,
+    experiment: Experiment,
+) -> int:
+    path = pathlib.Path(running.folder) / "trace.jsonl"
+    path.write_bytes(trace_module.encode(trace))
+    arguments = ["replay", str(path), "--settle-ms", str(SETTLE_MS)]
+    arguments += ["--label", experiment.label]
+    if experiment.as_json:
+        arguments.append("--json")
+    for host in running.hosts.values():
+        arguments += ["--caller", f"{host.zone}={host.caller_address}"]
+        arguments += ["--host", host.operator_address]
+    return subprocess.run(
+        [*running.options.command, *arguments], check=False
+    ).returncode
+
+
+def _breaches(running: fleet.Fleet) -> list[checker.Breach]:
+    workers = running.worker_events()
+    return [
+        *checker.limits_kept(running.endpoint_events()),
+        *checker.capacity_kept(workers),
+        *checker.never_in_two_places(workers),
+        *checker.attempts_start_once(workers),
+        *checker.resumed_from_checkpoint(workers),
+    ]
+
+
+def main() -> None:
+    """Runs one experiment."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("workload", choices=sorted(traces.WORKLOADS))
+    parser.add_argument("shape", type=traces.Shape, choices=list(traces.Shape))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--duration-ms", type=int, default=30_000)
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--speed", type=float, default=1.0)
+    parser.add_argument("--label", default="")
+    parser.add_argument("--no-delays", dest="delays", action="store_false")
+    parser.add_argument("--no-jobs", dest="with_jobs", action="store_false")
+    parser.add_argument("--json", dest="as_json", action="store_true")
+    sys.exit(run(Experiment(**vars(parser.parse_args()))))
+
+
+if __name__ == "__main__":
+    main()
