Check ticket and settings files by the one schema

The walk over attrs classes stood twice, here and in the tickets' schema. The command line now places the schema's own problems, so that a ticket file is held to the same rules as a submitted one. The test of a new ticket gives author and reason, as an empty one is now refused by the check.

--- a/src/comfreylatch/_commands/client.py
+++ b/src/comfreylatch/_commands/client.py
@@ -18,6 +18,7 @@
 
 CONNECT_TIMEOUT_MS = 2_000
 NOTHING_DONE_STATUS = 503
+NOT_KNOWN_STATUS = 404
 
 
 @attrs.frozen
@@ -59,7 +60,8 @@
 class Client:
     """Calls one of several entry hosts, in turn where that is safe.
 
-    A call that reads is tried on the next host after any failure. One that
+    A call that reads is tried on the next host after any failure, and when
+    the host does not know the thing asked for. One that
     changes something is tried on the next only when no byte reached the host
     or it answered that nothing was done.
 
@@ -98,9 +100,12 @@
     ) -> result.Result[Reply, CallError]:
         details = []
         refused = None
+        passed_over = [NOTHING_DONE_STATUS]
+        if method == "GET":
+            passed_over.append(NOT_KNOWN_STATUS)
         for host in self._hosts:
             match self._call(host, method, path, body):
-                case result.Ok(reply) if reply.status == NOTHING_DONE_STATUS:
+                case result.Ok(reply) if reply.status in passed_over:
                     refused = reply
                 case result.Ok() as answered:
                     return answered
--- a/src/comfreylatch/_commands/job.py
+++ b/src/comfreylatch/_commands/job.py
@@ -16,7 +16,7 @@
 from comfreylatch._commands import output
 from comfreylatch._ports import workers
 from comfreylatch._process import json_file
-from comfreylatch._process import shapes
+from comfreylatch._version import schema
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -33,10 +33,10 @@
 
     id: str
     team: str
-    job_class: str
     resources: workers.Resources
     run_time_ms: int
     zone: str = ""
+    job_class: str = "other"
     urgent: bool = False
 
 
@@ -108,6 +108,6 @@
     )
 
 
-def check(value: Any) -> list[shapes.Problem]:
+def check(value: Any) -> schema.Problems:
     """Returns everything wrong with a decoded job file."""
-    return shapes.check(value, JobDocument)
+    return schema.check(value, JobDocument, "")
--- a/src/comfreylatch/_commands/ticket_file.py
+++ b/src/comfreylatch/_commands/ticket_file.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
 from typing import Any
@@ -10,33 +9,15 @@
 
 import attrs
 import msgspec
+import result
 
-from comfreylatch._process import shapes
 from comfreylatch._version import objects
+from comfreylatch._version import schema
+from comfreylatch._version import tickets
 
 INDENT = "  "
 
 
-@attrs.frozen
-class ChangeDocument:
-    """One change of a ticket file, as in docs/API.md."""
-
-    kind: objects.ObjectKind
-    name: str
-    replaces: int
-    state: Any
-
-
-@attrs.frozen
-class TicketDocument:
-    """A ticket file, as in docs/API.md."""
-
-    number: int
-    author: str
-    reason: str
-    changes: tuple[ChangeDocument, ...]
-
-
 @attrs.frozen
 class ObjectInForce:
     """An object and the version that a change of it must name.
@@ -59,42 +40,13 @@
     objects: tuple[ObjectInForce, ...]
 
 
-def check(value: Any) -> list[shapes.Problem]:
+def check(value: Any) -> schema.Problems:
     """Returns everything wrong with a decoded ticket file."""
-    problems = shapes.check(value, TicketDocument)
-    if not isinstance(value, dict):
-        return problems
-    if isinstance(value.get("number"), int) and value["number"] < 1:
-        found = str(value["number"])
-        problems.append(shapes.Problem(("number",), "1 or more", found))
-    changes = value.get("changes")
-    if not isinstance(changes, list):
-        return problems
-    if not changes:
-        problems.append(shapes.Problem(("changes",), "a change", "none"))
-    seen = set()
-    for index, change in enumerate(changes):
-        if not isinstance(change, dict):
-            continue
-        path = ("changes", index)
-        problems.extend(_check_state(change, path))
-        key = (str(change.get("kind")), str(change.get("name")))
-        if key in seen:
-            found = " ".join(key) + " again"
-            problems.append(shapes.Problem(path, "each object once", found))
-        seen.add(key)
-    return problems
-
-
-def _check_state(
-    change: Mapping[str, Any], path: shapes.Path
-) -> list[shapes.Problem]:
-    kind = change.get("kind")
-    state = change.get("state")
-    if state is None or kind not in list(objects.ObjectKind):
-        return []
-    state_class = objects.CLASS_BY_KIND[objects.ObjectKind(kind)]
-    return shapes.check(state, state_class, (*path, "state"))
+    match tickets.check(value):
+        case result.Ok():
+            return []
+        case result.Err(problems):
+            return list(problems)
 
 
 def template(
--- a/src/comfreylatch/_process/json_file.py
+++ b/src/comfreylatch/_process/json_file.py
@@ -9,12 +9,12 @@
 import attrs
 import result
 
-from comfreylatch._process import shapes
+from comfreylatch._version import schema
 
 MAX_FILE_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 64
 
-Checker = Callable[[Any], list[shapes.Problem]]
+Checker = Callable[[Any], schema.Problems]
 
 
 @attrs.frozen
@@ -28,6 +28,7 @@
         key: Dotted path of the value; empty for the whole file.
         expected: What should stand there.
         found: What stands there.
+        nearest: The known name nearest to an unknown one, or empty.
     """
 
     file: str
@@ -36,11 +37,15 @@
     key: str
     expected: str
     found: str
+    nearest: str = ""
 
     def __str__(self) -> str:
         place = f"{self.file}:{self.line}:{self.column}"
         key = f"{self.key}: " if self.key else ""
-        return f"{place}: {key}expected {self.expected}, found {self.found}"
+        text = f"{place}: {key}expected {self.expected}, found {self.found}"
+        if self.nearest:
+            text += f"; did you mean {self.nearest!r}?"
+        return text
 
 
 @attrs.frozen
@@ -133,45 +138,31 @@
     return FileErrors((error,))
 
 
-def _place(text: str, file: str, problems: list[shapes.Problem]) -> FileErrors:
+def _place(text: str, file: str, problems: schema.Problems) -> FileErrors:
     from comfreylatch._process import json_positions
 
     outline = json_positions.Outline(text)
     errors = []
     for problem in problems:
-        at_key = problem.at_key
-        find = outline.key_position if at_key else outline.position
+        is_key = problem.found.startswith(schema.UNKNOWN_KEY)
+        find = outline.key_position if is_key else outline.position
         place = find(problem.path)
         errors.append(
             PlacedError(
                 file=file,
                 line=place.line,
                 column=place.column,
-                key=_dotted(problem.path),
+                key=problem.path,
                 expected=problem.expected,
                 found=problem.found,
+                nearest=problem.nearest,
             )
         )
     for path, place in outline.duplicate_keys():
+        expected = "each key once"
+        found = "the key a second time"
         errors.append(
-            PlacedError(
-                file=file,
-                line=place.line,
-                column=place.column,
-                key=_dotted(path),
-                expected="each key once",
-                found="the key a second time",
-            )
+            PlacedError(file, place.line, place.column, path, expected, found)
         )
     errors.sort(key=lambda error: (error.line, error.column))
     return FileErrors(tuple(errors))
-
-
-def _dotted(path: shapes.Path) -> str:
-    text = ""
-    for step in path:
-        if isinstance(step, int):
-            text += f"[{step}]"
-        else:
-            text += f".{step}" if text else step
-    return text
--- a/src/comfreylatch/_process/json_positions.py
+++ b/src/comfreylatch/_process/json_positions.py
@@ -13,8 +13,6 @@
 import tree_sitter
 import tree_sitter_json
 
-Path = tuple[str | int, ...]
-
 _LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
 _VALUE_TYPES = frozenset(
     {"object", "array", "string", "number", "true", "false", "null"}
@@ -38,6 +36,15 @@
     found: str
 
 
+@attrs.frozen
+class _Member:
+    """A member of an object or array; its label is `.key` or `[index]`."""
+
+    label: str
+    key: tree_sitter.Node | None
+    value: tree_sitter.Node
+
+
 class Outline:
     """The syntax tree of one text."""
 
@@ -47,32 +54,38 @@
         self._tree = tree
         self._lines = self._source.split(b"\n")
 
-    def position(self, path: Path) -> Position:
-        """Position of a value, or of the nearest value around it."""
-        node = _first_value(self._tree.root_node)
-        for step in path:
-            inner = None if node is None else _child(node, step)
-            if inner is None:
-                break
-            node = inner
-        return Position(1, 1) if node is None else self._start(node)
-
-    def key_position(self, path: Path) -> Position:
-        """Position of the key that names a member of an object."""
-        parent = _first_value(self._tree.root_node)
-        for step in path[:-1]:
-            parent = None if parent is None else _child(parent, step)
-        if parent is None:
-            return self.position(path)
-        for pair in _pairs(parent):
-            if _key(pair) == path[-1]:
-                return self._start(pair.children[0])
-        return self._start(parent)
-
-    def duplicate_keys(self) -> list[tuple[Path, Position]]:
-        """Every key that stands a second time in its object."""
+    def position(self, path: str) -> Position:
+        """Position of a value, or of the nearest value around it.
+
+        Args:
+            path: As in `changes[0].state.slots`.
+        """
+        _, value = self._find(path)
+        return Position(1, 1) if value is None else self._start(value)
+
+    def key_position(self, path: str) -> Position:
+        """Like `position`, but of the key that names the value."""
+        key, _ = self._find(path)
+        return self.position(path) if key is None else self._start(key)
+
+    def duplicate_keys(self) -> list[tuple[str, Position]]:
+        """Path and place of every key that its object has had before."""
         root = _first_value(self._tree.root_node)
-        return [] if root is None else self._duplicates(root, ())
+        return [] if root is None else self._duplicates(root, "")
+
+    def _find(
+        self, path: str
+    ) -> tuple[tree_sitter.Node | None, tree_sitter.Node | None]:
+        """The key and the value at a path, as far as the text has them."""
+        key = None
+        value = _first_value(self._tree.root_node)
+        rest = path
+        while rest and value is not None:
+            step = _step(value, rest)
+            if step is None:
+                break
+            key, value, rest = step
+        return key, value
 
     def syntax_problem(self) -> SyntaxProblem:
         """The first error of a text that is not JSON with comments."""
@@ -91,10 +104,10 @@
             )
         except ValueError as error:
             word = str(error)
-            return SyntaxProblem(self._find(word), "a JSON value", word)
+            return SyntaxProblem(self._place_of(word), "a JSON value", word)
         return SyntaxProblem(Position(1, 1), "JSON with comments", "other text")
 
-    def _find(self, word: str) -> Position:
+    def _place_of(self, word: str) -> Position:
         for row, line in enumerate(self._lines):
             column = line.decode("utf-8", "replace").find(word)
             if column >= 0:
@@ -107,18 +120,16 @@
         return Position(row + 1, len(before.decode("utf-8", "replace")) + 1)
 
     def _duplicates(
-        self, node: tree_sitter.Node, path: Path
-    ) -> list[tuple[Path, Position]]:
+        self, node: tree_sitter.Node, path: str
+    ) -> list[tuple[str, Position]]:
         found = []
         seen = set()
-        for pair in _pairs(node):
-            key = _key(pair)
-            if key in seen:
-                place = self._start(pair.children[0])
-                found.append(((*path, key), place))
-            seen.add(key)
-        for step, value in _members(node):
-            found.extend(self._duplicates(value, (*path, step)))
+        for member in _members(node):
+            here = path + member.label if path else member.label.lstrip(".")
+            if member.key is not None and member.label in seen:
+                found.append((here, self._start(member.key)))
+            seen.add(member.label)
+            found.extend(self._duplicates(member.value, here))
         return found
 
     def _blank_comments_and_trailing_commas(self) -> str:
@@ -178,20 +189,30 @@
         return ""
 
 
-def _members(
-    node: tree_sitter.Node,
-) -> list[tuple[str | int, tree_sitter.Node]]:
+def _members(node: tree_sitter.Node) -> list[_Member]:
     if node.type == "array":
         values = [each for each in node.children if each.type in _VALUE_TYPES]
-        return list(enumerate(values))
-    return [(_key(pair), pair.children[-1]) for pair in _pairs(node)]
-
-
-def _child(node: tree_sitter.Node, step: str | int) -> tree_sitter.Node | None:
+        return [
+            _Member(f"[{index}]", None, value)
+            for index, value in enumerate(values)
+        ]
+    return [
+        _Member(f".{_key(pair)}", pair.children[0], pair.children[-1])
+        for pair in _pairs(node)
+    ]
+
+
+def _step(
+    node: tree_sitter.Node, path: str
+) -> tuple[tree_sitter.Node | None, tree_sitter.Node, str] | None:
+    """The member that a path leads to, and the rest of the path."""
     found = None
-    for name, value in _members(node):
-        if name == step:
-            found = value
+    lead = path if path.startswith("[") else f".{path.removeprefix('.')}"
+    for member in _members(node):
+        rest = lead[len(member.label) :]
+        if lead.startswith(member.label) and rest[:1] in ("", ".", "["):
+            # A later member of the same name is the one in force.
+            found = (member.key, member.value, rest)
     return found
 
 
--- a/src/comfreylatch/_process/settings_file.py
+++ b/src/comfreylatch/_process/settings_file.py
@@ -13,7 +13,7 @@
 from comfreylatch._connection import address as addresses
 from comfreylatch._process import json_file
 from comfreylatch._process import settings as settings_module
-from comfreylatch._process import shapes
+from comfreylatch._version import schema
 
 MAX_THREADS = 1_024
 MIN_THREADS = 2
@@ -30,13 +30,8 @@
 
 SettingsErrors = json_file.FileErrors
 
-_ADDRESS_PATHS: tuple[shapes.Path, ...] = (
-    ("caller_address",),
-    ("operator_address",),
-    ("peer_address",),
-    ("platform", "log_address"),
-    ("platform", "host_list_address"),
-)
+_OWN_ADDRESSES = ("caller_address", "operator_address", "peer_address")
+_PLATFORM_ADDRESSES = ("log_address", "host_list_address")
 
 
 def load(
@@ -50,9 +45,9 @@
             return result.Ok(msgspec.convert(value, settings_module.Settings))
 
 
-def check(value: Any) -> list[shapes.Problem]:
+def check(value: Any) -> schema.Problems:
     """Returns everything wrong with a decoded settings file."""
-    problems = shapes.check(value, settings_module.Settings)
+    problems = schema.check(value, settings_module.Settings, "")
     if not isinstance(value, dict):
         return problems
     wrong = {problem.path for problem in problems}
@@ -62,7 +57,7 @@
     return problems
 
 
-def _value_problems(value: dict[str, Any]) -> Iterator[shapes.Problem]:
+def _value_problems(value: dict[str, Any]) -> Iterator[schema.Problem]:
     yield from _names(value)
     yield from _addresses(value)
     yield from _timing(value)
@@ -70,114 +65,112 @@
     yield from _seats(value)
 
 
-def _at(value: Any, path: shapes.Path) -> Any:
-    """The value at a path; None when it, or a part of the way, is absent."""
-    for step in path:
-        if isinstance(step, str) and isinstance(value, dict):
-            value = value.get(step)
-        elif isinstance(step, int) and isinstance(value, list):
-            value = value[step]
-        else:
-            return None
-    return value
-
-
-def _peers(value: dict[str, Any]) -> list[tuple[int, dict[str, Any]]]:
+def _peers(value: dict[str, Any]) -> list[tuple[str, dict[str, Any]]]:
+    """The peers that are objects, each with its path."""
     listed = value.get("peers")
     if not isinstance(listed, list):
         return []
     return [
-        (index, peer)
+        (f"peers[{index}]", peer)
         for index, peer in enumerate(listed)
         if isinstance(peer, dict)
     ]
 
 
-def _names(value: dict[str, Any]) -> Iterator[shapes.Problem]:
-    paths: list[shapes.Path] = [("seat",), ("zone",)]
-    for index, _ in _peers(value):
-        paths.append(("peers", index, "seat"))
-        paths.append(("peers", index, "zone"))
-    for path in paths:
-        name = _at(value, path)
-        if isinstance(name, str) and not name.strip():
-            yield shapes.Problem(path, "a name", shapes.describe(name))
+def _member(value: dict[str, Any], key: str) -> dict[str, Any]:
+    """A member that is an object; an empty one when it is not."""
+    member = value.get(key)
+    return member if isinstance(member, dict) else {}
 
 
-def _addresses(value: dict[str, Any]) -> Iterator[shapes.Problem]:
-    paths = list(_ADDRESS_PATHS)
-    for index, _ in _peers(value):
-        paths.append(("peers", index, "peer_address"))
-    for path in paths:
-        text = _at(value, path)
-        if not isinstance(text, str):
-            continue
-        expected = "IP:port, such as 10.0.0.5:8080"
-        match addresses.parse(text):
-            case result.Err(bad):
-                yield shapes.Problem(path, expected, bad.detail)
-            case result.Ok(parsed) if parsed.port == 0:
-                yield shapes.Problem(path, "a port from 1 on", text)
+def _names(value: dict[str, Any]) -> Iterator[schema.Problem]:
+    for path, named in [("", value), *_peers(value)]:
+        for key in ("seat", "zone"):
+            name = named.get(key)
+            if isinstance(name, str) and not name.strip():
+                where = schema.join(path, key)
+                yield schema.Problem(where, "a name", schema.show(name))
+
+
+def _addresses(value: dict[str, Any]) -> Iterator[schema.Problem]:
+    texts = [(key, value.get(key)) for key in _OWN_ADDRESSES]
+    platform = _member(value, "platform")
+    for key in _PLATFORM_ADDRESSES:
+        texts.append((f"platform.{key}", platform.get(key)))
+    for path, peer in _peers(value):
+        texts.append((f"{path}.peer_address", peer.get("peer_address")))
+    for path, text in texts:
+        if isinstance(text, str):
+            yield from _address(path, text)
     yield from _repeated_listeners(value)
 
 
-def _repeated_listeners(value: dict[str, Any]) -> Iterator[shapes.Problem]:
-    names = ("caller_address", "operator_address", "peer_address")
+def _address(path: str, text: str) -> Iterator[schema.Problem]:
+    match addresses.parse(text):
+        case result.Err(bad):
+            expected = "IP:port, such as 10.0.0.5:8080"
+            yield schema.Problem(path, expected, bad.detail)
+        case result.Ok(parsed) if parsed.port == 0:
+            yield schema.Problem(path, "a port from 1 on", text)
+
+
+def _repeated_listeners(value: dict[str, Any]) -> Iterator[schema.Problem]:
     first_by_text: dict[str, str] = {}
-    for name in names:
+    for name in _OWN_ADDRESSES:
         text = value.get(name)
         if not isinstance(text, str):
             continue
         if text in first_by_text:
             expected = f"an address other than {first_by_text[text]}"
-            yield shapes.Problem((name,), expected, text)
+            yield schema.Problem(name, expected, text)
         first_by_text.setdefault(text, name)
 
 
-def _timing(value: dict[str, Any]) -> Iterator[shapes.Problem]:
+def _timing(value: dict[str, Any]) -> Iterator[schema.Problem]:
+    timing = _member(value, "timing")
     for field in attrs.fields(settings_module.TimingSettings):
-        path = ("timing", field.name)
-        duration_ms = _at(value, path)
+        duration_ms = timing.get(field.name)
         if not _is_int(duration_ms):
             continue
         if not 1 <= duration_ms <= MAX_TIMING_MS:
             expected = f"1 to {MAX_TIMING_MS} milliseconds"
-            yield shapes.Problem(path, expected, str(duration_ms))
+            path = f"timing.{field.name}"
+            yield schema.Problem(path, expected, str(duration_ms))
 
 
-def _ranges(value: dict[str, Any]) -> Iterator[shapes.Problem]:
+def _ranges(value: dict[str, Any]) -> Iterator[schema.Problem]:
     threads = value.get("threads")
     if _is_int(threads) and not MIN_THREADS <= threads <= MAX_THREADS:
         expected = f"{MIN_THREADS} to {MAX_THREADS} threads"
-        yield shapes.Problem(("threads",), expected, str(threads))
+        yield schema.Problem("threads", expected, str(threads))
     level = value.get("log_level")
     if isinstance(level, str) and level not in LOG_LEVELS:
         expected = "one of " + ", ".join(LOG_LEVELS)
-        yield shapes.Problem(("log_level",), expected, shapes.describe(level))
+        yield schema.Problem("log_level", expected, schema.show(level))
 
 
 def _is_int(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-def _seats(value: dict[str, Any]) -> Iterator[shapes.Problem]:
+def _seats(value: dict[str, Any]) -> Iterator[schema.Problem]:
     own = value.get("seat")
     uses: collections.Counter[str] = collections.Counter()
     used_addresses: set[str] = set()
-    for index, peer in _peers(value):
+    for path, peer in _peers(value):
         seat = peer.get("seat")
-        path = ("peers", index, "seat")
+        where = f"{path}.seat"
         if isinstance(seat, str):
             uses[seat] += 1
             if seat == own:
-                yield shapes.Problem(path, "other seats only", f"own {seat!r}")
+                yield schema.Problem(where, "other seats only", f"own {seat!r}")
             elif uses[seat] > 1:
-                yield shapes.Problem(path, "each seat once", f"{seat!r} again")
+                yield schema.Problem(where, "each seat once", f"{seat!r} again")
         peer_address = peer.get("peer_address")
         if isinstance(peer_address, str):
             if peer_address in (value.get("peer_address"), *used_addresses):
-                yield shapes.Problem(
-                    ("peers", index, "peer_address"),
+                yield schema.Problem(
+                    f"{path}.peer_address",
                     "an address of its own",
                     f"{peer_address!r} again",
                 )
--- a/src/comfreylatch/_version/schema.py
+++ b/src/comfreylatch/_version/schema.py
@@ -13,6 +13,7 @@
 import attrs
 
 MAX_SHOWN_CHARACTERS = 60
+UNKNOWN_KEY = "unknown key"
 
 
 @attrs.frozen
@@ -75,7 +76,7 @@
                 Problem(
                     join(path, key),
                     expected,
-                    f"unknown key {key!r}",
+                    f"{UNKNOWN_KEY} {key!r}",
                     near[0] if near else "",
                 )
             )
--- a/tests/commands/test_binary.py
+++ b/tests/commands/test_binary.py
@@ -96,7 +96,7 @@
             checked = self.run_binary(command, file)
             self.assertEqual(2, checked.returncode)
             self.assertIn("settings.json:2:", checked.stderr)
-            self.assertIn("'seat' (the nearest known name)", checked.stderr)
+            self.assertIn("did you mean 'seat'?", checked.stderr)
             self.assertNotIn("Traceback", checked.stderr)
 
     def test_serve_starts_no_child_process_and_stops_with_0(self) -> None:
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -140,8 +140,10 @@
             "ticket", "submit", self.ticket, hosts=[host.address]
         )
         self.assertEqual((2, []), (done.exit_code, host.calls))
-        self.assertIn("2:13: number: expected 1 or more", done.output)
-        self.assertIn("'timeout_ms' (the nearest", done.output)
+        self.assertIn(
+            "2:13: number: expected a whole number from 1", done.output
+        )
+        self.assertIn("did you mean 'timeout_ms'?", done.output)
 
     def test_ticket_with_members_of_any_type_gets_an_answer(self) -> None:
         for member in ("number", "author", "changes", "kind", "name", "state"):
@@ -167,7 +169,8 @@
         written = str(self.folder / "new.json")
         names = ("service/a", "endpoint/b", "team/c", "worker-class/d")
         rest = ("zone/e", "limits/fleet", "--output", written)
-        made = self.run_command("ticket", "new", *names, *rest)
+        said = ("--author", "mona", "--reason", "first")
+        made = self.run_command("ticket", "new", *names, *rest, *said)
         self.assertEqual(0, made.exit_code)
         checked = self.run_command("ticket", "check", written)
         self.assertEqual((0, ""), (checked.exit_code, checked.stderr))
--- a/tests/process/test_settings_file.py
+++ b/tests/process/test_settings_file.py
@@ -66,7 +66,8 @@
         self.assertEqual(["caller_address", "threads", "log_level"], keys)
 
     def test_unknown_key_names_the_nearest(self) -> None:
-        self.assert_one_error(_with(thread=4), "thread", "'threads'")
+        (error,) = self.errors_of(_with(thread=4))
+        self.assertEqual(("thread", "threads"), (error.key, error.nearest))
 
     def test_error_is_placed_behind_comments(self) -> None:
         text = _with(threads="9").replace('"threads"', '/* é\n */ "threads"')
