--- a/src/comfreylatch/_commands/main.py
+++ b/src/comfreylatch/_commands/main.py
@@ -12,6 +12,7 @@
 from comfreylatch._commands import job
 from comfreylatch._commands import options
 from comfreylatch._commands import replay
+from comfreylatch._commands import replay
 from comfreylatch._commands import serve
 from comfreylatch._commands import ticket
 
@@ -54,6 +55,7 @@
 app.command(epilog=exits.HELP)(host.explain)
 app.command(epilog=exits.HELP)(host.metrics)
 app.command(epilog=exits.HELP)(replay.replay)
+app.command(epilog=exits.HELP)(replay.replay)
 
 
 def run() -> None:
