--- a/src/comfreylatch/_commands/main.py
+++ b/src/comfreylatch/_commands/main.py
@@ -12,7 +12,6 @@
 from comfreylatch._commands import job
 from comfreylatch._commands import options
 from comfreylatch._commands import replay
-from comfreylatch._commands import replay
 from comfreylatch._commands import serve
 from comfreylatch._commands import ticket
 
