--- a/src/comfreylatch/_process/journal.py
+++ b/src/comfreylatch/_process/journal.py
@@ -10,7 +10,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import reasons
 
-MAX_DECISIONS = 20_000
+MAX_DECISIONS = 5_000
 
 
 @attrs.frozen
--- a/src/comfreylatch/_request/router.py
+++ b/src/comfreylatch/_request/router.py
@@ -218,6 +218,13 @@
                     metrics_module.Counter.OUTCOMES,
                     reasons.Outcome.ANSWERED.value,
                 )
+                self._parts.journal.note(
+                    reasons.Subject.REQUEST,
+                    request_id,
+                    reasons.Outcome.ANSWERED.value,
+                    f"answered by {outcome.endpoint} with status "
+                    f"{outcome.status} after {elapsed_us / 1_000:.1f} ms",
+                )
                 return
             case outcomes.NotRun():
                 word = reasons.Outcome.NOT_RUN
