--- /dev/null
+++ b/testing/bench_tickets.py
@@ -0,0 +1,206 @@
+"""Measures tickets on one host with an in-memory log: `--help` for options.
+
+Prints JSON lines: latency of submitting, records an append, cost of folding
+and of snapshots at the size of the design.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import threading
+import time
+from typing import Annotated
+from typing import Any
+
+import attrs
+import msgspec
+import typer
+
+from comfreylatch._connection import http
+from comfreylatch._ports import clock
+from comfreylatch._process import appender
+from comfreylatch._process import follower
+from comfreylatch._process import journal
+from comfreylatch._process import metrics
+from comfreylatch._process import ticket_desk
+from comfreylatch._version import configuration_fold
+from comfreylatch._version import records
+from comfreylatch._version import snapshots
+from comfreylatch._version import tickets
+from comfreylatch._version import writers
+from testing.fakes import log as fake_log
+from testing.fakes import peers as fake_peers
+from testing.fakes import tickets as samples
+
+CHANGES_AT_ONCE = 500
+ENVELOPE = records.Envelope("writer", 1, "ticket", msgspec.Raw(b"{}"))
+
+
+@attrs.frozen
+class SubmitLine:
+    """Latency of submitted tickets, in microseconds, and their batching."""
+
+    callers: int
+    append_ms: float
+    spacing_ms: int
+    tickets: int
+    accepted: int
+    p50_us: int
+    p99_us: int
+    appends: int
+    records_per_append: float
+
+
+@attrs.frozen
+class FoldLine:
+    """Cost of the fold at a number of endpoints."""
+
+    endpoints: int
+    fold_us: int
+    snapshot_ms: float
+    restore_ms: float
+    snapshot_bytes: int
+    chunks: int
+
+
+def measure_submit(
+    callers: int, each: int, append_ms: float, spacing_ms: int
+) -> SubmitLine:
+    """Submits tickets from several threads, each on a zone of its own."""
+    log = fake_log.FakeLog()
+    log.append_s = append_ms / 1_000
+    machine = clock.SystemClock()
+    counted = metrics.Metrics()
+    fold = configuration_fold.ConfigurationFold()
+    writer = appender.StreamAppender(
+        log, "config", "host", counted, machine, spacing_ms=spacing_ms
+    )
+    reader = follower.StreamFollower(
+        log, "config", fold, counted, machine, after_apply=writer.observe
+    )
+    desk = ticket_desk.TicketDesk(
+        writer,
+        fold,
+        reader,
+        fake_peers.FakePeers(),
+        journal.Journal("host", machine),
+        counted,
+        machine,
+        "seat",
+    )
+    elapsed_us: list[int] = []
+    statuses: list[int] = []
+
+    def submit(caller: int) -> None:
+        for index in range(each):
+            number = caller * each + index + 1
+            change = samples.zone(f"zone-{caller}", index)
+            body = msgspec.json.encode(samples.ticket(number, change))
+            request = http.HttpRequest("POST", "/tickets", {}, {}, body)
+            started_ns = time.perf_counter_ns()
+            statuses.append(desk.submit(request).status)
+            elapsed_us.append((time.perf_counter_ns() - started_ns) // 1_000)
+
+    with contextlib.ExitStack() as running:
+        running.enter_context(writer)
+        running.enter_context(reader)
+        # The first read of an empty log is held back for its whole wait.
+        while not reader.ready:
+            time.sleep(0.01)
+        threads = [
+            threading.Thread(target=submit, args=(caller,))
+            for caller in range(callers)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    elapsed_us.sort()
+    kept = len(log.payloads("config"))
+    return SubmitLine(
+        callers=callers,
+        append_ms=append_ms,
+        spacing_ms=spacing_ms,
+        tickets=len(statuses),
+        accepted=statuses.count(200),
+        p50_us=elapsed_us[len(elapsed_us) // 2],
+        p99_us=elapsed_us[len(elapsed_us) * 99 // 100],
+        appends=log.appends["config"],
+        records_per_append=round(kept / log.appends["config"], 2),
+    )
+
+
+def measure_fold(endpoints: int, folded: int, seed: int) -> FoldLine:
+    """Folds tickets of one change onto many endpoints."""
+    fold = configuration_fold.ConfigurationFold()
+    _fill(fold, endpoints)
+    source = random.Random(seed)
+    versions = [1] * endpoints
+    values: list[dict[str, Any]] = []
+    for number in range(folded):
+        chosen = source.randrange(endpoints)
+        change = _endpoint(chosen, versions[chosen])
+        versions[chosen] += 1
+        values.append(samples.ticket(10_000 + number, change))
+    started_ns = time.perf_counter_ns()
+    for index, value in enumerate(values):
+        fold.apply(10_000 + index, ENVELOPE, tickets.TicketRecord(value))
+    fold_us = (time.perf_counter_ns() - started_ns) // 1_000 // folded
+    started_ns = time.perf_counter_ns()
+    taken = snapshots.StreamSnapshot(
+        "config",
+        10_000 + folded,
+        fold.digest(),
+        writers.WriterTable().lines(),
+        fold.snapshot(),
+    )
+    chunks = snapshots.split(taken)
+    snapshot_ms = (time.perf_counter_ns() - started_ns) / 1e6
+    started_ns = time.perf_counter_ns()
+    restored = configuration_fold.ConfigurationFold()
+    restored.restore(taken.offset, snapshots.join(chunks).unwrap().fold)
+    restore_ms = (time.perf_counter_ns() - started_ns) / 1e6
+    assert restored.digest() == fold.digest()
+    return FoldLine(
+        endpoints=endpoints,
+        fold_us=fold_us,
+        snapshot_ms=round(snapshot_ms, 1),
+        restore_ms=round(restore_ms, 1),
+        snapshot_bytes=len(snapshots.encode(taken)),
+        chunks=len(chunks),
+    )
+
+
+def _endpoint(index: int, replaces: int) -> dict[str, Any]:
+    return samples.endpoint(f"ex-{index}", "skyproc", "bole", replaces)
+
+
+def _fill(fold: configuration_fold.ConfigurationFold, endpoints: int) -> None:
+    first = samples.ticket(1, samples.service("skyproc"), samples.zone("bole"))
+    fold.apply(0, ENVELOPE, tickets.TicketRecord(first))
+    for start in range(0, endpoints, CHANGES_AT_ONCE):
+        end = min(start + CHANGES_AT_ONCE, endpoints)
+        changes = [_endpoint(index, 0) for index in range(start, end)]
+        value = samples.ticket(2 + start, *changes)
+        fold.apply(1 + start, ENVELOPE, tickets.TicketRecord(value))
+
+
+def run(
+    seed: Annotated[int, typer.Option(help="Seed of the choices.")] = 1,
+) -> None:
+    """Prints a JSON line for each measurement."""
+    lines = [
+        measure_submit(1, 100, 0.0, appender.DEFAULT_SPACING_MS),
+        measure_submit(1, 100, 5.0, appender.DEFAULT_SPACING_MS),
+        measure_submit(32, 20, 5.0, appender.DEFAULT_SPACING_MS),
+        measure_submit(32, 20, 5.0, 0),
+        measure_submit(1, 300, 0.0, 0),
+    ]
+    lines += [measure_fold(size, 300, seed) for size in (240, 2_600)]
+    for line in lines:
+        typer.echo(msgspec.json.encode(line).decode())
+
+
+if __name__ == "__main__":
+    typer.run(run)
