--- /dev/null
+++ b/tests/process/test_stream_threads.py
@@ -0,0 +1,103 @@
+"""Hosts with their threads on a log that fails at random."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import threading
+
+import testtools
+
+from comfreylatch._ports import clock
+from comfreylatch._ports import streams
+from comfreylatch._process import appender
+from comfreylatch._process import backoff
+from comfreylatch._process import follower
+from comfreylatch._process import metrics
+from testing import stream_history
+from testing.fakes import log as fake_log
+
+SEED = 7
+HOSTS = 2
+CALLERS = 4
+NOTES = 25
+FAULTS = 120
+TIMEOUT_MS = 10_000
+RETRY = backoff.Backoff(base_ms=1, max_ms=5)
+
+
+class ThreadsTest(testtools.TestCase):
+    """What callers were told is what every host folds."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.log = fake_log.FakeLog()
+        source = random.Random(SEED)
+        faults = source.choices(list(fake_log.AppendFault), k=FAULTS)
+        self.log.faults.extend(faults)
+        self.outcomes: dict[int, appender.Outcome] = {}
+
+    def test_many_callers_under_random_faults(self) -> None:
+        print(f"seed {SEED}")
+        folds = [stream_history.NoteFold() for _ in range(HOSTS)]
+        with contextlib.ExitStack() as running:
+            hosts = [self.start(running, fold) for fold in folds]
+            callers = [
+                threading.Thread(target=self.write, args=(hosts[host][0], at))
+                for host in range(HOSTS)
+                for at in range(host * 1_000, host * 1_000 + CALLERS * 100, 100)
+            ]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+            self.log.deliver_late()
+            head = len(self.log.payloads("s")) - 1
+            for _, reader in hosts:
+                self.assertTrue(reader.wait_for(head, TIMEOUT_MS))
+        self.assertEqual(folds[0].notes, folds[1].notes)
+        self.assertEqual(HOSTS * CALLERS * NOTES, len(self.outcomes))
+        for note, outcome in self.outcomes.items():
+            self.check(folds[0].notes.count(note), outcome)
+
+    def start(
+        self, running: contextlib.ExitStack, fold: stream_history.NoteFold
+    ) -> tuple[appender.StreamAppender, follower.StreamFollower]:
+        counted = metrics.Metrics()
+        machine = clock.SystemClock()
+        writer = appender.StreamAppender(
+            self.log,
+            "s",
+            f"writer-{id(fold)}",
+            counted,
+            machine,
+            spacing_ms=0,
+            retry=RETRY,
+        )
+        reader = follower.StreamFollower(
+            self.log,
+            "s",
+            fold,
+            counted,
+            machine,
+            wait_ms=20,
+            after_apply=writer.observe,
+            retry=RETRY,
+        )
+        running.enter_context(writer)
+        running.enter_context(reader)
+        return writer, reader
+
+    def write(self, writer: appender.StreamAppender, first: int) -> None:
+        for note in range(first, first + NOTES):
+            self.outcomes[note] = writer.append(
+                [stream_history.Note(note)], TIMEOUT_MS
+            )
+
+    def check(self, times: int, outcome: appender.Outcome) -> None:
+        if outcome.is_ok():
+            self.assertEqual(1, times)
+        elif isinstance(outcome.err(), streams.NotAccepted):
+            self.assertEqual(0, times)
+        else:
+            self.assertLessEqual(times, 1)
