--- a/src/comfreylatch/_process/ticket_desk.py
+++ b/src/comfreylatch/_process/ticket_desk.py
@@ -231,10 +231,11 @@
                     f" {line.offset}: take a new number",
                 ),
             )
-        page = ticket_pages.verdict_page(line)
         if line.accepted:
+            page = ticket_pages.verdict_page(line, str(line.verdict))
             return http.json_reply(200, page)
         reason = _reason_of(line)
+        page = ticket_pages.verdict_page(line, str(reason))
         self._count(reason)
         return http.json_reply(409, page, {"X-Reason": str(reason)})
 
@@ -246,7 +247,7 @@
         self._count(reason)
         sentence = f"refused before it was appended: {line.detail}"
         self._note(ticket, reason, sentence, -1)
-        page = ticket_pages.verdict_page(line)
+        page = ticket_pages.verdict_page(line, str(reason))
         return http.json_reply(409, page, {"X-Reason": str(reason)})
 
     def _refuse(
--- a/src/comfreylatch/_process/ticket_pages.py
+++ b/src/comfreylatch/_process/ticket_pages.py
@@ -146,12 +146,12 @@
     return ProblemPage("bad-ticket", detail, tuple(problems))
 
 
-def verdict_page(line: verdicts.TicketLine) -> VerdictPage:
-    """The verdict as answered to the submitter."""
+def verdict_page(line: verdicts.TicketLine, reason: str) -> VerdictPage:
+    """The verdict as answered to the submitter, with the reason counted."""
     return VerdictPage(
         number=line.number,
         verdict=line.verdict,
-        reason=str(line.verdict),
+        reason=reason,
         detail=line.detail,
         offset=line.offset,
         conflicts=line.conflicts,
