--- a/src/comfreylatch/_commands/main.py
+++ b/src/comfreylatch/_commands/main.py
@@ -12,7 +12,6 @@
 from comfreylatch._commands import job
 from comfreylatch._commands import options
 from comfreylatch._commands import replay
-from comfreylatch._commands import replay
 from comfreylatch._commands import serve
 from comfreylatch._commands import ticket
 
@@ -55,7 +54,6 @@
 app.command(epilog=exits.HELP)(host.explain)
 app.command(epilog=exits.HELP)(host.metrics)
 app.command(epilog=exits.HELP)(replay.replay)
-app.command(epilog=exits.HELP)(replay.replay)
 
 
 def run() -> None:
--- a/src/comfreylatch/_commands/trace.py
+++ b/src/comfreylatch/_commands/trace.py
@@ -14,7 +14,7 @@
 import result
 
 from comfreylatch._commands import job
-from comfreylatch._process import shapes
+from comfreylatch._version import schema
 
 FORMAT = 1
 
@@ -190,17 +190,12 @@
     if kind not in CLASS_BY_KIND:
         known = ", ".join(CLASS_BY_KIND)
         raise ValueError(f"kind {kind!r} is not one of {known}")
-    problems = shapes.check(value, CLASS_BY_KIND[kind])
+    problems = schema.check(value, CLASS_BY_KIND[kind], "")
     if problems:
-        raise ValueError("; ".join(map(_problem_text, problems)))
+        raise ValueError("; ".join(map(str, problems)))
     line: TraceLine = msgspec.convert(value, CLASS_BY_KIND[kind])
     if line.at_ms < earliest_ms:
         raise ValueError(
             f"at_ms {line.at_ms} is below {earliest_ms} of the line before"
         )
     return line
-
-
-def _problem_text(problem: shapes.Problem) -> str:
-    path = ".".join(map(str, problem.path))
-    return f"{path}: expected {problem.expected}, found {problem.found}"
--- a/src/comfreylatch/_version/schema.py
+++ b/src/comfreylatch/_version/schema.py
@@ -48,8 +48,8 @@
 
     Args:
         value: A value as decoded from JSON.
-        expected: `int`, `str`, `bool`, an enum of strings, `tuple[T, ...]` or
-            an attrs class of such fields.
+        expected: `int`, `float`, `str`, `bool`, an enum of strings,
+            `tuple[T, ...]` or an attrs class of such fields.
         path: Where `value` stands, for the messages.
     """
     if typing.get_origin(expected) is tuple:
@@ -58,7 +58,7 @@
         return _check_object(value, expected, path)
     if issubclass(expected, enum.StrEnum):
         return _check_enum(value, expected, path)
-    if type(value) is expected:
+    if type(value) is expected or (expected is float and type(value) is int):
         return []
     return [Problem(path, _NAMES[expected], show(value))]
 
@@ -103,7 +103,12 @@
 
 
 _NAMES: Mapping[type, str] = types.MappingProxyType(
-    {int: "a whole number", str: "a text", bool: "true or false"}
+    {
+        int: "a whole number",
+        float: "a number",
+        str: "a text",
+        bool: "true or false",
+    }
 )
 
 
