--- a/src/comfreylatch/_process/follower.py
+++ b/src/comfreylatch/_process/follower.py
@@ -24,6 +24,7 @@
 
 MAX_READ_ENTRIES = 256
 DEFAULT_WAIT_MS = 2_000
+EARLY_ANSWER_PAUSE_MS = 100
 NEVER_MS = 2**53
 
 _events = logbook.Logger(__name__)
@@ -190,7 +191,11 @@
         self._first_offset = max(self._first_offset, batch.first_offset)
         if len(batch.entries) < MAX_READ_ENTRIES:
             self._reached_head(bool(batch.entries), started_ms)
-        return 0
+        if batch.entries:
+            return 0
+        # A log that does not hold empty answers back must not be flooded.
+        elapsed_ms = self._clock.monotonic_ms() - started_ms
+        return max(0, min(EARLY_ANSWER_PAUSE_MS, self._wait_ms - elapsed_ms))
 
     def _reached_head(self, had_entries: bool, started_ms: int) -> None:
         """Notes until when at least nothing newer was on the log."""
@@ -257,7 +262,7 @@
         offset, digest = self._state.position()
         if offset == given.offset and digest != given.digest:
             self._bad_peer_message("digest", f"at offset {offset}")
-        elif offset >= given.offset:
+        elif offset >= max(given.offset, given.floor):
             self._ready = True
 
     def _bad_peer_message(self, what: str, detail: str) -> None:
--- a/src/comfreylatch/_process/ticket_pages.py
+++ b/src/comfreylatch/_process/ticket_pages.py
@@ -11,6 +11,7 @@
 
 from comfreylatch._ports import peers as peers_port
 from comfreylatch._process import follower as follower_module
+from comfreylatch._process import journal as journal_module
 from comfreylatch._version import configuration
 from comfreylatch._version import objects
 from comfreylatch._version import schema
@@ -37,6 +38,8 @@
         offset: Offset of its configuration, as last heard.
         digest: Digest of its configuration there.
         reachable: Whether the seat answers now.
+        diverged: Whether it has another state at the same offset as this
+            host, which is a fault of one of them.
     """
 
     seat: str
@@ -44,6 +47,7 @@
     offset: int
     digest: str
     reachable: bool
+    diverged: bool = False
 
 
 @attrs.frozen
@@ -60,7 +64,24 @@
 
 @attrs.frozen
 class TicketPage:
-    """One ticket: what was decided, why, and where it is in force."""
+    """One ticket: what was decided, why, and where it is in force.
+
+    Attributes:
+        number: Number of the ticket.
+        author: Who wrote it.
+        reason: Why it was written.
+        verdict: Accepted, or why not.
+        detail: The same for a person; empty when accepted.
+        offset: Offset of its record.
+        objects: What it touches, as `kind/name`.
+        conflicts: The changes that lost.
+        age_ms: How old this host's knowledge of the log is.
+        since_wall_ms: When this host folded it, in milliseconds since the
+            epoch; 0 when that was before this host was ready.
+        in_force: Seats on which it is in force.
+        not_yet: Seats that are not known to have folded it.
+        sentence: All of it in words.
+    """
 
     number: int
     author: str
@@ -71,6 +92,7 @@
     objects: tuple[str, ...]
     conflicts: tuple[verdicts.Conflict, ...]
     age_ms: int
+    since_wall_ms: int
     in_force: tuple[SeatLine, ...]
     not_yet: tuple[SeatLine, ...]
     sentence: str
@@ -152,6 +174,7 @@
     line: verdicts.TicketLine,
     own: OwnView,
     views: Iterable[peers_port.PeerView],
+    decisions: Iterable[journal_module.Decision],
 ) -> TicketPage:
     """A ticket with the seats that have folded it and those that have not."""
     seats = [
@@ -159,7 +182,7 @@
             own.seat, own.offset >= line.offset, own.offset, own.digest, True
         )
     ]
-    seats += [_seat_line(line, view) for view in views]
+    seats += [_seat_line(line, own, view) for view in views]
     in_force = tuple(seat for seat in seats if seat.applied)
     not_yet = tuple(seat for seat in seats if not seat.applied)
     return TicketPage(
@@ -172,6 +195,7 @@
         objects=line.objects,
         conflicts=line.conflicts,
         age_ms=own.age_ms,
+        since_wall_ms=_since_wall_ms(line, decisions),
         in_force=in_force if line.accepted else (),
         not_yet=not_yet,
         sentence=_sentence(line, in_force, not_yet, own.age_ms),
@@ -205,15 +229,26 @@
     return f"as of {age_ms} ms ago"
 
 
+def _since_wall_ms(
+    line: verdicts.TicketLine, decisions: Iterable[journal_module.Decision]
+) -> int:
+    for decision in decisions:
+        if decision.offset == line.offset and decision.reason == line.verdict:
+            return decision.wall_ms
+    return 0
+
+
 def _seat_line(
-    line: verdicts.TicketLine, view: peers_port.PeerView
+    line: verdicts.TicketLine, own: OwnView, view: peers_port.PeerView
 ) -> SeatLine:
+    same_offset = view.config_offset == own.offset
     return SeatLine(
         seat=view.seat,
         applied=view.config_offset >= line.offset,
         offset=view.config_offset,
         digest=view.config_digest,
         reachable=view.reachable,
+        diverged=same_offset and view.config_digest != own.digest,
     )
 
 
@@ -235,6 +270,9 @@
     if not_yet:
         names = ", ".join(map(_seat_name, not_yet))
         text += f"; not yet known to be on {names}"
+    diverged = [seat.seat for seat in (*in_force, *not_yet) if seat.diverged]
+    if diverged:
+        text += f"; its state differs on {', '.join(diverged)}: restart them"
     return f"{text} ({age(age_ms)})."
 
 
