--- a/src/comfreylatch/_commands/main.py
+++ b/src/comfreylatch/_commands/main.py
@@ -54,7 +54,6 @@
 app.command(epilog=exits.HELP)(host.explain)
 app.command(epilog=exits.HELP)(host.metrics)
 app.command(epilog=exits.HELP)(replay.replay)
-app.command(epilog=exits.HELP)(replay.replay)
 
 
 def run() -> None:
--- a/src/comfreylatch/_commands/trace.py
+++ b/src/comfreylatch/_commands/trace.py
@@ -190,16 +190,12 @@
     if kind not in CLASS_BY_KIND:
         known = ", ".join(CLASS_BY_KIND)
         raise ValueError(f"kind {kind!r} is not one of {known}")
-    problems = schema.check(value, CLASS_BY_KIND[kind], kind)
+    problems = schema.check(value, CLASS_BY_KIND[kind], "")
     if problems:
-        raise ValueError("; ".join(map(_problem_text, problems)))
+        raise ValueError("; ".join(map(str, problems)))
     line: TraceLine = msgspec.convert(value, CLASS_BY_KIND[kind])
     if line.at_ms < earliest_ms:
         raise ValueError(
             f"at_ms {line.at_ms} is below {earliest_ms} of the line before"
         )
     return line
-
-
-def _problem_text(problem: schema.Problem) -> str:
-    return f"{problem.path}: expected {problem.expected}, found {problem.found}"
