--- a/src/comfreylatch/_process/own_state.py
+++ b/src/comfreylatch/_process/own_state.py
@@ -15,7 +15,6 @@
 from comfreylatch._process import follower as follower_module
 from comfreylatch._process import logs
 from comfreylatch._process import membership as membership_module
-from comfreylatch._process import settings as settings_module
 from comfreylatch._process import shares as shares_module
 from comfreylatch._request import router as router_module
 from comfreylatch._wire.gen.peer import ttypes
