Turn callers away before a stop closes the listening socket

Cause: SIGTERM under 8 callers in a tight loop cut 8 requests off. Two ways: kept-alive connections were closed while a next request was on its way, and closing the listening socket resets what it has not accepted. Ruled out: the handler or the thread pool (every accepted request was answered).

--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -26,7 +26,8 @@
 IDLE_TIMEOUT_MS = 10_000
 KEPT_CONNECTIONS = 2_048
 LISTEN_BACKLOG = 512
-ARRIVAL_GRACE_MS = 100
+QUIET_MS = 150
+MAX_ARRIVAL_MS = 2_000
 RETRY_AFTER_STOP_MS = 1_000
 POLL_INTERVAL_S = 0.05
 ACCEPT_WAIT_S = 0.2
@@ -132,6 +133,27 @@
         """Requests whose handler is running now."""
         return self._state.open_requests
 
+    def close_after_replies(self) -> None:
+        """Ends each connection with its next reply; still serves all."""
+        self._state.closing = True
+
+    def _wait_no_arrivals(self) -> None:
+        """Waits until callers have stopped coming, for a bounded time.
+
+        Who sent before they could know of the stop gets an answer: closing
+        the listening socket resets the connections it has not accepted.
+        """
+        state = self._state
+        started_ms = state.clock.monotonic_ms()
+        state.last_arrival_ms = started_ms
+        while True:
+            now_ms = state.clock.monotonic_ms()
+            if now_ms - state.last_arrival_ms >= QUIET_MS:
+                return
+            if now_ms - started_ms >= MAX_ARRIVAL_MS:
+                return
+            time.sleep(POLL_INTERVAL_S)
+
     def drain(self, timeout_ms: int) -> bool:
         """Stops taking requests, answers those in progress, then stops.
 
@@ -142,8 +164,7 @@
             return True
         self._stopped = True
         self._state.draining = True
-        # Callers who sent before they could know of the stop get an answer.
-        time.sleep(ARRIVAL_GRACE_MS / 1_000)
+        self._wait_no_arrivals()
         finished = self._state.wait_no_open_requests(timeout_ms)
         self._server.shutdown_timeout = 1 if finished else POLL_INTERVAL_S
         stopper = threading.Thread(
@@ -162,7 +183,9 @@
         self.handler = handler
         self.clock = clock
         self.draining = False
+        self.closing = False
         self.open_requests = 0
+        self.last_arrival_ms = clock.monotonic_ms()
         self._changed = threading.Condition()
 
     def __enter__(self) -> Self:
@@ -255,6 +278,7 @@
         """Answers one request; exceptions of the handler become a 500."""
         state = self.req.server.state
         if state.draining:
+            state.last_arrival_ms = state.clock.monotonic_ms()
             self.req.close_connection = True
             self._send(_stopping_reply())
             return
@@ -265,7 +289,7 @@
                 case result.Err(bad):
                     self.req.close_connection = True
                     reply = _bad_body_reply(bad)
-            if state.draining:
+            if state.draining or state.closing:
                 self.req.close_connection = True
             self._send(reply)
 
--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -142,6 +142,7 @@
         timeout_ms = self._settings.timing.stop_timeout_ms
         logs.event(_logger, "stopping", host=self.host_id)
         self._state.stopping.set()
+        self._caller_server.close_after_replies()
         time.sleep(BALANCER_GRACE_MS / 1_000)
         finished = self._caller_server.drain(timeout_ms)
         self._router.stop_taking()
--- a/testing/demo.py
+++ b/testing/demo.py
@@ -167,7 +167,8 @@
         while time.monotonic() < until:
             name = f"load-{caller}-{len(sent)}"
             sent.append(self._send(seat, name))
-            if sent[-1].answer.outcome == "unreachable":
+            answer = sent[-1].answer
+            if answer.outcome == "unreachable" or answer.reason == "stopping":
                 break
         return sent
 
