Guard ids of non-idempotent requests by a majority of three holders

An id is claimed at a majority of three seats, chosen by rendezvous hashing over all zones, before its request is sent. Two majorities share a holder, so a repetition through any host finds the mark. A holder that started less than the keeping time ago grants nothing.

Ruled out: home host with one copy, since one dead holder of the two then refuses the id until its mark has expired; a record per request on the log, since it adds a log append to each request and stops with the log. Ids that a host makes itself need no claim, as nobody can have used them before.

--- a/src/comfreylatch/_process/settings.py
+++ b/src/comfreylatch/_process/settings.py
@@ -62,11 +62,15 @@
         policy: `least-expected`; for comparison `round-robin` or `random`.
         spill: Whether other zones are used when the own one has no slot.
         seed: Seed of all random choices; 0 takes a new one at each start.
+        mark_keep_ms: How long it is known that an id of a non-idempotent
+            request was used; the same on every host. A host grants no ids in
+            this time after its start.
     """
 
     policy: str = "least-expected"
     spill: bool = True
     seed: int = 0
+    mark_keep_ms: int = 60_000
 
 
 @attrs.frozen
--- a/src/comfreylatch/_request/call.py
+++ b/src/comfreylatch/_request/call.py
@@ -17,6 +17,7 @@
 PATH_PREFIX = "/services/"
 MAX_ID_LENGTH = 128
 RANDOM_ID_BYTES = 12
+ISSUED_PREFIX = "cl-"
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
 
 _OWN_HEADERS = frozenset(
@@ -33,12 +34,19 @@
         caller: Name of the caller, for fairness.
         request: What an endpoint shall get.
         deadline_ms: Monotonic time by which the caller wants the answer.
+        is_own_id: This host made the id, so nobody can have used it before.
     """
 
     state: service_state.ServiceState
     caller: str
     request: endpoint_client.EndpointRequest
     deadline_ms: int
+    is_own_id: bool = False
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether its id must be claimed before it is sent."""
+        return not self.idempotent and not self.is_own_id
 
     @property
     def request_id(self) -> str:
@@ -53,7 +61,15 @@
 
 def make_id() -> str:
     """A new request id, unlike any other host's."""
-    return os.urandom(RANDOM_ID_BYTES).hex()
+    return ISSUED_PREFIX + os.urandom(RANDOM_ID_BYTES).hex()
+
+
+def is_issued_id(text: str) -> bool:
+    """Whether an id has the form of those that hosts make."""
+    return (
+        text.startswith(ISSUED_PREFIX)
+        and len(text) == len(ISSUED_PREFIX) + 2 * RANDOM_ID_BYTES
+    )
 
 
 def is_good_id(text: str) -> bool:
@@ -69,9 +85,10 @@
 def parse(
     request: http.HttpRequest,
     request_id: str,
+    is_own_id: bool,
     table: service_state.ServiceTable,
     now_ms: int,
-) -> result.Result[Call, outcomes.NotRun]:
+) -> result.Result[Call, outcomes.NotRun | outcomes.Unknown]:
     """Understands a request to `/services/...`."""
     if not is_good_id(request_id):
         return _bad(
@@ -98,6 +115,8 @@
             pass
         case result.Err(refused):
             return result.Err(refused)
+    if not idempotent and not is_own_id and is_issued_id(request_id):
+        return result.Err(_issued_before())
     received_ms = request.received_ms if request.received_ms >= 0 else now_ms
     return result.Ok(
         Call(
@@ -112,6 +131,7 @@
                 idempotent=idempotent,
             ),
             deadline_ms=received_ms + timeout_ms,
+            is_own_id=is_own_id,
         )
     )
 
@@ -181,6 +201,15 @@
     return result.Err(outcomes.NotRun(reason, sentence))
 
 
+def _issued_before() -> outcomes.Unknown:
+    """An id that a host made was used by the request it was made for."""
+    return outcomes.Unknown(
+        reasons.RefusalReason.DUPLICATE_REQUEST,
+        "this id was made by an entry host for an earlier request; send a "
+        "request that may be repeated with an id of your own",
+    )
+
+
 def _no_service(
     name: str, table: service_state.ServiceTable
 ) -> outcomes.NotRun:
--- /dev/null
+++ b/src/comfreylatch/_request/dispatch_guard.py
@@ -0,0 +1,277 @@
+"""At most one dispatch of each non-idempotent request id, over all hosts.
+
+Three seats hold the marks of an id, chosen by rendezvous hashing over the
+seats of all zones, in different zones where there are enough. A host sends
+the request only after a majority of them has granted it the id. Two
+majorities share a holder, and a holder grants an id once, so a repetition
+through any host finds the mark. A holder that has been up for less than the
+time marks are kept grants nothing.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from typing import final
+
+import attrs
+import result
+import xxhash
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import configuration as configuration_port
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import dispatch_marks
+from comfreylatch._process import reasons
+from comfreylatch._request import outcomes
+from comfreylatch._version import configuration
+from comfreylatch._wire.gen.peer import ttypes
+
+HOLDERS = 3
+MARK_TIMEOUT_MS = 300
+RETRY_UNREACHABLE_MS = 1_000
+RETRY_YOUNG_MS = 5_000
+
+ClaimError = outcomes.NotRun | outcomes.Unknown
+
+
+@attrs.frozen
+class Seat:
+    """A place for an entry host, by configuration."""
+
+    name: str
+    zone: str
+
+
+def holders_of(request_id: str, seats: tuple[Seat, ...]) -> tuple[str, ...]:
+    """Names of the seats that hold the marks of an id, best first."""
+    ranked = sorted(
+        seats,
+        key=lambda seat: xxhash.xxh3_64_intdigest(
+            f"{seat.name}\n{request_id}".encode()
+        ),
+        reverse=True,
+    )
+    chosen: list[Seat] = []
+    for seat in ranked:
+        if seat.zone not in {other.zone for other in chosen}:
+            chosen.append(seat)
+    chosen.extend(seat for seat in ranked if seat not in chosen)
+    return tuple(seat.name for seat in chosen[:HOLDERS])
+
+
+def seats_of(current: configuration.Configuration) -> tuple[Seat, ...]:
+    """All seats of all zones."""
+    return tuple(
+        Seat(seat, zone_name)
+        for zone_name, zone in sorted(current.zones.items())
+        for seat in zone.seats
+    )
+
+
+@attrs.define(eq=False)
+class _Tally:
+    """What holders have said of one claim."""
+
+    granted: set[str] = attrs.field(factory=set)
+    asked: set[str] = attrs.field(factory=set)
+    is_seen: bool = False
+    young: list[str] = attrs.field(factory=list)
+    unreachable: list[str] = attrs.field(factory=list)
+
+
+@final
+class QuorumGuard:
+    """Claims ids at a majority of their holders. Thread-safe.
+
+    Args:
+        source: Configuration in force; its zones name all seats.
+        peers: Other seats.
+        marks: The marks this host holds itself.
+        seat: This host's seat.
+        host_id: Id of this process.
+        clock: Monotonic time.
+        keep_ms: How long marks are kept; a caller must not repeat an id
+            later. Must be well above the longest service timeout.
+    """
+
+    def __init__(
+        self,
+        source: configuration_port.ConfigurationSource,
+        peers: peers_port.Peers,
+        marks: dispatch_marks.DispatchMarks,
+        seat: str,
+        host_id: str,
+        clock: clock_port.Clock,
+        keep_ms: int,
+    ) -> None:
+        self._peers = peers
+        self._marks = marks
+        self._seat = seat
+        self._host_id = host_id
+        self._clock = clock
+        self._keep_ms = keep_ms
+        self._claims = itertools.count(1)
+        self._lock = threading.Lock()
+        self._seats: tuple[Seat, ...] = ()
+        self._old_seats: tuple[Seat, ...] = ()
+        self._changed_ms = clock.monotonic_ms()
+        source.on_change(self._apply)
+        self._apply(source.current())
+
+    def claim(
+        self, request_id: str, deadline_ms: int
+    ) -> result.Result[outcomes.Claim, ClaimError]:
+        """Marks an id as dispatched at a majority of its holders."""
+        claim = outcomes.Claim(
+            request_id, f"{self._host_id}/{next(self._claims)}"
+        )
+        tally = _Tally()
+        for holders in self._holder_sets(request_id):
+            if not self._claim_at(claim, holders, deadline_ms, tally):
+                # Those that did not answer are not waited for; a mark left
+                # behind refuses repetitions, which is safe.
+                self._release_at(claim, tally.granted)
+                return result.Err(self._refusal(tally))
+        return result.Ok(claim)
+
+    def release(self, claim: outcomes.Claim) -> None:
+        """Takes back a claim of a request that no endpoint has seen."""
+        holders = {
+            seat
+            for seats in self._holder_sets(claim.request_id)
+            for seat in seats
+        }
+        self._release_at(claim, holders)
+
+    def _apply(self, new: configuration.Configuration) -> None:
+        seats = seats_of(new)
+        with self._lock:
+            if seats == self._seats:
+                return
+            self._old_seats = self._seats
+            self._seats = seats
+            self._changed_ms = self._clock.monotonic_ms()
+
+    def _holder_sets(self, request_id: str) -> list[tuple[str, ...]]:
+        """Sets of holders that must each have a majority for a claim.
+
+        While marks made by the former seats are still kept, theirs count too.
+        """
+        with self._lock:
+            seats, old_seats = self._seats, self._old_seats
+            age_ms = self._clock.monotonic_ms() - self._changed_ms
+        sets = [holders_of(request_id, seats)]
+        if old_seats and age_ms < self._keep_ms:
+            sets.append(holders_of(request_id, old_seats))
+        return sets
+
+    def _claim_at(
+        self,
+        claim: outcomes.Claim,
+        holders: tuple[str, ...],
+        deadline_ms: int,
+        tally: _Tally,
+    ) -> bool:
+        """Asks holders, nearest first, until a majority has granted."""
+        needed = len(holders) // 2 + 1
+        for seat in self._nearest_first(holders):
+            if len(tally.granted.intersection(holders)) >= needed:
+                return True
+            if seat not in tally.asked:
+                self._ask(claim, seat, deadline_ms, tally)
+            if tally.is_seen:
+                return False
+        return 0 < needed <= len(tally.granted.intersection(holders))
+
+    def _nearest_first(self, holders: tuple[str, ...]) -> list[str]:
+        views = {view.seat: view for view in self._peers.views()}
+        own_zone = next(
+            (seat.zone for seat in self._seats if seat.name == self._seat), ""
+        )
+
+        def distance(seat: str) -> int:
+            view = views.get(seat)
+            if seat == self._seat:
+                return 0
+            if view is None or not view.reachable:
+                return 3
+            return 1 if view.zone == own_zone else 2
+
+        return sorted(holders, key=distance)
+
+    def _ask(
+        self,
+        claim: outcomes.Claim,
+        seat: str,
+        deadline_ms: int,
+        tally: _Tally,
+    ) -> None:
+        left_ms = deadline_ms - self._clock.monotonic_ms()
+        if left_ms <= 0:
+            tally.unreachable.append(seat)
+            return
+        tally.asked.add(seat)
+        request = self._request(claim, self._keep_ms)
+        if seat == self._seat:
+            self._count(seat, self._marks.mark(request), tally)
+            return
+        timeout_ms = min(MARK_TIMEOUT_MS, left_ms)
+        match self._peers.mark(seat, request, timeout_ms):
+            case result.Ok(reply):
+                self._count(seat, reply, tally)
+            case result.Err(_):
+                tally.unreachable.append(seat)
+
+    @staticmethod
+    def _count(seat: str, reply: ttypes.MarkReply, tally: _Tally) -> None:
+        match reply.verdict:
+            case ttypes.MarkVerdict.FRESH:
+                tally.granted.add(seat)
+            case ttypes.MarkVerdict.SEEN:
+                tally.is_seen = True
+            case _:
+                tally.young.append(seat)
+
+    def _refusal(self, tally: _Tally) -> ClaimError:
+        if tally.is_seen:
+            return outcomes.Unknown(
+                reasons.RefusalReason.DUPLICATE_REQUEST,
+                "a request with this id was sent to an endpoint before",
+            )
+        if tally.young:
+            return outcomes.NotRun(
+                reasons.RefusalReason.REQUEST_TOO_OLD,
+                f"{', '.join(tally.young)} started too lately to tell whether "
+                "this id was used before",
+                self._young_ms(),
+            )
+        return outcomes.NotRun(
+            reasons.RefusalReason.GUARD_UNREACHABLE,
+            f"holders of this id can't be reached: "
+            f"{', '.join(tally.unreachable) or 'no seats are configured'}",
+            RETRY_UNREACHABLE_MS,
+        )
+
+    def _young_ms(self) -> int:
+        own_ms = self._keep_ms - self._marks.uptime_ms
+        return own_ms if own_ms > 0 else min(RETRY_YOUNG_MS, self._keep_ms)
+
+    def _request(
+        self, claim: outcomes.Claim, keep_ms: int
+    ) -> ttypes.MarkRequest:
+        return ttypes.MarkRequest(
+            request_id=claim.request_id,
+            host_id=claim.claimant,
+            keep_ms=keep_ms,
+            copy=False,
+        )
+
+    def _release_at(self, claim: outcomes.Claim, holders: set[str]) -> None:
+        """Best effort: what is not taken back refuses repetitions."""
+        request = self._request(claim, 0)
+        for seat in holders:
+            if seat == self._seat:
+                self._marks.mark(request)
+            else:
+                self._peers.mark(seat, request, MARK_TIMEOUT_MS)
--- a/src/comfreylatch/_request/outcomes.py
+++ b/src/comfreylatch/_request/outcomes.py
@@ -60,6 +60,18 @@
     retry_after_ms: int = 0
 
 
+@attrs.frozen
+class Claim:
+    """The right to dispatch an id.
+
+    Attributes:
+        claimant: Names this one claim among all hosts and times.
+    """
+
+    request_id: str
+    claimant: str
+
+
 RequestOutcome = Answered | NotRun | Unknown
 
 
--- a/src/comfreylatch/_request/parts.py
+++ b/src/comfreylatch/_request/parts.py
@@ -22,11 +22,11 @@
 
     def claim(
         self, request_id: str, deadline_ms: int
-    ) -> result.Result[None, outcomes.NotRun | outcomes.Unknown]:
+    ) -> result.Result[outcomes.Claim, outcomes.NotRun | outcomes.Unknown]:
         """Marks the id as dispatched; Err holds what the caller is told."""
         ...
 
-    def release(self, request_id: str) -> None:
+    def release(self, claim: outcomes.Claim) -> None:
         """Takes back a claim of a request that no endpoint has seen."""
         ...
 
--- a/src/comfreylatch/_request/router.py
+++ b/src/comfreylatch/_request/router.py
@@ -119,7 +119,11 @@
         given_id = request.headers.get("x-request-id")
         request_id = call_module.make_id() if given_id is None else given_id
         parsed = call_module.parse(
-            request, request_id, self._table, self._parts.clock.monotonic_ms()
+            request,
+            request_id,
+            given_id is None,
+            self._table,
+            self._parts.clock.monotonic_ms(),
         )
         match parsed:
             case result.Ok(call):
--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -68,9 +68,9 @@
         self._state = call.state
         self._observer = observations.Observer(parts, call.state)
         self._excluded: frozenset[str] = frozenset()
-        # Whose id was claimed elsewhere is released there too.
-        self._guard = None if is_claimed else parts.guard
-        self._claimed = False
+        needs_claim = call.needs_claim and not is_claimed
+        self._guard = parts.guard if needs_claim else None
+        self._claim: outcomes.Claim | None = None
         self._lost: endpoint_client.LostAfterSend | None = None
         self._tries = 0
 
@@ -86,13 +86,11 @@
             match self._enter():
                 case result.Ok(endpoint):
                     pass
-                case result.Err(refused):
-                    return self._given_up(refused)
-            match self._claim(endpoint):
-                case result.Err(told):
-                    return told
-                case result.Ok(_):
-                    pass
+                case result.Err(shed):
+                    return self._given_up(shed)
+            refused = self._claim_id(endpoint)
+            if refused is not None:
+                return refused
             tried = self._try(endpoint)
             if isinstance(tried, result.Ok):
                 answer = tried.ok_value
@@ -143,20 +141,20 @@
         state.stats.begin(endpoint)
         return endpoint
 
-    def _claim(
+    def _claim_id(
         self, endpoint: str
-    ) -> result.Result[None, outcomes.NotRun | outcomes.Unknown]:
-        """Marks the id of a non-idempotent request before its first try."""
-        guard = self._guard
-        if self._call.idempotent or guard is None or self._claimed:
-            return result.Ok(None)
-        claimed = guard.claim(self._call.request_id, self._call.deadline_ms)
-        if claimed.is_err():
-            self._state.stats.skipped(endpoint)
-            self._slot_returner(endpoint)()
-        else:
-            self._claimed = True
-        return claimed
+    ) -> outcomes.NotRun | outcomes.Unknown | None:
+        """Claims the id before its first try, if it can have been used."""
+        if self._guard is None or self._claim is not None:
+            return None
+        match self._guard.claim(self._call.request_id, self._call.deadline_ms):
+            case result.Ok(claim):
+                self._claim = claim
+                return None
+            case result.Err(refused):
+                self._state.stats.skipped(endpoint)
+                self._slot_returner(endpoint)()
+                return refused
 
     def _slot_returner(self, endpoint: str) -> Callable[[], None]:
         """What is to be done when the request in a taken slot has ended."""
@@ -336,8 +334,8 @@
         """`not-run` if no endpoint has seen the request, else `unknown`."""
         if self._lost is not None:
             return self._unknown(f"{self._lost.detail}; then: {sentence}")
-        if self._claimed and self._guard is not None:
-            self._guard.release(self._call.request_id)
+        if self._claim is not None and self._guard is not None:
+            self._guard.release(self._claim)
         return outcomes.NotRun(reason, sentence, retry_after_ms)
 
     def _unknown(self, sentence: str) -> outcomes.Unknown:
