Hand requests to other zones when this one has no slot

Cause: the drain rate of a host without a request in flight was taken as that of one slot. Now such a host refuses at once, and a request that would have to wait goes to a zone with spare slots if that has lately been quicker.

--- a/src/comfreylatch/_process/routing/admission.py
+++ b/src/comfreylatch/_process/routing/admission.py
@@ -24,6 +24,7 @@
 HOLD_SMOOTHING = 0.05
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 10_000
+RETRY_NO_SLOT_MS = 1_000
 RECHECK_MS = 200
 RESERVED_THREADS = 8
 # Part of the other services' threads that a service over its share can't take.
@@ -55,12 +56,14 @@
         pick: Takes a slot and returns its endpoint, or None. Called under
             the queue's lock, so it must not block.
         is_retry: It has waited its turn before.
+        may_wait: Whether it may wait, or takes a slot that is free now.
     """
 
     caller: str
     deadline_ms: int
     pick: Callable[[], str | None]
     is_retry: bool = False
+    may_wait: bool = True
 
 
 @attrs.define(eq=False)
@@ -140,6 +143,16 @@
                 self._in_flight += 1
                 self._settle(waiter, result.Ok(endpoint))
 
+    @property
+    def hold_ms(self) -> float:
+        """Usual time that a request holds its slot."""
+        return self._hold_ms
+
+    def expected_ms(self) -> float:
+        """Expected time from now to the answer of one more request."""
+        with self._lock:
+            return self._wait_ms(self._count + 1) + self._hold_ms
+
     def retry_after_ms(self) -> int:
         """When those who wait now will have got a slot, by drain rate."""
         with self._lock:
@@ -172,6 +185,18 @@
 
     def _refusal(self, arrival: Arrival) -> Refused | None:
         """Why an arrival can't be answered in time, if it can't."""
+        if not arrival.may_wait:
+            return Refused(
+                reasons.RefusalReason.NO_FREE_SLOT,
+                "no slot is free now",
+                self._bounded_retry_ms(self._wait_ms(self._count + 1)),
+            )
+        if self._in_flight == 0:
+            return Refused(
+                reasons.RefusalReason.NO_FREE_SLOT,
+                "this host has no slot, and none in use that could free up",
+                RETRY_NO_SLOT_MS,
+            )
         left_ms = arrival.deadline_ms - self._clock.monotonic_ms()
         position = 1 if arrival.is_retry else self._position(arrival.caller)
         wait_ms = self._wait_ms(position)
--- a/src/comfreylatch/_request/router.py
+++ b/src/comfreylatch/_request/router.py
@@ -29,6 +29,7 @@
 from comfreylatch._request import call as call_module
 from comfreylatch._request import outcomes
 from comfreylatch._request import parts as parts_module
+from comfreylatch._request import spill
 from comfreylatch._request import tries
 from comfreylatch._wire.gen.peer import ttypes
 
@@ -91,6 +92,7 @@
             guard=guard,
         )
         self._peers = peers
+        self._spill = spill.Spill(self._parts, peers, settings)
         self._threads = admission.ThreadShares(settings.threads)
         self._stopping = threading.Event()
         self._closed = threading.Event()
@@ -146,8 +148,7 @@
         )
         match parsed:
             case result.Ok(call):
-                # The host that handed it over has claimed its id.
-                outcome = self._run_here(call, is_claimed=True)
+                outcome = self._run_here(call, is_forwarded=True)
             case result.Err(refused):
                 outcome = refused
         self._account(
@@ -181,10 +182,12 @@
         return self._table.all()
 
     def _run(self, call: call_module.Call) -> outcomes.RequestOutcome:
-        return self._run_here(call, is_claimed=False)
+        """Runs a request here, or in another zone that can do it sooner."""
+        outcome = self._run_here(call, is_forwarded=False)
+        return self._spill.after_refusal(call, outcome) or outcome
 
     def _run_here(
-        self, call: call_module.Call, is_claimed: bool
+        self, call: call_module.Call, is_forwarded: bool
     ) -> outcomes.RequestOutcome:
         """Runs a request on this zone's endpoints."""
         if self._stopping.is_set():
@@ -201,7 +204,15 @@
                 max(call.state.queue.retry_after_ms(), RETRY_AFTER_BUSY_MS),
             )
         try:
-            return tries.Tries(self._parts, call, is_claimed).run()
+            # Its id was claimed by the host that forwarded it, for which only
+            # a slot that is free now is of use.
+            return tries.Tries(
+                self._parts,
+                call,
+                is_claimed=is_forwarded,
+                overflow=None if is_forwarded else self._spill.before_waiting,
+                may_wait=not is_forwarded,
+            ).run()
         finally:
             self._threads.leave(name)
 
--- /dev/null
+++ b/src/comfreylatch/_request/spill.py
@@ -0,0 +1,199 @@
+"""Handing requests to other zones' hosts when this zone has no slot.
+
+Own endpoints come first. A request goes to another zone when it would have to
+wait here for longer than the other zone has lately taken, or was refused for
+want of a slot, and a host there has reported spare slots.
+"""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+from typing import final
+
+import attrs
+import result
+
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process import settings as settings_module
+from comfreylatch._request import call as call_module
+from comfreylatch._request import outcomes
+from comfreylatch._request import parts as parts_module
+
+FIRST_EXTRA_MS = 15.0
+SMOOTHING = 0.1
+MARGIN_MS = 5
+REFUSED_PAUSE_MS = 500
+
+_FOR_WANT_OF_SLOT = frozenset(
+    {
+        reasons.RefusalReason.NO_FREE_SLOT,
+        reasons.RefusalReason.NO_ENDPOINT,
+        reasons.RefusalReason.NO_FREE_THREAD,
+    }
+)
+
+
+@attrs.define(eq=False)
+class _Route:
+    """What is known of one seat for one service.
+
+    Attributes:
+        taken_ms: Smoothed time of a forwarded request, with its network.
+        in_flight: Requests forwarded and not replied to.
+        paused_until_ms: Monotonic time until which nothing is forwarded,
+            after the seat had no slot in spite of its report.
+    """
+
+    taken_ms: float = -1.0
+    in_flight: int = 0
+    paused_until_ms: int = 0
+
+
+@final
+class Spill:
+    """Forwards requests to hosts of other zones. Thread-safe."""
+
+    def __init__(
+        self,
+        parts: parts_module.Parts,
+        peers: peers_port.Peers,
+        settings: settings_module.Settings,
+    ) -> None:
+        self._parts = parts
+        self._peers = peers
+        self._zone = settings.zone
+        self._is_on = settings.routing.spill
+        self._lock = threading.Lock()
+        self._routes: dict[str, _Route] = collections.defaultdict(_Route)
+
+    def before_waiting(
+        self, call: call_module.Call
+    ) -> outcomes.RequestOutcome | None:
+        """Forwards a request that would wait longer here; None if not."""
+        queue = call.state.queue
+        if queue.in_flight == 0:
+            # Nothing here will free up; `after_refusal` looks elsewhere.
+            return None
+        return self._forward_within(call, queue.expected_ms())
+
+    def after_refusal(
+        self, call: call_module.Call, outcome: outcomes.RequestOutcome
+    ) -> outcomes.RequestOutcome | None:
+        """Forwards a request refused here for want of a slot; None if not."""
+        match outcome:
+            case outcomes.NotRun(reason) if reason in _FOR_WANT_OF_SLOT:
+                left_ms = call.deadline_ms - self._parts.clock.monotonic_ms()
+                return self._forward_within(call, left_ms)
+            case _:
+                return None
+
+    def _forward_within(
+        self, call: call_module.Call, within_ms: float
+    ) -> outcomes.RequestOutcome | None:
+        if not self._is_on:
+            return None
+        seat = self._take_seat(call, within_ms)
+        if seat is None:
+            return None
+        try:
+            return self._claim_and_forward(call, seat)
+        finally:
+            with self._lock:
+                self._route(seat, call).in_flight -= 1
+
+    def _take_seat(
+        self, call: call_module.Call, within_ms: float
+    ) -> str | None:
+        """The seat expected to answer first, if that is soon enough."""
+        best: str | None = None
+        best_ms = within_ms
+        now_ms = self._parts.clock.monotonic_ms()
+        usual_ms = call.state.queue.hold_ms
+        with self._lock:
+            for view in self._peers.views():
+                if not self._is_usable(view, call, now_ms):
+                    continue
+                route = self._route(view.seat, call)
+                if route.taken_ms < 0:
+                    route.taken_ms = usual_ms + FIRST_EXTRA_MS
+                if route.taken_ms < best_ms:
+                    best = view.seat
+                    best_ms = route.taken_ms
+            if best is not None:
+                self._route(best, call).in_flight += 1
+        return best
+
+    def _is_usable(
+        self, view: peers_port.PeerView, call: call_module.Call, now_ms: int
+    ) -> bool:
+        if view.zone == self._zone or not view.reachable or view.stopping:
+            return False
+        route = self._route(view.seat, call)
+        spare = view.spare_slots.get(call.state.name, 0)
+        return spare > route.in_flight and now_ms >= route.paused_until_ms
+
+    def _route(self, seat: str, call: call_module.Call) -> _Route:
+        return self._routes[f"{seat}/{call.state.name}"]
+
+    def _claim_and_forward(
+        self, call: call_module.Call, seat: str
+    ) -> outcomes.RequestOutcome | None:
+        guard = self._parts.guard
+        if guard is None or not call.needs_claim:
+            return self._forward(call, seat)
+        match guard.claim(call.request_id, call.deadline_ms):
+            case result.Err(refused):
+                return refused
+            case result.Ok(claim):
+                outcome = self._forward(call, seat)
+                if outcome is None:
+                    guard.release(claim)
+                return outcome
+
+    def _forward(
+        self, call: call_module.Call, seat: str
+    ) -> outcomes.RequestOutcome | None:
+        """The other host's outcome; None when nothing was run there."""
+        now_ms = self._parts.clock.monotonic_ms()
+        left_ms = call.deadline_ms - now_ms
+        if left_ms <= MARGIN_MS:
+            return None
+        self._note(call, seat)
+        started_s = time.monotonic()
+        forwarded = self._peers.forward(
+            seat, call_module.to_forwarded(call, left_ms - MARGIN_MS), left_ms
+        )
+        elapsed_ms = (time.monotonic() - started_s) * 1_000
+        route = self._route(seat, call)
+        match forwarded:
+            case result.Ok(reply):
+                outcome = outcomes.from_forward_reply(
+                    call.request_id, seat, reply
+                )
+                if isinstance(outcome, outcomes.NotRun):
+                    route.paused_until_ms = now_ms + REFUSED_PAUSE_MS
+                    return None
+                route.taken_ms += SMOOTHING * (elapsed_ms - route.taken_ms)
+                return outcome
+            case result.Err(peers_port.PeerAnswerLost(detail)):
+                route.paused_until_ms = now_ms + REFUSED_PAUSE_MS
+                return outcomes.Unknown(
+                    reasons.RefusalReason.ANSWER_LOST, f"{seat}: {detail}"
+                )
+            case result.Err(_):
+                route.paused_until_ms = now_ms + REFUSED_PAUSE_MS
+                return None
+
+    def _note(self, call: call_module.Call, seat: str) -> None:
+        reason = reasons.RetryReason.SPILLED
+        self._parts.metrics.count(metrics_module.Counter.RETRIES, reason.value)
+        self._parts.journal.note(
+            reasons.Subject.REQUEST,
+            call.request_id,
+            reason.value,
+            f"no slot is free in this zone; handed to {seat}",
+        )
--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -53,18 +53,34 @@
         return (time.monotonic() - self.started_s) * 1_000
 
 
+Overflow = Callable[[call_module.Call], outcomes.RequestOutcome | None]
+
+
 @final
 class Tries:
-    """Runs one request; made anew for each."""
+    """Runs one request; made anew for each.
+
+    Args:
+        parts: What tries work with.
+        call: The request.
+        is_claimed: Its id was claimed by another host.
+        overflow: Asked once, when the request would have to wait; may run it
+            elsewhere and return its outcome.
+        may_wait: Whether it may wait for a slot.
+    """
 
     def __init__(
         self,
         parts: parts_module.Parts,
         call: call_module.Call,
         is_claimed: bool = False,
+        overflow: Overflow | None = None,
+        may_wait: bool = True,
     ) -> None:
         self._parts = parts
         self._call = call
+        self._overflow = overflow
+        self._may_wait = may_wait
         self._state = call.state
         self._observer = observations.Observer(parts, call.state)
         self._excluded: frozenset[str] = frozenset()
@@ -82,12 +98,22 @@
     def run(self) -> outcomes.RequestOutcome:
         """Tries until there is an answer or no further try is allowed."""
         self._state.budget.earn()
+        endpoint = self._state.queue.try_enter(self._pick)
+        if endpoint is None and self._overflow is not None:
+            elsewhere = self._overflow(self._call)
+            if elsewhere is not None:
+                return elsewhere
+        return self._run_from(endpoint)
+
+    def _run_from(self, endpoint: str | None) -> outcomes.RequestOutcome:
+        """Tries an endpoint whose slot is taken, then others in turn."""
         while True:
-            match self._enter():
-                case result.Ok(endpoint):
-                    pass
-                case result.Err(shed):
-                    return self._given_up(shed)
+            if endpoint is None:
+                match self._enter():
+                    case result.Ok(entered):
+                        endpoint = entered
+                    case result.Err(shed):
+                        return self._given_up(shed)
             refused = self._claim_id(endpoint)
             if refused is not None:
                 return refused
@@ -100,6 +126,7 @@
             ended = self._after_failure(endpoint, tried.err_value)
             if ended is not None:
                 return ended
+            endpoint = None
 
     def _enter(self) -> result.Result[str, admission.Refused]:
         """Waits for a slot of an endpoint."""
@@ -116,6 +143,7 @@
             deadline_ms=self._call.deadline_ms,
             pick=self._pick,
             is_retry=self._tries > 0,
+            may_wait=self._may_wait,
         )
         return self._state.queue.enter(arrival)
 
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -133,6 +133,19 @@
         self.assertIn(b" 200 ", self.ask(self.post(b"")))
         self.assertLess(time.monotonic() - started, 0.5)
 
+    def test_idle_after_chunked_request_holds_no_thread(self) -> None:
+        one = (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nhi\r\n0\r\n\r\n"
+        )
+        for _ in range(3):
+            connection = self.connect()
+            connection.sendall(one)
+            self.assertIn(b" 200 ", connection.recv(65_536))
+        started = time.monotonic()
+        self.assertIn(b" 200 ", self.ask(self.post(b"")))
+        self.assertLess(time.monotonic() - started, 0.5)
+
     def test_drain_keeps_open_request(self) -> None:
         connection = self.connect()
         connection.sendall(self.post(b"kept", "/wait"))
--- /dev/null
+++ b/tests/request/test_spill.py
@@ -0,0 +1,88 @@
+"""Tests of requests handed to other zones."""
+
+from __future__ import annotations
+
+import result
+import testtools
+
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import reasons
+from comfreylatch._wire.gen.peer import ttypes
+from tests import fakes
+from tests import scripted_endpoint
+from tests.request import harness
+
+
+def view(
+    spare: int, zone: str = "entoto", reachable: bool = True
+) -> peers_port.PeerView:
+    return peers_port.PeerView(
+        "e1", zone, reachable=reachable, spare_slots={fakes.SERVICE: spare}
+    )
+
+
+def reply(
+    outcome: str, request_id: str = "r1"
+) -> result.Ok[ttypes.ForwardReply]:
+    return result.Ok(
+        ttypes.ForwardReply(
+            request_id, outcome, "no-free-slot", 200, {}, b"far", 0
+        )
+    )
+
+
+class SpillTest(testtools.TestCase):
+    """A zone whose only endpoint has no slot at all."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.made = harness.Harness(scripted_endpoint.whole, slots=0)
+        self.made.__enter__()
+        self.addCleanup(self.made.__exit__, None, None, None)
+        self.made.peers.shown = (view(2),)
+        self.made.peers.forward_result = reply("answered")
+
+    def test_request_without_slot_goes_to_zone_with_spare(self) -> None:
+        answered = self.made.ask("r1", timeout_ms=300)
+        self.assertEqual((200, b"far"), (answered.status, answered.body))
+        self.assertEqual(1, self.made.retries(reasons.RetryReason.SPILLED))
+
+    def test_remaining_time_is_passed_on(self) -> None:
+        self.made.ask("r1", timeout_ms=300)
+        remaining_ms = self.made.peers.forwarded[0].remaining_ms
+        self.assertLess(remaining_ms, 300)
+
+    def test_nothing_is_forwarded_without_spare(self) -> None:
+        for shown in (view(0), view(2, fakes.ZONE), view(2, reachable=False)):
+            self.made.peers.shown = (shown,)
+            refused = self.made.ask("r1", timeout_ms=10)
+            self.assertEqual("not-run", refused.headers["X-Outcome"])
+        self.assertEqual([], self.made.peers.forwarded)
+
+    def test_refused_by_other_zone_is_not_run_and_pauses(self) -> None:
+        self.made.peers.forward_result = reply("not-run")
+        for _ in range(3):
+            refused = self.made.ask("r1", timeout_ms=60)
+            self.assertEqual("not-run", refused.headers["X-Outcome"])
+        self.assertEqual(1, len(self.made.peers.forwarded))
+
+    def test_lost_reply_is_unknown(self) -> None:
+        self.made.peers.forward_result = result.Err(
+            peers_port.PeerAnswerLost("cut")
+        )
+        lost = self.made.ask("r1", timeout_ms=300)
+        self.assertEqual("unknown", lost.headers["X-Outcome"])
+
+    def test_reply_for_another_request_is_unknown(self) -> None:
+        self.made.peers.forward_result = reply("answered", "r2")
+        mixed = self.made.ask("r1", timeout_ms=300)
+        self.assertEqual("unknown", mixed.headers["X-Outcome"])
+
+    def test_forwarded_request_never_waits(self) -> None:
+        forwarded = ttypes.ForwardRequest(
+            "r1", "clerk", fakes.SERVICE, "/", "GET", {}, b"", 1_000, True
+        )
+        refused = self.made.router.run_forwarded(forwarded)
+        self.assertEqual(
+            ("not-run", "no-free-slot"), (refused.outcome, refused.reason)
+        )
