--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -28,6 +28,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import appender as appender_module
 from comfreylatch._process import catch_up
+from comfreylatch._process import dispatch_marks
 from comfreylatch._process import follower as follower_module
 from comfreylatch._process import host_list
 from comfreylatch._process import journal as journal_module
@@ -49,6 +50,7 @@
 from comfreylatch._process import stream_state
 from comfreylatch._process import ticket_desk
 from comfreylatch._process.batch import service as batch_service
+from comfreylatch._request import dispatch_guard
 from comfreylatch._request import router as router_module
 from comfreylatch._version import configuration_fold
 from comfreylatch._version import job_records
@@ -247,6 +249,7 @@
             random.Random(seed),
             settings.timing.peer_timeout_ms,
         )
+        self._marks = dispatch_marks.DispatchMarks(self.host_id, self._clock)
         self._gate = own_state.SeatGate(
             own_state.GateParts(
                 self._config,
@@ -254,6 +257,7 @@
                 self._membership,
                 shares,
                 self._left_over_ms,
+                self._marks.assume_complete,
                 self._clock,
             )
         )
@@ -273,6 +277,15 @@
             self._clock,
             settings,
             seed,
+            dispatch_guard.QuorumGuard(
+                self._fold,
+                self._membership,
+                self._marks,
+                settings.seat,
+                self.host_id,
+                self._clock,
+                settings.routing.mark_keep_ms,
+            ),
         )
 
     def _make_batch(self) -> None:
@@ -317,7 +330,7 @@
             self._followers,
             self._ledger,
             self._router,
-            None,
+            self._marks,
             self._journal,
         )
         self._peer_server = peer_server.PeerServer(
--- a/src/comfreylatch/_process/dispatch_marks.py
+++ b/src/comfreylatch/_process/dispatch_marks.py
@@ -49,10 +49,15 @@
         self._host_id = host_id
         self._clock = clock
         self._started_ms = clock.monotonic_ms()
+        self._is_complete = False
         self._lock = threading.Lock()
         self._marks: dict[bytes, _Mark] = {}
         self._expiries: collections.deque[_Expiry] = collections.deque()
 
+    def assume_complete(self) -> None:
+        """Grants ids at once: none can have been used before this start."""
+        self._is_complete = True
+
     @property
     def uptime_ms(self) -> int:
         """How long this holder has remembered everything."""
@@ -83,7 +88,8 @@
             if found.claimant == claimant:
                 return ttypes.MarkVerdict.FRESH
             return ttypes.MarkVerdict.SEEN
-        if self.uptime_ms < keep_ms or len(self._marks) >= MAX_MARKS:
+        is_young = self.uptime_ms < keep_ms and not self._is_complete
+        if is_young or len(self._marks) >= MAX_MARKS:
             return ttypes.MarkVerdict.TOO_OLD
         expires_ms = self._clock.monotonic_ms() + keep_ms
         self._marks[digest] = _Mark(claimant, expires_ms)
--- a/src/comfreylatch/_process/own_state.py
+++ b/src/comfreylatch/_process/own_state.py
@@ -20,6 +20,7 @@
 from comfreylatch._wire.gen.peer import ttypes
 
 GATE_CHECK_MS = 100
+NO_ENDPOINT_BEFORE = "no-endpoint-before"
 
 _logger = logbook.Logger(__name__)
 
@@ -88,6 +89,7 @@
         membership: Tells what peers know of the predecessor.
         shares: Opened by the gate.
         left_over_ms: How long a predecessor's requests and loans may last.
+        on_first_start: Called when nothing was in force before this start.
         clock: Monotonic time.
     """
 
@@ -96,6 +98,7 @@
     membership: membership_module.Membership
     shares: shares_module.FixedShares
     left_over_ms: Callable[[], int]
+    on_first_start: Callable[[], None]
     clock: clock_port.Clock
 
 
@@ -130,6 +133,8 @@
             reason = self._reason_to_open()
             if reason:
                 logs.event(_logger, "seat-open", reason=reason)
+                if reason == NO_ENDPOINT_BEFORE:
+                    self._parts.on_first_start()
                 self._parts.shares.open_now()
                 self.is_open.set()
                 return
@@ -139,7 +144,7 @@
         if not parts.config.ready:
             return ""
         if not parts.source.current().endpoints:
-            return "no-endpoint-before"
+            return NO_ENDPOINT_BEFORE
         predecessor = parts.membership.own_predecessor()
         if predecessor is not None and predecessor.drained:
             return "predecessor-drained"
