--- a/testing/demo.py
+++ b/testing/demo.py
@@ -10,6 +10,7 @@
 import sys
 import time
 
+from comfreylatch._process import reasons
 from testing import checker
 from testing import deployments
 from testing import fleet
@@ -96,7 +97,22 @@
         )
         if len(answered) < len(self._sent):
             raise DemoError(f"not answered: {_failures(self._sent)}")
-        self._explain("request", self._sent[0].request_id)
+        self._refuse_request()
+
+    def _refuse_request(self) -> None:
+        """Sends a request to a service that no ticket has set up."""
+        host = next(iter(self._fleet.hosts.values()))
+        name = "calibrate-nowhere"
+        answer = self._fleet.client.request(
+            host.caller_address, "no-such-service", name
+        )
+        _say(
+            f"A request to an unknown service: {answer.outcome}, "
+            f"{answer.reason}."
+        )
+        if answer.outcome != "not-run":
+            raise DemoError(f"{name}: expected not-run, got {answer}")
+        self._explain("request", name)
 
     def run_job(self) -> None:
         """Submits a batch job and waits for its end."""
@@ -153,7 +169,7 @@
         answered = sum(_is_answered(one) for one in sent)
         _say(
             f"SIGTERM to {seat} under load: {answered} requests answered, "
-            f"{len(sent) - answered - len(cut)} refused or turned away, "
+            f"{len(sent) - answered - len(cut)} sent elsewhere, "
             f"{len(cut)} cut off, exit code {code}."
         )
         if cut or code != 0:
@@ -162,13 +178,12 @@
             )
 
     def _load(self, seat: str, caller: int, until: float) -> list[checker.Sent]:
-        """Sends until the host no longer takes requests."""
+        """Sends until the host says that it stops, as a balancer would."""
         sent = []
         while time.monotonic() < until:
             name = f"load-{caller}-{len(sent)}"
             sent.append(self._send(seat, name))
-            answer = sent[-1].answer
-            if answer.outcome == "unreachable" or answer.reason == "stopping":
+            if sent[-1].answer.reason == reasons.RefusalReason.STOPPING:
                 break
         return sent
 
