--- a/testing/bare_relay.py
+++ b/testing/bare_relay.py
@@ -7,13 +7,10 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable
-from collections.abc import Iterable
 import itertools
 import threading
-from typing import Any
 
-from cheroot import wsgi
+from cheroot import server
 import urllib3
 
 from testing.standins import serving
@@ -24,42 +21,58 @@
 PASSED_HEADERS = ("X-Request-Id", "X-Work-Ms", "X-Idempotent")
 
 
-class BareRelay:
-    """A WSGI application that passes requests on."""
+class Targets:
+    """The targets' connection pools, taken in turn."""
 
-    def __init__(self, targets: list[str]) -> None:
-        self._targets = targets
+    def __init__(self, addresses: list[str]) -> None:
         self._turn = itertools.count()
-        self._pool = urllib3.PoolManager(maxsize=DEFAULT_THREADS, retries=False)
-
-    def __call__(
-        self, environment: dict[str, Any], start: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        """Passes one request on, as WSGI asks."""
-        length = int(environment.get("CONTENT_LENGTH") or 0)
-        body = environment["wsgi.input"].read(length) if length else None
-        headers = {}
-        for name in PASSED_HEADERS:
-            value = environment.get("HTTP_" + name.upper().replace("-", "_"))
-            if value is not None:
-                headers[name] = value
-        target = self._targets[next(self._turn) % len(self._targets)]
-        answer = self._pool.request(
-            environment["REQUEST_METHOD"],
-            f"http://{target}{environment['PATH_INFO']}",
+        self._pools = []
+        for address in addresses:
+            ip, _, port = address.rpartition(":")
+            self._pools.append(
+                urllib3.HTTPConnectionPool(
+                    ip, int(port), maxsize=DEFAULT_THREADS, retries=False
+                )
+            )
+
+    def next(self) -> urllib3.HTTPConnectionPool:
+        """The pool of the next target."""
+        return self._pools[next(self._turn) % len(self._pools)]
+
+
+class RelayServer(server.HTTPServer):
+    """The server, with the targets its gateways send to."""
+
+    targets: Targets
+
+
+class RelayGateway(server.Gateway):
+    """Passes one request on."""
+
+    def respond(self) -> None:
+        """Sends the request to a target and its answer back."""
+        request = self.req
+        length = int(request.inheaders.get(b"Content-Length", b"0"))
+        body = request.rfile.read(length) if length else None
+        headers = {
+            name: request.inheaders[name.encode()].decode("latin-1")
+            for name in PASSED_HEADERS
+            if name.encode() in request.inheaders
+        }
+        answer = request.server.targets.next().urlopen(
+            request.method.decode(),
+            request.uri.decode(),
             body=body,
             headers=headers,
             timeout=TARGET_TIMEOUT_S,
         )
-        start(
-            f"{answer.status} {answer.reason}",
-            [
-                ("Content-Type", answer.headers.get("Content-Type", "")),
-                ("Content-Length", str(len(answer.data))),
-                ("X-Request-Id", answer.headers.get("X-Request-Id", "")),
-            ],
-        )
-        return [answer.data]
+        request.status = f"{answer.status} {answer.reason}".encode()
+        request.outheaders = [
+            (b"Content-Length", str(len(answer.data)).encode()),
+            (b"X-Request-Id", answer.headers["X-Request-Id"].encode()),
+        ]
+        request.ensure_headers_sent()
+        request.write(answer.data)
 
 
 def main() -> None:
@@ -68,16 +81,17 @@
     parser.add_argument("targets", nargs="+", metavar="IP:PORT")
     parser.add_argument("--threads", type=int, default=DEFAULT_THREADS)
     given = parser.parse_args()
-    server = wsgi.Server(
+    relay = RelayServer(
         (serving.LOOPBACK, 0),
-        BareRelay(given.targets),
-        numthreads=given.threads,
-        max=given.threads,
+        RelayGateway,
+        minthreads=given.threads,
+        maxthreads=given.threads,
     )
-    server.keep_alive_conn_limit = KEPT_CONNECTIONS
-    server.prepare()
-    threading.Thread(target=server.serve, daemon=True).start()
-    serving.announce(address=f"{serving.LOOPBACK}:{server.bind_addr[1]}")
+    relay.targets = Targets(given.targets)
+    relay.keep_alive_conn_limit = KEPT_CONNECTIONS
+    relay.prepare()
+    threading.Thread(target=relay.serve, daemon=True).start()
+    serving.announce(address=f"{serving.LOOPBACK}:{relay.bind_addr[1]}")
     serving.wait_for_stop()
 
 
