Play random faults against two owners, without threads

The model found that a worker which restarts between assignment and start left the start's refusal unread, so that a cancelled attempt never ended (submit, submit, reboot, run, cancel). Refusals are now read whatever term the worker knows.

--- a/src/comfreylatch/_process/batch/attempt_table.py
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -122,9 +122,21 @@
         bounds: job_records.HoldBounds,
         now_ms: int,
     ) -> None:
-        """Takes a worker's answer under the current term."""
-        if event.report.highest_term != self._term:
-            return
+        """Takes a worker's answer to an exchange of the current term."""
+        # A worker that has restarted since knows no term and did nothing.
+        if event.report.highest_term == self._term:
+            self._take_lines(event, bounds, now_ms)
+        for command, status in zip(
+            event.commands, event.report.statuses, strict=True
+        ):
+            self._take_status(command, status)
+
+    def _take_lines(
+        self,
+        event: worker_session.Reported,
+        bounds: job_records.HoldBounds,
+        now_ms: int,
+    ) -> None:
         lines = {(line.job, line.attempt): line for line in event.report.tasks}
         for attempt in self.on_worker(event.worker):
             line = lines.pop((attempt.job, attempt.state.attempt), None)
@@ -132,10 +144,6 @@
                 self._absent(attempt, event, bounds)
             else:
                 self._take_line(attempt, line, now_ms)
-        for command, status in zip(
-            event.commands, event.report.statuses, strict=True
-        ):
-            self._take_status(command, status)
         for line in lines.values():
             self._take_stray(event.worker, line)
 
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -183,6 +183,16 @@
             quarantined=self._health.quarantined(),
         )
 
+    def evict(self, job: str, reason: str) -> bool:
+        """Checkpoints and stops a job's attempt; False if none runs here.
+
+        To be called from the thread that calls `step`.
+        """
+        if not self._table.evict(job):
+            return False
+        _events.info("evict job={} reason={}", job, reason)
+        return True
+
     def step(self) -> int:
         """Does all that is due; returns milliseconds until the next step."""
         hold = self._ownership.hold()
--- /dev/null
+++ b/testing/fakes/zone.py
@@ -0,0 +1,371 @@
+"""One zone in memory: its stream, owners without threads, and workers."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Collection
+from collections.abc import Sequence
+import threading
+from typing import Any
+from typing import final
+
+import result
+
+from comfreylatch._ports import hosts
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import streams
+from comfreylatch._ports import workers
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import stream_state
+from comfreylatch._process.batch import ownership as ownership_module
+from comfreylatch._process.batch import placement
+from comfreylatch._process.batch import worker_link
+from comfreylatch._process.batch import worker_session
+from comfreylatch._process.batch import zone_owner
+from comfreylatch._version import configuration as configuration_module
+from comfreylatch._version import objects
+from comfreylatch._version import records
+from comfreylatch._version import zone_fold
+from testing.fakes import clock as fake_clock
+from testing.fakes import workers as fake_workers
+
+ZONE = "bole"
+TICK_MS = 250
+
+
+@final
+class FixedSource:
+    """Implements `ConfigurationSource` with a version that tests set."""
+
+    def __init__(self, given: configuration_module.Configuration) -> None:
+        self.given = given
+
+    def current(self) -> configuration_module.Configuration:
+        """See `ConfigurationSource.current`."""
+        return self.given
+
+    def on_change(self, listener: Any) -> None:
+        """See `ConfigurationSource.on_change`; never calls it."""
+
+    def age_ms(self) -> int:
+        """See `ConfigurationSource.age_ms`."""
+        return 0
+
+
+@final
+class FakeStream:
+    """The zone's stream; hosts in `cut` reach it neither way."""
+
+    def __init__(self) -> None:
+        self.payloads: list[bytes] = []
+        self.cut: set[str] = set()
+
+
+@final
+class FakeAppender:
+    """Implements `RecordAppender` without a thread.
+
+    Attributes:
+        lose_next: Whether the answer of the next append is lost.
+        hold_next: Whether the next append is sent only with the one after.
+    """
+
+    def __init__(self, stream: FakeStream, host: str) -> None:
+        self._stream = stream
+        self._host = host
+        self._sequence = 0
+        self._held: list[bytes] = []
+        self.lose_next = False
+        self.hold_next = False
+
+    def append(
+        self,
+        bodies: Sequence[Any],
+        timeout_ms: int,  # noqa: ARG002
+    ) -> result.Result[streams.Appended, streams.AppendRefusal]:
+        """See `RecordAppender.append`."""
+        if self._host in self._stream.cut:
+            return result.Err(streams.NotAccepted("cut", 100))
+        payloads = []
+        for body in bodies:
+            self._sequence += 1
+            payloads.append(records.encode(self._host, self._sequence, body))
+        if self.hold_next:
+            self.hold_next = False
+            self._held = payloads
+            return result.Err(streams.AppendUnknown("held"))
+        self._stream.payloads.extend(self._held)
+        self._held = []
+        offset = len(self._stream.payloads)
+        self._stream.payloads.extend(payloads)
+        if self.lose_next:
+            self.lose_next = False
+            return result.Err(streams.AppendUnknown("lost"))
+        return result.Ok(streams.Appended(offset))
+
+
+@final
+class FakeFollower:
+    """Implements `ownership.Follower`; reads only when told to."""
+
+    def __init__(
+        self,
+        stream: FakeStream,
+        host: str,
+        fold: zone_fold.ZoneFold,
+        clock: fake_clock.FakeClock,
+    ) -> None:
+        self._stream = stream
+        self._host = host
+        self._clock = clock
+        self._state = stream_state.StreamState(
+            "zone", fold, metrics_module.Metrics(), None
+        )
+        self._read_ms = -1_000_000
+
+    def read(self) -> None:
+        """Folds everything new, unless this host is cut off."""
+        if self._host in self._stream.cut:
+            return
+        start = self.offset() + 1
+        entries = [
+            log_port.LogEntry(start + index, payload)
+            for index, payload in enumerate(self._stream.payloads[start:])
+        ]
+        self._state.take(entries, stream_state.EntrySource.LOG)
+        self._read_ms = self._clock.now_ms
+
+    def offset(self) -> int:
+        """See `ownership.Follower.offset`."""
+        return self._state.offset
+
+    def wait_for(self, offset: int, timeout_ms: int) -> bool:  # noqa: ARG002
+        """See `ownership.Follower.wait_for`."""
+        self.read()
+        return self.offset() >= offset
+
+    def age_ms(self) -> int:
+        """See `ownership.Follower.age_ms`."""
+        return self._clock.now_ms - self._read_ms
+
+
+@final
+class FakePool:
+    """`LinkPool` without threads."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self.sessions: dict[str, worker_session.WorkerSession] = {}
+        self.events: collections.deque[worker_session.LinkEvent] = (
+            collections.deque()
+        )
+        self.woken = threading.Event()
+
+    def update(
+        self,
+        listed: Collection[hosts.ListedHost],
+        needed: Collection[str],  # noqa: ARG002
+    ) -> None:
+        """See `LinkPool.update`."""
+        for host in listed:
+            if host.name not in self.sessions:
+                self.sessions[host.name] = worker_session.WorkerSession(
+                    host.name, host.address, self._host
+                )
+
+    def stop_all(self) -> None:
+        """See `LinkPool.stop_all`."""
+
+    def clear_commands(self) -> None:
+        """See `LinkPool.clear_commands`."""
+        for session in self.sessions.values():
+            session.clear()
+        self.events.clear()
+
+    def take_events(self) -> list[worker_session.LinkEvent]:
+        """See `LinkPool.take_events`."""
+        taken = list(self.events)
+        self.events.clear()
+        return taken
+
+    def session(self, worker: str) -> worker_session.WorkerSession | None:
+        """See `attempt.CommandSink.session`."""
+        return self.sessions.get(worker)
+
+    def request(
+        self, worker: str, command: workers.Command, at_once: bool = True
+    ) -> None:
+        """See `attempt.CommandSink.request`."""
+        session = self.sessions.get(worker)
+        if session is not None:
+            session.request(command, at_once)
+
+    def withdraw(self, worker: str, command: workers.Command) -> bool:
+        """See `attempt.CommandSink.withdraw`."""
+        session = self.sessions.get(worker)
+        return session is not None and session.withdraw(command)
+
+
+@final
+class FakeHost:
+    """One entry host's part in the zone, stepped by tests."""
+
+    def __init__(
+        self,
+        name: str,
+        stream: FakeStream,
+        network: fake_workers.FakeNetwork,
+        source: FixedSource,
+        clock: fake_clock.FakeClock,
+        policy: placement.Policy = placement.Policy.PREDICTED_COST,
+    ) -> None:
+        self.name = name
+        self.paused = False
+        self.released = False
+        self.fold = zone_fold.ZoneFold()
+        self.appender = FakeAppender(stream, name)
+        self.follower = FakeFollower(stream, name, self.fold, clock)
+        self.metrics = metrics_module.Metrics()
+        self.journal = journal_module.Journal(name, clock)
+        self.pool = FakePool(name)
+        self._port = network.port(name)
+        self._clock = clock
+        self.ownership = ownership_module.Ownership(
+            name,
+            ZONE,
+            self.appender,
+            self.follower,
+            self.fold,
+            source,
+            self.journal,
+            self.metrics,
+            clock,
+        )
+        self.owner = zone_owner.ZoneOwner(
+            ZONE,
+            self.ownership,
+            self.appender,
+            self.follower,
+            self.fold,
+            source,
+            self.pool,
+            self.journal,
+            self.metrics,
+            clock,
+            policy,
+        )
+
+    def tick(self) -> None:
+        """Does everything that is due now."""
+        if self.paused or self.released:
+            return
+        self.follower.read()
+        self.ownership.step()
+        self.owner.step()
+        for session in tuple(self.pool.sessions.values()):
+            self.exchange(session)
+        self.owner.step()
+
+    def exchange(self, session: worker_session.WorkerSession) -> None:
+        """Makes the exchange that is due with one worker, if any."""
+        for _ in range(2):
+            hold = self.ownership.hold()
+            if session.due_in_ms(hold, self._clock.now_ms):
+                return
+            event = worker_link.exchange_once(
+                session, self._port, self.ownership, self._clock
+            )
+            if event is None:
+                return
+            self.pool.events.append(event)
+            if isinstance(event, worker_session.Unanswered):
+                return
+
+    def release(self) -> None:
+        """A planned stop."""
+        self.released = True
+        self.follower.read()
+        self.ownership.release()
+
+
+@final
+class FakeZone:
+    """A zone of workers and entry hosts on one clock."""
+
+    def __init__(
+        self,
+        worker_count: int = 3,
+        host_count: int = 2,
+        amount: workers.Resources | None = None,
+        limits: objects.Limits | None = None,
+        teams: dict[str, objects.Team] | None = None,
+        policy: placement.Policy = placement.Policy.PREDICTED_COST,
+    ) -> None:
+        self.clock = fake_clock.FakeClock()
+        self.stream = FakeStream()
+        self.amount = amount or workers.Resources(2_000, 2_000, 0)
+        self.policy = policy
+        self.fleet = {
+            f"w{index}": fake_workers.FakeWorker(
+                f"w{index}", self.amount, self.clock
+            )
+            for index in range(worker_count)
+        }
+        self.network = fake_workers.FakeNetwork(self.fleet)
+        self.source = FixedSource(
+            configuration_module.Configuration(
+                offset=1,
+                teams=teams
+                or {"faculty": objects.Team(workers.Resources(10**6, 10**6))},
+                worker_classes={"standard": objects.WorkerClass(self.amount)},
+                zones={ZONE: objects.Zone(("a", "b"), autonomy_ms=8_000)},
+                limits=limits or objects.Limits(),
+            )
+        )
+        self.host_list = hosts.HostList(
+            tuple(
+                hosts.ListedHost(
+                    name,
+                    hosts.HostKind.WORKER,
+                    hosts.HostState.LIVE,
+                    ZONE,
+                    f"rack-{index // 2}",
+                    name,
+                    "standard",
+                )
+                for index, name in enumerate(self.fleet)
+            )
+        )
+        self._started = 0
+        self.hosts: list[FakeHost] = []
+        for _ in range(host_count):
+            self.hosts.append(self.new_host())
+
+    def new_host(self) -> FakeHost:
+        """A fresh process."""
+        self._started += 1
+        host = FakeHost(
+            f"host-{self._started}",
+            self.stream,
+            self.network,
+            self.source,
+            self.clock,
+            self.policy,
+        )
+        host.owner.update_listed(self.host_list)
+        return host
+
+    def run(self, elapsed_ms: int, tick_ms: int = TICK_MS) -> None:
+        """Lets time pass, with every host doing what is due."""
+        for _ in range(max(1, elapsed_ms // tick_ms)):
+            self.clock.advance(tick_ms)
+            for host in self.hosts:
+                host.tick()
+
+    def owner(self) -> FakeHost | None:
+        """The host that may start work now."""
+        for host in self.hosts:
+            if host.ownership.hold().may_start(self.clock.now_ms):
+                return host
+        return None
--- /dev/null
+++ b/tests/process/batch/test_ownership_model.py
@@ -0,0 +1,282 @@
+"""Random faults against two owners of one zone, and what must always hold."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+from unittest import mock
+
+from hypothesis import strategies
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import capacity
+from comfreylatch._process.batch import ownership
+from comfreylatch._version import job_records
+from comfreylatch._version import job_state
+from comfreylatch._version import records
+from comfreylatch._version import zone_fold
+from testing.fakes import workers as fake_workers
+from testing.fakes import zone as fake_zone
+
+HOSTS = 2
+WORKERS = 2
+SETTLE_MS = 120_000
+Operation = tuple[Any, ...]
+
+_host = strategies.integers(0, HOSTS - 1)
+_worker = strategies.integers(0, WORKERS - 1)
+_number = strategies.integers(1, 4)
+_span_ms = strategies.sampled_from([250, 1_000, 3_000, 9_000, 22_000])
+_run_time_ms = strategies.sampled_from([1_000, 6_000, 30_000])
+_exchange_fault = strategies.sampled_from(list(fake_workers.ExchangeFault))
+_just = strategies.just
+_one_operation = strategies.one_of(
+    strategies.tuples(_just("submit"), _run_time_ms),
+    strategies.tuples(_just("run"), _span_ms),
+    strategies.tuples(_just("cancel"), _number),
+    strategies.tuples(_just("evict"), _number),
+    strategies.tuples(_just("pause"), _host),
+    strategies.tuples(_just("cut_log"), _host),
+    strategies.tuples(_just("cut_worker"), _host, _worker),
+    strategies.tuples(_just("fault"), _host, _worker, _exchange_fault),
+    strategies.tuples(_just("lose_append"), _host),
+    strategies.tuples(_just("hold_append"), _host),
+    strategies.tuples(_just("restart"), _host),
+    strategies.tuples(_just("release"), _host),
+    strategies.tuples(_just("reboot"), _worker),
+    _just(("deliver",)),
+    _just(("heal",)),
+)
+
+
+@strategies.composite
+def _takeover(draw: strategies.DrawFn) -> list[Operation]:
+    """One host loses the log, the other one worker."""
+    host = draw(_host)
+    return [
+        ("cut_log", host),
+        ("cut_worker", 1 - host, draw(_worker)),
+        ("run", draw(_span_ms)),
+    ]
+
+
+@strategies.composite
+def _late_start(draw: strategies.DrawFn) -> list[Operation]:
+    """A start lies in a buffer while its sender goes away."""
+    host = draw(_host)
+    worker = draw(_worker)
+    ends = strategies.sampled_from(["pause", "restart", "release", "cut_log"])
+    return [
+        ("delay_start", host, worker),
+        ("submit", draw(_run_time_ms)),
+        ("run", 250),
+        (draw(ends), host),
+        ("cut_worker", 1 - host, draw(_worker)),
+        ("run", draw(_span_ms)),
+        ("deliver",),
+        ("run", draw(_span_ms)),
+    ]
+
+
+_scenario = strategies.lists(
+    strategies.one_of(
+        _one_operation.map(lambda operation: [operation]),
+        _one_operation.map(lambda operation: [operation]),
+        _takeover(),
+        _late_start(),
+    ),
+    min_size=2,
+    max_size=16,
+).map(lambda parts: [operation for part in parts for operation in part])
+
+
+class Model:
+    """Carries out operations and checks after each moment."""
+
+    def __init__(self) -> None:
+        self.zone = fake_zone.FakeZone(worker_count=WORKERS, host_count=HOSTS)
+        self.submitted = 0
+        self.places: dict[tuple[str, int], str] = {}
+        self.writer = fake_zone.FakeAppender(self.zone.stream, "desk")
+        self.submit(30_000)
+        self.run(3_000)
+
+    def play(self, operations: list[Operation]) -> None:
+        """Plays a scenario, heals everything and checks the outcome."""
+        for name, *arguments in operations:
+            getattr(self, name)(*arguments)
+            self.check()
+        self.heal()
+        self.run(SETTLE_MS)
+        self.check_outcome()
+
+    def submit(self, run_time_ms: int) -> None:
+        """Admits a job that takes over half of a worker."""
+        self.submitted += 1
+        spec = job_records.JobSpec(
+            id=f"job-{self.submitted}",
+            team="faculty",
+            zone=fake_zone.ZONE,
+            job_class="stack",
+            resources=workers.Resources(1_200, 1_000),
+            run_time_ms=run_time_ms,
+        )
+        self.writer.append([job_records.JobAdmitted(spec)], 0)
+
+    def cancel(self, number: int) -> None:
+        """Cancels a job, known or not."""
+        body = job_records.JobCancelled(f"job-{number}")
+        self.writer.append([body], 0)
+
+    def evict(self, number: int) -> None:
+        """Every host that thinks it is the owner evicts a job."""
+        for host in self.zone.hosts:
+            host.owner.evict(f"job-{number}", "model")
+
+    def run(self, elapsed_ms: int) -> None:
+        """Lets time pass."""
+        for _ in range(elapsed_ms // fake_zone.TICK_MS):
+            self.zone.run(fake_zone.TICK_MS)
+            self.check()
+
+    def pause(self, host: int) -> None:
+        """Freezes a host, or wakes it."""
+        self.zone.hosts[host].paused ^= True
+
+    def cut_log(self, host: int) -> None:
+        """Cuts a host from the log, or heals the cut."""
+        self.zone.stream.cut ^= {self.zone.hosts[host].name}
+
+    def cut_worker(self, host: int, worker: int) -> None:
+        """Cuts a host from a worker, or heals the cut."""
+        pair = (self.zone.hosts[host].name, f"w{worker}")
+        self.zone.network.cut ^= {pair}
+
+    def fault(
+        self, host: int, worker: int, fault: fake_workers.ExchangeFault
+    ) -> None:
+        """Spoils the next exchange."""
+        pair = (self.zone.hosts[host].name, f"w{worker}")
+        self.zone.network.faults[pair] = fault
+
+    def delay_start(self, host: int, worker: int) -> None:
+        """Delays the next exchange that carries a start."""
+        pair = (self.zone.hosts[host].name, f"w{worker}")
+        self.zone.network.delay_start.add(pair)
+
+    def lose_append(self, host: int) -> None:
+        """Loses the answer to the next append."""
+        self.zone.hosts[host].appender.lose_next = True
+
+    def hold_append(self, host: int) -> None:
+        """Holds the next append back until the one after it."""
+        self.zone.hosts[host].appender.hold_next = True
+
+    def restart(self, host: int) -> None:
+        """Kills a host and starts another in its place."""
+        self.zone.hosts[host] = self.zone.new_host()
+
+    def release(self, host: int) -> None:
+        """Stops a host as planned and starts another in its place."""
+        if not self.zone.hosts[host].paused:
+            self.zone.hosts[host].release()
+        self.zone.hosts[host] = self.zone.new_host()
+
+    def reboot(self, worker: int) -> None:
+        """Restarts a worker."""
+        self.zone.fleet[f"w{worker}"].reboot()
+
+    def deliver(self) -> None:
+        """Lets delayed exchanges arrive."""
+        self.zone.network.deliver_delayed()
+
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.deliver()
+        self.zone.network.cut.clear()
+        self.zone.network.faults.clear()
+        self.zone.network.delay_start.clear()
+        self.zone.stream.cut.clear()
+        for host in self.zone.hosts:
+            host.paused = False
+
+    def check(self) -> None:
+        """Nothing runs twice and no worker holds too much."""
+        running = collections.Counter(
+            task.start.job
+            for worker in self.zone.fleet.values()
+            for task in worker.running()
+        )
+        twice = [job for job, count in running.items() if count > 1]
+        assert not twice, f"{twice} run in two places"
+        kept = set()
+        for worker in self.zone.fleet.values():
+            used = worker.used()
+            assert capacity.fits(used, worker.amount), f"{worker.name} {used}"
+            kept |= worker.kept
+        for name, worker in self.zone.fleet.items():
+            for start in worker.started:
+                self._check_start(name, start, kept)
+
+    def _check_start(
+        self,
+        worker: str,
+        start: workers.StartTask,
+        kept: set[tuple[str, int]],
+    ) -> None:
+        place = self.places.setdefault((start.job, start.attempt), worker)
+        assert place == worker, f"{start} started on {place} and {worker}"
+        resumes = (start.job, start.checkpoint_ms) in kept
+        assert resumes or start.checkpoint_ms == 0, f"{start} not kept"
+
+    def check_outcome(self) -> None:
+        """Every job has ended, once, and all hosts agree."""
+        fold = zone_fold.ZoneFold()
+        ended: dict[str, job_state.JobState] = {}
+        for offset, payload in enumerate(self.zone.stream.payloads):
+            envelope, body = records.decode(payload).unwrap()
+            fold.apply(offset, envelope, body)
+            for state in fold.jobs():
+                before = ended.get(state.spec.id, state)
+                assert before == state, f"{state} changed after its end"
+                if state.ended:
+                    ended[state.spec.id] = state
+        for state in fold.jobs():
+            assert state.ended, f"{state} has not ended"
+        for host in self.zone.hosts:
+            host.follower.read()
+            assert host.fold.digest() == fold.digest(), "folds differ"
+
+
+def play(operations: list[Operation]) -> None:
+    """Plays one scenario on a fresh zone."""
+    Model().play(operations)
+
+
+def breaks(operations: list[Operation], without: str) -> bool:
+    """Whether a scenario breaks a promise with a guard taken out."""
+    model = Model()
+    patches = []
+    match without:
+        case "term":
+            for worker in model.zone.fleet.values():
+                worker.checks_term = False
+        case "staleness":
+            for worker in model.zone.fleet.values():
+                worker.checks_staleness = False
+        case "wait":
+            patches.append(
+                mock.patch.object(
+                    ownership.Ownership, "guard_until_ms", lambda _: 0
+                )
+            )
+    for patch in patches:
+        patch.start()
+    try:
+        model.play(operations)
+    except AssertionError:
+        return True
+    finally:
+        for patch in patches:
+            patch.stop()
+    return False
