--- /dev/null
+++ b/testing/capacity/batch_slopes.py
@@ -0,0 +1,260 @@
+"""Slopes of batch work: a zone's fold, and the owner's decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import itertools
+
+import attrs
+
+from comfreylatch._ports import log as log_port
+from comfreylatch._ports import workers
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import stream_state
+from comfreylatch._process.batch import capacity
+from comfreylatch._process.batch import dispatcher
+from comfreylatch._process.batch import job_queue
+from comfreylatch._process.batch import placement
+from comfreylatch._process.batch import zone_owner
+from comfreylatch._version import job_records
+from comfreylatch._version import job_state
+from comfreylatch._version import objects
+from comfreylatch._version import records
+from comfreylatch._version import zone_fold
+from testing.capacity import slope
+
+JOB_SIZES = (1_000, 3_000, 9_000)
+WORKER_SIZES = (110, 330, 1_100)
+TEAMS = 240
+TERM = 1
+WRITER = "zone-0-1-0a1b2c3d"
+HOST = workers.Resources(32_000, 128_000, 0)
+SIZE = workers.Resources(1_000, 2_048, 0)
+BOUNDS = job_records.HoldBounds(6_000, 6_000, 60_000, 2_000, 500)
+# Placed on each worker before starts are measured.
+TASKS_PER_WORKER = 24
+
+
+@attrs.frozen
+class BatchSlopes:
+    """Of a host that follows, or owns, one zone's stream."""
+
+    queued_bytes: slope.Slope
+    running_bytes: slope.Slope
+    ended_bytes: slope.Slope
+    books_bytes: slope.Slope
+    record_us: slope.Slope
+    start_us: slope.Slope
+    admit_record_bytes: int
+    assign_record_bytes: int
+    checkpoint_record_bytes: int
+    end_record_bytes: int
+
+
+def measure() -> BatchSlopes:
+    """Takes all of them."""
+    name = "jobs kept by the zone's fold"
+    return BatchSlopes(
+        queued_bytes=_memory(f"{name}, queued", _queued),
+        running_bytes=_memory(f"{name}, running", _running),
+        ended_bytes=_memory(f"{name}, ended", _ended),
+        books_bytes=_memory("owner's queue and ledgers", _books),
+        record_us=slope.fit(
+            "one record of a job decoded and folded",
+            "running jobs",
+            "us",
+            JOB_SIZES,
+            _record_us,
+        ),
+        start_us=slope.fit(
+            "one start decided",
+            "workers",
+            "us",
+            WORKER_SIZES,
+            _start_us,
+        ),
+        admit_record_bytes=len(_encode(1, _admit(1))),
+        assign_record_bytes=len(_encode(1, _assign(1))),
+        checkpoint_record_bytes=len(_encode(1, _checkpoint(1))),
+        end_record_bytes=len(_encode(1, _end(1))),
+    )
+
+
+def _memory(name: str, build: object) -> slope.Slope:
+    assert callable(build)
+    return slope.fit(
+        name,
+        "jobs",
+        "B",
+        JOB_SIZES,
+        lambda count: slope.memory_bytes(lambda: build(count)),
+    )
+
+
+class Zone:
+    """The fold of one zone's stream, fed with encoded records."""
+
+    def __init__(self) -> None:
+        self.fold = zone_fold.ZoneFold()
+        self.state = stream_state.StreamState(
+            "zone.zone-0", self.fold, metrics_module.Metrics(), None
+        )
+        self._sequence = itertools.count(1)
+        claim = job_records.OwnerClaimed(TERM, 0, WRITER, BOUNDS)
+        self.take(self.payload(claim))
+
+    def payload(self, body: object) -> bytes:
+        """A record as on the log."""
+        return _encode(next(self._sequence), body)
+
+    def take(self, payload: bytes) -> None:
+        """Folds one payload."""
+        entry = log_port.LogEntry(self.state.offset + 1, payload)
+        taken = self.state.take([entry], stream_state.EntrySource.LOG)
+        assert taken
+
+    def fold_all(self, bodies: Iterator[object]) -> None:
+        """Folds records."""
+        for body in bodies:
+            self.take(self.payload(body))
+
+
+def _queued(count: int) -> Zone:
+    zone = Zone()
+    zone.fold_all(_admit(index) for index in range(count))
+    return zone
+
+
+def running_zone(count: int, workers_known: int) -> Zone:
+    """A zone whose jobs all run, spread over its workers."""
+    zone = _queued(count)
+    zone.fold_all(_assign(index, workers_known) for index in range(count))
+    return zone
+
+
+def _running(count: int) -> Zone:
+    return running_zone(count, WORKER_SIZES[0])
+
+
+def _ended(count: int) -> Zone:
+    zone = _running(count)
+    zone.fold_all(_end(index) for index in range(count))
+    return zone
+
+
+def _record_us(running: int) -> float:
+    """A quarter each of admissions, assignments, checkpoints and ends."""
+    zone = _running(running)
+    jobs = 100
+    payloads = [
+        zone.payload(make(index))
+        for index in range(running, running + jobs * slope.REPEATS)
+        for make in (_admit, _assign, _checkpoint, _end)
+    ]
+    remaining = iter(payloads)
+    return slope.cpu_us(lambda: zone.take(next(remaining)), 4 * jobs)
+
+
+@attrs.frozen
+class Books:
+    """Queue, ledgers and choice of worker, as an owner has them."""
+
+    queue: job_queue.JobQueue
+    ledger: capacity.CapacityLedger
+    dispatcher: dispatcher.Dispatcher
+
+
+def make_books(workers_known: int) -> Books:
+    """Books with workers and teams, and no job."""
+    queue = job_queue.JobQueue()
+    quota = objects.Team(workers.Resources(10**9, 10**9, 0))
+    queue.set_teams({f"team-{index}": quota for index in range(TEAMS)})
+    ledger = capacity.CapacityLedger()
+    nothing = capacity.NOTHING
+    for index in range(workers_known):
+        rack = f"rack-{index // 8}"
+        ledger.set_worker(f"worker-{index}", rack, HOST, nothing, True)
+    placed = placement.Placement(ledger, zone_owner.NoCost())
+    decide = dispatcher.Dispatcher(
+        queue, placed, lambda state: state.spec.resources
+    )
+    return Books(queue, ledger, decide)
+
+
+def _books(count: int) -> Books:
+    books = make_books(workers_known=count // TASKS_PER_WORKER + 1)
+    for index in range(count):
+        worker = f"worker-{index // TASKS_PER_WORKER}"
+        books.dispatcher.sync(_state(index, worker))
+    return books
+
+
+def _start_us(workers_known: int) -> float:
+    books = make_books(workers_known)
+    first = workers_known * TASKS_PER_WORKER
+    for index in range(first):
+        books.dispatcher.sync(_state(index, f"worker-{index % workers_known}"))
+    starts = dispatcher.MAX_STARTS_PER_ROUND
+    fresh = itertools.count(first)
+
+    def one_round() -> None:
+        for index in itertools.islice(fresh, starts):
+            books.dispatcher.sync(_state(index, ""))
+        decided = books.dispatcher.run_round(TERM, 4)
+        assert len(decided.assigned) == starts, decided
+
+    return slope.cpu_us(one_round, 1) / starts
+
+
+def _state(index: int, worker: str) -> job_state.JobState:
+    phase = job_state.JobPhase.ASSIGNED if worker else job_state.JobPhase.QUEUED
+    return job_state.JobState(
+        spec=_spec(index),
+        order=index,
+        phase=phase,
+        attempt=1 if worker else 0,
+        worker=worker,
+    )
+
+
+def _spec(index: int) -> job_records.JobSpec:
+    return job_records.JobSpec(
+        id=f"stack-{index:07d}",
+        team=f"team-{index % TEAMS}",
+        zone="zone-0",
+        job_class="stack",
+        resources=SIZE,
+        run_time_ms=170_000,
+    )
+
+
+def _admit(index: int) -> job_records.JobAdmitted:
+    return job_records.JobAdmitted(_spec(index))
+
+
+def _assign(
+    index: int, workers_known: int = WORKER_SIZES[0]
+) -> job_records.AttemptAssigned:
+    worker = f"worker-{index % workers_known}"
+    return job_records.AttemptAssigned(TERM, f"stack-{index:07d}", 1, worker, 0)
+
+
+def _checkpoint(index: int) -> job_records.AttemptCheckpointed:
+    return job_records.AttemptCheckpointed(
+        TERM, f"stack-{index:07d}", 1, 30_000
+    )
+
+
+def _end(index: int) -> job_records.AttemptEnded:
+    return job_records.AttemptEnded(
+        term=TERM,
+        job=f"stack-{index:07d}",
+        attempt=1,
+        end=job_records.AttemptEnd.FINISHED,
+        progress_ms=170_000,
+        checkpoint_ms=150_000,
+    )
+
+
+def _encode(sequence: int, body: object) -> bytes:
+    return records.encode(WRITER, sequence, body)
--- /dev/null
+++ b/testing/capacity/model.py
@@ -0,0 +1,408 @@
+"""What each role costs at the size to design for, from measured slopes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import enum
+
+import attrs
+
+from comfreylatch._process import journal
+from comfreylatch._process import settings
+from comfreylatch._process.batch import attempt_table
+from comfreylatch._process.batch import ownership
+from comfreylatch._process.batch import zone_owner
+from comfreylatch._version import configuration_fold
+from comfreylatch._version import objects
+from comfreylatch._version import zone_fold
+from testing.capacity import batch_slopes
+from testing.capacity import configuration_slopes
+from testing.capacity import owner_slopes
+from testing.capacity import process_slopes
+from testing.capacity import wire_slopes
+
+MS_PER_S = 1_000
+US_PER_S = 1_000_000
+S_PER_DAY = 86_400
+KIB = 1_024
+# Frames and acknowledgements of one call on a kept connection, and those of
+# opening and closing a connection for a single call.
+KEPT_CALL_OVERHEAD_BYTES = 4 * 66
+NEW_CALL_OVERHEAD_BYTES = 10 * 66
+HTTP_HEAD_BYTES = 350
+# Per record in the answer to a read: its offset, names and quotes.
+READ_RECORD_OVERHEAD_BYTES = 50
+CONFIG_READ_WAIT_MS = 2_000
+LEASE_RENEWALS = 3
+
+
+@attrs.frozen
+class Size:
+    """The size to design for; the last lines are this page's assumptions."""
+
+    zones: int = 10
+    workers: int = 1_100
+    endpoints: int = 2_600
+    running_tasks: int = 26_000
+    starts_per_s: int = 150
+    teams: int = 240
+    changes_per_day: int = 3_000
+    seats_per_zone: int = 4
+    services: int = 40
+    change_peak_factor: int = 10
+    urgent_queue_s: int = 60
+
+    @property
+    def zone_workers(self) -> float:
+        """Workers of one zone."""
+        return self.workers / self.zones
+
+    @property
+    def zone_tasks(self) -> float:
+        """Batch tasks that run in one zone."""
+        return self.running_tasks / self.zones
+
+    @property
+    def zone_starts_per_s(self) -> float:
+        """Starts of one zone at the peak."""
+        return self.starts_per_s / self.zones
+
+    @property
+    def tasks_per_worker(self) -> float:
+        """Batch tasks that run on one worker."""
+        return self.running_tasks / self.workers
+
+    @property
+    def seats(self) -> int:
+        """Entry hosts in all."""
+        return self.zones * self.seats_per_zone
+
+    @property
+    def changes_per_s(self) -> float:
+        """Configuration changes at the peak."""
+        return self.changes_per_day / S_PER_DAY * self.change_peak_factor
+
+
+@attrs.frozen
+class Slopes:
+    """All that was measured."""
+
+    process: process_slopes.ProcessSlopes
+    configuration: configuration_slopes.ConfigurationSlopes
+    batch: batch_slopes.BatchSlopes
+    owner: owner_slopes.OwnerSlopes
+    wire: wire_slopes.WireSlopes
+
+
+@attrs.frozen
+class Cost:
+    """One mechanism's part in a role.
+
+    Attributes:
+        mechanism: What carries it.
+        state_kib: Memory.
+        messages_per_s: Calls made and answered.
+        cpu_us_per_s: Processor time of this process.
+        bytes_per_s: Sent and received.
+    """
+
+    mechanism: str
+    state_kib: float = 0
+    messages_per_s: float = 0
+    cpu_us_per_s: float = 0
+    bytes_per_s: float = 0
+
+
+class Role(enum.StrEnum):
+    """What an entry host can be."""
+
+    FRONT = "front of requests"
+    OWNER = "owner of a zone's workers"
+    STANDBY = "standby"
+    FOLLOWER = "follower"
+    RELAY = "peer relay"
+
+
+@attrs.frozen
+class RoleCost:
+    """A role's mechanisms and whether it is built."""
+
+    role: Role
+    built: str
+    costs: tuple[Cost, ...]
+
+    def total(self, name: str) -> float:
+        """Sum of one of the figures over all mechanisms."""
+        return sum(getattr(cost, name) for cost in self.costs)
+
+
+@attrs.frozen
+class Model:
+    """Costs at a size, by the slopes."""
+
+    size: Size
+    slopes: Slopes
+
+    def roles(self) -> tuple[RoleCost, ...]:
+        """All roles; each holds all that its process does."""
+        base = (
+            self.process(),
+            self.configuration(),
+            self.journal(),
+            self.histograms(),
+        )
+        mesh = self.heartbeats(self.size.seats - 1, "every other seat")
+        zone_mesh = self.heartbeats(
+            self.size.seats_per_zone - 1, "the zone's other seats"
+        )
+        follows = self.zone_stream(is_owner=False)
+        owns = self.zone_stream(is_owner=True)
+        front = (*base, mesh, self.routing())
+        return (
+            RoleCost(
+                Role.FRONT,
+                "yes; every host is also a standby",
+                (*front, follows),
+            ),
+            RoleCost(
+                Role.OWNER,
+                "yes; it is a front, too",
+                (
+                    *front,
+                    owns,
+                    self.books(),
+                    self.links(),
+                    self.starts(),
+                    self.steps(),
+                ),
+            ),
+            RoleCost(Role.STANDBY, "yes", (*base, mesh, follows)),
+            RoleCost(
+                Role.FOLLOWER,
+                "no: every host follows its zone's stream",
+                (*base, zone_mesh),
+            ),
+            RoleCost(
+                Role.RELAY,
+                "no: heartbeats go to every seat of every zone",
+                (
+                    *base,
+                    zone_mesh,
+                    self.heartbeats(
+                        self.size.zones - 1, "one seat of each other zone"
+                    ),
+                ),
+            ),
+        )
+
+    def process(self) -> Cost:
+        """Interpreter and libraries."""
+        process = self.slopes.process
+        whole_kib = process.interpreter_kib + process.libraries_kib
+        return Cost("interpreter and libraries", state_kib=whole_kib)
+
+    def configuration(self) -> Cost:
+        """The configuration stream, followed and folded."""
+        size = self.size
+        slopes = self.slopes.configuration
+        state_bytes = slopes.endpoint_bytes.at(size.endpoints)
+        state_bytes += slopes.team_bytes.per_unit * size.teams
+        kept = min(configuration_fold.MAX_TICKETS, size.changes_per_day)
+        state_bytes += slopes.ticket_bytes.per_unit * kept
+        empty_reads = MS_PER_S / CONFIG_READ_WAIT_MS
+        reads = empty_reads + size.changes_per_s
+        change_us = slopes.change_us.at(size.endpoints)
+        read_bytes = HTTP_HEAD_BYTES + KEPT_CALL_OVERHEAD_BYTES
+        record = slopes.change_record_bytes + READ_RECORD_OVERHEAD_BYTES
+        # One copy is read from the log, another comes from its writer.
+        copies = 2
+        return Cost(
+            "configuration: fold of the stream `config`",
+            state_kib=state_bytes / KIB,
+            messages_per_s=reads + size.changes_per_s,
+            cpu_us_per_s=reads * self.slopes.wire.log_read_us.at(1)
+            + size.changes_per_s * change_us,
+            bytes_per_s=reads * read_bytes
+            + copies * size.changes_per_s * record,
+        )
+
+    def journal(self) -> Cost:
+        """The bounded journal, full."""
+        slope = self.slopes.process.decision_bytes
+        return Cost(
+            f"journal of {journal.MAX_DECISIONS} decisions",
+            state_kib=slope.at(journal.MAX_DECISIONS) / KIB,
+        )
+
+    def histograms(self) -> Cost:
+        """Latency histograms: two for each service and a few others."""
+        labels = 2 * self.size.services + 10
+        slope = self.slopes.process.histogram_bytes
+        return Cost(
+            f"{labels} latency histograms", state_kib=slope.at(labels) / KIB
+        )
+
+    def routing(self) -> Cost:
+        """Shares, statistics and choice for the zone's endpoints."""
+        endpoints = self.size.endpoints / self.size.zones
+        slope = self.slopes.configuration.routed_endpoint_bytes
+        return Cost(
+            "routing: shares and statistics of the zone's endpoints",
+            state_kib=slope.at(endpoints) / KIB,
+        )
+
+    def heartbeats(self, peers: int, whom: str) -> Cost:
+        """Heartbeats sent to and answered for a number of peers."""
+        beats = peers * MS_PER_S / settings.TimingSettings().heartbeat_ms
+        wire = self.slopes.wire
+        services = self.size.services
+        cpu_us = wire.heartbeat_sent_us.at(services)
+        cpu_us += wire.heartbeat_answered_us.at(services)
+        size = wire.heartbeat_bytes.at(services) + KEPT_CALL_OVERHEAD_BYTES
+        # A thread sends to each peer, and one answers each peer.
+        threads_kib = 2 * peers * self.slopes.process.thread_kib.per_unit
+        return Cost(
+            f"heartbeats with {whom} ({peers})",
+            state_kib=threads_kib,
+            messages_per_s=2 * beats,
+            cpu_us_per_s=beats * cpu_us,
+            bytes_per_s=2 * beats * size,
+        )
+
+    def zone_records_per_s(self) -> dict[str, float]:
+        """Records on one zone's stream at the peak, by kind."""
+        starts = self.size.zone_starts_per_s
+        interval_s = attempt_table.CHECKPOINT_RECORD_MS / MS_PER_S
+        return {
+            "admissions": starts,
+            "assignments": starts,
+            "checkpoints": self.size.zone_tasks / interval_s,
+            "ends": starts,
+            "renewals": self.renewals_per_s(),
+        }
+
+    def renewals_per_s(self) -> float:
+        """Renewals of one zone's claim."""
+        claim_ms = objects.Limits().claim_ms
+        return ownership.RENEWALS_PER_CLAIM * MS_PER_S / claim_ms
+
+    def zone_appends_per_s(self) -> float:
+        """Appends to one zone's stream at the peak.
+
+        The owner's loop appends twice a step at most, ends and checkpoints
+        apart from assignments; each admission is one for itself at worst.
+        """
+        steps = MS_PER_S / zone_owner.STEP_MS
+        return 2 * steps + self.size.zone_starts_per_s + self.renewals_per_s()
+
+    def zone_bytes_per_s(self) -> float:
+        """Payloads on one zone's stream at the peak."""
+        batch = self.slopes.batch
+        rates = self.zone_records_per_s()
+        return (
+            rates["admissions"] * batch.admit_record_bytes
+            + rates["assignments"] * batch.assign_record_bytes
+            + rates["checkpoints"] * batch.checkpoint_record_bytes
+            + rates["ends"] * batch.end_record_bytes
+            + rates["renewals"] * batch.end_record_bytes
+        )
+
+    def zone_stream(self, is_owner: bool) -> Cost:
+        """The zone's stream, followed and folded; the owner writes it, too."""
+        size = self.size
+        batch = self.slopes.batch
+        wire = self.slopes.wire
+        records = sum(self.zone_records_per_s().values())
+        appends = self.zone_appends_per_s()
+        # Each append wakes one read.
+        reads = appends
+        state_bytes = batch.running_bytes.at(size.zone_tasks)
+        queued = size.zone_starts_per_s * size.urgent_queue_s
+        state_bytes += batch.queued_bytes.per_unit * queued
+        state_bytes += batch.ended_bytes.per_unit * self._ended_jobs()
+        cpu_us = records * batch.record_us.at(size.zone_tasks)
+        cpu_us += reads * wire.log_read_us.at(records / reads)
+        overhead = records * READ_RECORD_OVERHEAD_BYTES
+        overhead += reads * (HTTP_HEAD_BYTES + KEPT_CALL_OVERHEAD_BYTES)
+        moved = self.zone_bytes_per_s() + overhead
+        messages = reads
+        if is_owner:
+            cpu_us += appends * wire.log_append_us.at(records / appends)
+            moved += self.zone_bytes_per_s()
+            moved += appends * (HTTP_HEAD_BYTES + KEPT_CALL_OVERHEAD_BYTES)
+            messages += appends
+        written = ", followed and written" if is_owner else ", followed"
+        return Cost(
+            f"jobs: fold of the stream `zone.NAME`{written}",
+            state_kib=state_bytes / KIB,
+            messages_per_s=messages,
+            cpu_us_per_s=cpu_us,
+            bytes_per_s=moved,
+        )
+
+    def _ended_jobs(self) -> float:
+        """Ended jobs that the fold still keeps in full."""
+        rates = self.zone_records_per_s()
+        share = rates["ends"] / sum(rates.values())
+        return zone_fold.RETIRE_AFTER_RECORDS * share
+
+    def books(self) -> Cost:
+        """The owner's queue and ledgers."""
+        queued = self.size.zone_starts_per_s * self.size.urgent_queue_s
+        jobs = self.size.zone_tasks + queued
+        return Cost(
+            "placement: queue and ledgers",
+            state_kib=self.slopes.batch.books_bytes.at(jobs) / KIB,
+        )
+
+    def links(self) -> Cost:
+        """Exchanges with the zone's workers, a thread each."""
+        size = self.size
+        wire = self.slopes.wire
+        renewals = size.zone_workers * LEASE_RENEWALS * MS_PER_S
+        renewals /= objects.Limits().lease_ms
+        # The last report has grown stale by then, so a fresh one is asked
+        # for before a lease or a command can be sent.
+        exchanges = 2 * (renewals + size.zone_starts_per_s)
+        tasks = size.tasks_per_worker
+        size_bytes = wire.exchange_bytes.at(tasks) + HTTP_HEAD_BYTES
+        threads_kib = (
+            size.zone_workers * self.slopes.process.thread_kib.per_unit
+        )
+        return Cost(
+            f"leases and reports of {size.zone_workers:.0f} workers",
+            state_kib=threads_kib,
+            messages_per_s=exchanges,
+            cpu_us_per_s=exchanges * wire.exchange_us.at(tasks),
+            bytes_per_s=exchanges * (size_bytes + NEW_CALL_OVERHEAD_BYTES),
+        )
+
+    def starts(self) -> Cost:
+        """Deciding on starts."""
+        starts = self.size.zone_starts_per_s
+        start_us = self.slopes.batch.start_us.at(self.size.zone_workers)
+        return Cost("placement: starts", cpu_us_per_s=starts * start_us)
+
+    def steps(self) -> Cost:
+        """The owner's loop when there is nothing to decide."""
+        step_us = self.slopes.owner.step_us.at(self.size.zone_workers)
+        steps = MS_PER_S / zone_owner.STEP_MS
+        return Cost("owner's loop", cpu_us_per_s=steps * step_us)
+
+
+def measure() -> Slopes:
+    """Measures everything."""
+    return Slopes(
+        process=process_slopes.measure(),
+        configuration=configuration_slopes.measure(),
+        batch=batch_slopes.measure(),
+        owner=owner_slopes.measure(),
+        wire=wire_slopes.measure(),
+    )
+
+
+def over_budget(
+    roles: Iterable[RoleCost], name: str, budget: float
+) -> list[RoleCost]:
+    """Roles whose total of a figure is above a budget."""
+    return [role for role in roles if role.total(name) > budget]
--- /dev/null
+++ b/testing/capacity/process_slopes.py
@@ -0,0 +1,132 @@
+"""Slopes of what every host keeps, and its memory before any state."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+import attrs
+
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from testing.capacity import slope
+from testing.fakes import clock as clock_fake
+
+DECISION_SIZES = (1_000, 5_000, 20_000)
+HISTOGRAM_SIZES = (10, 30, 90)
+THREAD_SIZES = (50, 110, 220)
+PROBE_TIMEOUT_S = 60
+
+# Run apart, so that what this process holds is not counted.
+_IMPORTS = """
+import re
+from comfreylatch._process import resident
+before_kib = resident.resident_kib()
+from comfreylatch._process import composition
+loaded_kib = resident.resident_kib()
+status = open("/proc/self/status").read()
+private_kib = re.search(r"RssAnon:\\s+(\\d+)", status).group(1)
+print(before_kib, loaded_kib, private_kib)
+"""
+_THREADS = """
+import sys, threading
+from comfreylatch._process import resident
+from comfreylatch._process.batch import link_pool
+threading.stack_size(link_pool.THREAD_STACK_BYTES)
+before_kib = resident.resident_kib()
+end = threading.Event()
+for _ in range({count}):
+    threading.Thread(target=end.wait, daemon=True).start()
+print(resident.resident_kib() - before_kib)
+"""
+
+
+@attrs.frozen
+class ProcessSlopes:
+    """Of every host.
+
+    Attributes:
+        interpreter_kib: Resident before any import.
+        libraries_kib: Added by importing all that `serve` needs.
+        private_kib: What of both no other process can share.
+    """
+
+    interpreter_kib: int
+    libraries_kib: int
+    private_kib: int
+    decision_bytes: slope.Slope
+    histogram_bytes: slope.Slope
+    thread_kib: slope.Slope
+
+
+def measure() -> ProcessSlopes:
+    """Takes all of them."""
+    # The first run leaves compiled modules behind, as on a host.
+    _run(_IMPORTS)
+    interpreter_kib, loaded_kib, private_kib = map(int, _run(_IMPORTS).split())
+    return ProcessSlopes(
+        interpreter_kib=interpreter_kib,
+        libraries_kib=loaded_kib - interpreter_kib,
+        private_kib=private_kib,
+        decision_bytes=slope.fit(
+            "journal",
+            "decisions",
+            "B",
+            DECISION_SIZES,
+            lambda count: slope.memory_bytes(lambda: _journal(count)),
+        ),
+        histogram_bytes=slope.fit(
+            "latency histograms",
+            "labels",
+            "B",
+            HISTOGRAM_SIZES,
+            lambda count: slope.memory_bytes(lambda: _histograms(count)),
+        ),
+        thread_kib=slope.fit(
+            "resident memory of waiting threads",
+            "threads",
+            "KiB",
+            THREAD_SIZES,
+            lambda count: float(_run(_THREADS.format(count=count))),
+        ),
+    )
+
+
+def _run(program: str) -> str:
+    environment = dict(os.environ)
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    finished = subprocess.run(
+        [sys.executable, "-c", program],
+        env=environment,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=PROBE_TIMEOUT_S,
+    )
+    return finished.stdout
+
+
+def _journal(count: int) -> journal_module.Journal:
+    journal = journal_module.Journal(
+        "zone-0-1-0a1b2c3d", clock_fake.FakeClock(), count
+    )
+    for index in range(count):
+        journal.note(
+            reasons.Subject.REQUEST,
+            f"request-{index:032d}",
+            reasons.RefusalReason.NO_FREE_SLOT,
+            f"Answered by endpoint-{index % 260} in {index % 90} ms, try 1.",
+        )
+    return journal
+
+
+def _histograms(count: int) -> metrics_module.Metrics:
+    metrics = metrics_module.Metrics()
+    for index in range(count):
+        for elapsed_us in (100, 10_000, 1_000_000):
+            metrics.observe(
+                metrics_module.Latency.REQUEST, elapsed_us, f"service-{index}"
+            )
+    return metrics
--- /dev/null
+++ b/testing/capacity/slope.py
@@ -0,0 +1,87 @@
+"""Measuring how memory and processor time grow with a size."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import gc
+import statistics
+import time
+import tracemalloc
+from typing import Any
+
+import attrs
+
+REPEATS = 5
+NS_PER_US = 1_000
+
+
+@attrs.frozen
+class Slope:
+    """A line through values measured at several sizes.
+
+    Attributes:
+        name: What was measured.
+        size_unit: What the sizes count.
+        unit: Unit of the values.
+        sizes: Sizes measured.
+        values: Value at each size.
+        fixed: Value of the line at size 0, never below 0.
+        per_unit: Growth by one unit of size.
+    """
+
+    name: str
+    size_unit: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    fixed: float
+    per_unit: float
+
+    def at(self, size: float) -> float:
+        """Value of the line at a size."""
+        return self.fixed + self.per_unit * size
+
+
+def fit(
+    name: str,
+    size_unit: str,
+    unit: str,
+    sizes: Sequence[int],
+    measure: Callable[[int], float],
+) -> Slope:
+    """Measures at each size and lays a line through the values."""
+    values = tuple(float(measure(size)) for size in sizes)
+    line = statistics.linear_regression(sizes, values)
+    fixed = max(line.intercept, 0.0)
+    per_unit = max(line.slope, 0.0)
+    return Slope(name, size_unit, unit, tuple(sizes), values, fixed, per_unit)
+
+
+def memory_bytes(build: Callable[[], Any]) -> int:
+    """Bytes that what `build` returns keeps allocated."""
+    build()
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def cpu_us(run: Callable[[], Any], count: int) -> float:
+    """Least processor time of this thread for each of `count` runs."""
+    least_ns = None
+    for _ in range(REPEATS):
+        started_ns = time.thread_time_ns()
+        for _ in range(count):
+            run()
+        spent_ns = time.thread_time_ns() - started_ns
+        least_ns = spent_ns if least_ns is None else min(least_ns, spent_ns)
+    assert least_ns is not None
+    return least_ns / count / NS_PER_US
