--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -53,24 +53,40 @@
         return (time.monotonic() - self.started_s) * 1_000
 
 
+Overflow = Callable[[call_module.Call], outcomes.RequestOutcome | None]
+
+
 @final
 class Tries:
-    """Runs one request; made anew for each."""
+    """Runs one request; made anew for each.
+
+    Args:
+        parts: What tries work with.
+        call: The request.
+        is_claimed: Its id was claimed by another host.
+        overflow: Asked once, when the request would have to wait; may run it
+            elsewhere and return its outcome.
+        may_wait: Whether it may wait for a slot.
+    """
 
     def __init__(
         self,
         parts: parts_module.Parts,
         call: call_module.Call,
         is_claimed: bool = False,
+        overflow: Overflow | None = None,
+        may_wait: bool = True,
     ) -> None:
         self._parts = parts
         self._call = call
+        self._overflow = overflow
+        self._may_wait = may_wait
         self._state = call.state
         self._observer = observations.Observer(parts, call.state)
         self._excluded: frozenset[str] = frozenset()
-        # Whose id was claimed elsewhere is released there too.
-        self._guard = None if is_claimed else parts.guard
-        self._claimed = False
+        needs_claim = call.needs_claim and not is_claimed
+        self._guard = parts.guard if needs_claim else None
+        self._claim: outcomes.Claim | None = None
         self._lost: endpoint_client.LostAfterSend | None = None
         self._tries = 0
 
@@ -82,17 +98,25 @@
     def run(self) -> outcomes.RequestOutcome:
         """Tries until there is an answer or no further try is allowed."""
         self._state.budget.earn()
+        endpoint = self._state.queue.try_enter(self._pick)
+        if endpoint is None and self._overflow is not None:
+            elsewhere = self._overflow(self._call)
+            if elsewhere is not None:
+                return elsewhere
+        return self._run_from(endpoint)
+
+    def _run_from(self, endpoint: str | None) -> outcomes.RequestOutcome:
+        """Tries an endpoint whose slot is taken, then others in turn."""
         while True:
-            match self._enter():
-                case result.Ok(endpoint):
-                    pass
-                case result.Err(refused):
-                    return self._given_up(refused)
-            match self._claim(endpoint):
-                case result.Err(told):
-                    return told
-                case result.Ok(_):
-                    pass
+            if endpoint is None:
+                match self._enter():
+                    case result.Ok(entered):
+                        endpoint = entered
+                    case result.Err(shed):
+                        return self._given_up(shed)
+            refused = self._claim_id(endpoint)
+            if refused is not None:
+                return refused
             tried = self._try(endpoint)
             if isinstance(tried, result.Ok):
                 answer = tried.ok_value
@@ -102,6 +126,7 @@
             ended = self._after_failure(endpoint, tried.err_value)
             if ended is not None:
                 return ended
+            endpoint = None
 
     def _enter(self) -> result.Result[str, admission.Refused]:
         """Waits for a slot of an endpoint."""
@@ -118,6 +143,7 @@
             deadline_ms=self._call.deadline_ms,
             pick=self._pick,
             is_retry=self._tries > 0,
+            may_wait=self._may_wait,
         )
         return self._state.queue.enter(arrival)
 
@@ -143,20 +169,20 @@
         state.stats.begin(endpoint)
         return endpoint
 
-    def _claim(
+    def _claim_id(
         self, endpoint: str
-    ) -> result.Result[None, outcomes.NotRun | outcomes.Unknown]:
-        """Marks the id of a non-idempotent request before its first try."""
-        guard = self._guard
-        if self._call.idempotent or guard is None or self._claimed:
-            return result.Ok(None)
-        claimed = guard.claim(self._call.request_id, self._call.deadline_ms)
-        if claimed.is_err():
-            self._state.stats.skipped(endpoint)
-            self._slot_returner(endpoint)()
-        else:
-            self._claimed = True
-        return claimed
+    ) -> outcomes.NotRun | outcomes.Unknown | None:
+        """Claims the id before its first try, if it can have been used."""
+        if self._guard is None or self._claim is not None:
+            return None
+        match self._guard.claim(self._call.request_id, self._call.deadline_ms):
+            case result.Ok(claim):
+                self._claim = claim
+                return None
+            case result.Err(refused):
+                self._state.stats.skipped(endpoint)
+                self._slot_returner(endpoint)()
+                return refused
 
     def _slot_returner(self, endpoint: str) -> Callable[[], None]:
         """What is to be done when the request in a taken slot has ended."""
@@ -336,8 +362,8 @@
         """`not-run` if no endpoint has seen the request, else `unknown`."""
         if self._lost is not None:
             return self._unknown(f"{self._lost.detail}; then: {sentence}")
-        if self._claimed and self._guard is not None:
-            self._guard.release(self._call.request_id)
+        if self._claim is not None and self._guard is not None:
+            self._guard.release(self._claim)
         return outcomes.NotRun(reason, sentence, retry_after_ms)
 
     def _unknown(self, sentence: str) -> outcomes.Unknown:
