--- a/tests/system/test_tickets.py
+++ b/tests/system/test_tickets.py
@@ -17,7 +17,6 @@
 from testing.fakes import tickets as samples
 
 SEED = 1
-CONFIG = "config"
 SNAPSHOTS = "config.snapshots"
 # The brief's "within seconds"; the bound at the design size is 18 s.
 IN_FORCE_S = 5.0
@@ -162,6 +161,49 @@
             2 * IN_FORCE_S,
         )
 
+    def test_hosts_replaced_one_after_another_keep_every_ticket(self) -> None:
+        accepted: dict[int, int] = {}
+        for place, seat in enumerate(self.seats):
+            self.fleet.kill_host(seat)
+            other = self.seats[place - 1]
+            for number in range(place * 5 + 1, place * 5 + 6):
+                change = samples.zone(f"zone-{number}")
+                answer = self.submit(other, samples.ticket(number, change))
+                self.assertEqual(200, answer.status)
+                accepted[number] = answer.json()["offset"]
+            self.fleet.start_host(seat)
+            self.fleet.wait_ready(seat)
+        self.wait_equal(max(accepted.values()))
+        for number, offset in accepted.items():
+            page = self.fleet.client.get(
+                self.fleet.hosts[self.seats[0]].operator_address,
+                f"/tickets/{number}",
+            ).json()
+            self.assertEqual(
+                ("accepted", offset), (page["verdict"], page["offset"])
+            )
+
+    def test_slow_log_refuses_plainly_or_keeps_truly(self) -> None:
+        for slow_ms in (1_200, 3_000):
+            self.fleet.log.control(slow_ms=slow_ms)
+            value = samples.ticket(slow_ms, samples.zone(f"zone-{slow_ms}"))
+            answer = self.submit("bole-1", value)
+            self.fleet.log.control(slow_ms=0)
+            self.assertIn(answer.status, (200, 503))
+            self.fleet.wait_until(
+                lambda value=value: (
+                    self.submit("entoto-1", value).status == 200
+                ),
+                "the same ticket is accepted once",
+                2 * IN_FORCE_S,
+            )
+        self.wait_equal(1)
+        page = self.fleet.client.get(
+            self.fleet.hosts["bole-2"].operator_address, "/objects"
+        ).json()
+        versions = {line["name"]: line["version"] for line in page["objects"]}
+        self.assertEqual({"zone-1200": 1, "zone-3000": 1}, versions)
+
     def test_all_hosts_replaced_at_once_start_from_a_snapshot(self) -> None:
         self.fleet.log.control(keep_records=8)
         for number in range(1, 13):
