Open a seat at once when its host has met no endpoint in force

Ruled out: loans and shares, which had no slots to give. Change: the gate remembers whether endpoints came into force before the host was ready. tests/process/test_own_state.py holds the case.

--- a/src/comfreylatch/_process/own_state.py
+++ b/src/comfreylatch/_process/own_state.py
@@ -17,6 +17,7 @@
 from comfreylatch._process import membership as membership_module
 from comfreylatch._process import shares as shares_module
 from comfreylatch._request import router as router_module
+from comfreylatch._version import configuration
 from comfreylatch._wire.gen.peer import ttypes
 
 GATE_CHECK_MS = 100
@@ -114,6 +115,8 @@
     def __init__(self, parts: GateParts) -> None:
         self._parts = parts
         self._started_ms = parts.clock.monotonic_ms()
+        self._had_endpoints = False
+        parts.source.on_change(self._note_change)
         self._closing = threading.Event()
         self.is_open = threading.Event()
         self._thread = threading.Thread(
@@ -128,9 +131,18 @@
         self._closing.set()
         self._thread.join()
 
+    def _note_change(self, new: configuration.Configuration) -> None:
+        """Remembers whether this start found endpoints in force.
+
+        What comes into force once the host is ready is newer than it, and
+        was used by no predecessor.
+        """
+        if not self._parts.config.ready and new.endpoints:
+            self._had_endpoints = True
+
     def _run(self) -> None:
         while not self._closing.wait(GATE_CHECK_MS / 1_000):
-            reason = self._reason_to_open()
+            reason = self.reason_to_open()
             if reason:
                 logs.event(_logger, "seat-open", reason=reason)
                 if reason == NO_ENDPOINT_BEFORE:
@@ -139,11 +151,12 @@
                 self.is_open.set()
                 return
 
-    def _reason_to_open(self) -> str:
+    def reason_to_open(self) -> str:
+        """Why the seat may be opened now; empty while it may not."""
         parts = self._parts
         if not parts.config.ready:
             return ""
-        if not parts.source.current().endpoints:
+        if not self._had_endpoints:
             return NO_ENDPOINT_BEFORE
         predecessor = parts.membership.own_predecessor()
         if predecessor is not None and predecessor.drained:
--- /dev/null
+++ b/tests/process/test_own_state.py
@@ -0,0 +1,75 @@
+"""Tests of the gate of a seat."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import types
+
+import testtools
+
+from comfreylatch._process import membership
+from comfreylatch._process import own_state
+from comfreylatch._version import configuration
+from comfreylatch._version import objects
+from testing.fakes import clock as fake_clock
+
+LEFT_OVER_MS = 10_000
+WITH_ENDPOINT = configuration.Configuration(
+    offset=0,
+    endpoints={"ex-1": objects.Endpoint("skyproc", "bole", "127.0.0.1:1")},
+)
+
+
+class _Parts:
+    """Stands for what the gate looks at."""
+
+    def __init__(self) -> None:
+        self.clock = fake_clock.FakeClock()
+        self.config = types.SimpleNamespace(ready=False)
+        self.predecessor: membership.SeatMemory | None = None
+        self.listener: Callable[[configuration.Configuration], None]
+        self.source = self
+        self.membership = self
+
+    def on_change(
+        self, listener: Callable[[configuration.Configuration], None]
+    ) -> None:
+        self.listener = listener
+
+    def own_predecessor(self) -> membership.SeatMemory | None:
+        return self.predecessor
+
+    def left_over_ms(self) -> int:
+        return LEFT_OVER_MS
+
+
+class SeatGateTest(testtools.TestCase):
+    """When a seat's slots may be used."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.parts = _Parts()
+        self.gate = own_state.SeatGate(self.parts)
+
+    def test_nothing_opens_before_the_configuration_is_read(self) -> None:
+        self.assertEqual("", self.gate.reason_to_open())
+
+    def test_ticket_right_after_the_start_does_not_close_the_seat(self) -> None:
+        self.parts.config.ready = True
+        self.parts.listener(WITH_ENDPOINT)
+        self.assertEqual(
+            own_state.NO_ENDPOINT_BEFORE, self.gate.reason_to_open()
+        )
+
+    def test_seat_waits_for_what_a_predecessor_left(self) -> None:
+        self.parts.listener(WITH_ENDPOINT)
+        self.parts.config.ready = True
+        self.assertEqual("", self.gate.reason_to_open())
+        self.parts.clock.advance(LEFT_OVER_MS)
+        self.assertEqual("waited", self.gate.reason_to_open())
+
+    def test_drained_predecessor_left_nothing(self) -> None:
+        self.parts.listener(WITH_ENDPOINT)
+        self.parts.config.ready = True
+        self.parts.predecessor = membership.SeatMemory("bole-1-a", True)
+        self.assertEqual("predecessor-drained", self.gate.reason_to_open())
