Refuse an address or seat under two names; suspect unexpected errors

Limits are kept by endpoint and by seat, so one back end under two names would be sent twice its slots. After an unexpected error in an append the records are taken as possibly kept.

--- a/src/comfreylatch/_process/appender.py
+++ b/src/comfreylatch/_process/appender.py
@@ -291,7 +291,7 @@
                     self._appended(batch, first_offset)
                 case result.Err(log_port.LogDown(detail)):
                     self._failed(reasons.RetryReason.LOG_DOWN, detail)
-                    self._refuse_unless_sent(batch)
+                    self._refuse_unless_sent(batch, detail)
                 case result.Err(log_port.LogAnswerLost(detail)):
                     batch.maybe_appended = True
                     self._failed(reasons.RetryReason.LOG_ANSWER_LOST, detail)
@@ -308,10 +308,14 @@
         if not batch.settled:
             batch.settle_appended(first_offset)
 
-    def _refuse_unless_sent(self, batch: append_batch.AppendBatch) -> None:
+    def _refuse_unless_sent(
+        self, batch: append_batch.AppendBatch, detail: str
+    ) -> None:
         """Refuses a batch of which the log certainly holds nothing."""
         if not batch.maybe_appended and not batch.settled:
-            batch.settle_refused(self._not_accepted("the log is down"))
+            batch.settle_refused(
+                self._not_accepted(f"the log did not take it: {detail}")
+            )
 
     def _failed(self, reason: reasons.RetryReason, detail: str) -> None:
         self._failures += 1
@@ -355,9 +359,16 @@
             except Exception:
                 _events.exception("append step failed stream={}", self._stream)
                 delay_ms = self._retry.max_ms
+                self._suspect_sent()
             with self._wake:
                 self._wait(delay_ms)
 
+    def _suspect_sent(self) -> None:
+        """After an unexpected error the batch may be on the stream."""
+        with self._wake:
+            if self._batch is not None:
+                self._batch.maybe_appended = True
+
     def _wait(self, delay_ms: int) -> None:
         if delay_ms > 0:
             self._wake.wait_for(self._interrupted, delay_ms / 1_000)
--- a/testing/fakes/tickets.py
+++ b/testing/fakes/tickets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+import zlib
 
 
 def change(
@@ -35,10 +36,12 @@
 def endpoint(
     name: str, service_name: str, zone_name: str, replaces: int = 0
 ) -> dict[str, Any]:
-    """A change that sets an endpoint."""
+    """A change that sets an endpoint, at an address made of its name."""
+    spread = zlib.crc32(name.encode())
+    port = 1_024 + spread % 60_000
     state = {
         "service": service_name,
         "zone": zone_name,
-        "address": "127.0.0.1:8000",
+        "address": f"127.0.{spread >> 24}.1:{port}",
     }
     return change("endpoint", name, replaces, state)
--- a/tests/version/test_configuration_fold.py
+++ b/tests/version/test_configuration_fold.py
@@ -111,6 +111,31 @@
         self.assertIn("names service 'none'", line.detail)
         self.assertIn("names zone 'nowhere'", line.detail)
 
+    def test_address_of_another_endpoint_is_refused(self) -> None:
+        self.put_fleet()
+        twin = samples.endpoint("ex-1", "skyproc", "bole")
+        line = self.put(samples.ticket(2, {**twin, "name": "ex-2"}))
+        self.assertEqual(verdicts.Verdict.BROKEN_REFERENCE, line.verdict)
+        self.assertIn("the endpoints 'ex-1' and 'ex-2'", line.detail)
+
+    def test_address_may_pass_on_in_one_ticket(self) -> None:
+        self.put_fleet()
+        twin = samples.endpoint("ex-1", "skyproc", "bole")
+        line = self.put(
+            samples.ticket(
+                2,
+                {**twin, "name": "ex-2"},
+                samples.change("endpoint", "ex-1", 1, None),
+            )
+        )
+        self.assertTrue(line.accepted)
+
+    def test_seat_of_another_zone_is_refused(self) -> None:
+        self.put_fleet()
+        twin = {**samples.zone("bole"), "name": "entoto"}
+        line = self.put(samples.ticket(2, twin))
+        self.assertIn("the zones 'bole' and 'entoto'", line.detail)
+
     def test_removed_object_is_not_made_by_an_old_ticket(self) -> None:
         self.put(samples.ticket(1, samples.zone("bole")))
         self.put(samples.ticket(2, samples.change("zone", "bole", 1, None)))
