Ask every peer for explanations, also those not heard from lately

Cause: right after a start, or a cut, a peer counts as unreachable until its next heartbeat; 'explain' then left it out although it would have answered. Unreachable peers are asked last, within the same bound of time.

--- a/src/comfreylatch/_process/explanation.py
+++ b/src/comfreylatch/_process/explanation.py
@@ -89,7 +89,7 @@
 
 @final
 class Explainer:
-    """Asks this host and every reachable peer.
+    """Asks this host and every peer.
 
     Args:
         journal: This host's journal.
@@ -122,22 +122,19 @@
     def _ask_peers(
         self, subject: reasons.Subject, name: str
     ) -> dict[str, result.Result[HostExplanation, str]]:
-        answers: dict[str, result.Result[HostExplanation, str]] = {}
-        asked = []
-        for view in self._peers.views():
-            if view.reachable:
-                asked.append(view.seat)
-            else:
-                answers[view.seat] = result.Err("not reachable now")
-        if not asked:
-            return answers
+        # A peer taken for unreachable may have come back; it is asked last.
+        views = sorted(self._peers.views(), key=lambda view: not view.reachable)
+        if not views:
+            return {}
         deadline = time.monotonic() + self._budget_ms / 1_000
         pool = concurrent.futures.ThreadPoolExecutor(
-            min(len(asked), MAX_ASKED_AT_ONCE), "explain"
+            min(len(views), MAX_ASKED_AT_ONCE), "explain"
         )
         futures = {
-            seat: pool.submit(self._ask, seat, subject, name) for seat in asked
+            view.seat: pool.submit(self._ask, view.seat, subject, name)
+            for view in views
         }
+        answers = {}
         for seat, future in futures.items():
             left_s = max(deadline - time.monotonic(), 0)
             answers[seat] = _outcome(future, left_s)
--- a/tests/process/test_operator_pages.py
+++ b/tests/process/test_operator_pages.py
@@ -59,6 +59,8 @@
         self, seat: str, subject: str, name: str, timeout_ms: int
     ) -> result.Result[bytes, peers_port.PeerError]:
         answer = self._answers[seat]
+        if answer is None:
+            return result.Err(peers_port.PeerUnreachable("refused"))
         if isinstance(answer, threading.Event):
             answer.wait(10)
             return result.Err(peers_port.PeerAnswerLost("late"))
