--- a/src/comfreylatch/_commands/output.py
+++ b/src/comfreylatch/_commands/output.py
@@ -16,6 +16,7 @@
 from comfreylatch._process import json_file
 
 INDENT = "  "
+MAX_CELL_LETTERS = 40
 
 
 @attrs.frozen
@@ -35,7 +36,10 @@
     if isinstance(value, str):
         typer.echo(value.rstrip("\n"))
         return
-    for line in plain_lines(msgspec.json.decode(msgspec.json.encode(value))):
+    plain = msgspec.json.decode(msgspec.json.encode(value))
+    if isinstance(plain, dict) and plain.get("sentence"):
+        typer.echo(plain.pop("sentence"))
+    for line in plain_lines(plain):
         typer.echo(line)
 
 
@@ -147,6 +151,9 @@
 
 
 def _array_lines(value: list[Any], indent: str) -> list[str]:
+    table = _table_lines(value, indent)
+    if table:
+        return table
     lines = []
     for member in value:
         inner = plain_lines(member, indent + INDENT)
@@ -156,6 +163,36 @@
     return lines or [indent + "(none)"]
 
 
+def _table_lines(value: list[Any], indent: str) -> list[str]:
+    """Objects of equal members, one a line; empty when they don't suit."""
+    if not all(isinstance(member, dict) for member in value):
+        return []
+    names = list(value[0]) if value else []
+    if not names or any(list(member) != names for member in value):
+        return []
+    rows = [names]
+    rows += [[_cell(member[name]) for name in names] for member in value]
+    if any(len(cell) > MAX_CELL_LETTERS for row in rows for cell in row):
+        return []
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [
+        indent
+        + "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, dict):
+        parts = [f"{key}={_cell(member)}" for key, member in value.items()]
+        return ",".join(parts) or "-"
+    if isinstance(value, list):
+        return ",".join(map(_cell, value)) or "-"
+    return _scalar(value) or "-"
+
+
 def _scalar(value: Any) -> str:
     if value is None:
         return "-"
--- a/src/comfreylatch/_process/batch/job_desk.py
+++ b/src/comfreylatch/_process/batch/job_desk.py
@@ -155,6 +155,7 @@
             return self._known(spec, lookup)
         refusal = self._check(spec)
         if refusal is not None:
+            self._note(spec.id, refusal.reason, refusal.detail, -1)
             return self._refuse(refusal)
         body = job_records.JobAdmitted(spec)
         appended = self._append(spec.id, body)
--- a/src/comfreylatch/_process/explanation.py
+++ b/src/comfreylatch/_process/explanation.py
@@ -211,11 +211,14 @@
         case Verdict.KNOWN:
             return f"{thing}: {asked}, all answered."
         case Verdict.UNKNOWN:
-            return f"{thing} is unknown: {asked}, none has met it."
+            return (
+                f"Nothing is known of {thing}: {asked}, none has decided "
+                "anything about it or forgotten a decision."
+            )
         case Verdict.MAY_BE_FORGOTTEN:
             return (
-                f"{thing} is unknown or forgotten: {asked}, none remembers "
-                "it, and older decisions have been dropped."
+                f"Nothing is remembered of {thing}: {asked}, and decisions "
+                "older than those they keep are forgotten."
             )
         case Verdict.MAY_BE_ELSEWHERE:
             return (
--- /dev/null
+++ b/tests/process/batch/test_job_refusal_explained.py
@@ -0,0 +1,54 @@
+"""Test that a refused job can be asked about."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import testtools
+
+from comfreylatch._connection import http
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import reasons
+from comfreylatch._process.batch import job_desk
+from comfreylatch._version import configuration
+from comfreylatch._version import zone_fold
+from testing.fakes import clock as clock_fake
+
+JOB = {
+    "id": "stack-1",
+    "team": "nobody",
+    "resources": {"processors_milli": 1, "memory_mib": 1},
+    "run_time_ms": 1,
+}
+
+
+class EmptySource:
+    """A configuration without any object."""
+
+    def current(self) -> configuration.Configuration:
+        return configuration.Configuration(offset=0)
+
+
+class JobRefusalTest(testtools.TestCase):
+    """What the journal holds after a refusal."""
+
+    def test_refused_job_is_in_the_journal(self) -> None:
+        journal = journal_module.Journal("h", clock_fake.FakeClock())
+        unused: Any = None
+        source: Any = EmptySource()
+        desk = job_desk.JobDesk(
+            "bole",
+            unused,
+            unused,
+            zone_fold.ZoneFold(),
+            source,
+            journal,
+            metrics_module.Metrics(),
+        )
+        body = json.dumps(JOB).encode()
+        reply = desk.handle(http.HttpRequest("POST", "/jobs", {}, {}, body))
+        self.assertEqual(422, reply.status)
+        (decision,) = journal.about(reasons.Subject.JOB, "stack-1")
+        self.assertEqual("unknown-team", decision.reason)
