--- /dev/null
+++ b/tests/process/test_reasons_documented.py
@@ -0,0 +1,39 @@
+"""Tests that operators find every reason in their page, and no other."""
+
+from __future__ import annotations
+
+import enum
+import pathlib
+import re
+
+import testtools
+
+from comfreylatch._process import reasons
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATORS.md"
+ROW = re.compile(r"^\| `([a-z-]+)` \|", re.MULTILINE)
+
+
+def _rows_of(title: str) -> list[str]:
+    """Words in the first column of the table under a heading."""
+    text = PAGE.read_text(encoding="utf-8")
+    section = text.partition(f"\n## {title}\n")[2].partition("\n## ")[0]
+    return ROW.findall(section)
+
+
+class ReasonsDocumentedTest(testtools.TestCase):
+    """The tables of docs/OPERATORS.md against the enums."""
+
+    def assert_rows(self, title: str, kind: type[enum.StrEnum]) -> None:
+        self.assertEqual(sorted(kind), sorted(_rows_of(title)))
+
+    def test_every_refusal_reason_has_one_row(self) -> None:
+        self.assert_rows("Read a refusal", reasons.RefusalReason)
+
+    def test_every_retry_reason_has_one_row(self) -> None:
+        self.assert_rows("Read a retry", reasons.RetryReason)
+
+    def test_every_subject_is_shown(self) -> None:
+        text = PAGE.read_text(encoding="utf-8")
+        for subject in reasons.Subject:
+            self.assertIn(f"comfreylatch explain {subject} ", text)
