Tell of an address in use without a traceback

Before, 'serve' on a taken address ended with a traceback that for the peer address did not name the address (seen while a host was replaced by hand).

--- a/src/comfreylatch/_process/entry_host.py
+++ b/src/comfreylatch/_process/entry_host.py
@@ -10,15 +10,18 @@
 
 import result
 
+from comfreylatch._process import settings as settings_module
 from comfreylatch._process import settings_file
 
 FAULTY_SETTINGS_EXIT_CODE = 2
+NOT_STARTED_EXIT_CODE = 1
 
 
 def run(path: str) -> int:
     """Runs an entry host until it is told to stop; returns its exit code.
 
-    A faulty settings file is told on standard error, every error at once.
+    A faulty settings file is told on standard error, every error at once, and
+    so is an address that can't be listened on.
     """
     match settings_file.load(path):
         case result.Err(errors):
@@ -26,6 +29,25 @@
                 print(error, file=sys.stderr)
             return FAULTY_SETTINGS_EXIT_CODE
         case result.Ok(settings):
+            from comfreylatch._connection import http_server
             from comfreylatch._process import composition
 
-            return composition.run(settings)
+            try:
+                return composition.run(settings)
+            except (OSError, http_server.ServerStartError) as error:
+                print(_not_started(settings, error), file=sys.stderr)
+                return NOT_STARTED_EXIT_CODE
+
+
+def _not_started(settings: settings_module.Settings, error: Exception) -> str:
+    addresses = ", ".join(
+        (
+            settings.caller_address,
+            settings.operator_address,
+            settings.peer_address,
+        )
+    )
+    return (
+        f"comfreylatch: can't serve on {addresses}: {error}; does another "
+        "process use one of them, or are they not this machine's?"
+    )
