Bound waiting by the service's target, and shed what can't finish

Cause: requests waited for the whole deadline, and those given a slot too late to finish were sent all the same.

--- a/src/comfreylatch/_process/routing/admission.py
+++ b/src/comfreylatch/_process/routing/admission.py
@@ -2,9 +2,10 @@
 
 A request waits only while it can still be answered in time: its place in the
 queue divided by the measured drain rate, plus the usual time of an answer,
-must fit its deadline. Callers of a service take turns, so that one with many
-requests delays itself and not the others. Services share the host's threads
-by weight.
+must fit its deadline. It must also fit the service's target, as a longer
+queue gives no more answers, only later ones. Callers of a service take turns,
+so that one with many requests delays itself and not the others. Services
+share the host's threads by weight.
 """
 
 from __future__ import annotations
@@ -19,12 +20,17 @@
 
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import reasons
+from comfreylatch._process.routing import latency_quantile
 
 FIRST_HOLD_MS = 20.0
 HOLD_SMOOTHING = 0.05
+ANSWER_PERCENTILE = 90
+TARGET_ANSWERS = 2
+CLEARLY_MORE = 2
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 10_000
 RETRY_NO_SLOT_MS = 1_000
+NO_TARGET_MS = 3_600_000
 RECHECK_MS = 200
 RESERVED_THREADS = 8
 # Part of the other services' threads that a service over its share can't take.
@@ -79,8 +85,11 @@
 class ServiceQueue:
     """The requests of one service that wait for a slot. Thread-safe."""
 
-    def __init__(self, clock: clock_port.Clock) -> None:
+    def __init__(
+        self, clock: clock_port.Clock, target_ms: int = NO_TARGET_MS
+    ) -> None:
         self._clock = clock
+        self._target_ms = target_ms
         self._lock = threading.Lock()
         self._waiting: collections.OrderedDict[
             str, collections.deque[_Waiter]
@@ -88,6 +97,13 @@
         self._count = 0
         self._in_flight = 0
         self._hold_ms = FIRST_HOLD_MS
+        self._answer = latency_quantile.LatencyQuantile(
+            ANSWER_PERCENTILE, FIRST_HOLD_MS
+        )
+
+    def set_target(self, target_ms: int) -> None:
+        """Changes the time within which answers shall come."""
+        self._target_ms = target_ms
 
     @property
     def waiting(self) -> int:
@@ -128,6 +144,7 @@
         with self._lock:
             self._in_flight -= 1
             self._hold_ms += HOLD_SMOOTHING * (held_ms - self._hold_ms)
+            self._answer.add(held_ms)
 
     def slot_freed(self) -> None:
         """Gives slots that have become free to those whose turn it is."""
@@ -136,6 +153,8 @@
         with self._lock:
             while self._count:
                 waiter = self._next()
+                if self._shed_late(waiter):
+                    continue
                 endpoint = waiter.arrival.pick()
                 if endpoint is None:
                     return
@@ -151,37 +170,48 @@
     def expected_ms(self) -> float:
         """Expected time from now to the answer of one more request."""
         with self._lock:
-            return self._wait_ms(self._count + 1) + self._hold_ms
+            return self._wait_ms(self._count + 1) + self._answer_ms
 
     def retry_after_ms(self) -> int:
         """When those who wait now will have got a slot, by drain rate."""
         with self._lock:
             return self._bounded_retry_ms(self._wait_ms(self._count + 1))
 
+    @property
+    def _answer_ms(self) -> float:
+        """Time within which most answers come, once a slot is taken."""
+        return max(self._answer.estimate_ms, self._hold_ms)
+
     def _wait(self, waiter: _Waiter) -> result.Result[str, Refused]:
-        deadline_ms = waiter.arrival.deadline_ms
         while not waiter.woken.is_set():
-            left_ms = deadline_ms - self._clock.monotonic_ms()
+            left_ms = self._left_ms(waiter.arrival) - self._answer_ms
             if left_ms <= 0:
-                self._give_up(waiter)
-                break
+                with self._lock:
+                    self._shed_late(waiter)
+                continue
             waiter.woken.wait(min(left_ms, RECHECK_MS) / 1_000)
             # A gain of slots by configuration or loan has no event.
             self.slot_freed()
         assert waiter.outcome is not None
         return waiter.outcome
 
-    def _give_up(self, waiter: _Waiter) -> None:
-        with self._lock:
-            if waiter.outcome is not None:
-                return
-            self._remove(waiter)
-            refused = Refused(
-                reasons.RefusalReason.DEADLINE_PASSED,
-                "no slot became free before the deadline",
-                self._bounded_retry_ms(self._wait_ms(self._count + 1)),
-            )
-            self._settle(waiter, result.Err(refused))
+    def _left_ms(self, arrival: Arrival) -> int:
+        return arrival.deadline_ms - self._clock.monotonic_ms()
+
+    def _shed_late(self, waiter: _Waiter) -> bool:
+        """Refuses a waiter that could no longer be answered in time."""
+        left_ms = self._left_ms(waiter.arrival)
+        if waiter.outcome is not None or left_ms > self._answer_ms:
+            return False
+        self._remove(waiter)
+        refused = Refused(
+            reasons.RefusalReason.DEADLINE_PASSED,
+            f"no slot became free in time; {left_ms} ms are left and answers "
+            f"take {self._answer_ms:.0f} ms",
+            self._bounded_retry_ms(self._wait_ms(self._count + 1)),
+        )
+        self._settle(waiter, result.Err(refused))
+        return True
 
     def _refusal(self, arrival: Arrival) -> Refused | None:
         """Why an arrival can't be answered in time, if it can't."""
@@ -197,22 +227,31 @@
                 "this host has no slot, and none in use that could free up",
                 RETRY_NO_SLOT_MS,
             )
-        left_ms = arrival.deadline_ms - self._clock.monotonic_ms()
+        left_ms = self._left_ms(arrival)
         position = 1 if arrival.is_retry else self._position(arrival.caller)
-        wait_ms = self._wait_ms(position)
-        if wait_ms + self._hold_ms <= left_ms:
+        late_ms = self._late_ms(arrival, position)
+        if late_ms <= 0:
             return None
         sentence = (
-            f"{left_ms} ms are left; a slot is expected in {wait_ms:.0f} ms "
-            f"and an answer {self._hold_ms:.0f} ms later"
+            f"{left_ms} ms are left; a slot is expected in "
+            f"{self._wait_ms(position):.0f} ms and an answer within "
+            f"{self._answer_ms:.0f} ms more"
         )
-        retry_ms = self._bounded_retry_ms(wait_ms + self._hold_ms - left_ms)
+        retry_ms = self._bounded_retry_ms(late_ms)
         return Refused(self._reason(arrival, left_ms), sentence, retry_ms)
 
+    def _late_ms(self, arrival: Arrival, position: int) -> float:
+        """By how much an answer would miss the deadline or the target."""
+        expected_ms = self._wait_ms(position) + self._answer_ms
+        over_deadline_ms = expected_ms - self._left_ms(arrival)
+        # However slow the answers are, a few requests may wait.
+        target_ms = max(self._target_ms, TARGET_ANSWERS * self._answer_ms)
+        return max(over_deadline_ms, expected_ms - target_ms)
+
     def _reason(self, arrival: Arrival, left_ms: int) -> reasons.RefusalReason:
         if left_ms <= 0:
             return reasons.RefusalReason.DEADLINE_PASSED
-        if left_ms < self._hold_ms:
+        if left_ms < self._answer_ms:
             return reasons.RefusalReason.DEADLINE_TOO_SHORT
         own = len(self._waiting.get(arrival.caller, ()))
         if own * max(len(self._waiting), 1) > self._count > 0:
@@ -220,8 +259,16 @@
         return reasons.RefusalReason.NO_FREE_SLOT
 
     def _position(self, caller: str) -> int:
-        """Place in the order of turns of one more request of a caller."""
+        """Place in the order of turns of one more request of a caller.
+
+        A caller goes ahead of one that has clearly more requests waiting;
+        among equals the last to come is the last to go, as otherwise each
+        arrival would push out one that has waited already.
+        """
         own = len(self._waiting.get(caller, ())) + 1
+        longest = max(map(len, self._waiting.values()), default=0)
+        if longest < own + CLEARLY_MORE:
+            return self._count + 1
         others = sum(
             min(len(queue), own)
             for name, queue in self._waiting.items()
@@ -275,16 +322,15 @@
             for name, other in self._waiting.items()
             if name != caller
         )
-        wait_ms = self._wait_ms(len(queue) + others)
-        left_ms = last.arrival.deadline_ms - self._clock.monotonic_ms()
-        if wait_ms + self._hold_ms <= left_ms:
+        late_ms = self._late_ms(last.arrival, len(queue) + others)
+        if late_ms <= 0:
             return
         self._remove(last)
         refused = Refused(
             reasons.RefusalReason.CALLER_OVER_SHARE,
-            f"{len(queue) + 1} requests of this caller wait; others went "
-            f"first and a slot is expected in {wait_ms:.0f} ms",
-            self._bounded_retry_ms(wait_ms + self._hold_ms - left_ms),
+            f"{len(queue) + 1} requests of this caller wait, and others went "
+            f"first; it would be answered {late_ms:.0f} ms too late",
+            self._bounded_retry_ms(late_ms),
         )
         self._settle(last, result.Err(refused))
 
--- a/src/comfreylatch/_process/routing/latency_quantile.py
+++ b/src/comfreylatch/_process/routing/latency_quantile.py
@@ -18,9 +18,11 @@
     wanted share of values lies below. Races between threads cost a step.
     """
 
-    def __init__(self, percentile: int) -> None:
+    def __init__(
+        self, percentile: int, first_ms: float = FIRST_ESTIMATE_MS
+    ) -> None:
         self._percentile = percentile
-        self._estimate_ms = FIRST_ESTIMATE_MS
+        self._estimate_ms = first_ms
 
     @property
     def estimate_ms(self) -> float:
--- a/src/comfreylatch/_process/routing/service_state.py
+++ b/src/comfreylatch/_process/routing/service_state.py
@@ -165,6 +165,7 @@
                 service.hedge_percentile
             )
         state.budget.set_percent(service.retry_budget_percent)
+        state.queue.set_target(service.target_p99_ms)
         state.service = service
         state.addresses = addresses
         state.usable = self._usable(addresses)
--- /dev/null
+++ b/tests/request/test_overload.py
@@ -0,0 +1,90 @@
+"""Tests of a host that is asked for twice of what its endpoints can do."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import time
+
+import attrs
+import testtools
+
+from tests import scripted_endpoint
+from tests.request import harness
+
+ENDPOINTS = 3
+SLOTS = 4
+SERVICE_S = 0.06
+CAPACITY = ENDPOINTS * SLOTS / SERVICE_S
+CALLERS = 8
+REFUSED_P99_S = 0.05
+GOODPUT = 0.9
+
+
+@attrs.frozen
+class _Reply:
+    """What a caller got, and how long it took."""
+
+    outcome: str
+    taken_s: float
+
+
+def answer(seen: scripted_endpoint.Seen) -> scripted_endpoint.Send:
+    time.sleep(SERVICE_S)
+    return scripted_endpoint.whole(seen)
+
+
+def offer(
+    made: harness.Harness, per_second: float, seconds: float, name: str
+) -> list[_Reply]:
+    """Sends requests at a steady rate, whatever becomes of them."""
+    started = time.monotonic()
+
+    def ask(number: int) -> _Reply:
+        asked = time.monotonic()
+        reply = made.ask(
+            f"{name}{number}",
+            "GET",
+            b"",
+            timeout_ms=500,
+            caller=f"caller-{number % CALLERS}",
+        )
+        return _Reply(reply.headers["X-Outcome"], time.monotonic() - asked)
+
+    with concurrent.futures.ThreadPoolExecutor(96) as pool:
+        asked = []
+        for number in range(int(per_second * seconds)):
+            due = started + number / per_second
+            time.sleep(max(due - time.monotonic(), 0))
+            asked.append(pool.submit(ask, number))
+        return [one.result() for one in asked]
+
+
+def percentile_99(replies: list[_Reply], outcome: str) -> float:
+    """99th percentile of the time taken, of replies with an outcome."""
+    taken = sorted(r.taken_s for r in replies if r.outcome == outcome)
+    return taken[int(len(taken) * 0.99)] if taken else 0.0
+
+
+class OverloadTest(testtools.TestCase):
+    """Goodput, refusals and recovery at double load."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.made = harness.Harness(*[answer] * ENDPOINTS, slots=SLOTS)
+        self.made.__enter__()
+        self.addCleanup(self.made.__exit__, None, None, None)
+
+    def test_double_load_keeps_goodput_and_refuses_quickly(self) -> None:
+        offer(self.made, CAPACITY / 2, 1.0, "warm")
+        seconds = 2.5
+        replies = offer(self.made, CAPACITY * 2, seconds, "over")
+        answered = sum(reply.outcome == "answered" for reply in replies)
+        self.assertGreaterEqual(answered, GOODPUT * CAPACITY * seconds)
+        self.assertLessEqual(percentile_99(replies, "not-run"), REFUSED_P99_S)
+        after = offer(self.made, CAPACITY / 2, 1.0, "after")
+        self.assertEqual({"answered"}, {reply.outcome for reply in after})
+
+    def test_refused_request_reached_no_endpoint(self) -> None:
+        replies = offer(self.made, CAPACITY * 2, 1.0, "over")
+        not_run = sum(reply.outcome == "not-run" for reply in replies)
+        self.assertEqual(len(replies) - not_run, len(set(self.made.seen())))
