--- /dev/null
+++ b/src/comfreylatch/_commands/ticket_file.py
@@ -0,0 +1,125 @@
+"""Ticket files: their check and the template of a new one."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import enum
+from typing import Any
+from typing import get_type_hints
+
+import attrs
+import msgspec
+import result
+
+from comfreylatch._version import objects
+from comfreylatch._version import schema
+from comfreylatch._version import tickets
+
+INDENT = "  "
+
+
+@attrs.frozen
+class ObjectInForce:
+    """An object and the version that a change of it must name.
+
+    Attributes:
+        version: 0 when no object of that name has ever been in force.
+        state: None when there is none now.
+    """
+
+    kind: str
+    name: str
+    version: int
+    state: Any
+
+
+@attrs.frozen
+class ObjectsPage:
+    """Answer of `GET /objects`."""
+
+    objects: tuple[ObjectInForce, ...]
+
+
+def check(value: Any) -> schema.Problems:
+    """Returns everything wrong with a decoded ticket file."""
+    match tickets.check(value):
+        case result.Ok():
+            return []
+        case result.Err(problems):
+            return list(problems)
+
+
+def template(
+    number: int,
+    author: str,
+    reason: str,
+    found: Sequence[ObjectInForce],
+) -> str:
+    """A commented ticket file that sets the objects given."""
+    lines = [
+        "// A change ticket. It is taken whole or not at all.",
+        "{",
+        f'{INDENT}"number": {number},  // yours; never used for another ticket',
+        f'{INDENT}"author": {_json(author)},',
+        f'{INDENT}"reason": {_json(reason)},',
+        f'{INDENT}"changes": [',
+    ]
+    for each in found:
+        lines.extend(_change_lines(each))
+    lines.extend([f"{INDENT}]", "}"])
+    return "\n".join(lines) + "\n"
+
+
+def _change_lines(found: ObjectInForce) -> list[str]:
+    margin = INDENT * 2
+    inner = margin + INDENT
+    state = found.state
+    if state is None:
+        state = example(objects.ObjectKind(found.kind))
+    version_note = "new" if found.version == 0 else "the version in force"
+    return [
+        f"{margin}{{",
+        f'{inner}"kind": {_json(found.kind)},',
+        f'{inner}"name": {_json(found.name)},',
+        f'{inner}"replaces": {found.version},  // {version_note}',
+        f"{inner}// The whole new state; null removes the object.",
+        f'{inner}"state": {_state_text(state, inner)}',
+        f"{margin}}},",
+    ]
+
+
+def _state_text(state: Any, margin: str) -> str:
+    text = msgspec.json.format(msgspec.json.encode(state), indent=2).decode()
+    return text.replace("\n", "\n" + margin)
+
+
+def example(kind: objects.ObjectKind) -> dict[str, Any]:
+    """Every field of a kind of object, with its default or an example."""
+    return _example_of(objects.CLASS_BY_KIND[kind])
+
+
+def _example_of(state_class: type) -> dict[str, Any]:
+    hints = get_type_hints(state_class)
+    values = {}
+    for field in attrs.fields(state_class):
+        if field.default is not attrs.NOTHING:
+            values[field.name] = msgspec.to_builtins(field.default)
+        else:
+            values[field.name] = _example_value(field.name, hints[field.name])
+    return values
+
+
+def _example_value(name: str, kind: Any) -> Any:
+    if attrs.has(kind):
+        return _example_of(kind)
+    if name == "address":
+        return "10.0.0.1:8080"
+    if kind is int:
+        return 0
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return next(iter(kind)).value
+    return f"{name} name" if kind is str else [f"{name} name"]
+
+
+def _json(value: Any) -> str:
+    return msgspec.json.encode(value).decode()
--- a/src/comfreylatch/_process/journal.py
+++ b/src/comfreylatch/_process/journal.py
@@ -10,7 +10,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import reasons
 
-MAX_DECISIONS = 20_000
+MAX_DECISIONS = 5_000
 
 
 @attrs.frozen
@@ -87,6 +87,11 @@
                 if decision.subject == subject and decision.name == name
             )
 
+    @property
+    def host(self) -> str:
+        """Host id of the host whose decisions these are."""
+        return self._host
+
     @property
     def forgotten(self) -> int:
         """How many decisions no longer fit."""
--- /dev/null
+++ b/testing/bare_relay.py
@@ -0,0 +1,99 @@
+"""A relay of cheroot in and urllib3 out that decides nothing.
+
+The floor against which `testing.bench` holds the path of an entry host:
+each request goes to the next of the targets, and its answer back.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import threading
+
+from cheroot import server
+import urllib3
+
+from testing.standins import serving
+
+DEFAULT_THREADS = 96
+TARGET_TIMEOUT_S = 5.0
+KEPT_CONNECTIONS = 2_048
+PASSED_HEADERS = ("X-Request-Id", "X-Work-Ms", "X-Idempotent")
+
+
+class Targets:
+    """The targets' connection pools, taken in turn."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._turn = itertools.count()
+        self._pools = []
+        for address in addresses:
+            ip, _, port = address.rpartition(":")
+            self._pools.append(
+                urllib3.HTTPConnectionPool(
+                    ip, int(port), maxsize=DEFAULT_THREADS, retries=False
+                )
+            )
+
+    def next(self) -> urllib3.HTTPConnectionPool:
+        """The pool of the next target."""
+        return self._pools[next(self._turn) % len(self._pools)]
+
+
+class RelayServer(server.HTTPServer):
+    """The server, with the targets its gateways send to."""
+
+    targets: Targets
+
+
+class RelayGateway(server.Gateway):
+    """Passes one request on."""
+
+    def respond(self) -> None:
+        """Sends the request to a target and its answer back."""
+        request = self.req
+        length = int(request.inheaders.get(b"Content-Length", b"0"))
+        body = request.rfile.read(length) if length else None
+        headers = {
+            name: request.inheaders[name.encode()].decode("latin-1")
+            for name in PASSED_HEADERS
+            if name.encode() in request.inheaders
+        }
+        answer = request.server.targets.next().urlopen(
+            request.method.decode(),
+            request.uri.decode(),
+            body=body,
+            headers=headers,
+            timeout=TARGET_TIMEOUT_S,
+        )
+        request.status = f"{answer.status} {answer.reason}".encode()
+        request.outheaders = [
+            (b"Content-Length", str(len(answer.data)).encode()),
+            (b"X-Request-Id", answer.headers["X-Request-Id"].encode()),
+        ]
+        request.ensure_headers_sent()
+        request.write(answer.data)
+
+
+def main() -> None:
+    """Runs the relay until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("targets", nargs="+", metavar="IP:PORT")
+    parser.add_argument("--threads", type=int, default=DEFAULT_THREADS)
+    given = parser.parse_args()
+    relay = RelayServer(
+        (serving.LOOPBACK, 0),
+        RelayGateway,
+        minthreads=given.threads,
+        maxthreads=given.threads,
+    )
+    relay.targets = Targets(given.targets)
+    relay.keep_alive_conn_limit = KEPT_CONNECTIONS
+    relay.prepare()
+    threading.Thread(target=relay.serve, daemon=True).start()
+    serving.announce(address=f"{serving.LOOPBACK}:{relay.bind_addr[1]}")
+    serving.wait_for_stop()
+
+
+if __name__ == "__main__":
+    main()
