--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -388,7 +388,8 @@
         )
 
     def _is_ready(self) -> bool:
-        return self._config.ready and not self._state.stopping.is_set()
+        is_up = self._gate.is_decided.is_set()
+        return is_up and not self._state.stopping.is_set()
 
     def _host_status(self) -> HostStatus:
         offset, digest = self._config.position()
--- a/src/comfreylatch/_process/own_state.py
+++ b/src/comfreylatch/_process/own_state.py
@@ -20,7 +20,7 @@
 from comfreylatch._version import configuration
 from comfreylatch._wire.gen.peer import ttypes
 
-GATE_CHECK_MS = 100
+GATE_CHECK_MS = 20
 NO_ENDPOINT_BEFORE = "no-endpoint-before"
 
 _logger = logbook.Logger(__name__)
@@ -119,6 +119,7 @@
         parts.source.on_change(self._note_change)
         self._closing = threading.Event()
         self.is_open = threading.Event()
+        self.is_decided = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="seat-gate", daemon=True
         )
@@ -149,7 +150,10 @@
                     self._parts.on_first_start()
                 self._parts.shares.open_now()
                 self.is_open.set()
+                self.is_decided.set()
                 return
+            if self._parts.config.ready:
+                self.is_decided.set()
 
     def reason_to_open(self) -> str:
         """Why the seat may be opened now; empty while it may not."""
--- a/src/comfreylatch/_process/slot_book.py
+++ b/src/comfreylatch/_process/slot_book.py
@@ -125,6 +125,9 @@
     ) -> int:
         """Debits and returns the slots lent: at most half of the free ones.
 
+        The last free slot is never lent: a host with none would have nothing
+        to wait for.
+
         The same loan id asked again by the same borrower, after a lost
         answer, gets nothing: the first debit stands until it runs out.
         """
@@ -135,7 +138,7 @@
                 loan_id,
             ):
                 return 0
-        slots = min(asked, (self._own_free() + 1) // 2)
+        slots = min(asked, self._own_free() // 2)
         if slots <= 0:
             return 0
         margin_ms = duration_ms // DRIFT_DIVISOR + 1
--- a/tests/process/test_slot_book.py
+++ b/tests/process/test_slot_book.py
@@ -36,6 +36,10 @@
         self.assertEqual(1, self.book.free(LOAN_MS, RUN_MS))
         self.assertEqual(2, self.book.free(LOAN_MS + 100, RUN_MS))
 
+    def test_last_free_slot_is_not_lent(self) -> None:
+        self.book.take(0, RUN_MS)
+        self.assertEqual(0, self.book.lend(0, 1, "h", 1, LOAN_MS))
+
     def test_repeated_loan_request_debits_once(self) -> None:
         self.book.lend(0, 1, "h", 1, LOAN_MS)
         self.assertEqual(0, self.book.lend(1, 1, "h", 1, LOAN_MS))
