Wait for 10,000 answers, not 10,000 sendings

The former check counted refusals among the 10,000 and failed when slots held after resets made them many (7617 answered).

--- a/testing/callers.py
+++ b/testing/callers.py
@@ -72,11 +72,11 @@
         for thread in self._threads:
             thread.join()
 
-    def wait_for(self, requests: int, timeout_s: float) -> None:
-        """Waits until so many requests have been sent."""
+    def wait_answered(self, requests: int, timeout_s: float) -> None:
+        """Waits until so many requests have been answered."""
         self._fleet.wait_until(
-            lambda: len(self.sent) >= requests,
-            f"{requests} requests",
+            lambda: self.count("answered") >= requests,
+            f"{requests} requests answered",
             timeout_s,
         )
 
