--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -175,7 +175,7 @@
             headers["X-Outcome"] = "not-run"
         self.close_connection = True
         headers["Connection"] = "close"
-        head = http_gateway.head(
+        head = http_gateway.reply_head(
             self.server.protocol, code, headers, len(reply.body)
         )
         try:
