--- a/src/comfreylatch/_commands/replay.py
+++ b/src/comfreylatch/_commands/replay.py
@@ -37,7 +37,7 @@
     threads: Annotated[
         int,
         typer.Option(min=1, max=2_000, help="Requests open at once."),
-    ] = 256,
+    ] = 512,
     settle_ms: Annotated[
         int,
         typer.Option(
--- a/testing/experiment.py
+++ b/testing/experiment.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import collections
 import pathlib
 import subprocess
 import sys
@@ -17,9 +18,12 @@
 from testing import fleet
 from testing import fleet_plan
 from testing import traces
+from testing.standins import worker_records
 
 SETTLE_MS = 60_000
 SHOWN_BREACHES = 10
+# More than all slots, so that the tool itself never holds a request up.
+OPEN_REQUESTS = 1_000
 
 
 @attrs.frozen
@@ -57,7 +61,6 @@
         delays=experiment.delays,
         seed=experiment.seed,
         speed=experiment.speed,
-        threads=None,
     )
     maker = traces.TraceMaker(
         experiment.workload,
@@ -71,6 +74,7 @@
     with fleet.Fleet(workload.deployment, options) as running:
         running.put_in_force()
         code = _replay(running, trace, experiment)
+        print(f"workers: {_worker_words(running.worker_events())}")
         breaches = _breaches(running)
         for breach in breaches[:SHOWN_BREACHES]:
             print(f"BROKEN {breach.rule}: {breach.subject}: {breach.detail}")
@@ -87,6 +91,7 @@
     path.write_bytes(trace_module.encode(trace))
     arguments = ["replay", str(path), "--settle-ms", str(SETTLE_MS)]
     arguments += ["--label", experiment.label]
+    arguments += ["--threads", str(OPEN_REQUESTS)]
     if experiment.as_json:
         arguments.append("--json")
     for host in running.hosts.values():
@@ -97,6 +102,17 @@
     ).returncode
 
 
+def _worker_words(events: list[worker_records.WorkerEvent]) -> str:
+    """Counts of what happened on workers."""
+    counts = collections.Counter(
+        f"{event.kind} {event.detail}" if event.kind == "end" else event.kind
+        for event in events
+    )
+    return ", ".join(
+        f"{count} {word}" for word, count in sorted(counts.items())
+    )
+
+
 def _breaches(running: fleet.Fleet) -> list[checker.Breach]:
     workers = running.worker_events()
     return [
