--- a/src/comfreylatch/_commands/replay_jobs.py
+++ b/src/comfreylatch/_commands/replay_jobs.py
@@ -40,6 +40,7 @@
     """
 
     id: str
+    zone: str
     due_ms: float
     run_time_ms: int
     processors_milli: int
@@ -133,6 +134,7 @@
     def _add(self, line: traces.TracedJob) -> JobSample:
         sample = JobSample(
             id=f"{self._run}-{line.job.id}",
+            zone=line.job.zone,
             due_ms=line.at_ms / self._speed,
             run_time_ms=line.job.run_time_ms,
             processors_milli=line.job.resources.processors_milli,
@@ -140,12 +142,18 @@
         self._samples[line.job.id] = sample
         return sample
 
+    def _ordered(self, zone: str) -> list[clients.Client]:
+        """All clients, the one that last took a job of the zone first."""
+        known = self._client_by_zone.get(zone)
+        if known is None:
+            return self._clients
+        return [known, *(one for one in self._clients if one is not known)]
+
     def _submit(self, sample: JobSample, line: traces.TracedJob) -> None:
         document = attrs.evolve(line.job, id=sample.id)
         body = msgspec.json.encode(document)
-        known = self._client_by_zone.get(document.zone)
         answered: Any = None
-        for client in [known] if known else self._clients:
+        for client in self._ordered(document.zone):
             answered = client.change("POST", "/jobs", body)
             if not _is_other_zone(answered):
                 self._client_by_zone[document.zone] = client
@@ -170,7 +178,7 @@
             return
         sample.cancelled = True
         path = "/jobs/" + parse.quote(sample.id, safe="")
-        for client in self._clients:
+        for client in self._ordered(sample.zone):
             answer = client.change("DELETE", path)
             if answer.is_ok() and answer.ok_value.status == 200:
                 return
@@ -183,7 +191,7 @@
     def _look(self, name: str) -> None:
         sample = self._samples[name]
         path = "/jobs/" + parse.quote(sample.id, safe="")
-        for client in self._clients:
+        for client in self._ordered(sample.zone):
             answer = client.read(path)
             if answer.is_ok() and answer.ok_value.status == 200:
                 self._take(name, sample, answer.ok_value.value)
--- a/testing/experiment.py
+++ b/testing/experiment.py
@@ -75,6 +75,7 @@
         running.put_in_force()
         code = _replay(running, trace, experiment)
         print(f"workers: {_worker_words(running.worker_events())}")
+        print(f"tasks: {_stretch_words(running.worker_events())}")
         breaches = _breaches(running)
         for breach in breaches[:SHOWN_BREACHES]:
             print(f"BROKEN {breach.rule}: {breach.subject}: {breach.detail}")
@@ -113,6 +114,27 @@
     )
 
 
+def _stretch_words(events: list[worker_records.WorkerEvent]) -> str:
+    """How much longer finished attempts ran than undisturbed."""
+    starts = {
+        (event.job, event.attempt): event
+        for event in events
+        if event.kind == "start"
+    }
+    stretches = []
+    for event in events:
+        if event.kind == "end" and event.detail == "finished":
+            start = starts[event.job, event.attempt]
+            work_ms = max(event.progress_ms - start.progress_ms, 1)
+            stretches.append((event.at_ms - start.at_ms) / work_ms)
+    if not stretches:
+        return "none finished"
+    stretches.sort()
+    median = stretches[len(stretches) // 2]
+    p99 = stretches[min(int(len(stretches) * 0.99), len(stretches) - 1)]
+    return f"ran {median:.2f} times their work at p50, {p99:.2f} at p99"
+
+
 def _breaches(running: fleet.Fleet) -> list[checker.Breach]:
     workers = running.worker_events()
     return [
