--- a/src/comfreylatch/_process/batch/attempt.py
+++ b/src/comfreylatch/_process/batch/attempt.py
@@ -31,6 +31,10 @@
         """
         ...
 
+    def poll_by(self, worker: str, due_ms: int) -> None:
+        """Asks for a report by a time."""
+        ...
+
     def withdraw(self, worker: str, command: workers.Command) -> bool:
         """Takes a queued command back; False if it may be on its way."""
         ...
@@ -51,6 +55,7 @@
         unsettled_ms: When a start was sent whose answer was lost; -1 if none.
         seen: Whether the worker has confirmed it.
         stop_reason: Why it is being stopped.
+        keep_first: Whether a checkpoint is written before the stop.
         stop_asked_ms: When the stop was last handed to the link; -1 if not.
         progress_ms: Progress in the last report.
         checkpoint_ms: Checkpoint in the last report.
@@ -65,6 +70,7 @@
     unsettled_ms: int = -1
     seen: bool = False
     stop_reason: StopReason | None = None
+    keep_first: bool = True
     stop_asked_ms: int = -1
     progress_ms: int = 0
     checkpoint_ms: int = 0
@@ -77,14 +83,20 @@
         """Job id."""
         return self.state.spec.id
 
+    def left_ms(self) -> int:
+        """Time until it ends if it goes on undisturbed."""
+        work_ms = self.state.spec.run_time_ms - self.progress_ms
+        return max(0, work_ms) * 1_000 // max(1, self.share_milli)
+
     def start_command(self) -> workers.StartTask:
         """The command that starts it."""
         spec = self.state.spec
+        # More may be reserved; the worker counts the declared size.
         return workers.StartTask(
             job=spec.id,
             attempt=self.state.attempt,
             job_class=spec.job_class,
-            resources=self.state.size,
+            resources=spec.resources,
             run_time_ms=spec.run_time_ms,
             checkpoint_ms=self.state.checkpoint_ms,
         )
--- a/src/comfreylatch/_process/batch/attempt_table.py
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -11,13 +11,17 @@
 from comfreylatch._ports import workers
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import pending_records
 from comfreylatch._process.batch import worker_session
 from comfreylatch._version import job_records
 from comfreylatch._version import job_state
 from comfreylatch._version import zone_fold
 
-CHECKPOINT_RECORD_MS = 30_000
 RESEND_MS = 2_000
+# Ends that fall together are asked for together.
+END_SLACK_MS = 100
+LEAST_POLL_MS = 400
+LONGEST_POLL_MS = 5_000
 GIVE_UP_UNSENT_MS = 2_000
 
 
@@ -38,8 +42,7 @@
         self._attempts: dict[str, attempt_module.Attempt] = {}
         self._by_worker: dict[str, dict[str, attempt_module.Attempt]] = {}
         self._todo: dict[str, None] = {}
-        self._ends: dict[str, job_records.AttemptEnded] = {}
-        self._checkpoints: dict[str, job_records.AttemptCheckpointed] = {}
+        self._pending = pending_records.PendingRecords()
 
     def reset(self, term: int) -> None:
         """Forgets everything, as at the start of a term."""
@@ -47,8 +50,7 @@
         self._attempts.clear()
         self._by_worker.clear()
         self._todo.clear()
-        self._ends.clear()
-        self._checkpoints.clear()
+        self._pending.reset(term)
 
     def attempt(self, job: str) -> attempt_module.Attempt | None:
         """The running attempt of a job, else None."""
@@ -62,9 +64,9 @@
         """Workers with attempts."""
         return tuple(self._by_worker)
 
-    def pending_records(self) -> list[job_records.AttemptEnded]:
+    def pending_records(self) -> list[pending_records.PendingRecord]:
         """Ends and checkpoints not yet on the stream."""
-        return [*self._ends.values(), *self._checkpoints.values()]
+        return self._pending.all()
 
     def sync(self, state: job_state.JobState, now_ms: int) -> None:
         """Takes a job's state from the fold."""
@@ -77,7 +79,7 @@
                 known.state = state
                 if state.cancelled:
                     self._todo[job] = None
-                self._forget_recorded(known)
+                self._pending.folded_checkpoint(job, state.checkpoint_ms)
                 return
             self._drop(known)
         if not assigned:
@@ -92,12 +94,6 @@
         self._todo[job] = None
         self._by_worker.setdefault(state.worker, {})[job] = fresh
 
-    def _forget_recorded(self, attempt: attempt_module.Attempt) -> None:
-        pending = self._checkpoints.get(attempt.job)
-        folded_ms = attempt.state.checkpoint_ms
-        if pending is not None and pending.checkpoint_ms <= folded_ms:
-            del self._checkpoints[attempt.job]
-
     def _drop(self, attempt: attempt_module.Attempt) -> None:
         job = attempt.job
         worker = attempt.state.worker
@@ -105,8 +101,7 @@
         del self._by_worker[worker][job]
         if not self._by_worker[worker]:
             del self._by_worker[worker]
-        self._ends.pop(job, None)
-        self._checkpoints.pop(job, None)
+        self._pending.forget(job)
         if attempt.seen:
             # Lets the worker forget the ended line.
             command = workers.StopTask(job, attempt.state.attempt)
@@ -144,8 +139,24 @@
                 self._absent(attempt, event, bounds)
             else:
                 self._take_line(attempt, line, now_ms)
-        for line in lines.values():
-            self._take_stray(event.worker, line)
+        told = {(command.job, command.attempt) for command in event.commands}
+        for key, line in lines.items():
+            if line.state is workers.TaskState.RUNNING or key not in told:
+                self._take_stray(event.worker, line)
+        self._poll_for_end(event.worker, now_ms)
+
+    def _poll_for_end(self, worker: str, now_ms: int) -> None:
+        left_ms = min(
+            (
+                attempt.left_ms()
+                for attempt in self.on_worker(worker)
+                if attempt.seen and not self._pending.has_end(attempt.job)
+            ),
+            default=LONGEST_POLL_MS,
+        )
+        if left_ms < LONGEST_POLL_MS:
+            due_ms = now_ms + max(left_ms + END_SLACK_MS, LEAST_POLL_MS)
+            self._sink.poll_by(worker, due_ms)
 
     def on_unanswered(self, event: worker_session.Unanswered) -> None:
         """Takes the lack of an answer to an exchange."""
@@ -195,17 +206,17 @@
         attempt.share_milli = line.share_milli
         match line.state:
             case workers.TaskState.RUNNING:
-                self._record_checkpoint(attempt, now_ms)
+                self._pending.checkpoint(attempt, now_ms)
             case workers.TaskState.FINISHED:
-                self._end(attempt, job_records.AttemptEnd.FINISHED)
+                self._pending.end(attempt, job_records.AttemptEnd.FINISHED)
             case workers.TaskState.FAILED:
-                self._end(attempt, job_records.AttemptEnd.FAILED)
+                self._pending.end(attempt, job_records.AttemptEnd.FAILED)
             case workers.TaskState.STOPPED:
                 evicted = (
                     attempt.stop_reason is attempt_module.StopReason.EVICTED
                 )
                 end = job_records.AttemptEnd
-                self._end(attempt, end.EVICTED if evicted else end.LOST)
+                self._pending.end(attempt, end.EVICTED if evicted else end.LOST)
 
     def _take_status(
         self, command: workers.Command, status: workers.CommandStatus
@@ -254,38 +265,8 @@
         command = workers.StopTask(line.job, line.attempt)
         self._sink.request(worker, command, at_once=running)
 
-    def _record_checkpoint(
-        self, attempt: attempt_module.Attempt, now_ms: int
-    ) -> None:
-        if now_ms - attempt.recorded_ms < CHECKPOINT_RECORD_MS:
-            return
-        if attempt.checkpoint_ms <= attempt.recorded_checkpoint_ms:
-            return
-        attempt.recorded_ms = now_ms
-        attempt.recorded_checkpoint_ms = attempt.checkpoint_ms
-        self._checkpoints[attempt.job] = job_records.AttemptCheckpointed(
-            term=self._term,
-            job=attempt.job,
-            attempt=attempt.state.attempt,
-            checkpoint_ms=attempt.checkpoint_ms,
-        )
-
     def _lost(self, attempt: attempt_module.Attempt) -> None:
-        self._end(attempt, job_records.AttemptEnd.LOST)
-
-    def _end(
-        self, attempt: attempt_module.Attempt, end: job_records.AttemptEnd
-    ) -> None:
-        if attempt.job in self._ends:
-            return
-        self._ends[attempt.job] = job_records.AttemptEnded(
-            term=self._term,
-            job=attempt.job,
-            attempt=attempt.state.attempt,
-            end=end,
-            progress_ms=attempt.progress_ms,
-            checkpoint_ms=attempt.checkpoint_ms,
-        )
+        self._pending.end(attempt, job_records.AttemptEnd.LOST)
 
     # Time.
 
@@ -340,7 +321,7 @@
         """Asks for the starts and stops that are due."""
         for job in tuple(self._todo):
             attempt = self._attempts.get(job)
-            if attempt is None or job in self._ends:
+            if attempt is None or self._pending.has_end(job):
                 del self._todo[job]
                 continue
             self._drive_one(attempt, may_start, now_ms)
@@ -377,15 +358,29 @@
         attempt.stop_asked_ms = now_ms
         worker = attempt.state.worker
         key = (attempt.job, attempt.state.attempt)
-        if attempt.stop_reason is attempt_module.StopReason.EVICTED:
+        evicted = attempt.stop_reason is attempt_module.StopReason.EVICTED
+        if evicted and attempt.keep_first:
             self._sink.request(worker, workers.CheckpointTask(*key))
         self._sink.request(worker, workers.StopTask(*key))
 
-    def evict(self, job: str) -> bool:
-        """Asks for a checkpoint and a stop; False if it isn't running."""
+    def throttle(self, job: str, share_milli: int) -> None:
+        """Asks for a share of its processors for a job's attempt."""
+        attempt = self._attempts.get(job)
+        if attempt is not None and attempt.seen:
+            command = workers.ThrottleTask(
+                job, attempt.state.attempt, share_milli
+            )
+            self._sink.request(attempt.state.worker, command)
+
+    def evict(self, job: str, keep_first: bool = True) -> bool:
+        """Asks for a checkpoint, if wanted, and a stop.
+
+        False if the job isn't running or is being stopped already.
+        """
         attempt = self._attempts.get(job)
         if attempt is None or attempt.stop_reason is not None:
             return False
         attempt.stop_reason = attempt_module.StopReason.EVICTED
+        attempt.keep_first = keep_first
         self._todo[job] = None
         return True
--- a/src/comfreylatch/_process/batch/dispatcher.py
+++ b/src/comfreylatch/_process/batch/dispatcher.py
@@ -25,18 +25,22 @@
         assigned: Assignments, capacity already reserved.
         parked: Jobs that can't run.
         waiting_urgent: Urgent jobs that found no room.
+        waiting_entitled: Other jobs that found none, though their teams stay
+            within their quotas with them.
     """
 
     assigned: tuple[job_records.AttemptAssigned, ...] = ()
     parked: tuple[job_records.JobParked, ...] = ()
     waiting_urgent: tuple[job_state.JobState, ...] = ()
+    waiting_entitled: tuple[job_state.JobState, ...] = ()
 
 
 @attrs.define
 class _Draft:
     assigned: list[job_records.AttemptAssigned] = attrs.field(factory=list)
     parked: list[job_records.JobParked] = attrs.field(factory=list)
-    waiting: list[job_state.JobState] = attrs.field(factory=list)
+    urgent: list[job_state.JobState] = attrs.field(factory=list)
+    entitled: list[job_state.JobState] = attrs.field(factory=list)
     misses: int = 0
 
     @property
@@ -81,20 +85,59 @@
         else:
             self._queue.discard(job)
 
-    def run_round(self, term: int, max_attempts: int) -> Round:
-        """Places what has room now, the most entitled first."""
+    def run_round(
+        self,
+        term: int,
+        max_attempts: int,
+        is_planned: Callable[[str], bool] = lambda _: False,
+    ) -> Round:
+        """Places what has room now, the most entitled first.
+
+        Jobs for which room is being made already are left out.
+        """
         draft = _Draft()
         for state in self._queue.urgent():
             if draft.full:
                 break
+            if is_planned(state.spec.id):
+                continue
             if not self._try(state, term, max_attempts, draft):
-                draft.waiting.append(state)
+                draft.urgent.append(state)
         for state in self._queue.fair_order():
             if draft.full:
                 break
-            self._try(state, term, max_attempts, draft)
+            if is_planned(state.spec.id):
+                continue
+            if self._try(state, term, max_attempts, draft):
+                continue
+            if self._within_quota(state, self._size_for(state)):
+                draft.entitled.append(state)
         return Round(
-            tuple(draft.assigned), tuple(draft.parked), tuple(draft.waiting)
+            tuple(draft.assigned),
+            tuple(draft.parked),
+            tuple(draft.urgent),
+            tuple(draft.entitled),
+        )
+
+    def assign(
+        self,
+        state: job_state.JobState,
+        worker: str,
+        size: workers.Resources,
+        term: int,
+    ) -> job_records.AttemptAssigned:
+        """Assigns a job to a worker that has room for it."""
+        job = state.spec.id
+        self._queue.discard(job)
+        self._placement.place(state, worker, size)
+        self._queue.hold(job, state.spec.team, size)
+        return job_records.AttemptAssigned(
+            term=term,
+            job=job,
+            attempt=state.attempt + 1,
+            worker=worker,
+            checkpoint_ms=state.checkpoint_ms,
+            reserved=None if size == state.spec.resources else size,
         )
 
     def _try(
@@ -115,39 +158,25 @@
             self._queue.discard(job)
             return True
         size = self._size_for(state)
-        if not self._within_quota(state, size):
+        if not self._may_use(state, size):
             draft.misses += 1
             return False
         worker = self._placement.choose(state, size)
         if worker is None:
             draft.misses += 1
             return False
-        self._reserve(state, worker, size)
-        draft.assigned.append(
-            job_records.AttemptAssigned(
-                term=term,
-                job=job,
-                attempt=state.attempt + 1,
-                worker=worker,
-                checkpoint_ms=state.checkpoint_ms,
-                reserved=None if size == state.spec.resources else size,
-            )
-        )
+        draft.assigned.append(self.assign(state, worker, size, term))
         return True
 
-    def _within_quota(
+    def _may_use(
         self, state: job_state.JobState, size: workers.Resources
     ) -> bool:
-        team = state.spec.team
-        if self._queue.may_borrow(team):
+        if self._queue.may_borrow(state.spec.team):
             return True
-        share_milli = self._queue.share_with(team, size)
-        return share_milli <= job_queue.FULL_SHARE_MILLI
+        return self._within_quota(state, size)
 
-    def _reserve(
-        self, state: job_state.JobState, worker: str, size: workers.Resources
-    ) -> None:
-        job = state.spec.id
-        self._queue.discard(job)
-        self._placement.place(state, worker, size)
-        self._queue.hold(job, state.spec.team, size)
+    def _within_quota(
+        self, state: job_state.JobState, size: workers.Resources
+    ) -> bool:
+        share_milli = self._queue.share_with(state.spec.team, size)
+        return share_milli <= job_queue.FULL_SHARE_MILLI
--- /dev/null
+++ b/src/comfreylatch/_process/batch/eviction.py
@@ -0,0 +1,178 @@
+"""Planned evictions: for urgent starts, and to give borrowed quota back."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import itertools
+from typing import final
+
+import attrs
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import capacity
+
+HOUR_MS = 3_600_000
+MAX_WORKERS_LOOKED_AT = 48
+PLAN_TIMEOUT_MS = 10_000
+
+
+@attrs.frozen
+class EvictionPlan:
+    """Attempts to be stopped so that a job fits on a worker.
+
+    Attributes:
+        job: The job that is to start.
+        worker: Where.
+        size: What is reserved for it.
+        victims: Jobs whose attempts are stopped.
+        lost_ms: Work of theirs that no checkpoint keeps yet.
+        made_ms: When it was made.
+    """
+
+    job: str
+    worker: str
+    size: workers.Resources
+    victims: tuple[str, ...]
+    lost_ms: int
+    made_ms: int
+
+
+@final
+class EvictionBudget:
+    """How many evictions an hour may see, urgent starts aside."""
+
+    def __init__(self) -> None:
+        self._times_ms: collections.deque[int] = collections.deque()
+
+    def take(self, count: int, per_hour: int, now_ms: int) -> bool:
+        """Takes evictions out of the budget, all of them or none."""
+        while self._times_ms and self._times_ms[0] <= now_ms - HOUR_MS:
+            self._times_ms.popleft()
+        if len(self._times_ms) + count > per_hour:
+            return False
+        self._times_ms.extend([now_ms] * count)
+        return True
+
+
+def lost_ms(attempt: attempt_module.Attempt) -> int:
+    """Work of an attempt that its last checkpoint doesn't keep."""
+    return max(0, attempt.progress_ms - attempt.checkpoint_ms)
+
+
+def fewest_victims(
+    size: workers.Resources,
+    free: workers.Resources,
+    attempts: Iterable[attempt_module.Attempt],
+) -> tuple[attempt_module.Attempt, ...] | None:
+    """Attempts whose end makes room for a size, least lost work first.
+
+    Those that turn out not to be needed are left alone. None if even all
+    together make too little room.
+    """
+    chosen: list[attempt_module.Attempt] = []
+    for attempt in sorted(attempts, key=lost_ms):
+        if capacity.fits(size, free):
+            break
+        chosen.append(attempt)
+        free = capacity.plus(free, attempt.state.size)
+    if not capacity.fits(size, free):
+        return None
+    for attempt in sorted(chosen, key=lost_ms, reverse=True):
+        without = capacity.minus(free, attempt.state.size)
+        if capacity.fits(size, without):
+            chosen.remove(attempt)
+            free = without
+    return tuple(chosen)
+
+
+@final
+class EvictionPlanner:
+    """Makes and follows plans. Used by the owner's thread."""
+
+    def __init__(
+        self,
+        ledger: capacity.CapacityLedger,
+        attempts_on: Callable[[str], tuple[attempt_module.Attempt, ...]],
+    ) -> None:
+        self._ledger = ledger
+        self._attempts_on = attempts_on
+        self._plans: dict[str, EvictionPlan] = {}
+        self._start = 0
+
+    def plan_for(self, job: str) -> EvictionPlan | None:
+        """The plan under way for a job, else None."""
+        return self._plans.get(job)
+
+    def make(
+        self,
+        job: str,
+        size: workers.Resources,
+        may_evict: Callable[[attempt_module.Attempt], bool],
+        now_ms: int,
+    ) -> EvictionPlan | None:
+        """Plans room for a job and reserves it, or finds none.
+
+        A bounded number of workers is looked at, others the next time.
+        """
+        best: EvictionPlan | None = None
+        for account in self._some_workers():
+            if not capacity.fits(size, account.usable):
+                continue
+            victims = fewest_victims(
+                size,
+                account.free,
+                filter(may_evict, self._attempts_on(account.name)),
+            )
+            if victims is None:
+                continue
+            lost = sum(map(lost_ms, victims))
+            names = tuple(attempt.job for attempt in victims)
+            plan = EvictionPlan(job, account.name, size, names, lost, now_ms)
+            if best is None or _rank(plan) < _rank(best):
+                best = plan
+        if best is not None:
+            self._plans[job] = best
+            self._ledger.reserve(job, best.worker, size)
+        return best
+
+    def ready(self, now_ms: int) -> list[EvictionPlan]:
+        """Plans whose worker now has room; drops those that took too long."""
+        found = []
+        for plan in tuple(self._plans.values()):
+            account = self._ledger.account(plan.worker)
+            held = self._ledger.worker_of(plan.job) == plan.worker
+            if account is None or not account.open or not held:
+                self.drop(plan.job)
+            elif capacity.fits(capacity.NOTHING, account.free):
+                found.append(plan)
+            elif now_ms - plan.made_ms > PLAN_TIMEOUT_MS:
+                self.drop(plan.job)
+        return found
+
+    def finish(self, job: str) -> None:
+        """Ends a plan whose job has been assigned; its room stays taken."""
+        self._plans.pop(job, None)
+
+    def drop(self, job: str) -> None:
+        """Ends a plan and frees the room taken for it."""
+        plan = self._plans.pop(job, None)
+        if plan and self._ledger.worker_of(job) == plan.worker:
+            self._ledger.release(job)
+
+    def _some_workers(self) -> list[capacity.WorkerAccount]:
+        accounts = [
+            account for account in self._ledger.accounts() if account.open
+        ]
+        if len(accounts) <= MAX_WORKERS_LOOKED_AT:
+            return accounts
+        start = self._start % len(accounts)
+        self._start = start + MAX_WORKERS_LOOKED_AT
+        ring = itertools.chain(accounts[start:], accounts[:start])
+        return list(itertools.islice(ring, MAX_WORKERS_LOOKED_AT))
+
+
+def _rank(plan: EvictionPlan) -> tuple[int, int]:
+    return plan.lost_ms, len(plan.victims)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/evictor.py
@@ -0,0 +1,160 @@
+"""Carries out evictions: urgent starts, quotas and interference."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+import logbook
+
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import dispatcher as dispatcher_module
+from comfreylatch._process.batch import eviction
+from comfreylatch._process.batch import interference_control
+from comfreylatch._process.batch import job_queue
+from comfreylatch._process.batch import zone_books
+from comfreylatch._version import job_state
+
+MAX_PLANS_PER_ROUND = 8
+RECLAIM_AFTER_MS = 30_000
+MAX_WAITING_KEPT = 1_024
+
+_events = logbook.Logger(__name__)
+
+_MayEvict = Callable[[attempt_module.Attempt], bool]
+
+
+@final
+class Evictor:
+    """Used by the owner's thread; the budget outlives a term."""
+
+    def __init__(self, metrics: metrics_module.Metrics) -> None:
+        self._metrics = metrics
+        self._budget = eviction.EvictionBudget()
+        self._waiting_since_ms: dict[str, int] = {}
+
+    def make_room(
+        self,
+        books: zone_books.ZoneBooks,
+        made: dispatcher_module.Round,
+        per_hour: int,
+        now_ms: int,
+    ) -> None:
+        """Plans evictions for jobs that found no room in a round."""
+        for state in made.waiting_urgent[:MAX_PLANS_PER_ROUND]:
+            self._plan(books, state, _not_urgent, now_ms)
+        due = self._due(made.waiting_entitled, now_ms)
+        for state in due[:MAX_PLANS_PER_ROUND]:
+            self._reclaim(books, state, per_hour, now_ms)
+
+    def act(
+        self,
+        books: zone_books.ZoneBooks,
+        worker: str,
+        action: interference_control.Action,
+        per_hour: int,
+        now_ms: int,
+    ) -> None:
+        """Carries out a step against interference."""
+        match action:
+            case interference_control.Throttle(jobs, share_milli):
+                self._count("throttled" if share_milli < 1_000 else "relaxed")
+                for job in jobs:
+                    books.table.throttle(job, share_milli)
+            case interference_control.Move(jobs):
+                self._evict(books, worker, jobs, True, per_hour, now_ms)
+            case interference_control.Stop(jobs):
+                self._evict(books, worker, jobs, False, per_hour, now_ms)
+
+    def _evict(
+        self,
+        books: zone_books.ZoneBooks,
+        worker: str,
+        jobs: tuple[str, ...],
+        keep_first: bool,
+        per_hour: int,
+        now_ms: int,
+    ) -> None:
+        if not self._budget.take(len(jobs), per_hour, now_ms):
+            self._count("eviction-budget-spent")
+            return
+        for job in jobs:
+            attempt = books.table.attempt(job)
+            if attempt is not None:
+                books.mix.avoid(worker, attempt.state.spec.job_class)
+            books.table.evict(job, keep_first)
+            _events.info("evict job={} worker={} cause=slow", job, worker)
+
+    def _plan(
+        self,
+        books: zone_books.ZoneBooks,
+        state: job_state.JobState,
+        may_evict: _MayEvict,
+        now_ms: int,
+    ) -> eviction.EvictionPlan | None:
+        job = state.spec.id
+        size = state.spec.resources
+        plan = books.planner.make(job, size, may_evict, now_ms)
+        if plan is None:
+            return None
+        for victim in plan.victims:
+            books.table.evict(victim)
+        _events.info(
+            "evict jobs={} worker={} for={} lost_ms={}",
+            ",".join(plan.victims),
+            plan.worker,
+            job,
+            plan.lost_ms,
+        )
+        return plan
+
+    def _reclaim(
+        self,
+        books: zone_books.ZoneBooks,
+        state: job_state.JobState,
+        per_hour: int,
+        now_ms: int,
+    ) -> None:
+        """Takes borrowed room back, from teams above their quotas only."""
+        if not self._budget.take(1, per_hour, now_ms):
+            self._count("eviction-budget-spent")
+            return
+
+        def borrows(attempt: attempt_module.Attempt) -> bool:
+            share_milli = books.queue.share_of(attempt.state.spec.team)
+            over = share_milli > job_queue.FULL_SHARE_MILLI
+            return over and _not_urgent(attempt)
+
+        plan = self._plan(books, state, borrows, now_ms)
+        further = len(plan.victims) - 1 if plan else 0
+        self._budget.take(max(0, further), per_hour, now_ms)
+        if plan is not None:
+            self._count("quota-reclaimed")
+
+    def _due(
+        self, waiting: tuple[job_state.JobState, ...], now_ms: int
+    ) -> list[job_state.JobState]:
+        """Jobs that have been waiting for long within their quota."""
+        names = {state.spec.id for state in waiting}
+        self._waiting_since_ms = {
+            job: since_ms
+            for job, since_ms in self._waiting_since_ms.items()
+            if job in names
+        }
+        for job in names:
+            if len(self._waiting_since_ms) < MAX_WAITING_KEPT:
+                self._waiting_since_ms.setdefault(job, now_ms)
+        return [
+            state
+            for state in waiting
+            if now_ms - self._waiting_since_ms.get(state.spec.id, now_ms)
+            >= RECLAIM_AFTER_MS
+        ]
+
+    def _count(self, label: str) -> None:
+        self._metrics.count(metrics_module.Counter.JOB_EVENTS, label)
+
+
+def _not_urgent(attempt: attempt_module.Attempt) -> bool:
+    return attempt.stop_reason is None and not attempt.state.spec.urgent
--- /dev/null
+++ b/src/comfreylatch/_process/batch/interference.py
@@ -0,0 +1,141 @@
+"""Who slows whom down, learned from late usage reports.
+
+For each victim (a service or a job class) the extra slowdown is taken as the
+sum over the classes beside it of a coefficient times that class's share of
+the host's processors. Coefficients are estimated by a Kalman filter with a
+diagonal covariance, so that each comes with its uncertainty. A usage report
+names what ran when it was measured, so its lag does not mix up the causes.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+import math
+from typing import final
+
+import attrs
+
+from comfreylatch._ports import workers
+
+PRIOR_MEAN = 0.3
+PRIOR_VARIANCE = 0.16
+SAMPLE_VARIANCE = 0.01
+DRIFT_VARIANCE = 0.000_2
+MAX_COEFFICIENT = 8.0
+MAX_VICTIMS = 128
+MAX_AGGRESSORS = 128
+CAUTION = 0.5
+MIN_LOAD = 0.005
+FULL_MILLI = 1_000
+
+
+@attrs.define(eq=False)
+class Coefficient:
+    """Slowdown caused by a class that fills the host, and its variance."""
+
+    mean: float = PRIOR_MEAN
+    variance: float = PRIOR_VARIANCE
+
+    def cautious(self) -> float:
+        """The mean, raised by a part of its standard deviation."""
+        return self.mean + CAUTION * math.sqrt(self.variance)
+
+
+_UNKNOWN = Coefficient()
+
+
+@attrs.frozen
+class Sample:
+    """What ran on a host at one moment, and how slow everything was.
+
+    Attributes:
+        loads: Share of the host's processors by class; services by name.
+        slowdowns: Slowdown over running alone by class or service, 1 if none.
+        processors: Sum of the loads.
+    """
+
+    loads: Mapping[str, float]
+    slowdowns: Mapping[str, float]
+    processors: float
+
+
+def sample_of(
+    usage: workers.Usage,
+    class_by_job: Mapping[str, str],
+    capacity_milli: int,
+) -> Sample:
+    """Reads one measurement; attempts of unknown jobs are left out."""
+    whole = max(1, capacity_milli)
+    loads: collections.Counter[str] = collections.Counter()
+    weighted: collections.Counter[str] = collections.Counter()
+    for task in usage.tasks:
+        job_class = class_by_job.get(task.job)
+        if job_class is None:
+            continue
+        load = task.processors_milli / whole
+        loads[job_class] += load
+        weighted[job_class] += load * task.slowdown_milli / FULL_MILLI
+    slowdowns = {
+        job_class: weighted[job_class] / load
+        for job_class, load in loads.items()
+        if load > MIN_LOAD
+    }
+    for service in usage.services:
+        slowdowns[service.service] = service.slowdown_milli / FULL_MILLI
+    return Sample(loads, slowdowns, usage.processors_milli / whole)
+
+
+@final
+class InterferenceModel:
+    """Learned coefficients by victim and aggressor. Used by one thread."""
+
+    def __init__(self) -> None:
+        self._victims: collections.OrderedDict[
+            str, collections.OrderedDict[str, Coefficient]
+        ] = collections.OrderedDict()
+
+    def learn(self, sample: Sample) -> None:
+        """Takes one measurement."""
+        for victim, slowdown in sample.slowdowns.items():
+            loads = {
+                job_class: load
+                for job_class, load in sample.loads.items()
+                if load > MIN_LOAD
+            }
+            if loads:
+                self._update(victim, loads, slowdown - 1.0)
+
+    def coefficient(self, victim: str, aggressor: str) -> Coefficient:
+        """The estimate for a pair; the prior if nothing is known."""
+        known = self._victims.get(victim)
+        if known is None:
+            return _UNKNOWN
+        return known.get(aggressor, _UNKNOWN)
+
+    def _update(
+        self, victim: str, loads: Mapping[str, float], extra: float
+    ) -> None:
+        known = self._victims.setdefault(victim, collections.OrderedDict())
+        self._victims.move_to_end(victim)
+        if len(self._victims) > MAX_VICTIMS:
+            self._victims.popitem(last=False)
+        pairs = [
+            (known.setdefault(job_class, Coefficient()), load)
+            for job_class, load in loads.items()
+        ]
+        for job_class in loads:
+            known.move_to_end(job_class)
+        while len(known) > MAX_AGGRESSORS:
+            known.popitem(last=False)
+        predicted = sum(pair.mean * load for pair, load in pairs)
+        spread = SAMPLE_VARIANCE + sum(
+            pair.variance * load * load for pair, load in pairs
+        )
+        error = extra - predicted
+        for pair, load in pairs:
+            gain = pair.variance * load / spread
+            moved = pair.mean + gain * error
+            pair.mean = min(max(moved, 0.0), MAX_COEFFICIENT)
+            kept = pair.variance * (1.0 - gain * load)
+            pair.variance = min(kept + DRIFT_VARIANCE, PRIOR_VARIANCE)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/interference_control.py
@@ -0,0 +1,199 @@
+"""Steps against batch work that slows a service down on one worker.
+
+Throttle, throttle more, checkpoint and move, stop: each step only on several
+measurements in a row, all made after the step before it had time to act, and
+taken back only well below the mark that led to it.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+import enum
+from typing import final
+
+import attrs
+
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import eviction
+from comfreylatch._process.batch import interference
+
+HIGH_SLOWDOWN = 1.15
+LOW_SLOWDOWN = 1.06
+MIN_SAMPLES = 3
+SETTLE_MS = 1_500
+FULL_SHARE_MILLI = 1_000
+FIRST_SHARE_MILLI = 500
+SECOND_SHARE_MILLI = 250
+MAX_THROTTLED_PER_STEP = 8
+MAX_MOVED_PER_STEP = 2
+
+
+class Step(enum.IntEnum):
+    """How far the control of a worker has gone."""
+
+    NONE = 0
+    THROTTLED = 1
+    THROTTLED_MORE = 2
+    MOVED = 3
+    STOPPED = 4
+
+
+@attrs.frozen
+class Throttle:
+    """Limit these jobs' attempts to a share of their processors."""
+
+    jobs: tuple[str, ...]
+    share_milli: int
+
+
+@attrs.frozen
+class Move:
+    """Checkpoint and stop these jobs' attempts; they resume elsewhere."""
+
+    jobs: tuple[str, ...]
+
+
+@attrs.frozen
+class Stop:
+    """Stop these jobs' attempts at once."""
+
+    jobs: tuple[str, ...]
+
+
+Action = Throttle | Move | Stop
+
+
+@attrs.define(eq=False)
+class _WorkerState:
+    step: Step = Step.NONE
+    acted_ms: int = -SETTLE_MS
+    worst: collections.deque[tuple[str, float]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MIN_SAMPLES)
+    )
+
+
+@final
+class InterferenceControl:
+    """Decides the steps for every worker. Used by one thread."""
+
+    def __init__(self, model: interference.InterferenceModel) -> None:
+        self._model = model
+        self._states: dict[str, _WorkerState] = {}
+
+    def step_of(self, worker: str) -> Step:
+        """How far the control of a worker has gone."""
+        state = self._states.get(worker)
+        return Step.NONE if state is None else state.step
+
+    def forget(self, worker: str) -> None:
+        """Drops a worker that is gone."""
+        self._states.pop(worker, None)
+
+    def decide(
+        self,
+        worker: str,
+        services: Sequence[tuple[str, float]],
+        measured_ms: int,
+        attempts: Sequence[attempt_module.Attempt],
+        now_ms: int,
+    ) -> Action | None:
+        """Takes one measurement of a worker's services.
+
+        Args:
+            worker: Name of the worker.
+            services: Services there and their slowdown, 1 if none.
+            measured_ms: When it was measured, on this host's clock.
+            attempts: Attempts that run there now.
+            now_ms: Monotonic time.
+        """
+        if not services:
+            return None
+        state = self._states.setdefault(worker, _WorkerState())
+        if measured_ms < state.acted_ms + SETTLE_MS:
+            return None
+        state.worst.append(max(services, key=lambda pair: pair[1]))
+        if len(state.worst) < MIN_SAMPLES:
+            return None
+        slowdowns = [slowdown for _, slowdown in state.worst]
+        action: Action | None = None
+        if min(slowdowns) > HIGH_SLOWDOWN:
+            action = self._escalate(state, attempts)
+        elif max(slowdowns) < LOW_SLOWDOWN:
+            action = _relax(state, attempts)
+        if action is not None:
+            state.acted_ms = now_ms
+            state.worst.clear()
+        return action
+
+    def _escalate(
+        self, state: _WorkerState, attempts: Sequence[attempt_module.Attempt]
+    ) -> Action | None:
+        service = state.worst[-1][0]
+        ranked = self._ranked(service, attempts)
+        if not ranked:
+            return None
+        state.step = Step(min(state.step + 1, Step.STOPPED))
+        match state.step:
+            case Step.THROTTLED:
+                return _throttle(ranked, FIRST_SHARE_MILLI)
+            case Step.THROTTLED_MORE:
+                return _throttle(ranked, SECOND_SHARE_MILLI)
+            case Step.MOVED:
+                return Move(_least_lost(ranked))
+            case _:
+                # The next one starts with moving again.
+                state.step = Step.THROTTLED_MORE
+                return Stop(_least_lost(ranked))
+
+    def _ranked(
+        self, service: str, attempts: Sequence[attempt_module.Attempt]
+    ) -> list[attempt_module.Attempt]:
+        """Attempts that still run, the largest contribution first."""
+
+        def contribution(attempt: attempt_module.Attempt) -> float:
+            spec = attempt.state.spec
+            pair = self._model.coefficient(service, spec.job_class)
+            used_milli = spec.resources.processors_milli
+            return pair.mean * used_milli * attempt.share_milli
+
+        running = [
+            attempt for attempt in attempts if attempt.stop_reason is None
+        ]
+        return sorted(running, key=contribution, reverse=True)
+
+
+def _throttle(
+    ranked: Sequence[attempt_module.Attempt], share_milli: int
+) -> Action | None:
+    jobs = tuple(
+        attempt.job for attempt in ranked if attempt.share_milli > share_milli
+    )
+    return Throttle(jobs[:MAX_THROTTLED_PER_STEP], share_milli)
+
+
+def _least_lost(
+    ranked: Sequence[attempt_module.Attempt],
+) -> tuple[str, ...]:
+    """Of the upper half by contribution, those that lose least work."""
+    upper = ranked[: max(1, (len(ranked) + 1) // 2)]
+    ordered = sorted(upper, key=eviction.lost_ms)
+    return tuple(attempt.job for attempt in ordered[:MAX_MOVED_PER_STEP])
+
+
+def _relax(
+    state: _WorkerState, attempts: Sequence[attempt_module.Attempt]
+) -> Action | None:
+    throttled = tuple(
+        attempt.job
+        for attempt in attempts
+        if attempt.share_milli < FULL_SHARE_MILLI
+    )
+    state.step = Step(max(state.step - 1, Step.NONE))
+    if not throttled:
+        state.step = Step.NONE
+        return None
+    share_milli = FULL_SHARE_MILLI
+    if state.step >= Step.THROTTLED:
+        share_milli = FIRST_SHARE_MILLI
+    return Throttle(throttled, share_milli)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/learned_sizes.py
@@ -0,0 +1,129 @@
+"""Real sizes by job class, learned from usage reports."""
+
+from __future__ import annotations
+
+import collections
+from typing import final
+
+import attrs
+
+from comfreylatch._ports import workers
+
+MIN_ATTEMPTS = 6
+MAX_ATTEMPTS = 64
+MAX_CLASSES = 256
+MAX_RATIO_MILLI = 8_000
+DECLARED_RATIO_MILLI = 1_000
+QUANTILE_PERCENT = 90
+
+
+@attrs.frozen
+class SizeRatio:
+    """Largest use of one attempt over its declared size, in thousandths."""
+
+    processors_milli: int
+    memory_milli: int
+
+
+@attrs.define(eq=False)
+class _ClassSizes:
+    attempts: collections.OrderedDict[tuple[str, int], SizeRatio] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    cached: SizeRatio | None = None
+
+
+def quantile(values: list[int], percent: int) -> int:
+    """The value that `percent` of the values do not exceed."""
+    ordered = sorted(values)
+    index = -(-len(ordered) * percent // 100) - 1
+    return ordered[max(0, index)]
+
+
+@final
+class LearnedSizes:
+    """Quantiles of use over declaration. Used by one thread.
+
+    A placement reserves at least the declared size, as workers count that
+    one; classes that declare too little get more.
+    """
+
+    def __init__(self) -> None:
+        self._classes: collections.OrderedDict[str, _ClassSizes] = (
+            collections.OrderedDict()
+        )
+
+    def note(
+        self,
+        job_class: str,
+        declared: workers.Resources,
+        used: workers.TaskSlowdown,
+    ) -> None:
+        """Takes one measurement of an attempt."""
+        sizes = self._classes.setdefault(job_class, _ClassSizes())
+        self._classes.move_to_end(job_class)
+        if len(self._classes) > MAX_CLASSES:
+            self._classes.popitem(last=False)
+        key = (used.job, used.attempt)
+        before = sizes.attempts.get(key, SizeRatio(0, 0))
+        ratio = SizeRatio(
+            _ratio(used.processors_milli, declared.processors_milli),
+            _ratio(used.memory_mib, declared.memory_mib),
+        )
+        highest = SizeRatio(
+            max(before.processors_milli, ratio.processors_milli),
+            max(before.memory_milli, ratio.memory_milli),
+        )
+        if highest == before:
+            return
+        sizes.attempts[key] = highest
+        sizes.cached = None
+        if len(sizes.attempts) > MAX_ATTEMPTS:
+            sizes.attempts.popitem(last=False)
+
+    def ratio(self, job_class: str) -> SizeRatio:
+        """What to reserve over the declared size, in thousandths."""
+        sizes = self._classes.get(job_class)
+        if sizes is None or len(sizes.attempts) < MIN_ATTEMPTS:
+            return SizeRatio(DECLARED_RATIO_MILLI, DECLARED_RATIO_MILLI)
+        if sizes.cached is None:
+            ratios = list(sizes.attempts.values())
+            sizes.cached = SizeRatio(
+                quantile(
+                    [ratio.processors_milli for ratio in ratios],
+                    QUANTILE_PERCENT,
+                ),
+                quantile(
+                    [ratio.memory_milli for ratio in ratios], QUANTILE_PERCENT
+                ),
+            )
+        return sizes.cached
+
+    def size(
+        self,
+        job_class: str,
+        declared: workers.Resources,
+        largest: workers.Resources,
+    ) -> workers.Resources:
+        """What to reserve for a job; never more than the largest worker."""
+        ratio = self.ratio(job_class)
+        return workers.Resources(
+            _scaled(
+                declared.processors_milli,
+                ratio.processors_milli,
+                largest.processors_milli,
+            ),
+            _scaled(
+                declared.memory_mib, ratio.memory_milli, largest.memory_mib
+            ),
+            declared.accelerators,
+        )
+
+
+def _ratio(used: int, declared: int) -> int:
+    return min(used * 1_000 // max(declared, 1), MAX_RATIO_MILLI)
+
+
+def _scaled(declared: int, ratio_milli: int, largest: int) -> int:
+    wanted = declared * max(ratio_milli, DECLARED_RATIO_MILLI) // 1_000
+    return max(declared, min(wanted, largest))
--- a/src/comfreylatch/_process/batch/link_pool.py
+++ b/src/comfreylatch/_process/batch/link_pool.py
@@ -117,6 +117,14 @@
         if at_once and link is not None:
             link.wake()
 
+    def poll_by(self, worker: str, due_ms: int) -> None:
+        """See `attempt.CommandSink.poll_by`."""
+        session = self._sessions.get(worker)
+        link = self._links.get(worker)
+        if session is not None and link is not None:
+            session.poll_by(due_ms)
+            link.wake()
+
     def withdraw(self, worker: str, command: workers.Command) -> bool:
         """See `attempt.CommandSink.withdraw`."""
         session = self._sessions.get(worker)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/owner_status.py
@@ -0,0 +1,52 @@
+"""What `status` shows of batch work."""
+
+from __future__ import annotations
+
+import attrs
+
+from comfreylatch._version import job_state
+from comfreylatch._version import zone_fold
+
+
+@attrs.frozen
+class OwnerStatus:
+    """Owner and counts of a zone, as folded on this host.
+
+    Attributes:
+        owner: Host id of the zone's owner; empty if there is none.
+        term: Term in force.
+        holds: Whether this host may start work now.
+        fold_offset: Last record of the zone's stream folded here.
+        queued: Jobs that wait.
+        running: Attempts assigned.
+        parked: Jobs set aside.
+        quarantined: Workers that get no new work, or only probes.
+    """
+
+    owner: str
+    term: int
+    holds: bool
+    fold_offset: int
+    queued: int
+    running: int
+    parked: int
+    quarantined: tuple[str, ...]
+
+
+def of_fold(
+    fold: zone_fold.ZoneFold, holds: bool, quarantined: tuple[str, ...]
+) -> OwnerStatus:
+    """Reads the counts of a fold."""
+    claims = fold.claims()
+    claim = claims[-1] if claims else None
+    owned = claim is not None and not claim.released
+    return OwnerStatus(
+        owner=claim.host if owned and claim else "",
+        term=claim.term if claim else 0,
+        holds=holds,
+        fold_offset=fold.offset(),
+        queued=fold.phase_count(job_state.JobPhase.QUEUED),
+        running=fold.phase_count(job_state.JobPhase.ASSIGNED),
+        parked=fold.phase_count(job_state.JobPhase.PARKED),
+        quarantined=quarantined,
+    )
--- /dev/null
+++ b/src/comfreylatch/_process/batch/pending_records.py
@@ -0,0 +1,77 @@
+"""Ends and checkpoints of attempts that are not on the stream yet."""
+
+from __future__ import annotations
+
+from typing import final
+
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._version import job_records
+
+CHECKPOINT_RECORD_MS = 30_000
+
+PendingRecord = job_records.AttemptEnded | job_records.AttemptCheckpointed
+
+
+@final
+class PendingRecords:
+    """Kept until the fold shows them. Used by one thread."""
+
+    def __init__(self) -> None:
+        self._term = 0
+        self._ends: dict[str, job_records.AttemptEnded] = {}
+        self._checkpoints: dict[str, job_records.AttemptCheckpointed] = {}
+
+    def reset(self, term: int) -> None:
+        """Forgets everything, as at the start of a term."""
+        self._term = term
+        self._ends.clear()
+        self._checkpoints.clear()
+
+    def all(self) -> list[PendingRecord]:
+        """What is to be appended."""
+        return [*self._ends.values(), *self._checkpoints.values()]
+
+    def has_end(self, job: str) -> bool:
+        """Whether a job's attempt has ended, though not yet in the fold."""
+        return job in self._ends
+
+    def forget(self, job: str) -> None:
+        """Drops what is pending of a job whose attempt the fold has ended."""
+        self._ends.pop(job, None)
+        self._checkpoints.pop(job, None)
+
+    def folded_checkpoint(self, job: str, checkpoint_ms: int) -> None:
+        """Drops a checkpoint that the fold has reached."""
+        pending = self._checkpoints.get(job)
+        if pending is not None and pending.checkpoint_ms <= checkpoint_ms:
+            del self._checkpoints[job]
+
+    def end(
+        self, attempt: attempt_module.Attempt, end: job_records.AttemptEnd
+    ) -> None:
+        """Notes the end of an attempt, the first one told."""
+        if attempt.job in self._ends:
+            return
+        self._ends[attempt.job] = job_records.AttemptEnded(
+            term=self._term,
+            job=attempt.job,
+            attempt=attempt.state.attempt,
+            end=end,
+            progress_ms=attempt.progress_ms,
+            checkpoint_ms=attempt.checkpoint_ms,
+        )
+
+    def checkpoint(self, attempt: attempt_module.Attempt, now_ms: int) -> None:
+        """Notes a newer checkpoint, now and then."""
+        if now_ms - attempt.recorded_ms < CHECKPOINT_RECORD_MS:
+            return
+        if attempt.checkpoint_ms <= attempt.recorded_checkpoint_ms:
+            return
+        attempt.recorded_ms = now_ms
+        attempt.recorded_checkpoint_ms = attempt.checkpoint_ms
+        self._checkpoints[attempt.job] = job_records.AttemptCheckpointed(
+            term=self._term,
+            job=attempt.job,
+            attempt=attempt.state.attempt,
+            checkpoint_ms=attempt.checkpoint_ms,
+        )
--- a/src/comfreylatch/_process/batch/placement.py
+++ b/src/comfreylatch/_process/batch/placement.py
@@ -29,6 +29,14 @@
 class CostModel(Protocol):
     """Predicts what an attempt would cost the work beside it."""
 
+    def place(self, job: str, worker: str, job_class: str, milli: int) -> None:
+        """Counts an attempt, which uses that much of the processors."""
+        ...
+
+    def remove(self, job: str) -> None:
+        """Stops counting an attempt."""
+        ...
+
     def cost_milli(self, job_class: str, worker: str) -> int:
         """Predicted slowdown caused and suffered, in thousandths."""
         ...
@@ -128,6 +136,9 @@
         """Reserves for a job's attempt."""
         self.remove(state.spec.id)
         self._ledger.reserve(state.spec.id, worker, size)
+        self._model.place(
+            state.spec.id, worker, state.spec.job_class, size.processors_milli
+        )
         account = self._ledger.account(worker)
         rack = account.rack if account else ""
         key = (state.spec.team, rack)
@@ -136,6 +147,7 @@
 
     def remove(self, job: str) -> str | None:
         """Frees what a job holds; returns the worker it was on."""
+        self._model.remove(job)
         key = self._placed.pop(job, None)
         if key is not None:
             self._team_on_rack[key] -= 1
--- a/src/comfreylatch/_process/batch/service.py
+++ b/src/comfreylatch/_process/batch/service.py
@@ -22,6 +22,7 @@
 from comfreylatch._process import settings as settings_module
 from comfreylatch._process.batch import job_desk
 from comfreylatch._process.batch import link_pool
+from comfreylatch._process.batch import owner_status
 from comfreylatch._process.batch import ownership as ownership_module
 from comfreylatch._process.batch import placement
 from comfreylatch._process.batch import zone_owner
@@ -46,7 +47,7 @@
     zone: str
     age_ms: int
     digest: str
-    owner: zone_owner.OwnerStatus
+    owner: owner_status.OwnerStatus
 
 
 @final
--- /dev/null
+++ b/src/comfreylatch/_process/batch/usage_intake.py
@@ -0,0 +1,67 @@
+"""What late usage reports teach, and the steps they lead to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import interference
+from comfreylatch._process.batch import interference_control
+from comfreylatch._process.batch import learned_sizes
+from comfreylatch._version import job_state
+
+
+@final
+class UsageIntake:
+    """Learns sizes and interference. Used by one thread."""
+
+    def __init__(self) -> None:
+        self.sizes = learned_sizes.LearnedSizes()
+        self.model = interference.InterferenceModel()
+        self.control = interference_control.InterferenceControl(self.model)
+
+    def take(
+        self,
+        report: workers.WorkerReport,
+        job_of: Callable[[str], job_state.JobState | None],
+        attempts: tuple[attempt_module.Attempt, ...],
+        now_ms: int,
+    ) -> interference_control.Action | None:
+        """Takes the measurements of one report, oldest first."""
+        action: interference_control.Action | None = None
+        for usage in report.usage:
+            self._learn(usage, report.capacity, job_of)
+            services = [
+                (one.service, one.slowdown_milli / interference.FULL_MILLI)
+                for one in usage.services
+            ]
+            decided = self.control.decide(
+                report.worker,
+                services,
+                now_ms - usage.age_ms,
+                attempts,
+                now_ms,
+            )
+            action = decided or action
+        return action
+
+    def _learn(
+        self,
+        usage: workers.Usage,
+        amount: workers.Resources,
+        job_of: Callable[[str], job_state.JobState | None],
+    ) -> None:
+        class_by_job: dict[str, str] = {}
+        for used in usage.tasks:
+            state = job_of(used.job)
+            if state is None:
+                continue
+            spec = state.spec
+            class_by_job[used.job] = spec.job_class
+            self.sizes.note(spec.job_class, spec.resources, used)
+        sample = interference.sample_of(
+            usage, class_by_job, amount.processors_milli
+        )
+        self.model.learn(sample)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/worker_mix.py
@@ -0,0 +1,81 @@
+"""What runs on each worker by class, and what one more attempt would cost."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Collection
+from typing import final
+
+from comfreylatch._process.batch import interference
+
+SERVICE_WEIGHT = 4.0
+AVOID_COST_MILLI = 5_000
+AVOID_MS = 60_000
+
+
+@final
+class WorkerMix:
+    """Implements `placement.CostModel`. Used by one thread."""
+
+    def __init__(self, model: interference.InterferenceModel) -> None:
+        self._model = model
+        self._milli: dict[str, collections.Counter[str]] = {}
+        self._placed: dict[str, tuple[str, str, int]] = {}
+        self._whole: dict[str, int] = {}
+        self._services: dict[str, Collection[str]] = {}
+        self._avoid_until_ms: dict[tuple[str, str], int] = {}
+        self.now_ms = 0
+
+    def set_worker(self, worker: str, processors_milli: int) -> None:
+        """Declares what a worker has."""
+        self._whole[worker] = max(1, processors_milli)
+
+    def set_services(self, worker: str, services: Collection[str]) -> None:
+        """Declares which services run on a worker."""
+        self._services[worker] = services
+
+    def place(self, job: str, worker: str, job_class: str, milli: int) -> None:
+        """Counts an attempt."""
+        self.remove(job)
+        self._placed[job] = (worker, job_class, milli)
+        mix = self._milli.setdefault(worker, collections.Counter())
+        mix[job_class] += milli
+
+    def remove(self, job: str) -> None:
+        """Stops counting an attempt."""
+        placed = self._placed.pop(job, None)
+        if placed is None:
+            return
+        worker, job_class, milli = placed
+        mix = self._milli[worker]
+        mix[job_class] -= milli
+        if not mix[job_class]:
+            del mix[job_class]
+        if not mix:
+            del self._milli[worker]
+
+    def avoid(self, worker: str, job_class: str) -> None:
+        """Keeps a class that was moved off a worker away for a while."""
+        self._avoid_until_ms[worker, job_class] = self.now_ms + AVOID_MS
+        passed = [
+            key
+            for key, until_ms in self._avoid_until_ms.items()
+            if until_ms <= self.now_ms
+        ]
+        for key in passed:
+            del self._avoid_until_ms[key]
+
+    def cost_milli(self, job_class: str, worker: str) -> int:
+        """See `placement.CostModel.cost_milli`."""
+        whole = self._whole.get(worker, 1)
+        cost = 0.0
+        for service in self._services.get(worker, ()):
+            pair = self._model.coefficient(service, job_class)
+            cost += SERVICE_WEIGHT * pair.cautious()
+        for other, other_milli in self._milli.get(worker, {}).items():
+            caused = self._model.coefficient(other, job_class).cautious()
+            suffered = self._model.coefficient(job_class, other).cautious()
+            cost += (caused + suffered) * other_milli / whole
+        found = int(cost * interference.FULL_MILLI)
+        until_ms = self._avoid_until_ms.get((worker, job_class), 0)
+        return found + (AVOID_COST_MILLI if until_ms > self.now_ms else 0)
--- a/src/comfreylatch/_process/batch/worker_session.py
+++ b/src/comfreylatch/_process/batch/worker_session.py
@@ -12,6 +12,7 @@
 
 MAX_COMMANDS_PER_EXCHANGE = 64
 MAX_QUEUED_COMMANDS = 4_096
+NEVER_MS = 2**53
 
 
 @attrs.frozen
@@ -72,6 +73,7 @@
         self._lease_sent_ms = -1
         self._last_sent_ms = -1
         self._answered_ms = -1
+        self._poll_ms = NEVER_MS
         self._failures = 0
 
     @property
@@ -101,6 +103,10 @@
             if command not in queue and len(queue) < MAX_QUEUED_COMMANDS:
                 queue.append(command)
 
+    def poll_by(self, due_ms: int) -> None:
+        """Asks for an exchange by a time, as when an attempt should end."""
+        self._poll_ms = min(self._poll_ms, due_ms)
+
     def withdraw(self, command: workers.Command) -> bool:
         """Takes a queued command back; False if it may be on its way."""
         with self._lock:
@@ -123,7 +129,8 @@
             if self._sendable(hold.may_start(now_ms)):
                 return 0
         interval_ms = hold.bounds.lease_ms // 3
-        return max(0, self._lease_sent_ms + interval_ms - now_ms)
+        due_ms = min(self._lease_sent_ms + interval_ms, self._poll_ms)
+        return max(0, due_ms - now_ms)
 
     def next_exchange(
         self, hold: ownership.Hold, now_ms: int
@@ -176,6 +183,7 @@
             self._report = report.report
             self._report_sent_ms = sent_ms
             self._answered_ms = now_ms
+            self._poll_ms = NEVER_MS
             self._failures = 0
             if report.highest_term == exchange.term:
                 self._fenced_term = max(self._fenced_term, exchange.term)
--- /dev/null
+++ b/src/comfreylatch/_process/batch/zone_books.py
@@ -0,0 +1,91 @@
+"""The owner's books of one term: ledgers, queue, attempts and plans."""
+
+from __future__ import annotations
+
+from typing import final
+
+from comfreylatch._ports import workers
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import attempt_table
+from comfreylatch._process.batch import capacity
+from comfreylatch._process.batch import dispatcher as dispatcher_module
+from comfreylatch._process.batch import eviction
+from comfreylatch._process.batch import job_queue
+from comfreylatch._process.batch import placement as placement_module
+from comfreylatch._process.batch import usage_intake
+from comfreylatch._process.batch import worker_mix
+from comfreylatch._process.batch import zone_workers
+from comfreylatch._version import job_state
+from comfreylatch._version import zone_fold
+
+
+@final
+class ZoneBooks:
+    """Built anew from the fold at the start of each term. One thread.
+
+    Attributes:
+        ledger: What is free on each worker.
+        workers: Workers as listed and configured.
+        queue: Jobs that wait, and the teams' use.
+        mix: What runs on each worker by class.
+        dispatcher: Turns queued jobs into assignments.
+        table: Attempts, and what their workers say.
+        planner: Evictions under way for jobs that wait.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        term: int,
+        fold: zone_fold.ZoneFold,
+        sink: attempt_module.CommandSink,
+        usage: usage_intake.UsageIntake,
+        policy: placement_module.Policy,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._usage = usage
+        self._policy = policy
+        self._largest = capacity.NOTHING
+        self.term = term
+        self.ledger = capacity.CapacityLedger()
+        self.workers = zone_workers.ZoneWorkers(zone, self.ledger)
+        self.queue = job_queue.JobQueue()
+        self.mix = worker_mix.WorkerMix(usage.model)
+        self.dispatcher = dispatcher_module.Dispatcher(
+            self.queue,
+            placement_module.Placement(self.ledger, self.mix, policy),
+            self.size_for,
+        )
+        self.table = attempt_table.AttemptTable(fold, sink, metrics)
+        self.table.reset(term)
+        self.planner = eviction.EvictionPlanner(
+            self.ledger, self.table.on_worker
+        )
+
+    def sync_job(self, state: job_state.JobState, now_ms: int) -> None:
+        """Takes a job's state from the fold."""
+        self.dispatcher.sync(state)
+        self.table.sync(state, now_ms)
+
+    def size_for(self, state: job_state.JobState) -> workers.Resources:
+        """What to reserve for a job's next attempt."""
+        declared = state.spec.resources
+        if self._policy is placement_module.Policy.FIRST_FIT:
+            return declared
+        return self._usage.sizes.size(
+            state.spec.job_class, declared, self._largest
+        )
+
+    def refresh_workers(self) -> None:
+        """Brings what depends on the list and configuration up to date."""
+        if not self.workers.refresh():
+            return
+        self._largest = capacity.NOTHING
+        for account in self.ledger.accounts():
+            usable = account.usable
+            if usable.processors_milli > self._largest.processors_milli:
+                self._largest = usable
+            self.mix.set_worker(account.name, account.total.processors_milli)
+            services = self.workers.services_on(account.name)
+            self.mix.set_services(account.name, services)
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -12,7 +12,6 @@
 from typing import Any
 from typing import final
 
-import attrs
 import logbook
 import result
 
@@ -23,17 +22,16 @@
 from comfreylatch._ports import workers
 from comfreylatch._process import journal as journal_module
 from comfreylatch._process import metrics as metrics_module
-from comfreylatch._process.batch import attempt_table
-from comfreylatch._process.batch import capacity
-from comfreylatch._process.batch import dispatcher as dispatcher_module
 from comfreylatch._process.batch import end_observer
-from comfreylatch._process.batch import job_queue
+from comfreylatch._process.batch import evictor
 from comfreylatch._process.batch import link_pool
+from comfreylatch._process.batch import owner_status
 from comfreylatch._process.batch import ownership as ownership_module
 from comfreylatch._process.batch import placement as placement_module
+from comfreylatch._process.batch import usage_intake
 from comfreylatch._process.batch import worker_health
 from comfreylatch._process.batch import worker_session
-from comfreylatch._process.batch import zone_workers
+from comfreylatch._process.batch import zone_books
 from comfreylatch._version import job_records
 from comfreylatch._version import job_state
 from comfreylatch._version import zone_fold
@@ -41,46 +39,13 @@
 STEP_MS = 100
 IDLE_STEP_MS = 250
 LEAST_STEP_MS = 20
-LOST_CHECK_MS = 250
+CHECK_MS = 250
 APPEND_TIMEOUT_MS = 1_500
 MAX_RECORDS_PER_APPEND = 256
 
 _events = logbook.Logger(__name__)
 
 
-class NoCost:
-    """Predicts no interference; the model when nothing is learned."""
-
-    def cost_milli(self, job_class: str, worker: str) -> int:  # noqa: ARG002
-        """See `placement.CostModel.cost_milli`."""
-        return 0
-
-
-@attrs.frozen
-class OwnerStatus:
-    """What `status` shows of batch work.
-
-    Attributes:
-        owner: Host id of the zone's owner as folded; empty if there is none.
-        term: Term in force.
-        holds: Whether this host may start work now.
-        fold_offset: Last record of the zone's stream folded here.
-        queued: Jobs that wait.
-        running: Attempts assigned.
-        parked: Jobs set aside.
-        quarantined: Workers that get no new work, or only probes.
-    """
-
-    owner: str
-    term: int
-    holds: bool
-    fold_offset: int
-    queued: int
-    running: int
-    parked: int
-    quarantined: tuple[str, ...]
-
-
 @final
 class ZoneOwner:
     """Runs the zone's workers while this host holds the claim.
@@ -116,35 +81,32 @@
         self._policy = policy
         self._term = 0
         self._host_list: hosts.HostList | None = None
-        self._lost_checked_ms = 0
+        self._used_list: hosts.HostList | None = None
+        self._checked_ms = -CHECK_MS
         self._append_after_ms = 0
         self._uncertain: dict[str, job_records.AttemptAssigned] = {}
         self._health = worker_health.WorkerHealth()
+        self._usage = usage_intake.UsageIntake()
+        self._evictor = evictor.Evictor(metrics)
         self._observer = end_observer.EndObserver(
             zone, fold, self._health, journal, metrics
         )
-        self._build()
+        self._books = self._new_books()
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="zone-owner", daemon=True
         )
 
-    def _build(self) -> None:
-        """Makes empty books, as at the start of a term."""
-        self._ledger = capacity.CapacityLedger()
-        self._workers = zone_workers.ZoneWorkers(self._zone, self._ledger)
-        self._queue = job_queue.JobQueue()
-        self._placement = placement_module.Placement(
-            self._ledger, NoCost(), self._policy
-        )
-        self._dispatcher = dispatcher_module.Dispatcher(
-            self._queue, self._placement, self._size_for
+    def _new_books(self) -> zone_books.ZoneBooks:
+        return zone_books.ZoneBooks(
+            self._zone,
+            self._term,
+            self._fold,
+            self._pool,
+            self._usage,
+            self._policy,
+            self._metrics,
         )
-        self._table = attempt_table.AttemptTable(
-            self._fold, self._pool, self._metrics
-        )
-        self._table.reset(self._term)
-        self._uncertain.clear()
 
     def __enter__(self) -> ZoneOwner:
         self._thread.start()
@@ -166,29 +128,19 @@
         """Takes a new list of hosts; any thread may call it."""
         self._host_list = host_list
 
-    def status(self) -> OwnerStatus:
+    def status(self) -> owner_status.OwnerStatus:
         """What `status` shows; any thread may call it."""
-        claims = self._fold.claims()
-        claim = claims[-1] if claims else None
-        owned = claim is not None and not claim.released
-        hold = self._ownership.hold()
-        return OwnerStatus(
-            owner=claim.host if owned and claim else "",
-            term=claim.term if claim else 0,
-            holds=hold.may_start(self._clock.monotonic_ms()),
-            fold_offset=self._fold.offset(),
-            queued=self._fold.phase_count(job_state.JobPhase.QUEUED),
-            running=self._fold.phase_count(job_state.JobPhase.ASSIGNED),
-            parked=self._fold.phase_count(job_state.JobPhase.PARKED),
-            quarantined=self._health.quarantined(),
-        )
+        now_ms = self._clock.monotonic_ms()
+        holds = self._ownership.hold().may_start(now_ms)
+        quarantined = self._health.quarantined()
+        return owner_status.of_fold(self._fold, holds, quarantined)
 
     def evict(self, job: str, reason: str) -> bool:
         """Checkpoints and stops a job's attempt; False if none runs here.
 
         To be called from the thread that calls `step`.
         """
-        if not self._table.evict(job):
+        if not self._books.table.evict(job):
             return False
         _events.info("evict job={} reason={}", job, reason)
         return True
@@ -201,16 +153,18 @@
         if hold.bounds is None:
             return IDLE_STEP_MS
         now_ms = self._clock.monotonic_ms()
-        self._refresh_workers(now_ms)
         self._sync_fold(now_ms)
         self._take_events(hold.bounds, now_ms)
-        self._check_lost(hold.bounds, now_ms)
+        if now_ms - self._checked_ms >= CHECK_MS:
+            self._checked_ms = now_ms
+            self._refresh_workers(now_ms)
+            self._check_lost(hold.bounds, now_ms)
         self._append_pending(now_ms)
         if hold.may_start(self._clock.monotonic_ms()):
             self._place()
         now_ms = self._clock.monotonic_ms()
         hold = self._ownership.hold()
-        self._table.drive(hold.may_start(now_ms), now_ms)
+        self._books.table.drive(hold.may_start(now_ms), now_ms)
         return STEP_MS
 
     # Inputs.
@@ -218,29 +172,33 @@
     def _change_term(self, term: int) -> None:
         self._term = term
         self._pool.clear_commands()
-        self._build()
+        self._uncertain.clear()
+        self._checked_ms = -CHECK_MS
+        self._books = self._new_books()
         if term == 0:
             self._pool.stop_all()
             return
+        now_ms = self._clock.monotonic_ms()
         for state in self._fold.jobs():
-            self._sync_job(state, self._clock.monotonic_ms())
-        if self._host_list is not None:
-            self._workers.set_list(self._host_list)
+            self._books.sync_job(state, now_ms)
 
     def _refresh_workers(self, now_ms: int) -> None:
+        books = self._books
         host_list = self._host_list
-        if host_list is not None:
-            listed = zone_workers.zone_workers(host_list, self._zone)
-            if listed != self._workers.listed():
-                self._workers.set_list(host_list)
-        listed = self._workers.listed()
-        self._pool.update(listed.values(), self._table.workers())
+        if host_list is not None and host_list is not self._used_list:
+            self._used_list = host_list
+            books.workers.set_list(host_list)
+        elif host_list is not None and not books.workers.listed():
+            books.workers.set_list(host_list)
+        listed = books.workers.listed()
+        self._pool.update(listed.values(), books.table.workers())
         configuration = self._source.current()
-        self._workers.set_configuration(configuration)
-        self._queue.set_teams(configuration.teams)
-        self._workers.refresh()
+        books.workers.set_configuration(configuration)
+        books.queue.set_teams(configuration.teams)
+        books.refresh_workers()
+        books.mix.now_ms = now_ms
         for name, host in listed.items():
-            self._ledger.set_open(name, self._is_open(host, now_ms))
+            books.ledger.set_open(name, self._is_open(host, now_ms))
 
     def _is_open(self, host: hosts.ListedHost, now_ms: int) -> bool:
         session = self._pool.session(host.name)
@@ -252,7 +210,7 @@
             case worker_health.Standing.GOOD:
                 return True
             case worker_health.Standing.PROBED:
-                return not self._table.on_worker(host.name)
+                return not self._books.table.on_worker(host.name)
             case worker_health.Standing.QUARANTINED:
                 return False
 
@@ -269,8 +227,7 @@
 
     def _sync_job(self, state: job_state.JobState, now_ms: int) -> None:
         self._uncertain.pop(state.spec.id, None)
-        self._dispatcher.sync(state)
-        self._table.sync(state, now_ms)
+        self._books.sync_job(state, now_ms)
 
     def _take_events(self, bounds: job_records.HoldBounds, now_ms: int) -> None:
         for event in self._pool.take_events():
@@ -279,26 +236,34 @@
             match event:
                 case worker_session.Reported():
                     amount = event.report.capacity
-                    self._workers.set_reported(event.worker, amount)
-                    self._table.on_reported(event, bounds, now_ms)
+                    self._books.workers.set_reported(event.worker, amount)
+                    self._books.table.on_reported(event, bounds, now_ms)
+                    self._take_usage(event.report, now_ms)
                 case worker_session.Unanswered():
-                    self._table.on_unanswered(event)
+                    self._books.table.on_unanswered(event)
+                    self._books.ledger.set_open(event.worker, False)
 
-    def _check_lost(self, bounds: job_records.HoldBounds, now_ms: int) -> None:
-        if now_ms - self._lost_checked_ms < LOST_CHECK_MS:
+    def _take_usage(self, report: workers.WorkerReport, now_ms: int) -> None:
+        if self._policy is placement_module.Policy.FIRST_FIT:
             return
-        self._lost_checked_ms = now_ms
-        guard_until_ms = self._ownership.guard_until_ms()
-        for worker in self._table.workers():
-            self._table.declare_lost(worker, guard_until_ms, bounds, now_ms)
+        attempts = self._books.table.on_worker(report.worker)
+        action = self._usage.take(report, self._fold.job, attempts, now_ms)
+        if action is not None:
+            per_hour = self._source.current().limits.evictions_per_hour
+            self._evictor.act(
+                self._books, report.worker, action, per_hour, now_ms
+            )
 
-    def _size_for(self, state: job_state.JobState) -> workers.Resources:
-        return state.spec.resources
+    def _check_lost(self, bounds: job_records.HoldBounds, now_ms: int) -> None:
+        guard_until_ms = self._ownership.guard_until_ms()
+        table = self._books.table
+        for worker in table.workers():
+            table.declare_lost(worker, guard_until_ms, bounds, now_ms)
 
     # Outputs.
 
     def _append_pending(self, now_ms: int) -> None:
-        pending: list[Any] = self._table.pending_records()
+        pending: list[Any] = self._books.table.pending_records()
         if not pending and self._uncertain:
             # Anything known to stand settles what was sent before it.
             host = self._ownership.host_id
@@ -323,7 +288,7 @@
                 if folded:
                     self._observer.note_folded(
                         bodies,
-                        len(self._workers.listed()),
+                        len(self._books.workers.listed()),
                         self._clock.monotonic_ms(),
                     )
                 return folded
@@ -345,7 +310,7 @@
             self._uncertain.pop(body.job, None)
             state = self._fold.job(body.job)
             if state is not None:
-                self._dispatcher.sync(state)
+                self._books.dispatcher.sync(state)
 
     def _settle_uncertain(self) -> None:
         settled = tuple(self._uncertain.values())
@@ -354,19 +319,41 @@
 
     def _place(self) -> None:
         now_ms = self._clock.monotonic_ms()
-        if self._dispatcher.queued == 0 or now_ms < self._append_after_ms:
+        books = self._books
+        if books.dispatcher.queued == 0 or now_ms < self._append_after_ms:
             return
         limits = self._source.current().limits
-        made = self._dispatcher.run_round(self._term, limits.max_attempts)
-        bodies: list[Any] = [*made.assigned, *made.parked]
+        planned = self._assign_planned(now_ms)
+        made = books.dispatcher.run_round(
+            self._term,
+            limits.max_attempts,
+            lambda job: books.planner.plan_for(job) is not None,
+        )
+        self._evictor.make_room(books, made, limits.evictions_per_hour, now_ms)
+        assigned = [*planned, *made.assigned]
+        bodies: list[Any] = [*assigned, *made.parked]
         if not bodies:
             return
-        for body in made.assigned:
+        for body in assigned:
             self._uncertain[body.job] = body
         if self._append(bodies):
             self._settle_uncertain()
             self._sync_fold(now_ms)
 
+    def _assign_planned(self, now_ms: int) -> list[job_records.AttemptAssigned]:
+        """Assigns jobs for which evictions have made room."""
+        books = self._books
+        assigned = []
+        for plan in books.planner.ready(now_ms):
+            books.planner.finish(plan.job)
+            state = self._fold.job(plan.job)
+            if state is not None:
+                body = books.dispatcher.assign(
+                    state, plan.worker, plan.size, self._term
+                )
+                assigned.append(body)
+        return assigned
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             try:
--- a/src/comfreylatch/_process/batch/zone_workers.py
+++ b/src/comfreylatch/_process/batch/zone_workers.py
@@ -22,6 +22,7 @@
         self._listed: dict[str, hosts.ListedHost] = {}
         self._reported: dict[str, workers.Resources] = {}
         self._services: dict[str, workers.Resources] = {}
+        self._service_names: dict[str, set[str]] = {}
         self._configuration = configuration_module.Configuration()
         self._dirty = True
 
@@ -44,15 +45,22 @@
         services: dict[str, workers.Resources] = collections.defaultdict(
             lambda: capacity.NOTHING
         )
+        names: dict[str, set[str]] = collections.defaultdict(set)
         for endpoint in configuration.endpoints.values():
             if endpoint.worker:
                 held = services[endpoint.worker]
                 services[endpoint.worker] = capacity.plus(
                     held, endpoint.resources
                 )
+                names[endpoint.worker].add(endpoint.service)
         self._services = dict(services)
+        self._service_names = dict(names)
         self._dirty = True
 
+    def services_on(self, worker: str) -> frozenset[str]:
+        """Names of the services with endpoints on a worker."""
+        return frozenset(self._service_names.get(worker, ()))
+
     def set_reported(self, worker: str, amount: workers.Resources) -> None:
         """Takes what a worker says it has."""
         if self._reported.get(worker) != amount:
--- a/testing/fakes/workers.py
+++ b/testing/fakes/workers.py
@@ -213,7 +213,7 @@
         self._fleet = fleet
         self.cut: set[tuple[str, str]] = set()
         self.faults: dict[tuple[str, str], ExchangeFault] = {}
-        self.delay_start: set[tuple[str, str]] = set()
+        self.delay_start: set[str] = set()
         self.delayed: list[tuple[str, workers.Exchange]] = []
 
     def port(self, host: str) -> FakeWorkerPort:
@@ -240,8 +240,8 @@
             isinstance(command, workers.StartTask)
             for command in exchange.commands
         )
-        if starts and (host, worker) in self.delay_start:
-            self.delay_start.discard((host, worker))
+        if starts and host in self.delay_start:
+            self.delay_start.discard(host)
             fault = ExchangeFault.DELAY
         match fault:
             case ExchangeFault.LOSE_REQUEST:
--- a/testing/fakes/zone.py
+++ b/testing/fakes/zone.py
@@ -201,6 +201,12 @@
         if session is not None:
             session.request(command, at_once)
 
+    def poll_by(self, worker: str, due_ms: int) -> None:
+        """See `attempt.CommandSink.poll_by`."""
+        session = self.sessions.get(worker)
+        if session is not None:
+            session.poll_by(due_ms)
+
     def withdraw(self, worker: str, command: workers.Command) -> bool:
         """See `attempt.CommandSink.withdraw`."""
         session = self.sessions.get(worker)
--- a/tests/process/batch/test_ownership_model.py
+++ b/tests/process/batch/test_ownership_model.py
@@ -6,7 +6,9 @@
 from typing import Any
 from unittest import mock
 
+import hypothesis
 from hypothesis import strategies
+import testtools
 
 from comfreylatch._ports import workers
 from comfreylatch._process.batch import capacity
@@ -19,7 +21,7 @@
 from testing.fakes import zone as fake_zone
 
 HOSTS = 2
-WORKERS = 2
+WORKERS = 3
 SETTLE_MS = 120_000
 Operation = tuple[Any, ...]
 
@@ -64,30 +66,32 @@
 def _late_start(draw: strategies.DrawFn) -> list[Operation]:
     """A start lies in a buffer while its sender goes away."""
     host = draw(_host)
-    worker = draw(_worker)
     ends = strategies.sampled_from(["pause", "restart", "release", "cut_log"])
+    cut = draw(strategies.booleans())
     return [
-        ("delay_start", host, worker),
+        ("delay_start", host),
         ("submit", draw(_run_time_ms)),
         ("run", 250),
         (draw(ends), host),
-        ("cut_worker", 1 - host, draw(_worker)),
-        ("run", draw(_span_ms)),
+        *([("cut_delayed", 1 - host)] if cut else []),
+        ("run", draw(strategies.sampled_from([1_000, 1_500, 22_000]))),
         ("deliver",),
         ("run", draw(_span_ms)),
     ]
 
 
-_scenario = strategies.lists(
-    strategies.one_of(
+def _scenarios(most: int) -> strategies.SearchStrategy[list[Operation]]:
+    """Scenarios of up to `most` parts."""
+    part = strategies.one_of(
         _one_operation.map(lambda operation: [operation]),
         _one_operation.map(lambda operation: [operation]),
         _takeover(),
         _late_start(),
-    ),
-    min_size=2,
-    max_size=16,
-).map(lambda parts: [operation for part in parts for operation in part])
+    )
+    parts = strategies.lists(part, min_size=1, max_size=most)
+    return parts.map(
+        lambda chosen: [operation for part in chosen for operation in part]
+    )
 
 
 class Model:
@@ -103,13 +107,17 @@
 
     def play(self, operations: list[Operation]) -> None:
         """Plays a scenario, heals everything and checks the outcome."""
-        for name, *arguments in operations:
-            getattr(self, name)(*arguments)
-            self.check()
+        self.disturb(operations)
         self.heal()
         self.run(SETTLE_MS)
         self.check_outcome()
 
+    def disturb(self, operations: list[Operation]) -> None:
+        """Carries out operations, and checks after each."""
+        for name, *arguments in operations:
+            getattr(self, name)(*arguments)
+            self.check()
+
     def submit(self, run_time_ms: int) -> None:
         """Admits a job that takes over half of a worker."""
         self.submitted += 1
@@ -159,10 +167,15 @@
         pair = (self.zone.hosts[host].name, f"w{worker}")
         self.zone.network.faults[pair] = fault
 
-    def delay_start(self, host: int, worker: int) -> None:
+    def delay_start(self, host: int) -> None:
         """Delays the next exchange that carries a start."""
-        pair = (self.zone.hosts[host].name, f"w{worker}")
-        self.zone.network.delay_start.add(pair)
+        self.zone.network.delay_start.add(self.zone.hosts[host].name)
+
+    def cut_delayed(self, host: int) -> None:
+        """Cuts a host from the workers to which something is on its way."""
+        for worker, _ in self.zone.network.delayed:
+            pair = (self.zone.hosts[host].name, worker)
+            self.zone.network.cut.add(pair)
 
     def lose_append(self, host: int) -> None:
         """Loses the answer to the next append."""
@@ -273,10 +286,57 @@
     for patch in patches:
         patch.start()
     try:
-        model.play(operations)
+        model.disturb(operations)
     except AssertionError:
         return True
     finally:
         for patch in patches:
             patch.stop()
     return False
+
+
+_SETTINGS = hypothesis.settings(
+    max_examples=150,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class OwnershipModelTest(testtools.TestCase):
+    """Random scenarios, the same ones in each run."""
+
+    def test_promises_hold_under_random_faults(self) -> None:
+        """No scenario breaks a promise."""
+
+        @_SETTINGS
+        @hypothesis.given(_scenarios(most=16))
+        def check(operations: list[Operation]) -> None:
+            play(operations)
+
+        check()
+
+    def test_worker_without_term_check_is_found(self) -> None:
+        """Starts of an earlier owner are let in; the model notices."""
+        self._assert_found("term")
+
+    def test_worker_without_staleness_check_is_found(self) -> None:
+        """Starts that lay in a buffer are let in; the model notices."""
+        self._assert_found("staleness")
+
+    def test_successor_without_wait_is_found(self) -> None:
+        """Work of an unreachable worker starts again; the model notices."""
+        self._assert_found("wait")
+
+    def _assert_found(self, without: str) -> None:
+        operations = hypothesis.find(
+            _scenarios(most=3),
+            lambda candidate: breaks(candidate, without),
+            settings=hypothesis.settings(
+                _SETTINGS,
+                max_examples=1_500,
+                phases=[hypothesis.Phase.generate],
+            ),
+        )
+        play(operations)
