--- a/testing/fakes/zone.py
+++ b/testing/fakes/zone.py
@@ -24,6 +24,8 @@
 from comfreylatch._process.batch import worker_session
 from comfreylatch._process.batch import zone_owner
 from comfreylatch._version import configuration as configuration_module
+from comfreylatch._version import job_records
+from comfreylatch._version import job_state
 from comfreylatch._version import objects
 from comfreylatch._version import records
 from comfreylatch._version import zone_fold
@@ -344,6 +346,7 @@
             )
         )
         self._started = 0
+        self.desk = FakeAppender(self.stream, "desk")
         self.hosts: list[FakeHost] = []
         for _ in range(host_count):
             self.hosts.append(self.new_host())
@@ -375,3 +378,46 @@
             if host.ownership.hold().may_start(self.clock.now_ms):
                 return host
         return None
+
+    def submit(
+        self,
+        job: str,
+        processors_milli: int = 1_000,
+        run_time_ms: int = 4_000,
+        *,
+        memory_mib: int = 100,
+        team: str = "faculty",
+        job_class: str = "stack",
+        urgent: bool = False,
+    ) -> None:
+        """Admits a job, as a job desk would."""
+        spec = job_records.JobSpec(
+            id=job,
+            team=team,
+            zone=ZONE,
+            job_class=job_class,
+            resources=workers.Resources(processors_milli, memory_mib),
+            run_time_ms=run_time_ms,
+            urgent=urgent,
+        )
+        self.desk.append([job_records.JobAdmitted(spec)], 0)
+
+    def cancel(self, job: str) -> None:
+        """Cancels a job, as a job desk would."""
+        self.desk.append([job_records.JobCancelled(job)], 0)
+
+    def state(self, job: str) -> job_state.JobState:
+        """A job as folded now, whoever is the owner."""
+        host = self.hosts[0]
+        host.follower.read()
+        found = host.fold.job(job)
+        assert found is not None, f"{job} is not known"
+        return found
+
+    def running(self) -> dict[str, str]:
+        """Worker of each job that runs."""
+        return {
+            task.start.job: worker.name
+            for worker in self.fleet.values()
+            for task in worker.running()
+        }
--- /dev/null
+++ b/tests/process/batch/test_zone_owner.py
@@ -0,0 +1,243 @@
+"""Tests of the owner's loop against workers in memory."""
+
+from __future__ import annotations
+
+import testtools
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import placement
+from comfreylatch._version import job_state
+from comfreylatch._version import objects
+from testing.fakes import zone as fake_zone
+
+HALF = 1_000
+WHOLE = 2_000
+
+
+def started_zone(**given: object) -> fake_zone.FakeZone:
+    """A zone whose owner has reached every worker."""
+    zone = fake_zone.FakeZone(**given)
+    zone.run(3_000)
+    return zone
+
+
+class RunTest(testtools.TestCase):
+    """Jobs that nothing disturbs."""
+
+    def test_jobs_finish(self) -> None:
+        """Every job runs once and is folded as finished."""
+        zone = started_zone()
+        for number in range(12):
+            zone.submit(f"job-{number}", HALF)
+        zone.run(20_000)
+        for number in range(12):
+            state = zone.state(f"job-{number}")
+            self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+            self.assertEqual(1, state.attempt)
+
+    def test_burst_of_cancellations_stops_everything(self) -> None:
+        """Cancelled jobs stop, started or not, in few appends."""
+        zone = started_zone()
+        for number in range(40):
+            zone.submit(f"job-{number}", HALF, 60_000)
+        zone.run(1_000)
+        for number in range(40):
+            zone.cancel(f"job-{number}")
+        before = len(zone.stream.payloads)
+        zone.run(1_500)
+        self.assertEqual({}, zone.running())
+        self.assertEqual(
+            job_state.JobPhase.CANCELLED, zone.state("job-39").phase
+        )
+        self.assertLess(len(zone.stream.payloads) - before, 12)
+
+    def test_leaving_owner_hands_running_work_over(self) -> None:
+        """After a planned stop the successor goes on without a restart."""
+        zone = started_zone()
+        zone.submit("job", HALF, 8_000)
+        zone.run(2_000)
+        zone.owner().release()
+        zone.run(15_000)
+        state = zone.state("job")
+        self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+        self.assertEqual(1, state.attempt)
+
+    def test_dead_owner_is_replaced_without_restart(self) -> None:
+        """A short lapse of the claim loses no lease: nothing is redone."""
+        zone = started_zone(
+            limits=objects.Limits(lease_ms=12_000, claim_ms=4_000)
+        )
+        zone.submit("job", HALF, 20_000)
+        zone.run(2_000)
+        zone.owner().paused = True
+        zone.run(30_000)
+        state = zone.state("job")
+        self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+        self.assertEqual(1, state.attempt)
+
+
+class FaultyWorkerTest(testtools.TestCase):
+    """Workers and jobs that fail."""
+
+    def test_worker_that_fails_everything_is_quarantined(self) -> None:
+        """Its jobs end elsewhere, and none is parked for its sake."""
+        zone = started_zone(worker_count=4)
+        zone.fleet["w1"].fail_all = True
+        for number in range(40):
+            zone.submit(f"job-{number}", HALF, 2_000)
+        zone.run(40_000)
+        phases = {zone.state(f"job-{n}").phase for n in range(40)}
+        self.assertEqual({job_state.JobPhase.FINISHED}, phases)
+        self.assertEqual(("w1",), zone.owner().owner.status().quarantined)
+        self.assertLess(len(zone.fleet["w1"].started), 10)
+
+    def test_mended_worker_is_probed_back(self) -> None:
+        """One success ends its quarantine."""
+        zone = started_zone(worker_count=4)
+        zone.fleet["w1"].fail_all = True
+        for number in range(40):
+            zone.submit(f"job-{number}", HALF, 2_000)
+        zone.run(20_000)
+        zone.fleet["w1"].fail_all = False
+        for number in range(40, 140):
+            zone.submit(f"job-{number}", HALF, 4_000)
+        zone.run(60_000)
+        self.assertEqual((), zone.owner().owner.status().quarantined)
+
+    def test_job_that_fails_everywhere_is_parked(self) -> None:
+        """It is set aside after failures on different workers."""
+        zone = started_zone(worker_count=4)
+        zone.submit("never-works", HALF)
+        for number in range(12):
+            zone.submit(f"job-{number}", HALF, 2_000)
+        zone.run(30_000)
+        state = zone.state("never-works")
+        self.assertEqual(job_state.JobPhase.PARKED, state.phase)
+        self.assertGreater(len(state.failed_workers), 2)
+        self.assertIn("failed-often", state.detail)
+        self.assertEqual((), zone.owner().owner.status().quarantined)
+
+
+class UrgentTest(testtools.TestCase):
+    """Urgent starts and quotas."""
+
+    def test_urgent_job_starts_within_six_seconds(self) -> None:
+        """A full zone makes room by evicting after a checkpoint."""
+        zone = started_zone()
+        for number in range(6):
+            zone.submit(f"job-{number}", HALF, 60_000)
+        zone.run(5_000)
+        zone.submit("now", WHOLE, 3_000, urgent=True)
+        zone.run(2_000)
+        self.assertIn("now", zone.running())
+        zone.run(120_000)
+        for number in range(6):
+            state = zone.state(f"job-{number}")
+            self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+            kept = state.evictions == 0 or state.checkpoint_ms > 0
+            self.assertTrue(kept, f"{state} lost its work")
+
+    def test_urgent_start_costs_no_more_evictions_than_needed(self) -> None:
+        """One half of one worker is enough for half a worker."""
+        zone = started_zone()
+        for number in range(6):
+            zone.submit(f"job-{number}", HALF, 60_000)
+        zone.run(5_000)
+        zone.submit("now", HALF, 3_000, urgent=True)
+        zone.run(3_000)
+        evicted = [zone.state(f"job-{number}").evictions for number in range(6)]
+        self.assertEqual(1, sum(evicted))
+
+    def test_team_without_borrowing_stays_in_its_quota(self) -> None:
+        """Idle room is left alone."""
+        quota = workers.Resources(HALF, 10_000)
+        team = objects.Team(quota, may_borrow=False)
+        zone = started_zone(teams={"faculty": team})
+        for number in range(4):
+            zone.submit(f"job-{number}", HALF, 60_000)
+        zone.run(3_000)
+        self.assertEqual(1, len(zone.running()))
+
+    def test_borrowed_room_is_given_back(self) -> None:
+        """A team within its quota gets its room after a while."""
+        quota = workers.Resources(WHOLE, 10_000)
+        team = objects.Team(quota)
+        zone = started_zone(teams={"faculty": team, "school": team})
+        for number in range(8):
+            zone.submit(f"job-{number}", HALF, 300_000)
+        zone.run(3_000)
+        zone.submit("mine", HALF, 5_000, team="school")
+        zone.run(40_000)
+        self.assertEqual(job_state.JobPhase.FINISHED, zone.state("mine").phase)
+
+    def test_spent_budget_stops_reclaims(self) -> None:
+        """Without an eviction left, the job waits."""
+        quota = workers.Resources(WHOLE, 10_000)
+        team = objects.Team(quota)
+        zone = started_zone(
+            teams={"faculty": team, "school": team},
+            limits=objects.Limits(evictions_per_hour=0),
+        )
+        for number in range(6):
+            zone.submit(f"job-{number}", HALF, 300_000)
+        zone.run(3_000)
+        zone.submit("mine", HALF, 5_000, team="school")
+        zone.run(40_000)
+        self.assertEqual(job_state.JobPhase.QUEUED, zone.state("mine").phase)
+
+
+class InterferenceTest(testtools.TestCase):
+    """Steps against batch work that slows a service down."""
+
+    def _slow_down(self, zone: fake_zone.FakeZone, slowdown_milli: int) -> None:
+        for worker in zone.fleet.values():
+            tasks = tuple(
+                workers.TaskSlowdown(
+                    task.start.job, task.start.attempt, 1_000, 500, 50
+                )
+                for task in worker.running()
+            )
+            worker.usage = (
+                workers.Usage(
+                    100,
+                    500,
+                    50,
+                    (workers.ServiceSlowdown("skyproc", slowdown_milli),),
+                    tasks,
+                ),
+            )
+
+    def test_lasting_slowdown_is_throttled_then_moved(self) -> None:
+        """Throttles come first, and moves after they did not help."""
+        zone = started_zone(worker_count=1)
+        zone.submit("noisy", HALF, 300_000)
+        zone.run(2_000)
+        shares = []
+        for _ in range(100):
+            self._slow_down(zone, 1_500)
+            zone.run(500)
+            tasks = zone.fleet["w0"].running()
+            shares.append(tasks[0].share_milli if tasks else 0)
+        self.assertIn(500, shares)
+        self.assertLess(shares.index(500), shares.index(0))
+        self.assertGreater(zone.state("noisy").evictions, 0)
+
+    def test_one_sample_changes_nothing(self) -> None:
+        """A single slow measurement is no reason to act."""
+        zone = started_zone(worker_count=1)
+        zone.submit("quiet", HALF, 300_000)
+        zone.run(4_000)
+        self._slow_down(zone, 1_500)
+        zone.run(250)
+        self._slow_down(zone, 1_000)
+        zone.run(10_000)
+        self.assertEqual(1_000, zone.fleet["w0"].running()[0].share_milli)
+
+    def test_baseline_never_acts(self) -> None:
+        """First fit runs without any control."""
+        zone = started_zone(worker_count=1, policy=placement.Policy.FIRST_FIT)
+        zone.submit("noisy", HALF, 300_000)
+        for _ in range(40):
+            self._slow_down(zone, 1_500)
+            zone.run(500)
+        self.assertEqual(1_000, zone.fleet["w0"].running()[0].share_milli)
