--- a/src/comfreylatch/_process/batch/interference.py
+++ b/src/comfreylatch/_process/batch/interference.py
@@ -32,17 +32,27 @@
 
 @attrs.define(eq=False)
 class Coefficient:
-    """Slowdown caused by a class that fills the host, and its variance."""
+    """Slowdown caused by a class that fills the host.
+
+    Attributes:
+        mean: Best estimate.
+        variance: Its uncertainty.
+        cautious: The mean, raised by a part of its standard deviation.
+    """
 
     mean: float = PRIOR_MEAN
     variance: float = PRIOR_VARIANCE
+    cautious: float = PRIOR_MEAN + CAUTION * math.sqrt(PRIOR_VARIANCE)
 
-    def cautious(self) -> float:
-        """The mean, raised by a part of its standard deviation."""
-        return self.mean + CAUTION * math.sqrt(self.variance)
+    def update(self, mean: float, variance: float) -> None:
+        """Takes a new estimate, within its bounds."""
+        self.mean = min(max(mean, 0.0), MAX_COEFFICIENT)
+        self.variance = min(variance + DRIFT_VARIANCE, PRIOR_VARIANCE)
+        self.cautious = self.mean + CAUTION * math.sqrt(self.variance)
 
 
-_UNKNOWN = Coefficient()
+UNKNOWN = Coefficient()
+_NOTHING_KNOWN: Mapping[str, Coefficient] = {}
 
 
 @attrs.frozen
@@ -110,8 +120,12 @@
         """The estimate for a pair; the prior if nothing is known."""
         known = self._victims.get(victim)
         if known is None:
-            return _UNKNOWN
-        return known.get(aggressor, _UNKNOWN)
+            return UNKNOWN
+        return known.get(aggressor, UNKNOWN)
+
+    def estimates_for(self, victim: str) -> Mapping[str, Coefficient]:
+        """The estimates known for a victim, by aggressor."""
+        return self._victims.get(victim, _NOTHING_KNOWN)
 
     def _update(
         self, victim: str, loads: Mapping[str, float], extra: float
@@ -135,7 +149,5 @@
         error = extra - predicted
         for pair, load in pairs:
             gain = pair.variance * load / spread
-            moved = pair.mean + gain * error
-            pair.mean = min(max(moved, 0.0), MAX_COEFFICIENT)
             kept = pair.variance * (1.0 - gain * load)
-            pair.variance = min(kept + DRIFT_VARIANCE, PRIOR_VARIANCE)
+            pair.update(pair.mean + gain * error, kept)
--- a/src/comfreylatch/_process/batch/ownership.py
+++ b/src/comfreylatch/_process/batch/ownership.py
@@ -182,13 +182,15 @@
         Returns:
             Milliseconds until the next step is due.
         """
+        # Read before the fold, so that no renewal can slip in between.
+        age_ms = self._follower.age_ms()
         self._observe()
         claims = self._fold.claims()
         claim = claims[-1] if claims else None
         now_ms = self._clock.monotonic_ms()
         if claim is not None and self._is_own(claim):
             self._renew_if_due(claim, now_ms)
-        elif self._may_claim(claim, now_ms):
+        elif self._may_claim(claim, age_ms, now_ms):
             self._claim(0 if claim is None else claim.term)
         return STEP_MS
 
@@ -261,11 +263,13 @@
         if gained:
             self._note("owner-gained", f"claim {claim.term} won", claim.offset)
 
-    def _may_claim(self, claim: job_state.Claim | None, now_ms: int) -> bool:
+    def _may_claim(
+        self, claim: job_state.Claim | None, age_ms: int, now_ms: int
+    ) -> bool:
         if self._stopping.is_set():
             return False
         bounds = self._configured_bounds()
-        if self._follower.age_ms() > bounds.claim_ms // 2:
+        if age_ms > bounds.claim_ms // 2:
             return False
         waited_ms = now_ms - self._changed_ms - self._jitter_ms
         if claim is None or claim.released or claim.host == self._host_id:
--- a/src/comfreylatch/_process/batch/placement.py
+++ b/src/comfreylatch/_process/batch/placement.py
@@ -14,7 +14,7 @@
 from comfreylatch._process.batch import capacity
 from comfreylatch._version import job_state
 
-MAX_CANDIDATES = 24
+MAX_CANDIDATES = 12
 RACK_COST_MILLI = 20
 LEFTOVER_COST_MILLI = 100
 
--- a/src/comfreylatch/_process/batch/worker_mix.py
+++ b/src/comfreylatch/_process/batch/worker_mix.py
@@ -71,11 +71,13 @@
         cost = 0.0
         for service in self._services.get(worker, ()):
             pair = self._model.coefficient(service, job_class)
-            cost += SERVICE_WEIGHT * pair.cautious()
-        for other, other_milli in self._milli.get(worker, {}).items():
-            caused = self._model.coefficient(other, job_class).cautious()
-            suffered = self._model.coefficient(job_class, other).cautious()
-            cost += (caused + suffered) * other_milli / whole
+            cost += SERVICE_WEIGHT * pair.cautious
+        suffered = self._model.estimates_for(job_class)
+        unknown = interference.UNKNOWN
+        for other, milli in self._milli.get(worker, {}).items():
+            caused = self._model.coefficient(other, job_class)
+            pair = suffered.get(other, unknown)
+            cost += (caused.cautious + pair.cautious) * milli / whole
         found = int(cost * interference.FULL_MILLI)
         until_ms = self._avoid_until_ms.get((worker, job_class), 0)
         return found + (AVOID_COST_MILLI if until_ms > self.now_ms else 0)
--- a/testing/fakes/zone.py
+++ b/testing/fakes/zone.py
@@ -408,7 +408,10 @@
 
     def state(self, job: str) -> job_state.JobState:
         """A job as folded now, whoever is the owner."""
-        host = self.hosts[0]
+        reached = [
+            host for host in self.hosts if host.name not in self.stream.cut
+        ]
+        host = (reached or self.hosts)[0]
         host.follower.read()
         found = host.fold.job(job)
         assert found is not None, f"{job} is not known"
--- /dev/null
+++ b/tests/process/batch/test_ownership.py
@@ -0,0 +1,157 @@
+"""Tests of claims, lapses and waits on a clock that tests move."""
+
+from __future__ import annotations
+
+import testtools
+
+from comfreylatch._version import job_state
+from comfreylatch._version import objects
+from testing.fakes import zone as fake_zone
+
+HALF = 1_000
+CLAIM_MS = objects.Limits().claim_ms
+AUTONOMY_MS = 8_000
+
+
+def owned_zone(
+    **given: object,
+) -> tuple[fake_zone.FakeZone, fake_zone.FakeHost]:
+    """A zone with an owner, and that owner."""
+    zone = fake_zone.FakeZone(**given)
+    zone.run(3_000)
+    owner = zone.owner()
+    assert owner is not None
+    return zone, owner
+
+
+class ClaimTest(testtools.TestCase):
+    """Who is the owner."""
+
+    def test_one_host_wins(self) -> None:
+        """Of several hosts exactly one holds the zone."""
+        zone, owner = owned_zone(host_count=3)
+        zone.run(30_000)
+        holders = [
+            host
+            for host in zone.hosts
+            if host.ownership.hold().may_start(zone.clock.now_ms)
+        ]
+        self.assertEqual([owner], holders)
+        self.assertEqual(1, owner.ownership.hold().term)
+
+    def test_silent_owner_is_replaced_after_the_lapse(self) -> None:
+        """Not before its claim has lapsed, and soon after."""
+        zone, owner = owned_zone()
+        owner.paused = True
+        zone.run(CLAIM_MS - 2_500)
+        self.assertEqual(1, zone.hosts[1].fold.claims()[-1].term)
+        zone.run(4_500)
+        self.assertNotEqual(owner.name, zone.owner().name)
+
+    def test_woken_owner_does_nothing_more(self) -> None:
+        """Its hold has run out by its own monotonic clock."""
+        zone, owner = owned_zone()
+        hold = owner.ownership.hold()
+        zone.clock.advance(CLAIM_MS + 1)
+        self.assertFalse(hold.may_start(zone.clock.now_ms))
+        zone.clock.advance(AUTONOMY_MS)
+        self.assertFalse(hold.may_renew(zone.clock.now_ms))
+
+    def test_renewal_with_lost_answer_is_proved_by_reading(self) -> None:
+        """The owner holds on when only answers are lost."""
+        zone, owner = owned_zone()
+        for _ in range(40):
+            owner.appender.lose_next = True
+            zone.run(500)
+        self.assertIs(owner, zone.owner())
+        self.assertEqual(1, owner.ownership.hold().term)
+
+    def test_host_behind_the_head_does_not_claim(self) -> None:
+        """A host cut from the log can't tell whether the owner lives."""
+        zone, owner = owned_zone()
+        other = zone.hosts[1 - zone.hosts.index(owner)]
+        zone.stream.cut.add(other.name)
+        zone.run(30_000)
+        zone.stream.cut.clear()
+        zone.run(1_000)
+        self.assertEqual(1, other.fold.claims()[-1].term)
+
+
+class AutonomyTest(testtools.TestCase):
+    """An owner that is cut from the log."""
+
+    def test_running_work_goes_on_for_the_bound(self) -> None:
+        """Leases are renewed past the claim, up to the bound."""
+        zone, owner = owned_zone(host_count=1)
+        zone.submit("job", HALF, 60_000)
+        zone.run(1_000)
+        zone.stream.cut.add(owner.name)
+        zone.run(AUTONOMY_MS + 3_000)
+        self.assertIn("job", zone.running())
+
+    def test_running_work_stops_after_the_bound(self) -> None:
+        """Bound, lease and margin later nothing runs any more."""
+        zone, owner = owned_zone(host_count=1)
+        zone.submit("job", HALF, 60_000)
+        zone.run(1_000)
+        zone.stream.cut.add(owner.name)
+        zone.run(AUTONOMY_MS + 6_000 + 1_000)
+        self.assertEqual({}, zone.running())
+
+    def test_nothing_is_started_without_the_log(self) -> None:
+        """A job known before the cut isn't started during it."""
+        zone, owner = owned_zone(host_count=1)
+        zone.submit("job", HALF, 60_000)
+        zone.stream.cut.add(owner.name)
+        zone.run(5_000)
+        self.assertEqual({}, zone.running())
+
+    def test_owner_goes_on_when_the_log_is_back(self) -> None:
+        """Nobody else has claimed: the same term, the same attempts."""
+        zone, owner = owned_zone(host_count=1)
+        zone.submit("job", HALF, 20_000)
+        zone.run(1_000)
+        zone.stream.cut.add(owner.name)
+        zone.run(AUTONOMY_MS)
+        zone.stream.cut.clear()
+        zone.run(30_000)
+        state = zone.state("job")
+        self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+        self.assertEqual(1, state.attempt)
+
+
+class SuccessorTest(testtools.TestCase):
+    """A successor that can't reach a worker."""
+
+    def test_unreachable_work_waits_for_the_bound(self) -> None:
+        """It starts elsewhere only when it can't run any more."""
+        zone, owner = owned_zone()
+        zone.submit("job", HALF, 120_000)
+        zone.run(1_000)
+        worker = zone.running()["job"]
+        zone.stream.cut.add(owner.name)
+        other = zone.hosts[1 - zone.hosts.index(owner)]
+        zone.network.cut.add((other.name, worker))
+        for _ in range(80):
+            zone.run(500)
+            places = [
+                name
+                for name, fake in zone.fleet.items()
+                if any(task.start.job == "job" for task in fake.running())
+            ]
+            self.assertLessEqual(len(places), 1)
+        self.assertEqual(2, zone.state("job").attempt)
+        self.assertNotEqual(worker, zone.running()["job"])
+
+    def test_reachable_work_is_taken_over_at_once(self) -> None:
+        """A worker that answers under the new term needs no wait."""
+        zone, owner = owned_zone()
+        zone.submit("job", HALF, 60_000)
+        zone.run(1_000)
+        zone.stream.cut.add(owner.name)
+        zone.run(12_000)
+        other = zone.owner()
+        self.assertNotEqual(owner.name, other.name)
+        session = other.pool.sessions[zone.running()["job"]]
+        self.assertEqual(2, session.fenced_term)
+        self.assertEqual(1, zone.state("job").attempt)
