--- a/src/comfreylatch/_process/batch/job_desk.py
+++ b/src/comfreylatch/_process/batch/job_desk.py
@@ -342,7 +342,9 @@
 
 def _unknown_job(job: str, zone: str) -> _Refusal:
     reason = reasons.RefusalReason.UNKNOWN_JOB
-    detail = f"job {job[:MAX_NAME_LENGTH]} is not known in zone {zone}"
+    # A path may decode to text that no JSON reply can carry.
+    shown = ascii(job[:MAX_NAME_LENGTH])
+    detail = f"job {shown} is not known in zone {zone}"
     return _Refusal(404, reason, detail)
 
 
