--- /dev/null
+++ b/testing/measure_batch.py
@@ -0,0 +1,343 @@
+"""Batch work beside a service: our policy against first fit, in one run.
+
+Starts two equal fleets of stand-in workers with the same hidden model of
+interference and wrong sizes, runs the same jobs on both at the same time, and
+prints what each policy finished. Run it with
+
+    python -m testing.measure_batch [--seconds 120] [--seed 1]
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import random
+import statistics
+import subprocess
+import sys
+import threading
+import time
+from typing import Any
+
+import attrs
+import msgspec
+import result
+
+from comfreylatch._connection import http
+from comfreylatch._connection import worker_client
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import hosts
+from comfreylatch._ports import workers
+from comfreylatch._process import journal as journal_module
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import settings as settings_module
+from comfreylatch._process.batch import placement
+from comfreylatch._process.batch import service as service_module
+from comfreylatch._version import configuration as configuration_module
+from comfreylatch._version import job_state
+from comfreylatch._version import objects
+from testing.fakes import log as fake_log
+from testing.fakes import zone as fake_zone
+from testing.standins import worker_model
+from testing.standins import worker_records
+
+ZONE = "bole"
+WORKERS = 24
+PER_RACK = 8
+AMOUNT = workers.Resources(32_000, 125_000)
+SERVICE = "skyproc"
+SERVICE_SIZE = workers.Resources(8_000, 16_000)
+CLASSES = 10
+LAGS_MS = (2_000, 4_000, 6_000, 8_000)
+CLASS_NAMES = tuple(f"class-{index}" for index in range(CLASSES))
+TIME_FACTORS = (0.5, 0.7, 1.0, 1.0, 1.0, 1.3, 1.6, 2.0, 0.8, 1.0)
+SIZE_FACTORS = (0.25, 0.5, 0.7, 1.0, 1.0, 1.0, 1.3, 1.6, 2.5, 4.0)
+
+
+class RecordingPort:
+    """A worker port that keeps what reports say of services."""
+
+    def __init__(self) -> None:
+        self._client = worker_client.WorkerClient()
+        self._lock = threading.Lock()
+        self.slowdowns: list[int] = []
+
+    def exchange(
+        self, address: str, exchange: workers.Exchange, timeout_ms: int
+    ) -> result.Result[workers.WorkerReport, workers.WorkerError]:
+        """See `WorkerPort.exchange`."""
+        answer = self._client.exchange(address, exchange, timeout_ms)
+        if isinstance(answer, result.Ok):
+            found = [
+                one.slowdown_milli
+                for usage in answer.ok_value.usage
+                for one in usage.services
+            ]
+            with self._lock:
+                self.slowdowns.extend(found)
+        return answer
+
+
+@attrs.frozen
+class Outcome:
+    """What one policy achieved.
+
+    Attributes:
+        finished: Jobs finished.
+        useful_core_s: Work of finished jobs, in core seconds.
+        kept_core_s: The same plus what running attempts have done.
+        evictions: Attempts evicted.
+        lost_core_s: Work that was done and not kept.
+        failures: Attempts that failed, mostly for memory.
+        p50_milli: Median slowdown of the service, 1000 when alone.
+        p99_milli: 99th percentile of it.
+    """
+
+    policy: str
+    finished: int
+    useful_core_s: int
+    kept_core_s: int
+    evictions: int
+    lost_core_s: int
+    failures: int
+    p50_milli: int
+    p99_milli: int
+
+
+class Fleet:
+    """One process of stand-in workers."""
+
+    def __init__(self, seed: int) -> None:
+        specs = [
+            worker_records.WorkerSpec(
+                f"w{index}",
+                AMOUNT,
+                services=(
+                    worker_model.ServiceSpec(SERVICE, SERVICE_SIZE, 0.5),
+                ),
+                usage_lag_ms=LAGS_MS[index % len(LAGS_MS)],
+            )
+            for index in range(WORKERS)
+        ]
+        factors = {
+            "size_factors": dict(zip(CLASS_NAMES, SIZE_FACTORS, strict=True)),
+            "time_factors": dict(zip(CLASS_NAMES, TIME_FACTORS, strict=True)),
+        }
+        self._process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "testing.standins.worker",
+                "--seed",
+                str(seed),
+                "--model",
+                msgspec.json.encode(factors).decode(),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        assert self._process.stdin is not None
+        assert self._process.stdout is not None
+        self._process.stdin.write(msgspec.json.encode(specs))
+        self._process.stdin.close()
+        said: dict[str, Any] = msgspec.json.decode(
+            self._process.stdout.readline()
+        )
+        self.addresses: dict[str, str] = said["addresses"]
+        self.control: str = said["control"]
+
+    def journal(self) -> list[worker_records.WorkerEvent]:
+        """What the workers did."""
+        import urllib3
+
+        reply = urllib3.request("GET", f"http://{self.control}/journal")
+        page = msgspec.json.decode(reply.data)
+        return msgspec.convert(page["events"], list[worker_records.WorkerEvent])
+
+    def stop(self) -> None:
+        """Ends the process."""
+        self._process.terminate()
+        self._process.wait()
+
+
+def configuration() -> configuration_module.Configuration:
+    """Teams, classes and the service's endpoints on the workers."""
+    endpoints = {
+        f"ex-{index}": objects.Endpoint(
+            SERVICE,
+            ZONE,
+            "127.0.0.1:1",
+            worker=f"w{index}",
+            resources=SERVICE_SIZE,
+        )
+        for index in range(WORKERS)
+    }
+    teams = {
+        f"team-{index}": objects.Team(workers.Resources(200_000, 800_000))
+        for index in range(4)
+    }
+    return configuration_module.Configuration(
+        offset=1,
+        endpoints=endpoints,
+        teams=teams,
+        worker_classes={"standard": objects.WorkerClass(AMOUNT)},
+        zones={ZONE: objects.Zone(("seat",))},
+    )
+
+
+def jobs(seed: int, count: int) -> list[dict[str, Any]]:
+    """Jobs of random class, size and run time."""
+    source = random.Random(seed)
+    return [
+        {
+            "id": f"job-{number}",
+            "team": f"team-{source.randrange(4)}",
+            "job_class": source.choice(CLASS_NAMES),
+            "resources": {
+                "processors_milli": source.choice([1_000, 2_000, 4_000]),
+                "memory_mib": source.choice([2_000, 4_000, 8_000]),
+            },
+            "run_time_ms": source.randrange(10_000, 40_000),
+        }
+        for number in range(count)
+    ]
+
+
+class Side:
+    """One policy with its fleet."""
+
+    def __init__(self, policy: placement.Policy, seed: int) -> None:
+        self.policy = policy
+        self.fleet = Fleet(seed)
+        self.port = RecordingPort()
+        clock = clock_port.SystemClock()
+        platform = settings_module.PlatformSettings("", "")
+        self.service = service_module.BatchService(
+            settings_module.Settings("seat", ZONE, "", "", "", platform),
+            f"host-{policy}",
+            fake_log.FakeLog(),
+            fake_zone.FixedSource(configuration()),
+            self.port,
+            journal_module.Journal("host", clock),
+            metrics_module.Metrics(),
+            clock,
+            policy=policy,
+        )
+
+    def start(self) -> None:
+        """Lists the workers and waits for the claim."""
+        listed = tuple(
+            hosts.ListedHost(
+                name,
+                hosts.HostKind.WORKER,
+                hosts.HostState.LIVE,
+                ZONE,
+                f"rack-{int(name[1:]) // PER_RACK}",
+                address,
+                "standard",
+            )
+            for name, address in self.fleet.addresses.items()
+        )
+        self.service.update_listed(hosts.HostList(listed))
+        while not self.service.status().owner.holds:
+            time.sleep(0.05)
+
+    def submit(self, given: list[dict[str, Any]]) -> None:
+        """Hands all jobs in, many at a time."""
+        chunks = [given[index::16] for index in range(16)]
+
+        def hand_in(chunk: list[dict[str, Any]]) -> None:
+            for job in chunk:
+                body = msgspec.json.encode(job)
+                request = http.HttpRequest("POST", "/jobs", {}, {}, body)
+                reply = self.service.handle(request)
+                assert reply.status == 200, reply
+
+        threads = [
+            threading.Thread(target=hand_in, args=(chunk,)) for chunk in chunks
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def outcome(self) -> Outcome:
+        """Adds up what the workers and the fold tell."""
+        events = self.fleet.journal()
+        states = self.service.fold.jobs()
+        finished = [
+            state
+            for state in states
+            if state.phase is job_state.JobPhase.FINISHED
+        ]
+        useful = sum(
+            _core_s(state, state.spec.run_time_ms) for state in finished
+        )
+        running = sum(
+            _core_s(state, state.checkpoint_ms)
+            for state in states
+            if state.phase is not job_state.JobPhase.FINISHED
+        )
+        slowdowns = sorted(self.port.slowdowns)
+        quantiles = statistics.quantiles(slowdowns, n=100)
+        return Outcome(
+            policy=self.policy.value,
+            finished=len(finished),
+            useful_core_s=int(useful),
+            kept_core_s=int(useful + running),
+            evictions=sum(state.evictions for state in states),
+            lost_core_s=int(_lost_core_s(events, states)),
+            failures=sum(
+                event.detail in ("failed", "memory") for event in events
+            ),
+            p50_milli=int(quantiles[49]),
+            p99_milli=int(quantiles[98]),
+        )
+
+
+def _core_s(state: job_state.JobState, work_ms: int) -> float:
+    return state.spec.resources.processors_milli * work_ms / 1e6
+
+
+def _lost_core_s(
+    events: list[worker_records.WorkerEvent],
+    states: tuple[job_state.JobState, ...],
+) -> float:
+    by_job = {state.spec.id: state for state in states}
+    starts: dict[str, list[int]] = {}
+    ends: dict[str, list[int]] = {}
+    for event in events:
+        if event.kind == "start":
+            starts.setdefault(event.job, []).append(event.progress_ms)
+        elif event.kind == "end":
+            ends.setdefault(event.job, []).append(event.progress_ms)
+    lost = 0.0
+    for job, stopped in ends.items():
+        for end_ms, start_ms in zip(stopped, starts[job][1:], strict=False):
+            lost += _core_s(by_job[job], max(0, end_ms - start_ms))
+    return lost
+
+
+def main() -> None:
+    """Runs both policies side by side and prints a line for each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=int, default=120)
+    parser.add_argument("--jobs", type=int, default=1_200)
+    parser.add_argument("--seed", type=int, default=1)
+    given = parser.parse_args()
+    sides = [Side(policy, given.seed) for policy in placement.Policy]
+    with contextlib.ExitStack() as stack:
+        for side in sides:
+            stack.callback(side.fleet.stop)
+            stack.enter_context(side.service)
+            side.start()
+        work = jobs(given.seed, given.jobs)
+        for side in sides:
+            side.submit(work)
+        time.sleep(given.seconds)
+        for side in sides:
+            print(msgspec.json.encode(side.outcome()).decode())
+
+
+if __name__ == "__main__":
+    main()
