--- a/src/comfreylatch/_version/configuration_fold.py
+++ b/src/comfreylatch/_version/configuration_fold.py
@@ -21,7 +21,7 @@
 from comfreylatch._version import tickets
 from comfreylatch._version import verdicts
 
-MAX_TICKETS = 4_000
+MAX_TICKETS = 2_000
 # Removed objects are forgotten after this many offsets.
 REMOVAL_KEPT_OFFSETS = 100_000
 SWEEP_OFFSETS = 1_024
--- a/testing/bench_tickets.py
+++ b/testing/bench_tickets.py
@@ -10,6 +10,7 @@
 import random
 import threading
 import time
+import tracemalloc
 from typing import Annotated
 from typing import Any
 
@@ -172,6 +173,40 @@
     )
 
 
+@attrs.frozen
+class MemoryLine:
+    """Memory that the fold's state takes, in KiB, as Python counts it."""
+
+    endpoints: int
+    tickets: int
+    objects_kib: int
+    tickets_kib: int
+
+
+def measure_memory(endpoints: int, folded: int) -> MemoryLine:
+    """Folds endpoints, then tickets of one change up to the number kept."""
+    tracemalloc.start()
+    fold = configuration_fold.ConfigurationFold()
+    _fill(fold, endpoints)
+    with_objects = tracemalloc.get_traced_memory()[0]
+    for number in range(folded):
+        index = number % endpoints
+        change = _endpoint(index, 1 + number // endpoints)
+        value = samples.ticket(10_000 + number, change)
+        value["reason"] = f"move executor {index} to another address"
+        record = records.encode("w", number + 1, tickets.TicketRecord(value))
+        envelope, body = records.decode(record).unwrap()
+        fold.apply(10_000 + number, envelope, body)
+    with_tickets = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return MemoryLine(
+        endpoints=endpoints,
+        tickets=len(fold.tickets()),
+        objects_kib=with_objects // 1_024,
+        tickets_kib=(with_tickets - with_objects) // 1_024,
+    )
+
+
 def _endpoint(index: int, replaces: int) -> dict[str, Any]:
     return samples.endpoint(f"ex-{index}", "skyproc", "bole", replaces)
 
@@ -198,6 +233,10 @@
         measure_submit(1, 300, 0.0, 0),
     ]
     lines += [measure_fold(size, 300, seed) for size in (240, 2_600)]
+    lines += [
+        measure_memory(size, configuration_fold.MAX_TICKETS)
+        for size in (240, 2_600)
+    ]
     for line in lines:
         typer.echo(msgspec.json.encode(line).decode())
 
