Time job starts in a replay, and look at jobs while others come

Cause: jobs were looked at only in gaps of over 0.5 s between submissions, which a busy trace never has; the first look came after its end.

--- a/src/comfreylatch/_commands/replay_jobs.py
+++ b/src/comfreylatch/_commands/replay_jobs.py
@@ -35,6 +35,8 @@
         due_ms: When it was due, from the start of the replay.
         submitted: `accepted`, `unknown`, or the reason of its refusal.
         phase: Last phase seen.
+        started_ms: When a first attempt was first seen, from the start; 0
+            when none. Jobs are looked at every `POLL_INTERVAL_S`.
         ended_ms: When an end was first seen, from the start; 0 when none.
         cancelled: Whether the trace cancelled it.
     """
@@ -44,8 +46,10 @@
     due_ms: float
     run_time_ms: int
     processors_milli: int
+    urgent: bool
     submitted: str = ""
     phase: str = ""
+    started_ms: float = 0.0
     ended_ms: float = 0.0
     cancelled: bool = False
     evictions: int = 0
@@ -88,6 +92,7 @@
         self._client_by_zone: dict[str, clients.Client] = {}
         self._pending: set[str] = set()
         self._lock = threading.Lock()
+        self._closing = threading.Event()
 
     def __enter__(self) -> Self:
         return self
@@ -98,37 +103,35 @@
     def play(self, started_s: float, settle_ms: int) -> list[JobSample]:
         """Plays everything; waits up to `settle_ms` for ends afterwards."""
         self._started_s = started_s
+        poller = threading.Thread(target=self._poll, daemon=True)
+        poller.start()
         with futures.ThreadPoolExecutor(THREADS) as pool:
             for line in self._lines:
-                self._wait_until(line.at_ms / self._speed, pool)
+                left_ms = line.at_ms / self._speed - self._now_ms()
+                time.sleep(max(left_ms, 0.0) / 1_000)
                 if isinstance(line, traces.TracedJob):
                     pool.submit(self._submit, self._add(line), line)
                 else:
                     pool.submit(self._cancel, line)
-            self._wait_for_ends(settle_ms, pool)
+        self._wait_for_ends(settle_ms)
+        self._closing.set()
+        poller.join()
         return list(self._samples.values())
 
     def _now_ms(self) -> float:
         return (time.monotonic() - self._started_s) * 1_000
 
-    def _wait_until(self, due_ms: float, pool: futures.Executor) -> None:
-        left_s = (due_ms - self._now_ms()) / 1_000
-        while left_s > 0:
-            time.sleep(min(left_s, POLL_INTERVAL_S))
-            left_s = (due_ms - self._now_ms()) / 1_000
-            if left_s > POLL_INTERVAL_S:
-                self._poll(pool)
+    def _poll(self) -> None:
+        """Looks at every job that has not ended, again and again."""
+        with futures.ThreadPoolExecutor(THREADS) as pool:
+            while not self._closing.wait(POLL_INTERVAL_S):
+                with self._lock:
+                    pending = sorted(self._pending)
+                list(pool.map(self._look, pending))
 
-    def _wait_for_ends(self, settle_ms: int, pool: futures.Executor) -> None:
+    def _wait_for_ends(self, settle_ms: int) -> None:
         until_ms = self._now_ms() + settle_ms
-        while self._now_ms() < until_ms:
-            self._poll(pool)
-            with self._lock:
-                unsent = any(
-                    not one.submitted for one in self._samples.values()
-                )
-                if not self._pending and not unsent:
-                    return
+        while self._pending and self._now_ms() < until_ms:
             time.sleep(POLL_INTERVAL_S)
 
     def _add(self, line: traces.TracedJob) -> JobSample:
@@ -138,6 +141,7 @@
             due_ms=line.at_ms / self._speed,
             run_time_ms=line.job.run_time_ms,
             processors_milli=line.job.resources.processors_milli,
+            urgent=line.job.urgent,
         )
         self._samples[line.job.id] = sample
         return sample
@@ -183,11 +187,6 @@
             if answer.is_ok() and answer.ok_value.status == 200:
                 return
 
-    def _poll(self, pool: futures.Executor) -> None:
-        with self._lock:
-            pending = sorted(self._pending)
-        list(pool.map(self._look, pending))
-
     def _look(self, name: str) -> None:
         sample = self._samples[name]
         path = "/jobs/" + parse.quote(sample.id, safe="")
@@ -201,6 +200,8 @@
         sample.phase = str(page.get("phase", ""))
         sample.evictions = int(page.get("evictions", sample.evictions))
         sample.losses = int(page.get("losses", sample.losses))
+        if int(page.get("attempt", 0)) > 0 and not sample.started_ms:
+            sample.started_ms = self._now_ms()
         if sample.phase in END_PHASES:
             sample.ended_ms = self._now_ms()
             with self._lock:
--- a/src/comfreylatch/_commands/replay_report.py
+++ b/src/comfreylatch/_commands/replay_report.py
@@ -69,6 +69,8 @@
         unfinished: Accepted jobs, not cancelled, that did not finish.
         work_per_s: Finished work in processor seconds per second.
         p50_ms: From when it was due to its end, at the median.
+        start_p50_ms: From when it was due until it was first seen to run.
+        urgent_start_p99_ms: The same, of urgent jobs.
     """
 
     submitted: dict[str, int]
@@ -79,6 +81,9 @@
     work_per_s: float
     p50_ms: float
     p99_ms: float
+    start_p50_ms: float
+    start_p99_ms: float
+    urgent_start_p99_ms: float
 
 
 @attrs.frozen
@@ -189,6 +194,8 @@
     finished = [one for one in accepted if one.phase == "finished"]
     wanted = [one for one in accepted if not one.cancelled]
     times_ms = sorted(one.ended_ms - one.due_ms for one in finished)
+    starts_ms = _start_times(accepted)
+    urgent_ms = _start_times([one for one in accepted if one.urgent])
     work_s = sum(
         one.run_time_ms / 1_000 * one.processors_milli / 1_000
         for one in finished
@@ -202,9 +209,16 @@
         work_per_s=round(work_s / max(elapsed_ms / 1_000, 0.001), 3),
         p50_ms=_quantile(times_ms, 0.5),
         p99_ms=_quantile(times_ms, 0.99),
+        start_p50_ms=_quantile(starts_ms, 0.5),
+        start_p99_ms=_quantile(starts_ms, 0.99),
+        urgent_start_p99_ms=_quantile(urgent_ms, 0.99),
     )
 
 
+def _start_times(jobs: Iterable[replay_jobs.JobSample]) -> list[float]:
+    return sorted(one.started_ms - one.due_ms for one in jobs if one.started_ms)
+
+
 def _quantile(ordered: Sequence[float], part: float) -> float:
     if not ordered:
         return 0.0
@@ -266,7 +280,11 @@
     if not wanted:
         return {}
     finished = sum(one.phase == "finished" for one in wanted)
-    return {
+    measures: dict[str, float | None] = {
         "jobs_finished_percent_min": 100 * finished / len(wanted),
         "evictions_max": sum(one.evictions for one in jobs),
     }
+    urgent_ms = _start_times([one for one in wanted if one.urgent])
+    if urgent_ms:
+        measures["urgent_start_p99_ms_max"] = _quantile(urgent_ms, 0.99)
+    return measures
--- a/src/comfreylatch/_commands/replay_run.py
+++ b/src/comfreylatch/_commands/replay_run.py
@@ -143,6 +143,11 @@
         f"  {one.work_per_s:g} processor seconds of work a second; "
         f"due to end p50 {one.p50_ms:.0f} ms, p99 {one.p99_ms:.0f} ms"
     )
+    yield (
+        f"  due to first run p50 {one.start_p50_ms:.0f} ms, "
+        f"p99 {one.start_p99_ms:.0f} ms, "
+        f"urgent p99 {one.urgent_start_p99_ms:.0f} ms"
+    )
 
 
 def _words(counts: dict[str, int]) -> str:
--- a/src/comfreylatch/_commands/trace.py
+++ b/src/comfreylatch/_commands/trace.py
@@ -32,6 +32,8 @@
         tries_per_request_max: Tries at endpoints per request sent.
         jobs_finished_percent_min: Of all jobs accepted and not cancelled.
         evictions_max: Evictions of all jobs.
+        urgent_start_p99_ms_max: From when an urgent job was due until it was
+            first seen to run.
     """
 
     answered_percent_min: float | None = None
@@ -42,6 +44,7 @@
     tries_per_request_max: float | None = None
     jobs_finished_percent_min: float | None = None
     evictions_max: int | None = None
+    urgent_start_p99_ms_max: float | None = None
 
 
 @attrs.frozen
--- a/testing/traces.py
+++ b/testing/traces.py
@@ -39,6 +39,7 @@
 URGENT_CHANCE = 0.05
 CANCELLED_CHANCE = 0.05
 CANCEL_AT = 0.6
+URGENT_START_MS = 6_000.0
 
 
 class Shape(enum.StrEnum):
@@ -147,7 +148,7 @@
             name=self._name,
             seed=self._seed,
             duration_ms=self._duration_ms,
-            outcomes=self._outcomes(with_jobs),
+            outcomes=self._outcomes(lines),
         )
         return traces.Trace(header, tuple(lines))
 
@@ -254,18 +255,43 @@
             if one.at_ms < at_ms and chosen:
                 yield traces.TracedCancellation(at_ms, one.job.id)
 
-    def _outcomes(self, with_jobs: bool) -> traces.StatedOutcomes:
+    def _outcomes(self, lines: list[traces.TraceLine]) -> traces.StatedOutcomes:
         workload = self._workload
         work_p99_ms = workload.work_ms * math.exp(P99_DEVIATE * workload.spread)
         calm = self._shape is Shape.CALM
+        finished_percent = self._finished_percent(lines)
+        has_jobs = finished_percent is not None
         return traces.StatedOutcomes(
             answered_percent_min=99.5 if calm else 95.0,
             p99_ms_max=round(work_p99_ms * (1.25 if calm else 1.6)),
             unknown_percent_max=0.5,
             tries_per_request_max=1.1,
-            jobs_finished_percent_min=95.0 if with_jobs else None,
+            jobs_finished_percent_min=finished_percent,
+            urgent_start_p99_ms_max=URGENT_START_MS if has_jobs else None,
         )
 
+    def _finished_percent(self, lines: list[traces.TraceLine]) -> float | None:
+        """Part of the accepted, uncancelled jobs that can finish at all."""
+        cancelled = {
+            line.job
+            for line in lines
+            if isinstance(line, traces.TracedCancellation)
+        }
+        capacity = self._workload.deployment.worker_capacity
+        accepted = [
+            line.job
+            for line in lines
+            if isinstance(line, traces.TracedJob)
+            and line.job.id not in cancelled
+            and worker_model.fits(line.job.resources, capacity)
+        ]
+        if not accepted:
+            return None
+        working = sum(
+            one.job_class != worker_model.NEVER_WORKS for one in accepted
+        )
+        return math.floor(1_000 * working / len(accepted)) / 10
+
 
 def main() -> None:
     """Writes all traces."""
