--- a/src/comfreylatch/_version/job_records.py
+++ b/src/comfreylatch/_version/job_records.py
@@ -32,7 +32,6 @@
     """Why a job is set aside until an operator looks at it."""
 
     FAILED_OFTEN = "failed-often"
-    NEVER_FITS = "never-fits"
 
 
 @attrs.frozen
