Let leases outlast claims by default, and checkpoint every minute

With lease and claim both at 6 s the death of an owner stopped every running attempt of the zone, and a dead worker lost all its work, as nothing asked for checkpoints.

--- a/src/comfreylatch/_process/batch/attempt.py
+++ b/src/comfreylatch/_process/batch/attempt.py
@@ -60,6 +60,7 @@
         progress_ms: Progress in the last report.
         checkpoint_ms: Checkpoint in the last report.
         share_milli: Throttle in the last report.
+        kept_ms: When a checkpoint was last asked for.
         recorded_ms: When its last checkpoint record was made.
         recorded_checkpoint_ms: Progress in that record.
     """
@@ -75,6 +76,7 @@
     progress_ms: int = 0
     checkpoint_ms: int = 0
     share_milli: int = 1_000
+    kept_ms: int = 0
     recorded_ms: int = 0
     recorded_checkpoint_ms: int = 0
 
--- a/src/comfreylatch/_process/batch/attempt_table.py
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -22,6 +22,7 @@
 END_SLACK_MS = 100
 LEAST_POLL_MS = 400
 LONGEST_POLL_MS = 5_000
+CHECKPOINT_EVERY_MS = 60_000
 GIVE_UP_UNSENT_MS = 2_000
 
 
@@ -84,9 +85,9 @@
             self._drop(known)
         if not assigned:
             return
-        fresh = attempt_module.Attempt(
-            state=state, since_ms=now_ms, recorded_ms=now_ms
-        )
+        fresh = attempt_module.Attempt(state, now_ms)
+        fresh.kept_ms = now_ms
+        fresh.recorded_ms = now_ms
         fresh.checkpoint_ms = state.checkpoint_ms
         fresh.progress_ms = state.checkpoint_ms
         fresh.recorded_checkpoint_ms = state.checkpoint_ms
@@ -207,6 +208,7 @@
         match line.state:
             case workers.TaskState.RUNNING:
                 self._pending.checkpoint(attempt, now_ms)
+                self._keep(attempt, now_ms)
             case workers.TaskState.FINISHED:
                 self._pending.end(attempt, job_records.AttemptEnd.FINISHED)
             case workers.TaskState.FAILED:
@@ -218,6 +220,14 @@
                 end = job_records.AttemptEnd
                 self._pending.end(attempt, end.EVICTED if evicted else end.LOST)
 
+    def _keep(self, attempt: attempt_module.Attempt, now_ms: int) -> None:
+        """Asks for a checkpoint now and then, with the next renewal."""
+        if now_ms - attempt.kept_ms < CHECKPOINT_EVERY_MS:
+            return
+        attempt.kept_ms = now_ms
+        command = workers.CheckpointTask(attempt.job, attempt.state.attempt)
+        self._sink.request(attempt.state.worker, command, at_once=False)
+
     def _take_status(
         self, command: workers.Command, status: workers.CommandStatus
     ) -> None:
--- a/src/comfreylatch/_process/batch/interference_control.py
+++ b/src/comfreylatch/_process/batch/interference_control.py
@@ -86,6 +86,14 @@
         state = self._states.get(worker)
         return Step.NONE if state is None else state.step
 
+    def is_slow(self, worker: str) -> bool:
+        """Whether more measurements are wanted than renewals bring."""
+        state = self._states.get(worker)
+        if state is None:
+            return False
+        slow = bool(state.worst) and state.worst[-1][1] > LOW_SLOWDOWN
+        return slow or state.step is not Step.NONE
+
     def forget(self, worker: str) -> None:
         """Drops a worker that is gone."""
         self._states.pop(worker, None)
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -40,6 +40,7 @@
 IDLE_STEP_MS = 250
 LEAST_STEP_MS = 20
 CHECK_MS = 250
+SLOW_POLL_MS = 1_500
 APPEND_TIMEOUT_MS = 1_500
 MAX_RECORDS_PER_APPEND = 256
 
@@ -248,6 +249,8 @@
             return
         attempts = self._books.table.on_worker(report.worker)
         action = self._usage.take(report, self._fold.job, attempts, now_ms)
+        if self._usage.control.is_slow(report.worker):
+            self._pool.poll_by(report.worker, now_ms + SLOW_POLL_MS)
         if action is not None:
             per_hour = self._source.current().limits.evictions_per_hour
             self._evictor.act(
--- a/src/comfreylatch/_version/objects.py
+++ b/src/comfreylatch/_version/objects.py
@@ -112,7 +112,8 @@
     """Fleet-wide bounds; there is one object of this kind, named `fleet`.
 
     Attributes:
-        lease_ms: Lease of a worker, renewed at a third of it.
+        lease_ms: Lease of a worker, renewed at a third of it. Longer than
+            twice the claim, running work survives the death of its owner.
         claim_ms: How long a claim on a zone's workers holds unrenewed.
         command_ttl_ms: Age at which a worker calls a quoted report stale.
         drift_margin_ms: Added to every wait that guards against clocks.
@@ -120,7 +121,7 @@
         max_attempts: Failed attempts after which a job is parked.
     """
 
-    lease_ms: int = 6_000
+    lease_ms: int = 15_000
     claim_ms: int = 6_000
     command_ttl_ms: int = 2_000
     drift_margin_ms: int = 500
--- a/testing/fakes/zone.py
+++ b/testing/fakes/zone.py
@@ -328,7 +328,7 @@
                 or {"faculty": objects.Team(workers.Resources(10**6, 10**6))},
                 worker_classes={"standard": objects.WorkerClass(self.amount)},
                 zones={ZONE: objects.Zone(("a", "b"), autonomy_ms=8_000)},
-                limits=limits or objects.Limits(),
+                limits=limits or objects.Limits(lease_ms=6_000),
             )
         )
         self.host_list = hosts.HostList(
--- a/tests/process/batch/test_zone_owner.py
+++ b/tests/process/batch/test_zone_owner.py
@@ -63,10 +63,8 @@
         self.assertEqual(1, state.attempt)
 
     def test_dead_owner_is_replaced_without_restart(self) -> None:
-        """A short lapse of the claim loses no lease: nothing is redone."""
-        zone = started_zone(
-            limits=objects.Limits(lease_ms=12_000, claim_ms=4_000)
-        )
+        """By default a lease outlasts the claim: nothing is redone."""
+        zone = started_zone(limits=objects.Limits())
         zone.submit("job", HALF, 20_000)
         zone.run(2_000)
         zone.owner().paused = True
@@ -75,6 +73,18 @@
         self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
         self.assertEqual(1, state.attempt)
 
+    def test_running_work_is_checkpointed_now_and_then(self) -> None:
+        """A dead worker costs a minute of work, not all of it."""
+        zone = started_zone()
+        zone.submit("job", HALF, 200_000)
+        zone.run(150_000)
+        worker = zone.running()["job"]
+        zone.fleet[worker].reboot()
+        zone.run(5_000)
+        state = zone.state("job")
+        self.assertEqual(2, state.attempt)
+        self.assertGreater(state.checkpoint_ms, 80_000)
+
 
 class FaultyWorkerTest(testtools.TestCase):
     """Workers and jobs that fail."""
