--- a/src/comfreylatch/_process/batch/dispatcher.py
+++ b/src/comfreylatch/_process/batch/dispatcher.py
@@ -42,6 +42,7 @@
     urgent: list[job_state.JobState] = attrs.field(factory=list)
     entitled: list[job_state.JobState] = attrs.field(factory=list)
     misses: int = 0
+    hopeless: set[tuple[str, workers.Resources]] = attrs.field(factory=set)
 
     @property
     def full(self) -> bool:
@@ -64,15 +65,23 @@
         self._queue = queue
         self._placement = placement
         self._size_for = size_for
+        self._changed = True
 
     @property
     def queued(self) -> int:
         """How many jobs wait."""
         return len(self._queue)
 
+    def take_changed(self) -> bool:
+        """Whether a round may do more than the last one; asked once."""
+        changed = self._changed
+        self._changed = False
+        return changed
+
     def sync(self, state: job_state.JobState) -> None:
         """Takes a job's state from the fold."""
         job = state.spec.id
+        self._changed = True
         if state.phase is job_state.JobPhase.ASSIGNED:
             self._queue.discard(job)
             self._placement.place(state, state.worker, state.size)
@@ -112,6 +121,7 @@
                 continue
             if self._within_quota(state, self._size_for(state)):
                 draft.entitled.append(state)
+        self._changed |= draft.full
         return Round(
             tuple(draft.assigned),
             tuple(draft.parked),
@@ -161,9 +171,14 @@
         if not self._may_use(state, size):
             draft.misses += 1
             return False
+        shape = (state.spec.job_class, size)
+        if shape in draft.hopeless:
+            return False
         worker = self._placement.choose(state, size)
         if worker is None:
             draft.misses += 1
+            if not state.failed_workers and not state.spec.urgent:
+                draft.hopeless.add(shape)
             return False
         draft.assigned.append(self.assign(state, worker, size, term))
         return True
--- a/src/comfreylatch/_process/batch/job_queue.py
+++ b/src/comfreylatch/_process/batch/job_queue.py
@@ -16,7 +16,7 @@
 from comfreylatch._version import objects
 
 # Jobs of one team looked at behind one that finds no room.
-BACKFILL_DEPTH = 4
+BACKFILL_DEPTH = 32
 FULL_SHARE_MILLI = 1_000
 NO_QUOTA_SHARE_MILLI = 1_000_000
 
--- a/src/comfreylatch/_process/batch/placement.py
+++ b/src/comfreylatch/_process/batch/placement.py
@@ -15,6 +15,7 @@
 from comfreylatch._version import job_state
 
 MAX_CANDIDATES = 12
+MORE_CANDIDATES = 48
 RACK_COST_MILLI = 20
 LEFTOVER_COST_MILLI = 100
 
@@ -108,22 +109,38 @@
 
         Workers on which the job has failed come last.
         """
-        limit = 1
-        if self._policy is Policy.PREDICTED_COST or state.failed_workers:
-            limit = MAX_CANDIDATES
-        candidates = self._ledger.candidates(size, limit)
-        if not candidates:
-            return None
-        untried = [
-            account
-            for account in candidates
-            if account.name not in state.failed_workers
-        ]
-        candidates = untried or candidates
         if self._policy is Policy.FIRST_FIT:
-            return candidates[0].name
+            found = self._ledger.candidates(size, MAX_CANDIDATES)
+            return _untried(state, found)[0].name if found else None
+        for limit in (MAX_CANDIDATES, MORE_CANDIDATES):
+            found = self._ledger.candidates(size, limit)
+            harmless = [
+                account for account in found if not self._harms(state, account)
+            ]
+            if harmless:
+                return self._cheapest(state, size, harmless)
+            if len(found) < limit:
+                break
+        if found and state.spec.urgent:
+            return self._cheapest(state, size, found)
+        return None
+
+    def _harms(
+        self, state: job_state.JobState, account: capacity.WorkerAccount
+    ) -> bool:
+        spec = state.spec
+        milli = spec.resources.processors_milli
+        return self._model.harms(spec.job_class, milli, account.name)
+
+    def _cheapest(
+        self,
+        state: job_state.JobState,
+        size: workers.Resources,
+        accounts: list[capacity.WorkerAccount],
+    ) -> str:
         best = min(
-            candidates, key=lambda account: self._cost(state, size, account)
+            _untried(state, accounts),
+            key=lambda account: self._cost(state, size, account),
         )
         return best.name
 
@@ -137,7 +154,10 @@
         self.remove(state.spec.id)
         self._ledger.reserve(state.spec.id, worker, size)
         self._model.place(
-            state.spec.id, worker, state.spec.job_class, size.processors_milli
+            state.spec.id,
+            worker,
+            state.spec.job_class,
+            state.spec.resources.processors_milli,
         )
         account = self._ledger.account(worker)
         rack = account.rack if account else ""
@@ -170,3 +190,15 @@
             + LEFTOVER_COST_MILLI * left // whole
         )
         return cost_milli, account.name
+
+
+def _untried(
+    state: job_state.JobState, accounts: list[capacity.WorkerAccount]
+) -> list[capacity.WorkerAccount]:
+    """Workers on which the job has not failed; all if it has on each."""
+    untried = [
+        account
+        for account in accounts
+        if account.name not in state.failed_workers
+    ]
+    return untried or accounts
--- a/src/comfreylatch/_process/batch/worker_mix.py
+++ b/src/comfreylatch/_process/batch/worker_mix.py
@@ -7,8 +7,12 @@
 from typing import final
 
 from comfreylatch._process.batch import interference
+from comfreylatch._process.batch import learned_sizes
 
 SERVICE_WEIGHT = 4.0
+# Predicted extra slowdown of a service that placement keeps below.
+HARM_BUDGET = 0.08
+NO_HARM = 0.02
 AVOID_COST_MILLI = 5_000
 AVOID_MS = 60_000
 
@@ -17,8 +21,13 @@
 class WorkerMix:
     """Implements `placement.CostModel`. Used by one thread."""
 
-    def __init__(self, model: interference.InterferenceModel) -> None:
+    def __init__(
+        self,
+        model: interference.InterferenceModel,
+        sizes: learned_sizes.LearnedSizes,
+    ) -> None:
         self._model = model
+        self._sizes = sizes
         self._milli: dict[str, collections.Counter[str]] = {}
         self._placed: dict[str, tuple[str, str, int]] = {}
         self._whole: dict[str, int] = {}
@@ -65,6 +74,27 @@
         for key in passed:
             del self._avoid_until_ms[key]
 
+    def harms(self, job_class: str, declared_milli: int, worker: str) -> bool:
+        """See `placement.CostModel.harms`."""
+        whole = self._whole.get(worker, 1)
+        load = self._real_milli(job_class, declared_milli) / whole
+        mix = self._milli.get(worker, {})
+        for service in self._services.get(worker, ()):
+            known = self._model.estimates_for(service)
+            unknown = interference.UNKNOWN
+            before = sum(
+                known.get(other, unknown).mean * milli / whole
+                for other, milli in mix.items()
+            )
+            more = known.get(job_class, unknown).mean * load
+            if before > NO_HARM and before + more > HARM_BUDGET:
+                return True
+        return False
+
+    def _real_milli(self, job_class: str, declared_milli: int) -> int:
+        ratio = self._sizes.ratio(job_class)
+        return max(1, declared_milli * ratio.processors_milli // 1_000)
+
     def cost_milli(self, job_class: str, worker: str) -> int:
         """See `placement.CostModel.cost_milli`."""
         whole = self._whole.get(worker, 1)
--- a/src/comfreylatch/_process/batch/zone_books.py
+++ b/src/comfreylatch/_process/batch/zone_books.py
@@ -51,7 +51,7 @@
         self.ledger = capacity.CapacityLedger()
         self.workers = zone_workers.ZoneWorkers(zone, self.ledger)
         self.queue = job_queue.JobQueue()
-        self.mix = worker_mix.WorkerMix(usage.model)
+        self.mix = worker_mix.WorkerMix(usage.model, usage.sizes)
         self.dispatcher = dispatcher_module.Dispatcher(
             self.queue,
             placement_module.Placement(self.ledger, self.mix, policy),
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -40,6 +40,7 @@
 IDLE_STEP_MS = 250
 LEAST_STEP_MS = 20
 CHECK_MS = 250
+IDLE_ROUND_MS = 500
 SLOW_POLL_MS = 1_500
 APPEND_TIMEOUT_MS = 1_500
 MAX_RECORDS_PER_APPEND = 256
@@ -85,6 +86,7 @@
         self._used_list: hosts.HostList | None = None
         self._checked_ms = -CHECK_MS
         self._append_after_ms = 0
+        self._place_ms = 0
         self._uncertain: dict[str, job_records.AttemptAssigned] = {}
         self._health = worker_health.WorkerHealth()
         self._usage = usage_intake.UsageIntake()
@@ -325,6 +327,9 @@
         books = self._books
         if books.dispatcher.queued == 0 or now_ms < self._append_after_ms:
             return
+        if not books.dispatcher.take_changed() and now_ms < self._place_ms:
+            return
+        self._place_ms = now_ms + IDLE_ROUND_MS
         limits = self._source.current().limits
         planned = self._assign_planned(now_ms)
         made = books.dispatcher.run_round(
--- /dev/null
+++ b/tests/process/batch/test_placement.py
@@ -0,0 +1,272 @@
+"""Tests of capacity, choice of worker, queue order and victims."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import capacity
+from comfreylatch._process.batch import eviction
+from comfreylatch._process.batch import interference
+from comfreylatch._process.batch import job_queue
+from comfreylatch._process.batch import learned_sizes
+from comfreylatch._process.batch import placement
+from comfreylatch._process.batch import worker_mix
+from comfreylatch._version import job_records
+from comfreylatch._version import job_state
+from comfreylatch._version import objects
+
+AMOUNT = workers.Resources(4_000, 4_000)
+SMALL = workers.Resources(1_000, 100)
+_amounts = strategies.builds(
+    workers.Resources,
+    strategies.integers(0, 4_000),
+    strategies.integers(0, 4_000),
+    strategies.integers(0, 2),
+)
+
+
+def queued(
+    job: str,
+    team: str = "faculty",
+    size: workers.Resources = SMALL,
+    job_class: str = "stack",
+    urgent: bool = False,
+) -> job_state.JobState:
+    """A job that waits."""
+    spec = job_records.JobSpec(
+        job, team, "bole", job_class, size, 1_000, urgent
+    )
+    return job_state.JobState(spec, order=0)
+
+
+def ledger_of(count: int) -> capacity.CapacityLedger:
+    """Equal workers, two to a rack."""
+    ledger = capacity.CapacityLedger()
+    for index in range(count):
+        ledger.set_worker(
+            f"w{index}", f"rack-{index // 2}", AMOUNT, capacity.NOTHING, True
+        )
+    return ledger
+
+
+def placement_on(
+    ledger: capacity.CapacityLedger, mix: worker_mix.WorkerMix
+) -> placement.Placement:
+    """A placement by predicted cost."""
+    for account in ledger.accounts():
+        mix.set_worker(account.name, account.total.processors_milli)
+    return placement.Placement(ledger, mix)
+
+
+def empty_mix() -> worker_mix.WorkerMix:
+    """Nothing learned, nothing running."""
+    model = interference.InterferenceModel()
+    return worker_mix.WorkerMix(model, learned_sizes.LearnedSizes())
+
+
+class LedgerTest(testtools.TestCase):
+    """Free capacity and its index."""
+
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    @hypothesis.given(
+        strategies.lists(_amounts, min_size=1, max_size=20), _amounts
+    )
+    def test_candidates_are_those_with_room(
+        self, held: list[workers.Resources], size: workers.Resources
+    ) -> None:
+        """The index finds exactly what a scan finds."""
+        ledger = ledger_of(len(held))
+        for index, amount in enumerate(held):
+            ledger.reserve(f"job-{index}", f"w{index}", amount)
+        expected = {
+            account.name
+            for account in ledger.accounts()
+            if capacity.fits(size, account.free)
+        }
+        found = {account.name for account in ledger.candidates(size, 100)}
+        self.assertEqual(expected, found)
+
+    def test_endpoints_reserve_first(self) -> None:
+        """What services take is never free for batch work."""
+        ledger = capacity.CapacityLedger()
+        services = workers.Resources(3_500, 100)
+        ledger.set_worker("w0", "", AMOUNT, services, True)
+        size = workers.Resources(1_000, 100)
+        self.assertEqual([], ledger.candidates(size, 1))
+
+    def test_released_room_is_free_again(self) -> None:
+        """A job's room comes back once."""
+        ledger = ledger_of(1)
+        ledger.reserve("job", "w0", AMOUNT)
+        ledger.release("job")
+        ledger.release("job")
+        self.assertEqual(AMOUNT, ledger.account("w0").free)
+
+    def test_nearest_worker_names_the_dimensions(self) -> None:
+        """Only what is short there is told."""
+        size = workers.Resources(1_000, 9_000, 1)
+        with_accelerator = workers.Resources(500, 500, 4)
+        memory = workers.Resources(4_000, 8_000, 1)
+        never = placement.never_fits(size, [with_accelerator, memory])
+        self.assertEqual(("memory_mib",), never.dimensions)
+
+
+class ChoiceTest(testtools.TestCase):
+    """Which worker is chosen."""
+
+    def test_team_is_spread_over_racks(self) -> None:
+        """Two tasks of a team don't share a rack without need."""
+        ledger = ledger_of(4)
+        chooser = placement_on(ledger, empty_mix())
+        racks = set()
+        for number in range(2):
+            state = queued(f"job-{number}")
+            worker = chooser.choose(state, state.spec.resources)
+            chooser.place(state, worker, state.spec.resources)
+            racks.add(ledger.account(worker).rack)
+        self.assertEqual(2, len(racks))
+
+    def test_harmful_class_is_not_piled_up(self) -> None:
+        """A class known to slow a service down runs once a worker."""
+        model = interference.InterferenceModel()
+        mix = worker_mix.WorkerMix(model, learned_sizes.LearnedSizes())
+        for _ in range(50):
+            loads = {"noisy": 0.25}
+            sample = interference.Sample(loads, {"skyproc": 1.2}, 0.25)
+            model.learn(sample)
+        ledger = ledger_of(2)
+        chooser = placement_on(ledger, mix)
+        for account in ledger.accounts():
+            mix.set_services(account.name, ["skyproc"])
+        placed = []
+        for number in range(3):
+            state = queued(f"job-{number}", job_class="noisy")
+            worker = chooser.choose(state, state.spec.resources)
+            placed.append(worker)
+            if worker is not None:
+                chooser.place(state, worker, state.spec.resources)
+        self.assertEqual({"w0", "w1"}, set(placed[:2]))
+        self.assertIsNone(placed[2])
+
+    def test_urgent_job_is_placed_all_the_same(self) -> None:
+        """It doesn't wait for a quieter worker."""
+        mix = empty_mix()
+        ledger = ledger_of(1)
+        chooser = placement_on(ledger, mix)
+        mix.set_services("w0", ["skyproc"])
+        first = queued("first", size=workers.Resources(3_000, 100))
+        chooser.place(first, "w0", first.spec.resources)
+        late = queued("late", urgent=True)
+        self.assertEqual("w0", chooser.choose(late, late.spec.resources))
+
+
+class QueueTest(testtools.TestCase):
+    """Whose job comes next."""
+
+    def test_smallest_share_comes_first(self) -> None:
+        """A team that uses less of its quota goes before."""
+        queue = job_queue.JobQueue()
+        quota = objects.Team(workers.Resources(2_000, 2_000))
+        queue.set_teams({"a": quota, "b": quota})
+        queue.hold("running", "a", workers.Resources(1_000, 0))
+        queue.add(queued("of-a", "a"))
+        queue.add(queued("of-b", "b"))
+        order = []
+        for state in queue.fair_order():
+            order.append(state.spec.id)
+            queue.discard(state.spec.id)
+        self.assertEqual(["of-b", "of-a"], order)
+
+    def test_evicted_job_goes_before_its_team(self) -> None:
+        """It has waited before."""
+        queue = job_queue.JobQueue()
+        queue.add(queued("new"))
+        evicted = job_state.JobState(queued("old").spec, order=0, attempt=1)
+        queue.add(evicted)
+        first = next(queue.fair_order())
+        self.assertEqual("old", first.spec.id)
+
+
+class VictimTest(testtools.TestCase):
+    """Whom an urgent start costs its place."""
+
+    def _attempt(self, job: str, lost_ms: int) -> attempt_module.Attempt:
+        found = attempt_module.Attempt(queued(job), 0)
+        found.progress_ms = lost_ms
+        return found
+
+    def test_least_lost_work_goes_first(self) -> None:
+        """One victim is enough, and it is the youngest."""
+        attempts = [self._attempt("old", 90_000), self._attempt("new", 10)]
+        victims = eviction.fewest_victims(
+            workers.Resources(1_000, 100), capacity.NOTHING, attempts
+        )
+        self.assertEqual(["new"], [victim.job for victim in victims])
+
+    def test_no_victims_when_even_all_are_too_few(self) -> None:
+        """Nobody is stopped in vain."""
+        victims = eviction.fewest_victims(
+            workers.Resources(3_000, 100),
+            capacity.NOTHING,
+            [self._attempt("one", 0)],
+        )
+        self.assertIsNone(victims)
+
+    def test_budget_is_for_one_hour(self) -> None:
+        """All of a request or none is granted."""
+        budget = eviction.EvictionBudget()
+        self.assertTrue(budget.take(2, 3, 0))
+        self.assertFalse(budget.take(2, 3, 1_000))
+        self.assertTrue(budget.take(2, 3, eviction.HOUR_MS))
+
+
+class LearningTest(testtools.TestCase):
+    """Sizes and interference."""
+
+    def test_causes_beside_each_other_are_told_apart(self) -> None:
+        """Only one of two classes slows the service down."""
+        model = interference.InterferenceModel()
+        for step in range(200):
+            noisy = 0.1 + 0.4 * (step % 5) / 4
+            quiet = 0.1 + 0.4 * (step % 3) / 2
+            loads = {"noisy": noisy, "quiet": quiet}
+            slow = {"skyproc": 1.0 + 1.0 * noisy}
+            model.learn(interference.Sample(loads, slow, noisy + quiet))
+        self.assertGreater(model.coefficient("skyproc", "noisy").mean, 0.9)
+        self.assertLess(model.coefficient("skyproc", "quiet").mean, 0.1)
+
+    def test_uncertainty_falls_with_samples(self) -> None:
+        """A pair that was never seen keeps the prior."""
+        model = interference.InterferenceModel()
+        for _ in range(20):
+            sample = interference.Sample({"a": 0.3}, {"s": 1.1}, 0.3)
+            model.learn(sample)
+        known = model.coefficient("s", "a").variance
+        self.assertLess(known, model.coefficient("s", "b").variance)
+
+    def test_class_that_declares_too_little_reserves_more(self) -> None:
+        """Most of its attempts fit, but never beyond a worker."""
+        sizes = learned_sizes.LearnedSizes()
+        declared = workers.Resources(1_000, 1_000)
+        for number in range(10):
+            used = workers.TaskSlowdown(f"j{number}", 1, 1_000, 500, 3_000)
+            sizes.note("stack", declared, used)
+        self.assertEqual(
+            workers.Resources(1_000, 3_000),
+            sizes.size("stack", declared, AMOUNT),
+        )
+        small = workers.Resources(4_000, 2_000)
+        self.assertEqual(2_000, sizes.size("stack", declared, small).memory_mib)
+
+    def test_few_attempts_teach_nothing(self) -> None:
+        """The declared size holds until enough were seen."""
+        sizes = learned_sizes.LearnedSizes()
+        declared = workers.Resources(1_000, 1_000)
+        used = workers.TaskSlowdown("j", 1, 1_000, 500, 3_000)
+        for _ in range(50):
+            sizes.note("stack", declared, used)
+        self.assertEqual(declared, sizes.size("stack", declared, AMOUNT))
