--- a/src/comfreylatch/_process/batch/interference_control.py
+++ b/src/comfreylatch/_process/batch/interference_control.py
@@ -18,8 +18,8 @@
 from comfreylatch._process.batch import eviction
 from comfreylatch._process.batch import interference
 
-HIGH_SLOWDOWN = 1.15
-LOW_SLOWDOWN = 1.06
+HIGH_MARGIN = 0.05
+LOW_MARGIN = -0.04
 MIN_SAMPLES = 3
 SETTLE_MS = 1_500
 FULL_SHARE_MILLI = 1_000
@@ -75,11 +75,16 @@
 
 @final
 class InterferenceControl:
-    """Decides the steps for every worker. Used by one thread."""
+    """Decides the steps for every worker. Used by one thread.
+
+    Attributes:
+        allowed_slowdown: How much slower a service may get, as a fraction.
+    """
 
     def __init__(self, model: interference.InterferenceModel) -> None:
         self._model = model
         self._states: dict[str, _WorkerState] = {}
+        self.allowed_slowdown = 0.1
 
     def step_of(self, worker: str) -> Step:
         """How far the control of a worker has gone."""
@@ -91,7 +96,8 @@
         state = self._states.get(worker)
         if state is None:
             return False
-        slow = bool(state.worst) and state.worst[-1][1] > LOW_SLOWDOWN
+        low = 1.0 + self.allowed_slowdown + LOW_MARGIN
+        slow = bool(state.worst) and state.worst[-1][1] > low
         return slow or state.step is not Step.NONE
 
     def forget(self, worker: str) -> None:
@@ -125,9 +131,10 @@
             return None
         slowdowns = [slowdown for _, slowdown in state.worst]
         action: Action | None = None
-        if min(slowdowns) > HIGH_SLOWDOWN:
+        allowed = 1.0 + self.allowed_slowdown
+        if min(slowdowns) > allowed + HIGH_MARGIN:
             action = self._escalate(state, attempts)
-        elif max(slowdowns) < LOW_SLOWDOWN:
+        elif max(slowdowns) < allowed + LOW_MARGIN:
             action = _relax(state, attempts)
         if action is not None:
             state.acted_ms = now_ms
--- a/src/comfreylatch/_process/batch/worker_mix.py
+++ b/src/comfreylatch/_process/batch/worker_mix.py
@@ -10,8 +10,8 @@
 from comfreylatch._process.batch import learned_sizes
 
 SERVICE_WEIGHT = 4.0
-# Predicted extra slowdown of a service that placement keeps below.
-HARM_BUDGET = 0.08
+# Part of the allowed slowdown that placement plans to use.
+PLANNED_PART = 0.8
 NO_HARM = 0.02
 AVOID_COST_MILLI = 5_000
 AVOID_MS = 60_000
@@ -19,7 +19,12 @@
 
 @final
 class WorkerMix:
-    """Implements `placement.CostModel`. Used by one thread."""
+    """Implements `placement.CostModel`. Used by one thread.
+
+    Attributes:
+        now_ms: Monotonic time, set by the owner's loop.
+        allowed_slowdown: How much slower a service may get, as a fraction.
+    """
 
     def __init__(
         self,
@@ -34,6 +39,7 @@
         self._services: dict[str, Collection[str]] = {}
         self._avoid_until_ms: dict[tuple[str, str], int] = {}
         self.now_ms = 0
+        self.allowed_slowdown = 0.1
 
     def set_worker(self, worker: str, processors_milli: int) -> None:
         """Declares what a worker has."""
@@ -79,6 +85,7 @@
         whole = self._whole.get(worker, 1)
         load = self._real_milli(job_class, declared_milli) / whole
         mix = self._milli.get(worker, {})
+        budget = PLANNED_PART * self.allowed_slowdown
         for service in self._services.get(worker, ()):
             known = self._model.estimates_for(service)
             unknown = interference.UNKNOWN
@@ -87,7 +94,7 @@
                 for other, milli in mix.items()
             )
             more = known.get(job_class, unknown).mean * load
-            if before > NO_HARM and before + more > HARM_BUDGET:
+            if before > NO_HARM and before + more > budget:
                 return True
         return False
 
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -199,7 +199,10 @@
         books.workers.set_configuration(configuration)
         books.queue.set_teams(configuration.teams)
         books.refresh_workers()
+        allowed = configuration.limits.service_slowdown_percent / 100
         books.mix.now_ms = now_ms
+        books.mix.allowed_slowdown = allowed
+        self._usage.control.allowed_slowdown = allowed
         for name, host in listed.items():
             books.ledger.set_open(name, self._is_open(host, now_ms))
 
--- a/src/comfreylatch/_version/objects.py
+++ b/src/comfreylatch/_version/objects.py
@@ -119,6 +119,8 @@
         drift_margin_ms: Added to every wait that guards against clocks.
         evictions_per_hour: Evictions a zone may make, urgent starts aside.
         max_attempts: Failed attempts after which a job is parked.
+        service_slowdown_percent: How much batch work beside it may slow a
+            service down; placement keeps below, and steps are taken above.
     """
 
     lease_ms: int = 15_000
@@ -127,6 +129,7 @@
     drift_margin_ms: int = 500
     evictions_per_hour: int = 60
     max_attempts: int = 4
+    service_slowdown_percent: int = 10
 
 
 ConfigObject = Service | Endpoint | Team | WorkerClass | Zone | Limits
--- a/testing/measure_batch.py
+++ b/testing/measure_batch.py
@@ -61,12 +61,15 @@
         self._client = worker_client.WorkerClient()
         self._lock = threading.Lock()
         self.slowdowns: list[int] = []
+        self.warm_from = 0
+        self.exchanges = 0
 
     def exchange(
         self, address: str, exchange: workers.Exchange, timeout_ms: int
     ) -> result.Result[workers.WorkerReport, workers.WorkerError]:
         """See `WorkerPort.exchange`."""
         answer = self._client.exchange(address, exchange, timeout_ms)
+        self.exchanges += 1
         if isinstance(answer, result.Ok):
             found = [
                 one.slowdown_milli
@@ -91,6 +94,7 @@
         failures: Attempts that failed, mostly for memory.
         p50_milli: Median slowdown of the service, 1000 when alone.
         p99_milli: 99th percentile of it.
+        warm_p99_milli: The same without the first third of the run.
     """
 
     policy: str
@@ -102,22 +106,24 @@
     failures: int
     p50_milli: int
     p99_milli: int
+    warm_p99_milli: int
 
 
 class Fleet:
     """One process of stand-in workers."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, count: int = WORKERS, services: bool = True
+    ) -> None:
+        service = worker_model.ServiceSpec(SERVICE, SERVICE_SIZE, 0.5)
         specs = [
             worker_records.WorkerSpec(
                 f"w{index}",
                 AMOUNT,
-                services=(
-                    worker_model.ServiceSpec(SERVICE, SERVICE_SIZE, 0.5),
-                ),
+                services=(service,) if services else (),
                 usage_lag_ms=LAGS_MS[index % len(LAGS_MS)],
             )
-            for index in range(WORKERS)
+            for index in range(count)
         ]
         factors = {
             "size_factors": dict(zip(CLASS_NAMES, SIZE_FACTORS, strict=True)),
@@ -160,7 +166,9 @@
         self._process.wait()
 
 
-def configuration() -> configuration_module.Configuration:
+def configuration(
+    endpoint_count: int, limits: objects.Limits | None
+) -> configuration_module.Configuration:
     """Teams, classes and the service's endpoints on the workers."""
     endpoints = {
         f"ex-{index}": objects.Endpoint(
@@ -170,7 +178,7 @@
             worker=f"w{index}",
             resources=SERVICE_SIZE,
         )
-        for index in range(WORKERS)
+        for index in range(endpoint_count)
     }
     teams = {
         f"team-{index}": objects.Team(workers.Resources(200_000, 800_000))
@@ -182,6 +190,7 @@
         teams=teams,
         worker_classes={"standard": objects.WorkerClass(AMOUNT)},
         zones={ZONE: objects.Zone(("seat",))},
+        limits=limits or objects.Limits(),
     )
 
 
@@ -206,9 +215,16 @@
 class Side:
     """One policy with its fleet."""
 
-    def __init__(self, policy: placement.Policy, seed: int) -> None:
+    def __init__(
+        self,
+        policy: placement.Policy,
+        seed: int,
+        count: int = WORKERS,
+        services: bool = True,
+        limits: objects.Limits | None = None,
+    ) -> None:
         self.policy = policy
-        self.fleet = Fleet(seed)
+        self.fleet = Fleet(seed, count, services)
         self.port = RecordingPort()
         clock = clock_port.SystemClock()
         platform = settings_module.PlatformSettings("", "")
@@ -216,7 +232,9 @@
             settings_module.Settings("seat", ZONE, "", "", "", platform),
             f"host-{policy}",
             fake_log.FakeLog(),
-            fake_zone.FixedSource(configuration()),
+            fake_zone.FixedSource(
+                configuration(count if services else 0, limits)
+            ),
             self.port,
             journal_module.Journal("host", clock),
             metrics_module.Metrics(),
@@ -278,8 +296,8 @@
             for state in states
             if state.phase is not job_state.JobPhase.FINISHED
         )
-        slowdowns = sorted(self.port.slowdowns)
-        quantiles = statistics.quantiles(slowdowns, n=100)
+        quantiles = statistics.quantiles(self.port.slowdowns, n=100)
+        warm = self.port.slowdowns[self.port.warm_from :]
         return Outcome(
             policy=self.policy.value,
             finished=len(finished),
@@ -292,6 +310,7 @@
             ),
             p50_milli=int(quantiles[49]),
             p99_milli=int(quantiles[98]),
+            warm_p99_milli=int(statistics.quantiles(warm, n=100)[98]),
         )
 
 
@@ -322,19 +341,31 @@
     """Runs both policies side by side and prints a line for each."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=int, default=120)
-    parser.add_argument("--jobs", type=int, default=1_200)
+    parser.add_argument("--jobs", type=int, default=4_000)
+    parser.add_argument("--slowdown-percent", type=int, default=10)
     parser.add_argument("--seed", type=int, default=1)
     given = parser.parse_args()
-    sides = [Side(policy, given.seed) for policy in placement.Policy]
+    limits = objects.Limits(service_slowdown_percent=given.slowdown_percent)
+    sides = [
+        Side(policy, given.seed, limits=limits) for policy in placement.Policy
+    ]
     with contextlib.ExitStack() as stack:
         for side in sides:
             stack.callback(side.fleet.stop)
             stack.enter_context(side.service)
             side.start()
         work = jobs(given.seed, given.jobs)
+        threads = [
+            threading.Thread(target=side.submit, args=(work,)) for side in sides
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(given.seconds / 3)
         for side in sides:
-            side.submit(work)
-        time.sleep(given.seconds)
+            side.port.warm_from = len(side.port.slowdowns)
+        time.sleep(given.seconds * 2 / 3)
+        for thread in threads:
+            thread.join()
         for side in sides:
             print(msgspec.json.encode(side.outcome()).decode())
 
--- /dev/null
+++ b/testing/measure_owner.py
@@ -0,0 +1,79 @@
+"""What an owner host spends on its workers: processor time and memory.
+
+Runs one owner over a process of stand-in workers, first idle, then with jobs
+coming in at a steady rate, and prints processor time a second of the owner's
+process and its resident memory. Run it with
+
+    python -m testing.measure_owner [--workers 110] [--starts-per-s 15]
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import resource
+import time
+
+from comfreylatch._process.batch import placement
+from testing import measure_batch
+
+
+def _resident_mib() -> float:
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        pages = int(statm.read().split()[1])
+    return pages * resource.getpagesize() / 2**20
+
+
+def _report(side: measure_batch.Side, phase: str, seconds: int) -> None:
+    started_s = time.process_time()
+    exchanges = side.port.exchanges
+    time.sleep(seconds)
+    spent_ms = (time.process_time() - started_s) * 1_000 / seconds
+    rate = (side.port.exchanges - exchanges) / seconds
+    status = side.service.status().owner
+    print(
+        f"phase={phase} cpu_ms_per_s={spent_ms:.1f} "
+        f"exchanges_per_s={rate:.1f} running={status.running} "
+        f"queued={status.queued} resident_mib={_resident_mib():.1f}"
+    )
+
+
+def main() -> None:
+    """Prints a line for each phase."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--workers", type=int, default=110)
+    parser.add_argument("--starts-per-s", type=int, default=15)
+    parser.add_argument("--seconds", type=int, default=20)
+    given = parser.parse_args()
+    side = measure_batch.Side(
+        placement.Policy.PREDICTED_COST, 1, given.workers, services=False
+    )
+    with contextlib.ExitStack() as stack:
+        stack.callback(side.fleet.stop)
+        stack.enter_context(side.service)
+        side.start()
+        time.sleep(5)
+        _report(side, "idle", given.seconds)
+        count = given.starts_per_s * given.seconds * 2
+        work = measure_batch.jobs(1, count)
+        began = time.monotonic()
+        for second in range(given.seconds * 2):
+            first = second * given.starts_per_s
+            side.submit(work[first : first + given.starts_per_s])
+            if second == given.seconds:
+                _mark = time.process_time(), side.port.exchanges
+            time.sleep(max(0.0, began + second + 1 - time.monotonic()))
+        spent_s = time.process_time() - _mark[0]
+        exchanges = side.port.exchanges - _mark[1]
+        status = side.service.status().owner
+        print(
+            f"phase=steady cpu_ms_per_s="
+            f"{spent_s * 1_000 / (given.seconds - 1):.1f} "
+            f"exchanges_per_s={exchanges / (given.seconds - 1):.1f} "
+            f"running={status.running} queued={status.queued} "
+            f"resident_mib={_resident_mib():.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
