--- a/src/comfreylatch/_version/objects.py
+++ b/src/comfreylatch/_version/objects.py
@@ -112,20 +112,24 @@
     """Fleet-wide bounds; there is one object of this kind, named `fleet`.
 
     Attributes:
-        lease_ms: Lease of a worker, renewed at a third of it.
+        lease_ms: Lease of a worker, renewed at a third of it. Longer than
+            twice the claim, running work survives the death of its owner.
         claim_ms: How long a claim on a zone's workers holds unrenewed.
         command_ttl_ms: Age at which a worker calls a quoted report stale.
         drift_margin_ms: Added to every wait that guards against clocks.
         evictions_per_hour: Evictions a zone may make, urgent starts aside.
         max_attempts: Failed attempts after which a job is parked.
+        service_slowdown_percent: How much batch work beside it may slow a
+            service down; placement keeps below, and steps are taken above.
     """
 
-    lease_ms: int = 6_000
+    lease_ms: int = 15_000
     claim_ms: int = 6_000
     command_ttl_ms: int = 2_000
     drift_margin_ms: int = 500
     evictions_per_hour: int = 60
     max_attempts: int = 4
+    service_slowdown_percent: int = 10
 
 
 ConfigObject = Service | Endpoint | Team | WorkerClass | Zone | Limits
