--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -390,7 +390,8 @@
         )
 
     def _is_ready(self) -> bool:
-        return self._config.ready and not self._state.stopping.is_set()
+        is_up = self._gate.is_decided.is_set()
+        return is_up and not self._state.stopping.is_set()
 
     def _host_status(self) -> HostStatus:
         offset, digest = self._config.position()
@@ -432,7 +433,7 @@
         return tuple(sorted([self._settings.seat, *others]))
 
     def _longest_request_ms(self) -> int:
-        return shares_module.longest_request_ms(self._fold.current())
+        return shares_module.longest_hold_ms(self._fold.current())
 
     def _left_over_ms(self) -> int:
         """How long requests and loans of a killed predecessor may last."""
