--- a/testing/capacity/__main__.py
+++ b/testing/capacity/__main__.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from testing.capacity import costs
 from testing.capacity import model
 from testing.capacity import report
 
 
 def main() -> None:
     """Measures, works it out and prints the page."""
-    worked_out = model.Model(model.Size(), model.measure())
+    worked_out = model.Model(costs.Size(), model.measure())
     print(report.page(worked_out), end="")
 
 
--- a/testing/capacity/model.py
+++ b/testing/capacity/model.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-import enum
-
 import attrs
 
 from comfreylatch._process import journal
@@ -17,13 +14,12 @@
 from comfreylatch._version import zone_fold
 from testing.capacity import batch_slopes
 from testing.capacity import configuration_slopes
+from testing.capacity import costs
 from testing.capacity import owner_slopes
 from testing.capacity import process_slopes
 from testing.capacity import wire_slopes
 
 MS_PER_S = 1_000
-US_PER_S = 1_000_000
-S_PER_DAY = 86_400
 KIB = 1_024
 # Frames and acknowledgements of one call on a kept connection, and those of
 # opening and closing a connection for a single call.
@@ -36,53 +32,6 @@
 LEASE_RENEWALS = 3
 
 
-@attrs.frozen
-class Size:
-    """The size to design for; the last lines are this page's assumptions."""
-
-    zones: int = 10
-    workers: int = 1_100
-    endpoints: int = 2_600
-    running_tasks: int = 26_000
-    starts_per_s: int = 150
-    teams: int = 240
-    changes_per_day: int = 3_000
-    seats_per_zone: int = 4
-    services: int = 40
-    change_peak_factor: int = 10
-    urgent_queue_s: int = 60
-
-    @property
-    def zone_workers(self) -> float:
-        """Workers of one zone."""
-        return self.workers / self.zones
-
-    @property
-    def zone_tasks(self) -> float:
-        """Batch tasks that run in one zone."""
-        return self.running_tasks / self.zones
-
-    @property
-    def zone_starts_per_s(self) -> float:
-        """Starts of one zone at the peak."""
-        return self.starts_per_s / self.zones
-
-    @property
-    def tasks_per_worker(self) -> float:
-        """Batch tasks that run on one worker."""
-        return self.running_tasks / self.workers
-
-    @property
-    def seats(self) -> int:
-        """Entry hosts in all."""
-        return self.zones * self.seats_per_zone
-
-    @property
-    def changes_per_s(self) -> float:
-        """Configuration changes at the peak."""
-        return self.changes_per_day / S_PER_DAY * self.change_peak_factor
-
-
 @attrs.frozen
 class Slopes:
     """All that was measured."""
@@ -94,56 +43,14 @@
     wire: wire_slopes.WireSlopes
 
 
-@attrs.frozen
-class Cost:
-    """One mechanism's part in a role.
-
-    Attributes:
-        mechanism: What carries it.
-        state_kib: Memory.
-        messages_per_s: Calls made and answered.
-        cpu_us_per_s: Processor time of this process.
-        bytes_per_s: Sent and received.
-    """
-
-    mechanism: str
-    state_kib: float = 0
-    messages_per_s: float = 0
-    cpu_us_per_s: float = 0
-    bytes_per_s: float = 0
-
-
-class Role(enum.StrEnum):
-    """What an entry host can be."""
-
-    FRONT = "front of requests"
-    OWNER = "owner of a zone's workers"
-    STANDBY = "standby"
-    FOLLOWER = "follower"
-    RELAY = "peer relay"
-
-
-@attrs.frozen
-class RoleCost:
-    """A role's mechanisms and whether it is built."""
-
-    role: Role
-    built: str
-    costs: tuple[Cost, ...]
-
-    def total(self, name: str) -> float:
-        """Sum of one of the figures over all mechanisms."""
-        return sum(getattr(cost, name) for cost in self.costs)
-
-
 @attrs.frozen
 class Model:
     """Costs at a size, by the slopes."""
 
-    size: Size
+    size: costs.Size
     slopes: Slopes
 
-    def roles(self) -> tuple[RoleCost, ...]:
+    def roles(self) -> tuple[costs.RoleCost, ...]:
         """All roles; each holds all that its process does."""
         base = (
             self.process(),
@@ -159,13 +66,13 @@
         owns = self.zone_stream(is_owner=True)
         front = (*base, mesh, self.routing())
         return (
-            RoleCost(
-                Role.FRONT,
+            costs.RoleCost(
+                costs.Role.FRONT,
                 "yes; every host is also a standby",
                 (*front, follows),
             ),
-            RoleCost(
-                Role.OWNER,
+            costs.RoleCost(
+                costs.Role.OWNER,
                 "yes; it is a front, too",
                 (
                     *front,
@@ -176,14 +83,14 @@
                     self.steps(),
                 ),
             ),
-            RoleCost(Role.STANDBY, "yes", (*base, mesh, follows)),
-            RoleCost(
-                Role.FOLLOWER,
+            costs.RoleCost(costs.Role.STANDBY, "yes", (*base, mesh, follows)),
+            costs.RoleCost(
+                costs.Role.FOLLOWER,
                 "no: every host follows its zone's stream",
                 (*base, zone_mesh),
             ),
-            RoleCost(
-                Role.RELAY,
+            costs.RoleCost(
+                costs.Role.RELAY,
                 "no: heartbeats go to every seat of every zone",
                 (
                     *base,
@@ -195,13 +102,13 @@
             ),
         )
 
-    def process(self) -> Cost:
+    def process(self) -> costs.Cost:
         """Interpreter and libraries."""
         process = self.slopes.process
         whole_kib = process.interpreter_kib + process.libraries_kib
-        return Cost("interpreter and libraries", state_kib=whole_kib)
+        return costs.Cost("interpreter and libraries", state_kib=whole_kib)
 
-    def configuration(self) -> Cost:
+    def configuration(self) -> costs.Cost:
         """The configuration stream, followed and folded."""
         size = self.size
         slopes = self.slopes.configuration
@@ -216,7 +123,7 @@
         record = slopes.change_record_bytes + READ_RECORD_OVERHEAD_BYTES
         # One copy is read from the log, another comes from its writer.
         copies = 2
-        return Cost(
+        return costs.Cost(
             "configuration: fold of the stream `config`",
             state_kib=state_bytes / KIB,
             messages_per_s=reads + size.changes_per_s,
@@ -226,32 +133,32 @@
             + copies * size.changes_per_s * record,
         )
 
-    def journal(self) -> Cost:
+    def journal(self) -> costs.Cost:
         """The bounded journal, full."""
         slope = self.slopes.process.decision_bytes
-        return Cost(
+        return costs.Cost(
             f"journal of {journal.MAX_DECISIONS} decisions",
             state_kib=slope.at(journal.MAX_DECISIONS) / KIB,
         )
 
-    def histograms(self) -> Cost:
+    def histograms(self) -> costs.Cost:
         """Latency histograms: two for each service and a few others."""
         labels = 2 * self.size.services + 10
         slope = self.slopes.process.histogram_bytes
-        return Cost(
+        return costs.Cost(
             f"{labels} latency histograms", state_kib=slope.at(labels) / KIB
         )
 
-    def routing(self) -> Cost:
+    def routing(self) -> costs.Cost:
         """Shares, statistics and choice for the zone's endpoints."""
         endpoints = self.size.endpoints / self.size.zones
         slope = self.slopes.configuration.routed_endpoint_bytes
-        return Cost(
+        return costs.Cost(
             "routing: shares and statistics of the zone's endpoints",
             state_kib=slope.at(endpoints) / KIB,
         )
 
-    def heartbeats(self, peers: int, whom: str) -> Cost:
+    def heartbeats(self, peers: int, whom: str) -> costs.Cost:
         """Heartbeats sent to and answered for a number of peers."""
         beats = peers * MS_PER_S / settings.TimingSettings().heartbeat_ms
         wire = self.slopes.wire
@@ -261,7 +168,7 @@
         size = wire.heartbeat_bytes.at(services) + KEPT_CALL_OVERHEAD_BYTES
         # A thread sends to each peer, and one answers each peer.
         threads_kib = 2 * peers * self.slopes.process.thread_kib.per_unit
-        return Cost(
+        return costs.Cost(
             f"heartbeats with {whom} ({peers})",
             state_kib=threads_kib,
             messages_per_s=2 * beats,
@@ -307,7 +214,7 @@
             + rates["renewals"] * batch.end_record_bytes
         )
 
-    def zone_stream(self, is_owner: bool) -> Cost:
+    def zone_stream(self, is_owner: bool) -> costs.Cost:
         """The zone's stream, followed and folded; the owner writes it, too."""
         size = self.size
         batch = self.slopes.batch
@@ -332,7 +239,7 @@
             moved += appends * (HTTP_HEAD_BYTES + KEPT_CALL_OVERHEAD_BYTES)
             messages += appends
         written = ", followed and written" if is_owner else ", followed"
-        return Cost(
+        return costs.Cost(
             f"jobs: fold of the stream `zone.NAME`{written}",
             state_kib=state_bytes / KIB,
             messages_per_s=messages,
@@ -346,16 +253,16 @@
         share = rates["ends"] / sum(rates.values())
         return zone_fold.RETIRE_AFTER_RECORDS * share
 
-    def books(self) -> Cost:
+    def books(self) -> costs.Cost:
         """The owner's queue and ledgers."""
         queued = self.size.zone_starts_per_s * self.size.urgent_queue_s
         jobs = self.size.zone_tasks + queued
-        return Cost(
+        return costs.Cost(
             "placement: queue and ledgers",
             state_kib=self.slopes.batch.books_bytes.at(jobs) / KIB,
         )
 
-    def links(self) -> Cost:
+    def links(self) -> costs.Cost:
         """Exchanges with the zone's workers, a thread each."""
         size = self.size
         wire = self.slopes.wire
@@ -369,7 +276,7 @@
         threads_kib = (
             size.zone_workers * self.slopes.process.thread_kib.per_unit
         )
-        return Cost(
+        return costs.Cost(
             f"leases and reports of {size.zone_workers:.0f} workers",
             state_kib=threads_kib,
             messages_per_s=exchanges,
@@ -377,17 +284,17 @@
             bytes_per_s=exchanges * (size_bytes + NEW_CALL_OVERHEAD_BYTES),
         )
 
-    def starts(self) -> Cost:
+    def starts(self) -> costs.Cost:
         """Deciding on starts."""
         starts = self.size.zone_starts_per_s
         start_us = self.slopes.batch.start_us.at(self.size.zone_workers)
-        return Cost("placement: starts", cpu_us_per_s=starts * start_us)
+        return costs.Cost("placement: starts", cpu_us_per_s=starts * start_us)
 
-    def steps(self) -> Cost:
+    def steps(self) -> costs.Cost:
         """The owner's loop when there is nothing to decide."""
         step_us = self.slopes.owner.step_us.at(self.size.zone_workers)
         steps = MS_PER_S / zone_owner.STEP_MS
-        return Cost("owner's loop", cpu_us_per_s=steps * step_us)
+        return costs.Cost("owner's loop", cpu_us_per_s=steps * step_us)
 
 
 def measure() -> Slopes:
@@ -399,10 +306,3 @@
         owner=owner_slopes.measure(),
         wire=wire_slopes.measure(),
     )
-
-
-def over_budget(
-    roles: Iterable[RoleCost], name: str, budget: float
-) -> list[RoleCost]:
-    """Roles whose total of a figure is above a budget."""
-    return [role for role in roles if role.total(name) > budget]
--- a/testing/capacity/report.py
+++ b/testing/capacity/report.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from testing.capacity import costs
 from testing.capacity import model as model_module
 from testing.capacity import slope
 
@@ -94,7 +95,7 @@
     )
 
 
-def _size(size: model_module.Size) -> str:
+def _size(size: costs.Size) -> str:
     fields = attrs.asdict(size)
     asked = (
         "zones",
@@ -117,7 +118,7 @@
     )
 
 
-def _summary(roles: Iterable[model_module.RoleCost]) -> str:
+def _summary(roles: Iterable[costs.RoleCost]) -> str:
     rows = [
         (
             role.role.value,
@@ -146,7 +147,7 @@
     return "## Roles\n\n" + _table(head, rows)
 
 
-def _bytes(role: model_module.RoleCost) -> float:
+def _bytes(role: costs.RoleCost) -> float:
     return role.total("state_kib") * KIB
 
 
@@ -155,7 +156,7 @@
     return f"{value:.1f} {unit}, {verdict}"
 
 
-def _missed(roles: Iterable[model_module.RoleCost]) -> str:
+def _missed(roles: Iterable[costs.RoleCost]) -> str:
     lines = ["## Budgets missed today, and what would mend them", ""]
     needed: dict[str, None] = {}
     for role in roles:
@@ -187,7 +188,7 @@
     return "\n".join(lines)
 
 
-def _mend_of(cost: model_module.Cost) -> str:
+def _mend_of(cost: costs.Cost) -> str:
     for start in _MENDS:
         if cost.mechanism.startswith(start):
             return start
@@ -219,7 +220,7 @@
     )
 
 
-def _role(role: model_module.RoleCost) -> str:
+def _role(role: costs.RoleCost) -> str:
     rows = [
         (
             cost.mechanism,
