--- a/src/comfreylatch/_commands/client.py
+++ b/src/comfreylatch/_commands/client.py
@@ -44,6 +44,9 @@
 
     details: tuple[str, ...]
 
+    def __str__(self) -> str:
+        return "; ".join(self.details)
+
 
 @attrs.frozen
 class AnswerLost:
@@ -52,6 +55,9 @@
     host: str
     detail: str
 
+    def __str__(self) -> str:
+        return f"{self.host}: no whole answer ({self.detail})"
+
 
 CallError = NoHostReached | AnswerLost
 
@@ -112,7 +118,7 @@
                 case result.Err(AnswerLost() as lost) if method != "GET":
                     return result.Err(lost)
                 case result.Err(error):
-                    details.append(f"{host}: {_detail(error)}")
+                    details.append(str(error))
         if refused is not None:
             return result.Ok(refused)
         return result.Err(NoHostReached(tuple(details)))
@@ -133,7 +139,7 @@
             exceptions.NewConnectionError,
             exceptions.ConnectTimeoutError,
         ) as error:
-            return result.Err(NoHostReached((_short(error),)))
+            return result.Err(NoHostReached((f"{host}: {_short(error)}",)))
         except (exceptions.HTTPError, OSError) as error:
             return result.Err(AnswerLost(str(host), _short(error)))
         reply_headers = {
@@ -154,11 +160,3 @@
 def _short(error: Exception) -> str:
     # urllib3 starts its messages with the repr of a connection object.
     return str(error).rpartition(">: ")[2]
-
-
-def _detail(error: CallError) -> str:
-    match error:
-        case NoHostReached(details):
-            return "; ".join(details)
-        case AnswerLost(_, detail):
-            return f"no whole answer ({detail})"
--- a/src/comfreylatch/_commands/host.py
+++ b/src/comfreylatch/_commands/host.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib import parse
 
+import result
 import typer
 
 from comfreylatch._commands import exits
@@ -26,17 +27,19 @@
 
     Exits 1 when any of the hosts can't be reached.
     """
-    code = exits.ExitCode.DONE
+    pages = {}
     for host in hosts:
         with output.connect([host], timeout_ms) as client:
             answer = client.read("/status")
-        if not as_json:
-            typer.echo(f"host {host}")
-        try:
-            output.finish(answer, as_json, _READ_AGAIN)
-        except typer.Exit as failed:
-            code = exits.ExitCode(failed.exit_code)
-    raise typer.Exit(code)
+        match answer:
+            case result.Ok(reply):
+                pages[host] = reply.value
+            case result.Err(error):
+                unreached = output.CommandError("not reached", str(error))
+                pages[host] = unreached
+    output.show(pages, as_json)
+    if any(isinstance(p, output.CommandError) for p in pages.values()):
+        raise typer.Exit(exits.ExitCode.REFUSED)
 
 
 def metrics(
--- a/src/comfreylatch/_commands/output.py
+++ b/src/comfreylatch/_commands/output.py
@@ -82,8 +82,8 @@
             again is harmless; printed with exit code 3.
     """
     match answer:
-        case result.Err(client.NoHostReached(details)):
-            fail("no host reached", "; ".join(details), exits.ExitCode.REFUSED)
+        case result.Err(client.NoHostReached() as unreached):
+            fail("no host reached", str(unreached), exits.ExitCode.REFUSED)
         case result.Err(client.AnswerLost(host, detail)):
             typer.echo(f"comfreylatch: {on_unknown}", err=True)
             fail(
@@ -110,10 +110,8 @@
             return reply.value
         case result.Ok(reply):
             detail = f"{reply.host} answered {reply.status}: {reply.value}"
-        case result.Err(client.NoHostReached(details)):
-            detail = "; ".join(details)
-        case result.Err(lost):
-            detail = f"{lost.host}: {lost.detail}"
+        case result.Err(failed):
+            detail = str(failed)
     return fail(error, detail, exits.ExitCode.REFUSED)
 
 
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -180,6 +180,17 @@
         self.assertEqual(2, done.exit_code)
         self.assertNotIn("Traceback", done.output)
 
+    def test_status_of_several_hosts_is_one_json_value(self) -> None:
+        host = self.host(200, {"host": {"seat": "bole-1"}})
+        closed = self.closed_address()
+        done = self.run_command(
+            "status", "--json", hosts=[host.address, closed]
+        )
+        self.assertEqual(1, done.exit_code)
+        pages = json.loads(done.stdout)
+        self.assertEqual("bole-1", pages[host.address]["host"]["seat"])
+        self.assertEqual("not reached", pages[closed]["error"])
+
     def test_explanation_of_the_unknown_exits_1(self) -> None:
         page = {"decisions": [], "summary": "job j is unknown."}
         host = self.host(200, page)
