--- a/testing/capacity/report.py
+++ b/testing/capacity/report.py
@@ -24,7 +24,7 @@
 KB = 1_000
 
 # What would mend the mechanisms that cost most, by how their names start.
-_MENDS = {
+_REMEDIES = {
     "interpreter and libraries": (
         "fewer and lighter libraries in `serve`: logbook and urllib3 load TLS "
         "and OpenSSL's hashes, which nothing here uses, and the program's "
@@ -180,16 +180,17 @@
                 f"- {role.role.value}, {what}: {total / budget:.1f} times "
                 f"the budget; most of it {shares}."
             )
-            needed.update(dict.fromkeys(_mend_of(c) for c in largest))
+            needed.update(dict.fromkeys(remedy_of(c) for c in largest))
     lines.append("")
     for name in needed:
         if name:
-            lines.append(f"- *{name}*: {_MENDS[name]}.")
+            lines.append(f"- *{name}*: {_REMEDIES[name]}.")
     return "\n".join(lines)
 
 
-def _mend_of(cost: costs.Cost) -> str:
-    for start in _MENDS:
+def remedy_of(cost: costs.Cost) -> str:
+    """Key of what would mend a mechanism; empty when nothing is known."""
+    for start in _REMEDIES:
         if cost.mechanism.startswith(start):
             return start
     return ""
