--- a/testing/capacity/batch_slopes.py
+++ b/testing/capacity/batch_slopes.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 import itertools
+from typing import Any
 
 import attrs
 
@@ -13,9 +14,9 @@
 from comfreylatch._process import stream_state
 from comfreylatch._process.batch import capacity
 from comfreylatch._process.batch import dispatcher
-from comfreylatch._process.batch import job_queue
 from comfreylatch._process.batch import placement
-from comfreylatch._process.batch import zone_owner
+from comfreylatch._process.batch import usage_intake
+from comfreylatch._process.batch import zone_books
 from comfreylatch._version import job_records
 from comfreylatch._version import job_state
 from comfreylatch._version import objects
@@ -31,6 +32,7 @@
 HOST = workers.Resources(32_000, 128_000, 0)
 SIZE = workers.Resources(1_000, 2_048, 0)
 BOUNDS = job_records.HoldBounds(6_000, 6_000, 60_000, 2_000, 500)
+CLASSES = 20
 # Placed on each worker before starts are measured.
 TASKS_PER_WORKER = 24
 
@@ -155,37 +157,69 @@
     return slope.cpu_us(lambda: zone.take(next(remaining)), 4 * jobs)
 
 
-@attrs.frozen
-class Books:
-    """Queue, ledgers and choice of worker, as an owner has them."""
+class Sink:
+    """Workers that all answered a moment ago and are told nothing."""
+
+    def request(self, worker: str, command: Any, at_once: bool = True) -> None:
+        """See `attempt.CommandSink.request`."""
+        del worker, command, at_once
+
+    def withdraw(self, worker: str, command: Any) -> bool:
+        """See `attempt.CommandSink.withdraw`."""
+        del worker, command
+        return True
+
+    def session(self, worker: str) -> Any:
+        """See `attempt.CommandSink.session`."""
+        del worker
+        return SESSION
 
-    queue: job_queue.JobQueue
-    ledger: capacity.CapacityLedger
-    dispatcher: dispatcher.Dispatcher
+    def poll_by(self, worker: str, due_ms: int) -> None:
+        """See `attempt.CommandSink.poll_by`."""
+        del worker, due_ms
 
 
-def make_books(workers_known: int) -> Books:
-    """Books with workers and teams, and no job."""
-    queue = job_queue.JobQueue()
+@attrs.frozen
+class Session:
+    """What the owner reads of a worker's session."""
+
+    fenced_term: int = TERM
+    failures: int = 0
+    last_sent_ms: int = 0
+    answered_ms: int = 0
+
+
+SESSION = Session()
+
+
+def make_books(
+    workers_known: int, fold: zone_fold.ZoneFold | None = None
+) -> zone_books.ZoneBooks:
+    """An owner's books with workers and teams, and no job."""
+    books = zone_books.ZoneBooks(
+        "zone-0",
+        TERM,
+        fold or zone_fold.ZoneFold(),
+        Sink(),
+        usage_intake.UsageIntake(),
+        placement.Policy.PREDICTED_COST,
+        metrics_module.Metrics(),
+    )
     quota = objects.Team(workers.Resources(10**9, 10**9, 0))
-    queue.set_teams({f"team-{index}": quota for index in range(TEAMS)})
-    ledger = capacity.CapacityLedger()
-    nothing = capacity.NOTHING
+    books.queue.set_teams({f"team-{index}": quota for index in range(TEAMS)})
     for index in range(workers_known):
         rack = f"rack-{index // 8}"
-        ledger.set_worker(f"worker-{index}", rack, HOST, nothing, True)
-    placed = placement.Placement(ledger, zone_owner.NoCost())
-    decide = dispatcher.Dispatcher(
-        queue, placed, lambda state: state.spec.resources
-    )
-    return Books(queue, ledger, decide)
+        name = f"worker-{index}"
+        books.ledger.set_worker(name, rack, HOST, capacity.NOTHING, True)
+        books.mix.set_worker(name, HOST.processors_milli)
+    return books
 
 
-def _books(count: int) -> Books:
+def _books(count: int) -> zone_books.ZoneBooks:
     books = make_books(workers_known=count // TASKS_PER_WORKER + 1)
     for index in range(count):
         worker = f"worker-{index // TASKS_PER_WORKER}"
-        books.dispatcher.sync(_state(index, worker))
+        books.sync_job(job_of(index, worker), 0)
     return books
 
 
@@ -193,20 +227,21 @@
     books = make_books(workers_known)
     first = workers_known * TASKS_PER_WORKER
     for index in range(first):
-        books.dispatcher.sync(_state(index, f"worker-{index % workers_known}"))
+        books.sync_job(job_of(index, f"worker-{index % workers_known}"), 0)
     starts = dispatcher.MAX_STARTS_PER_ROUND
     fresh = itertools.count(first)
 
     def one_round() -> None:
         for index in itertools.islice(fresh, starts):
-            books.dispatcher.sync(_state(index, ""))
+            books.sync_job(job_of(index, ""), 0)
         decided = books.dispatcher.run_round(TERM, 4)
         assert len(decided.assigned) == starts, decided
 
     return slope.cpu_us(one_round, 1) / starts
 
 
-def _state(index: int, worker: str) -> job_state.JobState:
+def job_of(index: int, worker: str) -> job_state.JobState:
+    """A job, running on a worker or queued when that is empty."""
     phase = job_state.JobPhase.ASSIGNED if worker else job_state.JobPhase.QUEUED
     return job_state.JobState(
         spec=_spec(index),
@@ -222,7 +257,7 @@
         id=f"stack-{index:07d}",
         team=f"team-{index % TEAMS}",
         zone="zone-0",
-        job_class="stack",
+        job_class=f"class-{index % CLASSES}",
         resources=SIZE,
         run_time_ms=170_000,
     )
--- a/testing/capacity/model.py
+++ b/testing/capacity/model.py
@@ -179,7 +179,7 @@
     def zone_records_per_s(self) -> dict[str, float]:
         """Records on one zone's stream at the peak, by kind."""
         starts = self.size.zone_starts_per_s
-        interval_s = attempt_table.CHECKPOINT_RECORD_MS / MS_PER_S
+        interval_s = attempt_table.CHECKPOINT_EVERY_MS / MS_PER_S
         return {
             "admissions": starts,
             "assignments": starts,
@@ -270,9 +270,12 @@
         renewals /= objects.Limits().lease_ms
         # The last report has grown stale by then, so a fresh one is asked
         # for before a lease or a command can be sent.
+        # Each end is asked for when it is expected.
         exchanges = 2 * (renewals + size.zone_starts_per_s)
+        exchanges += size.zone_starts_per_s
         tasks = size.tasks_per_worker
         size_bytes = wire.exchange_bytes.at(tasks) + HTTP_HEAD_BYTES
+        take_us = self.slopes.owner.report_us.at(tasks)
         threads_kib = (
             size.zone_workers * self.slopes.process.thread_kib.per_unit
         )
@@ -280,7 +283,7 @@
             f"leases and reports of {size.zone_workers:.0f} workers",
             state_kib=threads_kib,
             messages_per_s=exchanges,
-            cpu_us_per_s=exchanges * wire.exchange_us.at(tasks),
+            cpu_us_per_s=exchanges * (wire.exchange_us.at(tasks) + take_us),
             bytes_per_s=exchanges * (size_bytes + NEW_CALL_OVERHEAD_BYTES),
         )
 
--- a/testing/capacity/owner_slopes.py
+++ b/testing/capacity/owner_slopes.py
@@ -1,4 +1,4 @@
-"""Slope of the owner's loop, with workers and attempts but no change."""
+"""Slopes of the owner's loop: idle steps, and reports taken in."""
 
 from __future__ import annotations
 
@@ -11,14 +11,18 @@
 from comfreylatch._process import journal as journal_module
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.batch import ownership
+from comfreylatch._process.batch import usage_intake
+from comfreylatch._process.batch import worker_session
 from comfreylatch._process.batch import zone_owner
 from comfreylatch._version import configuration
 from testing.capacity import batch_slopes
 from testing.capacity import slope
+from testing.capacity import wire_slopes
 from testing.fakes import clock as clock_fake
 
 STEPS = 30
 FAR_MS = 10**9
+REPORT_EVERY_MS = 2_000
 
 
 @attrs.frozen
@@ -26,10 +30,11 @@
     """Of the owner of one zone's workers."""
 
     step_us: slope.Slope
+    report_us: slope.Slope
 
 
 def measure() -> OwnerSlopes:
-    """Takes it."""
+    """Takes both."""
     return OwnerSlopes(
         slope.fit(
             "one idle step of the owner's loop",
@@ -37,44 +42,33 @@
             "us",
             batch_slopes.WORKER_SIZES,
             _step_us,
-        )
+        ),
+        slope.fit(
+            "one report taken in, its usage learned",
+            "tasks on the worker",
+            "us",
+            wire_slopes.TASK_SIZES,
+            _report_us,
+        ),
     )
 
 
-@attrs.frozen
-class _Session:
-    fenced_term: int = batch_slopes.TERM
-    failures: int = 0
-    last_sent_ms: int = 0
-    answered_ms: int = 0
-
-
-class _Pool:
-    """Workers that all answered a moment ago and are told nothing."""
+class _Pool(batch_slopes.Sink):
+    """What the owner's loop needs of its links besides."""
 
     def __init__(self) -> None:
         self.woken = threading.Event()
-        self._session = _Session()
 
     def update(self, listed: Any, needed: Any) -> None:
+        """See `LinkPool.update`."""
         del listed, needed
 
-    def session(self, worker: str) -> _Session:
-        del worker
-        return self._session
-
     def take_events(self) -> list[Any]:
+        """See `LinkPool.take_events`."""
         return []
 
     def clear_commands(self) -> None:
-        pass
-
-    def request(self, worker: str, command: Any, at_once: bool = True) -> None:
-        del worker, command, at_once
-
-    def withdraw(self, worker: str, command: Any) -> bool:
-        del worker, command
-        return True
+        """See `LinkPool.clear_commands`."""
 
 
 class _Holder:
@@ -134,6 +128,29 @@
     return slope.cpu_us(step, STEPS)
 
 
+def _report_us(tasks: int) -> float:
+    zone = batch_slopes.running_zone(tasks, 1)
+    books = batch_slopes.make_books(1, zone.fold)
+    usage = usage_intake.UsageIntake()
+    for state in zone.fold.jobs():
+        books.sync_job(state, 0)
+    now_ms = 0
+
+    def take() -> None:
+        nonlocal now_ms
+        now_ms += REPORT_EVERY_MS
+        report = attrs.evolve(wire_slopes.report(tasks), worker="worker-0")
+        event = worker_session.Reported(
+            "worker-0", batch_slopes.TERM, report, (), now_ms, False
+        )
+        books.table.on_reported(event, batch_slopes.BOUNDS, now_ms)
+        attempts = books.table.on_worker("worker-0")
+        usage.take(report, zone.fold.job, attempts, now_ms)
+
+    made_us = slope.cpu_us(lambda: wire_slopes.report(tasks), STEPS)
+    return max(slope.cpu_us(take, STEPS) - made_us, 0.0)
+
+
 def _host_list(workers_known: int) -> hosts.HostList:
     return hosts.HostList(
         tuple(
--- a/testing/capacity/report.py
+++ b/testing/capacity/report.py
@@ -33,8 +33,8 @@
     ),
     "journal": "a bound in bytes, and packed decisions",
     "jobs": (
-        "checkpoints recorded less often than every 30 s a task, or only "
-        "when an attempt ends; several shards of a zone's stream, each with "
+        "checkpoints recorded less often, or only when an attempt ends; "
+        "several shards of a zone's stream, each with "
         "an owner and one standby, instead of every host of the zone"
     ),
     "leases and reports": (
--- a/testing/capacity/wire_slopes.py
+++ b/testing/capacity/wire_slopes.py
@@ -150,11 +150,11 @@
 
 def _exchange(tasks: int) -> float:
     request = worker_client.encode_exchange(_renewal())
-    return len(request) + len(msgspec.json.encode(_report(tasks)))
+    return len(request) + len(msgspec.json.encode(report(tasks)))
 
 
 def _exchange_us(tasks: int) -> float:
-    body = msgspec.json.encode(_report(tasks))
+    body = msgspec.json.encode(report(tasks))
     client = worker_client.WorkerClient()
     with _http_host(lambda _: body) as host:
         return slope.cpu_us(
@@ -164,10 +164,11 @@
 
 
 def _renewal() -> workers.Exchange:
-    return workers.Exchange("zone-0-1-0a1b2c3d", 3, 1_017, 6_000)
+    return workers.Exchange("zone-0-1-0a1b2c3d", 1, 1_017, 6_000)
 
 
-def _report(tasks: int) -> workers.WorkerReport:
+def report(tasks: int) -> workers.WorkerReport:
+    """A worker's report with its tasks and one measurement of each."""
     lines = tuple(
         workers.TaskLine(
             f"stack-{index:07d}",
@@ -188,7 +189,7 @@
         worker="worker-0-17",
         boot="a1b2c3d4",
         report=1_018,
-        highest_term=3,
+        highest_term=1,
         lease_left_ms=5_990,
         capacity=workers.Resources(32_000, 128_000, 0),
         tasks=lines,
