--- a/src/comfreylatch/_process/logs.py
+++ b/src/comfreylatch/_process/logs.py
@@ -11,6 +11,7 @@
 from typing import TextIO
 
 import logbook
+from logbook import handlers
 
 MAX_VALUE_LETTERS = 500
 
@@ -23,6 +24,20 @@
 )
 
 
+@final
+class _OneLine(handlers.StringFormatter):
+    """Keeps every event on one line, with its traceback if it has one."""
+
+    def __call__(
+        self, record: logbook.LogRecord, handler: logbook.Handler
+    ) -> str:
+        line = self.format_record(record, handler)
+        traceback = self.format_exception(record)
+        if traceback:
+            line += f" traceback={json.dumps(traceback)}"
+        return line.replace("\r", "\\r").replace("\n", "\\n")
+
+
 @final
 class LogOutput:
     """Sends every logger's lines to one stream while it is open.
@@ -36,8 +51,8 @@
         self._handler = logbook.StreamHandler(
             stream or sys.stderr,
             level=logbook.lookup_level(level.upper()),
-            format_string=_LINE_FORMAT,
         )
+        self._handler.formatter = _OneLine(_LINE_FORMAT)
 
     def __enter__(self) -> Self:
         self._handler.push_application()
--- a/tests/process/test_logs.py
+++ b/tests/process/test_logs.py
@@ -34,3 +34,14 @@
     def test_long_value_is_cut(self) -> None:
         (line,) = self.lines_of("info", detail="x" * 100_000)
         self.assertLess(len(line), 2 * logs.MAX_VALUE_LETTERS)
+
+    def test_traceback_stays_on_the_line_of_its_event(self) -> None:
+        stream = io.StringIO()
+        logger = logbook.Logger("test")
+        with logs.LogOutput("info", stream):
+            try:
+                raise ValueError("one\ntwo")
+            except ValueError:
+                logger.exception("step failed detail={}", "a\nb")
+        (line,) = stream.getvalue().splitlines()
+        self.assertIn("ValueError: one\\ntwo", line)
