--- a/testing/capacity/costs.py
+++ b/testing/capacity/costs.py
@@ -24,6 +24,7 @@
     services: int = 40
     change_peak_factor: int = 10
     urgent_queue_s: int = 60
+    host_non_idempotent_per_s: int = 50
 
     @property
     def zone_workers(self) -> float:
--- a/testing/capacity/model.py
+++ b/testing/capacity/model.py
@@ -9,6 +9,7 @@
 from comfreylatch._process.batch import attempt_table
 from comfreylatch._process.batch import ownership
 from comfreylatch._process.batch import zone_owner
+from comfreylatch._request import dispatch_guard
 from comfreylatch._version import configuration_fold
 from comfreylatch._version import objects
 from comfreylatch._version import zone_fold
@@ -64,7 +65,7 @@
         )
         follows = self.zone_stream(is_owner=False)
         owns = self.zone_stream(is_owner=True)
-        front = (*base, mesh, self.routing())
+        front = (*base, mesh, self.routing(), self.marks())
         return (
             costs.RoleCost(
                 costs.Role.FRONT,
@@ -158,6 +159,23 @@
             state_kib=slope.at(endpoints) / KIB,
         )
 
+    def marks(self) -> costs.Cost:
+        """Marks of non-idempotent requests that this host holds.
+
+        Their calls are part of each request, not of control.
+        """
+        keep_s = settings.RoutingSettings().mark_keep_ms / MS_PER_S
+        held = (
+            self.size.host_non_idempotent_per_s
+            * dispatch_guard.HOLDERS
+            * keep_s
+        )
+        slope = self.slopes.process.mark_bytes
+        return costs.Cost(
+            "marks of non-idempotent requests",
+            state_kib=slope.at(held) / KIB,
+        )
+
     def heartbeats(self, peers: int, whom: str) -> costs.Cost:
         """Heartbeats sent to and answered for a number of peers."""
         beats = peers * MS_PER_S / settings.TimingSettings().heartbeat_ms
--- a/testing/capacity/process_slopes.py
+++ b/testing/capacity/process_slopes.py
@@ -8,15 +8,19 @@
 
 import attrs
 
+from comfreylatch._process import dispatch_marks
 from comfreylatch._process import journal as journal_module
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
+from comfreylatch._wire.gen.peer import ttypes
 from testing.capacity import slope
 from testing.fakes import clock as clock_fake
 
 DECISION_SIZES = (1_000, 5_000, 20_000)
 HISTOGRAM_SIZES = (10, 30, 90)
 THREAD_SIZES = (50, 110, 220)
+MARK_SIZES = (1_000, 5_000, 20_000)
+MARK_KEEP_MS = 60_000
 PROBE_TIMEOUT_S = 60
 
 # Run apart, so that what this process holds is not counted.
@@ -59,6 +63,7 @@
     decision_bytes: slope.Slope
     histogram_bytes: slope.Slope
     thread_kib: slope.Slope
+    mark_bytes: slope.Slope
 
 
 def measure() -> ProcessSlopes:
@@ -91,6 +96,13 @@
             THREAD_SIZES,
             lambda count: float(_run(_THREADS.format(count=count))),
         ),
+        mark_bytes=slope.fit(
+            "marks of non-idempotent requests",
+            "marks",
+            "B",
+            MARK_SIZES,
+            lambda count: slope.memory_bytes(lambda: _marks(count)),
+        ),
     )
 
 
@@ -122,6 +134,22 @@
     return journal
 
 
+def _marks(count: int) -> dispatch_marks.DispatchMarks:
+    marks = dispatch_marks.DispatchMarks("h", clock_fake.FakeClock())
+    marks.assume_complete()
+    for index in range(count):
+        marks.mark(
+            ttypes.MarkRequest(
+                request_id=f"request-{index:032d}",
+                host_id=f"zone-0-1-0a1b2c3d/{index}",
+                keep_ms=MARK_KEEP_MS,
+                copy=False,
+            )
+        )
+    assert len(marks) == count
+    return marks
+
+
 def _histograms(count: int) -> metrics_module.Metrics:
     metrics = metrics_module.Metrics()
     for index in range(count):
