Write every log line as an event with fields

Modules of the streams and of batch work logged sentences with values in between, whose details held spaces and could not be taken apart again.

--- a/src/comfreylatch/_connection/host_list_client.py
+++ b/src/comfreylatch/_connection/host_list_client.py
@@ -14,6 +14,7 @@
 
 from comfreylatch._connection import json_call
 from comfreylatch._ports import hosts as hosts_port
+from comfreylatch._process import logs
 
 _events = logbook.Logger(__name__)
 
@@ -70,5 +71,5 @@
         try:
             hosts.append(msgspec.convert(line, type=hosts_port.ListedHost))
         except msgspec.ValidationError as error:
-            _events.warning("bad host list line error={}", error)
+            logs.warning(_events, "bad-host-list-line", error=error)
     return result.Ok(hosts_port.HostList(tuple(hosts)))
--- a/src/comfreylatch/_process/appender.py
+++ b/src/comfreylatch/_process/appender.py
@@ -18,6 +18,7 @@
 from comfreylatch._ports import streams
 from comfreylatch._process import append_batch
 from comfreylatch._process import backoff
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
 from comfreylatch._process import stream_state
@@ -324,12 +325,13 @@
         self._next_try_ms = max(
             self._next_try_ms, self._clock.monotonic_ms() + delay_ms
         )
-        _events.warning(
-            "append failed stream={} reason={} failures={} detail={}",
-            self._stream,
-            reason,
-            self._failures,
-            detail,
+        logs.warning(
+            _events,
+            "append-failed",
+            stream=self._stream,
+            reason=reason,
+            failures=self._failures,
+            detail=detail,
         )
         lost = reason is reasons.RetryReason.LOG_ANSWER_LOST
         if not lost or self._failures >= LOST_ANSWERS_OF_OUTAGE:
@@ -357,7 +359,7 @@
             try:
                 delay_ms = self.step()
             except Exception:
-                _events.exception("append step failed stream={}", self._stream)
+                logs.failure(_events, "append-step-failed", stream=self._stream)
                 delay_ms = self._retry.max_ms
                 self._suspect_sent()
             with self._wake:
--- a/src/comfreylatch/_process/batch/end_observer.py
+++ b/src/comfreylatch/_process/batch/end_observer.py
@@ -10,6 +10,7 @@
 import logbook
 
 from comfreylatch._process import journal as journal_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
 from comfreylatch._process.batch import worker_health
@@ -100,7 +101,7 @@
         self._journal.note(reasons.Subject.JOB, job, reason, sentence, offset)
 
     def _note_worker(self, worker: str, reason: str) -> None:
-        _events.info("{} worker={} zone={}", reason, worker, self._zone)
+        logs.event(_events, reason, worker=worker, zone=self._zone)
         self._metrics.count(metrics_module.Counter.JOB_EVENTS, reason)
         sentence = "compared with the other workers' ends of attempts"
         self._journal.note(reasons.Subject.WORKER, worker, reason, sentence)
--- a/src/comfreylatch/_process/batch/evictor.py
+++ b/src/comfreylatch/_process/batch/evictor.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.batch import attempt as attempt_module
 from comfreylatch._process.batch import dispatcher as dispatcher_module
@@ -84,7 +85,7 @@
             if attempt is not None:
                 books.mix.avoid(worker, attempt.state.spec.job_class)
             books.table.evict(job, keep_first)
-            _events.info("evict job={} worker={} cause=slow", job, worker)
+            logs.event(_events, "evict", job=job, worker=worker, cause="slow")
 
     def _plan(
         self,
@@ -100,12 +101,13 @@
             return None
         for victim in plan.victims:
             books.table.evict(victim)
-        _events.info(
-            "evict jobs={} worker={} for={} lost_ms={}",
-            ",".join(plan.victims),
-            plan.worker,
-            job,
-            plan.lost_ms,
+        logs.event(
+            _events,
+            "evict",
+            jobs=",".join(plan.victims),
+            worker=plan.worker,
+            for_job=job,
+            lost_ms=plan.lost_ms,
         )
         return plan
 
--- a/src/comfreylatch/_process/batch/ownership.py
+++ b/src/comfreylatch/_process/batch/ownership.py
@@ -25,6 +25,7 @@
 from comfreylatch._ports import configuration as configuration_port
 from comfreylatch._ports import streams
 from comfreylatch._process import journal as journal_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
 from comfreylatch._version import job_records
@@ -204,11 +205,12 @@
             return
         body = job_records.OwnerReleased(hold.term, self._host_id)
         outcome = self._appender.append([body], APPEND_TIMEOUT_MS)
-        _events.info(
-            "released zone={} term={} known={}",
-            self._zone,
-            hold.term,
-            outcome.is_ok(),
+        logs.event(
+            _events,
+            "released",
+            zone=self._zone,
+            term=hold.term,
+            known=outcome.is_ok(),
         )
 
     def _is_own(self, claim: job_state.Claim) -> bool:
@@ -332,8 +334,8 @@
             case result.Err(streams.AppendUnknown()):
                 self._record_sent(sent_ms, False, -1)
             case result.Err(streams.NotAccepted(detail)):
-                _events.warning(
-                    "claim not kept zone={} detail={}", self._zone, detail
+                logs.warning(
+                    _events, "claim-not-kept", zone=self._zone, detail=detail
                 )
         self._observe()
 
@@ -351,7 +353,7 @@
                 self._unresolved_ms = None
 
     def _note(self, reason: str, sentence: str, offset: int) -> None:
-        _events.info("{} zone={} {}", reason, self._zone, sentence)
+        logs.event(_events, reason, zone=self._zone, detail=sentence)
         self._metrics.count(metrics_module.Counter.JOB_EVENTS, reason)
         self._journal.note(
             reasons.Subject.WORKER, self._zone, reason, sentence, offset
@@ -362,6 +364,6 @@
             try:
                 delay_ms = self.step()
             except Exception:
-                _events.exception("ownership step failed zone={}", self._zone)
+                logs.failure(_events, "ownership-step-failed", zone=self._zone)
                 delay_ms = STEP_MS
             self._stopping.wait(delay_ms / 1_000)
--- a/src/comfreylatch/_process/batch/worker_link.py
+++ b/src/comfreylatch/_process/batch/worker_link.py
@@ -12,6 +12,7 @@
 
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import workers
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
 from comfreylatch._process.batch import ownership
@@ -101,7 +102,9 @@
             try:
                 delay_ms = self._step()
             except Exception:
-                _events.exception("exchange failed {}", self.session.worker)
+                logs.failure(
+                    _events, "exchange-failed", worker=self.session.worker
+                )
                 delay_ms = MAX_RETRY_MS
             self._wake.wait(delay_ms / 1_000)
             self._wake.clear()
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -21,6 +21,7 @@
 from comfreylatch._ports import streams
 from comfreylatch._ports import workers
 from comfreylatch._process import journal as journal_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.batch import end_observer
 from comfreylatch._process.batch import evictor
@@ -143,7 +144,7 @@
         """
         if not self._books.table.evict(job):
             return False
-        _events.info("evict job={} reason={}", job, reason)
+        logs.event(_events, "evict", job=job, reason=reason)
         return True
 
     def step(self) -> int:
@@ -362,7 +363,7 @@
             try:
                 delay_ms = self.step()
             except Exception:
-                _events.exception("owner step failed zone={}", self._zone)
+                logs.failure(_events, "owner-step-failed", zone=self._zone)
                 delay_ms = IDLE_STEP_MS
             self._stopping.wait(LEAST_STEP_MS / 1_000)
             self._pool.woken.wait(delay_ms / 1_000)
--- a/src/comfreylatch/_process/follower.py
+++ b/src/comfreylatch/_process/follower.py
@@ -16,6 +16,7 @@
 from comfreylatch._ports import streams
 from comfreylatch._process import backoff
 from comfreylatch._process import catch_up as catch_up_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import reasons
 from comfreylatch._process import snapshot_stream
@@ -212,11 +213,12 @@
             metrics_module.Counter.RETRIES, reasons.RetryReason.LOG_DOWN
         )
         if self._failures == 1:
-            _events.warning(
-                "read failed stream={} offset={} detail={}",
-                self._stream,
-                self._state.offset,
-                detail,
+            logs.warning(
+                _events,
+                "read-failed",
+                stream=self._stream,
+                offset=self._state.offset,
+                detail=detail,
             )
         return self._retry.delay_ms(self._failures, self._source)
 
@@ -266,11 +268,12 @@
 
     def _bad_peer_message(self, what: str, detail: str) -> None:
         self._metrics.count(metrics_module.Counter.BAD_PEER_MESSAGES, what)
-        _events.error(
-            "bad peer state stream={} what={} detail={}",
-            self._stream,
-            what,
-            detail,
+        logs.error(
+            _events,
+            "bad-peer-state",
+            stream=self._stream,
+            what=what,
+            detail=detail,
         )
 
     def _run(self) -> None:
@@ -278,6 +281,6 @@
             try:
                 delay_ms = self.step()
             except Exception:
-                _events.exception("follow step failed stream={}", self._stream)
+                logs.failure(_events, "follow-step-failed", stream=self._stream)
                 delay_ms = self._retry.max_ms
             self._closing.wait(delay_ms / 1_000)
--- a/src/comfreylatch/_process/logs.py
+++ b/src/comfreylatch/_process/logs.py
@@ -83,6 +83,11 @@
     logger.error(_Line(name, fields))
 
 
+def failure(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
+    """Logs the exception being handled, with its traceback."""
+    logger.exception(_Line(name, fields))
+
+
 class _Line:
     """Text of a line, made only when some handler wants it."""
 
--- a/src/comfreylatch/_process/snapshot_publisher.py
+++ b/src/comfreylatch/_process/snapshot_publisher.py
@@ -15,6 +15,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import log as log_port
 from comfreylatch._process import follower as follower_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import snapshot_stream
 from comfreylatch._process import snapshot_turn
@@ -169,20 +170,21 @@
                 self._metrics.count(
                     metrics_module.Counter.LOG_RECORDS, name, len(payloads)
                 )
-                _events.info(
-                    "snapshot published stream={} offset={} reason={}"
-                    " chunks={}",
-                    snapshot.stream,
-                    snapshot.offset,
-                    reason,
-                    len(payloads),
+                logs.event(
+                    _events,
+                    "snapshot-published",
+                    stream=snapshot.stream,
+                    offset=snapshot.offset,
+                    reason=reason,
+                    chunks=len(payloads),
                 )
                 return True
             case result.Err(error):
-                _events.warning(
-                    "snapshot failed stream={} detail={}",
-                    snapshot.stream,
-                    error.detail,
+                logs.warning(
+                    _events,
+                    "snapshot-failed",
+                    stream=snapshot.stream,
+                    detail=error.detail,
                 )
                 return False
 
@@ -191,6 +193,8 @@
             try:
                 self.step()
             except Exception:
-                _events.exception(
-                    "snapshot step failed stream={}", self._follower.stream
+                logs.failure(
+                    _events,
+                    "snapshot-step-failed",
+                    stream=self._follower.stream,
                 )
--- a/src/comfreylatch/_process/stream_state.py
+++ b/src/comfreylatch/_process/stream_state.py
@@ -17,6 +17,7 @@
 from comfreylatch._ports import log as log_port
 from comfreylatch._ports import streams
 from comfreylatch._process import catch_up as catch_up_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._version import records
 from comfreylatch._version import snapshots
@@ -215,7 +216,7 @@
             self._fold.apply(offset, envelope, body)
         except Exception:
             # Every host fails alike on it, and the stream must go on.
-            _events.exception("fold failed offset={}", offset)
+            logs.failure(_events, "fold-failed", offset=offset)
             self._bad_record(offset, f"fold of {envelope.kind} failed")
 
     def _remember(self, entry: log_port.LogEntry) -> None:
@@ -233,13 +234,14 @@
         try:
             self._after_apply(applied)
         except Exception:
-            _events.exception("after_apply failed stream={}", self._stream)
+            logs.failure(_events, "after-apply-failed", stream=self._stream)
 
     def _bad_record(self, offset: int, detail: str) -> None:
         self._metrics.count(metrics_module.Counter.BAD_RECORDS, self._stream)
-        _events.error(
-            "bad record stream={} offset={} detail={}",
-            self._stream,
-            offset,
-            detail,
+        logs.error(
+            _events,
+            "bad-record",
+            stream=self._stream,
+            offset=offset,
+            detail=detail,
         )
--- a/src/comfreylatch/_version/configuration_fold.py
+++ b/src/comfreylatch/_version/configuration_fold.py
@@ -14,6 +14,7 @@
 import result
 import xxhash
 
+from comfreylatch._process import logs
 from comfreylatch._version import configuration
 from comfreylatch._version import objects
 from comfreylatch._version import records
@@ -338,7 +339,7 @@
             listener(news)
         except Exception:
             # The state is right; one faulty listener must not stop it.
-            _events.exception("listener failed")
+            logs.failure(_events, "listener-failed")
 
 
 _FIELDS = tuple(_FIELD_BY_KIND.items())
