--- /dev/null
+++ b/testing/batch_fleet.py
@@ -0,0 +1,138 @@
+"""A zone with short leases and claims, for faults of batch work."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Any
+
+import testtools
+
+from comfreylatch._version import objects
+from testing import deployments
+from testing import fleet as fleet_module
+from testing import fleet_plan
+from testing import job_checks
+from testing import job_load
+
+ZONE = "bole"
+# The stand-ins call a quoted report stale after 2 s.
+LIMITS = objects.Limits(
+    lease_ms=2_000,
+    claim_ms=2_000,
+    command_ttl_ms=2_000,
+    drift_margin_ms=200,
+    evictions_per_hour=1_000,
+)
+AUTONOMY_MS = 3_000
+# Longest time in which a predecessor's tasks run, and the longest jitter of
+# a claim with some slack.
+TAKEOVER_S = 10.0
+LINKS = frozenset(
+    {
+        fleet_plan.Link.PLATFORM,
+        fleet_plan.Link.PEERS,
+        fleet_plan.Link.WORKERS,
+    }
+)
+
+
+def deployment(**changes: Any) -> deployments.Deployment:
+    """One zone of three hosts and four workers."""
+    values: dict[str, Any] = {
+        "seats_per_zone": 3,
+        "workers": 4,
+        "limits": LIMITS,
+        "autonomy_ms": AUTONOMY_MS,
+    }
+    return deployments.small(1, **(values | changes))
+
+
+def start(
+    test: testtools.TestCase,
+    log_arguments: tuple[str, ...] = (),
+    **changes: Any,
+) -> fleet_module.Fleet:
+    """A running zone with its configuration in force and an owner."""
+    options = fleet_plan.FleetOptions(links=LINKS, log_arguments=log_arguments)
+    running = test.enterContext(
+        fleet_module.Fleet(deployment(**changes), options)
+    )
+    running.put_in_force()
+    wait_owner(running)
+    return running
+
+
+def owner(running: fleet_module.Fleet) -> str:
+    """The seat whose host may start work now; empty if there is none."""
+    for seat, host in running.hosts.items():
+        if host.process is None or host.process.exit_code is not None:
+            continue
+        if running.status(seat)["batch"]["owner"]["holds"]:
+            return seat
+    return ""
+
+
+def wait_owner(running: fleet_module.Fleet, *dead: str) -> str:
+    """Waits for an owner, without asking hosts that can't answer."""
+    found: list[str] = []
+
+    def owned() -> bool:
+        for seat in running.hosts:
+            if seat in dead:
+                continue
+            if running.status(seat)["batch"]["owner"]["holds"]:
+                found.append(seat)
+                return True
+        return False
+
+    running.wait_until(owned, "the zone has an owner", 2 * TAKEOVER_S)
+    return found[0]
+
+
+def submitter(
+    running: fleet_module.Fleet, **changes: Any
+) -> job_load.JobSubmitter:
+    """A steady load through every host."""
+    seats = running.deployment.all_seats()
+    return job_load.JobSubmitter(
+        running, job_load.JobLoad(seats=seats, **changes)
+    )
+
+
+def wait_started(
+    running: fleet_module.Fleet, more: int, timeout_s: float = TAKEOVER_S
+) -> None:
+    """Waits until workers have started so many more attempts."""
+    before = starts(running)
+    running.wait_until(
+        lambda: starts(running) >= before + more,
+        f"{more} more starts",
+        timeout_s,
+    )
+
+
+def starts(running: fleet_module.Fleet) -> int:
+    """Attempts that workers have started."""
+    return sum(event.kind == "start" for event in running.worker_events())
+
+
+def check(
+    test: testtools.TestCase,
+    running: fleet_module.Fleet,
+    submitted: job_load.JobSubmitter,
+    faulty: Collection[str] = (),
+) -> None:
+    """Waits for the end of all jobs; asserts that every promise was kept."""
+    seat = next(iter(running.hosts))
+    job_checks.settle(running, submitted, seat)
+    found = job_checks.breaches(running, submitted, seat, faulty)
+    test.assertEqual([], found)
+    running.wait_until(
+        lambda: hosts_agree(running), "all hosts know the same jobs", 5.0
+    )
+
+
+def hosts_agree(running: fleet_module.Fleet) -> bool:
+    """Whether all hosts show the same state of every job."""
+    shown = [job_checks.pages(running, seat) for seat in running.hosts]
+    return all(one == shown[0] for one in shown)
--- /dev/null
+++ b/testing/job_checks.py
@@ -0,0 +1,181 @@
+"""Checks of how jobs ended, from the workers' records and the log's state."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from testing import checker
+from testing import fleet as fleet_module
+from testing import fleet_plan
+from testing import job_load
+
+ENDED = frozenset({"finished", "cancelled", "parked"})
+SETTLE_S = 25.0
+
+Breach = checker.Breach
+
+
+def settle(
+    fleet: fleet_module.Fleet,
+    submitter: job_load.JobSubmitter,
+    seat: str,
+    timeout_s: float = SETTLE_S,
+) -> None:
+    """Waits until every accepted job has ended, as one host says."""
+    doubtful = submitter.settle_doubtful(timeout_s)
+    if doubtful:
+        raise fleet_plan.FleetError(f"in doubt: {doubtful}")
+
+    def ended() -> bool:
+        found = pages(fleet, seat)
+        return all(
+            name in found and found[name]["phase"] in ENDED
+            for name in submitter.accepted
+        )
+
+    try:
+        fleet.wait_until(ended, "all jobs have ended", timeout_s)
+    except fleet_plan.FleetError as error:
+        found = pages(fleet, seat)
+        left = [
+            found.get(name, name)
+            for name in submitter.accepted
+            if name not in found or found[name]["phase"] not in ENDED
+        ]
+        raise fleet_plan.FleetError(
+            f"{error}; {len(left)} of {len(submitter.accepted)}: {left[:3]}; "
+            f"{fleet.status(seat).get('batch')}"
+        ) from error
+
+
+def pages(fleet: fleet_module.Fleet, seat: str) -> dict[str, dict[str, Any]]:
+    """All jobs as one host shows them, by id."""
+    answer = fleet.client.get(fleet.hosts[seat].operator_address, "/jobs")
+    if answer.status != job_load.OK:
+        return {}
+    return {page["id"]: page for page in answer.json()["jobs"]}
+
+
+@attrs.frozen
+class Ends:
+    """How jobs ended, as submitters and hosts say.
+
+    Attributes:
+        accepted: Jobs that were accepted.
+        refused: Jobs that were refused.
+        cancel_asked: Jobs whose cancellation was asked for.
+        cancelled: Jobs whose cancellation was confirmed.
+        pages: Page by job.
+    """
+
+    accepted: Collection[str]
+    refused: Collection[str]
+    cancel_asked: Collection[str]
+    cancelled: Collection[str]
+    pages: Mapping[str, Mapping[str, Any]]
+
+
+def breaches(
+    fleet: fleet_module.Fleet,
+    submitter: job_load.JobSubmitter,
+    seat: str,
+    faulty: Collection[str] = (),
+) -> list[Breach]:
+    """Everything found broken, once all accepted jobs have ended.
+
+    Args:
+        fleet: With its stand-ins' records.
+        submitter: What was submitted.
+        seat: Host whose pages of the jobs are taken.
+        faulty: Workers that died or could not be reached; what ended there
+            may not have been heard of in time.
+    """
+    events = fleet.worker_events()
+    ends = Ends(
+        submitter.accepted,
+        submitter.refused,
+        submitter.cancel_asked,
+        submitter.cancelled,
+        pages(fleet, seat),
+    )
+    return [
+        *checker.capacity_kept(events),
+        *checker.never_in_two_places(events),
+        *checker.attempts_start_once(events),
+        *checker.resumed_from_checkpoint(events),
+        *resumed_at_checkpoint(events, faulty),
+        *ended_as_said(events, ends, faulty),
+    ]
+
+
+def resumed_at_checkpoint(
+    events: Sequence[checker.WorkerEvent], faulty: Collection[str]
+) -> list[Breach]:
+    """An attempt after a kept checkpoint starts exactly there."""
+    kept_ms: dict[str, int] = {}
+    found = []
+    for event in events:
+        if event.kind == "checkpoint" and event.worker not in faulty:
+            kept_ms[event.job] = event.progress_ms
+        elif event.kind == "start":
+            last_ms = kept_ms.get(event.job, 0)
+            if event.progress_ms < last_ms:
+                detail = f"at {event.progress_ms} ms, not {last_ms} ms"
+                found.append(Breach("resumed-at-checkpoint", event.job, detail))
+    return found
+
+
+def ended_as_said(
+    events: Sequence[checker.WorkerEvent],
+    ends: Ends,
+    faulty: Collection[str],
+) -> list[Breach]:
+    """Jobs ended once, as their pages say, and refused ones never ran."""
+    started = {event.job for event in events if event.kind == "start"}
+    finished: dict[str, list[str]] = collections.defaultdict(list)
+    for event in events:
+        if event.kind == "end" and event.detail == "finished":
+            finished[event.job].append(event.worker)
+    found = [
+        Breach("refused-never-ran", job, "ran or is kept")
+        for job in ends.refused
+        if job in started or job in ends.pages
+    ]
+    found += [
+        Breach("ran-unasked", job, "ran without being accepted")
+        for job in started - set(ends.accepted)
+    ]
+    for job in ends.accepted:
+        detail = _wrong_end(job, finished[job], ends, faulty)
+        if detail:
+            found.append(Breach("ended-as-said", job, detail))
+    return found
+
+
+def _wrong_end(
+    job: str, finished: list[str], ends: Ends, faulty: Collection[str]
+) -> str:
+    page = ends.pages.get(job)
+    if page is None:
+        return "is lost"
+    # An end that was not heard of leaves the job to another attempt.
+    heard = [name for name in finished[:-1] if name not in faulty]
+    if heard:
+        return f"finished on {finished}"
+    match page["phase"]:
+        case "finished":
+            if job in ends.cancelled:
+                return "finished after its cancellation was confirmed"
+            return "" if finished else "is called finished and is not"
+        case "cancelled":
+            return "" if job in ends.cancel_asked else "cancelled unasked"
+        case "parked":
+            return "" if page["detail"] else "parked without a reason"
+        case phase:
+            return f"is still {phase}"
--- /dev/null
+++ b/testing/job_load.py
@@ -0,0 +1,153 @@
+"""Submits jobs steadily and cancels some in bursts."""
+
+from __future__ import annotations
+
+import collections
+import random
+import threading
+import time
+from typing import Any
+from typing import Self
+
+import attrs
+
+from testing import fleet as fleet_module
+from testing.standins import worker_model
+
+OK = 200
+REFUSED = frozenset({422, 503})
+REPEAT_PAUSE_S = 0.1
+ACCELERATOR_SHARE = 0.15
+
+
+@attrs.frozen
+class JobLoad:
+    """What is submitted.
+
+    Attributes:
+        seats: Hosts asked, in turn.
+        pause_ms: Time between two submissions.
+        shortest_ms: Shortest declared run time.
+        longest_ms: Longest declared run time.
+        urgent_share: Part of the jobs that are urgent.
+        never_works_share: Part of the jobs that fail wherever they run.
+        burst_every: Submissions between two bursts of cancellations; 0 for
+            no bursts.
+        burst: Cancellations of a burst, among the jobs accepted last.
+        seed: For sizes, run times and choices.
+    """
+
+    seats: tuple[str, ...]
+    pause_ms: float = 60.0
+    shortest_ms: int = 200
+    longest_ms: int = 2_000
+    urgent_share: float = 0.05
+    never_works_share: float = 0.02
+    burst_every: int = 25
+    burst: int = 5
+    seed: int = 1
+
+
+class JobSubmitter:
+    """Submits while it is entered; a job in doubt is sent until it isn't.
+
+    Attributes:
+        accepted: Ids that a host said were accepted.
+        refused: Ids that were refused and not sent again, with the reason.
+        cancel_asked: Ids whose cancellation was asked for.
+        cancelled: Ids whose cancellation a host confirmed.
+    """
+
+    def __init__(
+        self, fleet: fleet_module.Fleet, load: JobLoad, name: str = "j"
+    ) -> None:
+        self.accepted: dict[str, None] = {}
+        self.refused: dict[str, str] = {}
+        self.cancel_asked: dict[str, None] = {}
+        self.cancelled: dict[str, None] = {}
+        self._fleet = fleet
+        self._load = load
+        self._name = name
+        self._chance = random.Random(f"{load.seed}/{name}")
+        self._turn = 0
+        self._doubtful: collections.deque[dict[str, Any]] = collections.deque()
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run),
+            threading.Thread(target=self._run_doubtful),
+        ]
+
+    def __enter__(self) -> Self:
+        print(f"seed {self._load.seed}")
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def settle_doubtful(self, timeout_s: float) -> tuple[str, ...]:
+        """After the exit: sends jobs in doubt; returns those still in doubt."""
+        until = time.monotonic() + timeout_s
+        while self._doubtful and time.monotonic() < until:
+            self._submit(self._doubtful.popleft(), sent_before=True)
+            time.sleep(REPEAT_PAUSE_S)
+        return tuple(job["id"] for job in self._doubtful)
+
+    def _run(self) -> None:
+        count = 0
+        while not self._stop.wait(self._load.pause_ms / 1_000):
+            count += 1
+            self._submit(self._job(count), sent_before=False)
+            every = self._load.burst_every
+            if every and count % every == 0:
+                self._cancel_some()
+
+    def _run_doubtful(self) -> None:
+        while not self._stop.wait(REPEAT_PAUSE_S):
+            if self._doubtful:
+                self._submit(self._doubtful.popleft(), sent_before=True)
+
+    def _job(self, count: int) -> dict[str, Any]:
+        chance = self._chance
+        urgent = chance.random() < self._load.urgent_share
+        never_works = chance.random() < self._load.never_works_share
+        teams = self._fleet.deployment.teams
+        return {
+            "id": f"{self._name}-{count}",
+            "team": teams[0] if urgent else chance.choice(teams),
+            "job_class": worker_model.NEVER_WORKS if never_works else "stack",
+            "resources": {
+                "processors_milli": chance.randrange(500, 3_001, 250),
+                "memory_mib": chance.randrange(512, 8_193, 512),
+                "accelerators": int(chance.random() < ACCELERATOR_SHARE),
+            },
+            "run_time_ms": chance.randrange(
+                self._load.shortest_ms, self._load.longest_ms
+            ),
+            "urgent": urgent,
+        }
+
+    def _seat(self) -> str:
+        self._turn += 1
+        return self._load.seats[self._turn % len(self._load.seats)]
+
+    def _submit(self, job: dict[str, Any], sent_before: bool) -> None:
+        name: str = job["id"]
+        answer = self._fleet.submit_job(job, self._seat())
+        not_sent = answer.outcome == "unreachable"
+        if answer.status == OK:
+            self.accepted[name] = None
+        elif not sent_before and (answer.status in REFUSED or not_sent):
+            self.refused[name] = answer.reason
+        else:
+            self._doubtful.append(job)
+
+    def _cancel_some(self) -> None:
+        for name in list(self.accepted)[-2 * self._load.burst :: 2]:
+            self.cancel_asked[name] = None
+            answer = self._fleet.cancel_job(name, self._seat())
+            if answer.status == OK and answer.json().get("cancelled"):
+                self.cancelled[name] = None
--- /dev/null
+++ b/tests/system/test_batch_log_faults.py
@@ -0,0 +1,119 @@
+"""Promises about batch work while the log fails and hosts are replaced."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Self
+
+import pytest
+import testtools
+
+from testing import batch_fleet
+from testing import fleet as fleet_module
+
+SNAPSHOTS = "zone.bole.snapshots"
+SNAPSHOT_S = 20.0
+
+
+class LosingLog:
+    """Keeps the log losing answers, about every second one, while entered."""
+
+    def __init__(self, running: fleet_module.Fleet) -> None:
+        self._fleet = running
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping.set()
+        self._thread.join()
+        self._fleet.log.control(lose_after=0)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(0.15):
+            self._fleet.log.control(lose_after=1)
+
+
+@pytest.mark.xdist_group("fleet-3")
+class LogFaultTest(testtools.TestCase):
+    """The log fails while jobs are submitted and cancelled."""
+
+    def test_answers_lost_after_taking_effect(self) -> None:
+        running = batch_fleet.start(self)
+        with batch_fleet.submitter(running) as submitted, LosingLog(running):
+            batch_fleet.wait_started(running, 40, 20.0)
+        lost = [one for one in running.log_events() if one.kind == "lost-after"]
+        self.assertGreater(len(lost), 10)
+        batch_fleet.check(self, running, submitted)
+
+    def test_log_down_for_longer_than_claim_and_lease(self) -> None:
+        running = batch_fleet.start(self)
+        with batch_fleet.submitter(running) as submitted:
+            batch_fleet.wait_started(running, 15)
+            running.log.control(down=True)
+            time.sleep(8.0)
+            running.log.control(down=False)
+            batch_fleet.wait_started(running, 15)
+        self.assertGreater(len(submitted.refused), 0)
+        batch_fleet.check(self, running, submitted)
+
+    def test_slow_log(self) -> None:
+        running = batch_fleet.start(self)
+        with batch_fleet.submitter(running) as submitted:
+            batch_fleet.wait_started(running, 15)
+            for slow_ms in (1_000, 2_000):
+                running.log.control(slow_ms=slow_ms)
+                time.sleep(4.0)
+            running.log.control(slow_ms=0)
+            batch_fleet.wait_started(running, 15, 20.0)
+        batch_fleet.check(self, running, submitted)
+
+    def test_expired_records_and_a_host_started_from_a_snapshot(self) -> None:
+        running = batch_fleet.start(self)
+        running.log.control(keep_records=40)
+        with batch_fleet.submitter(running) as submitted:
+            running.wait_until(
+                lambda: snapshot_seen(running), "a snapshot", SNAPSHOT_S
+            )
+            owner = batch_fleet.owner(running)
+            running.replace_host(owner)
+            batch_fleet.wait_started(running, 15, 20.0)
+        batch_fleet.check(self, running, submitted)
+
+
+def snapshot_seen(running: fleet_module.Fleet) -> bool:
+    """Whether a snapshot of the zone stands on the log."""
+    return any(
+        event.stream == SNAPSHOTS and event.offset >= 0
+        for event in running.log_events()
+    )
+
+
+@pytest.mark.xdist_group("fleet-4")
+class ReplaceTest(testtools.TestCase):
+    """Hosts are replaced while jobs run."""
+
+    def test_every_host_one_after_another(self) -> None:
+        running = batch_fleet.start(self)
+        with batch_fleet.submitter(running) as submitted:
+            for seat in running.hosts:
+                batch_fleet.wait_started(running, 5)
+                running.replace_host(seat)
+            batch_fleet.wait_started(running, 20)
+        batch_fleet.check(self, running, submitted)
+
+    def test_all_hosts_at_once(self) -> None:
+        running = batch_fleet.start(self)
+        with batch_fleet.submitter(running) as submitted:
+            batch_fleet.wait_started(running, 20)
+            for seat in running.hosts:
+                running.kill_host(seat)
+            for seat in running.hosts:
+                running.start_host(seat)
+            running.wait_ready()
+            batch_fleet.wait_started(running, 20, 20.0)
+        batch_fleet.check(self, running, submitted)
--- /dev/null
+++ b/tests/system/test_batch_owner_faults.py
@@ -0,0 +1,79 @@
+"""Promises about batch work while hosts die, freeze and are cut off."""
+
+from __future__ import annotations
+
+import signal
+import time
+
+import pytest
+import testtools
+
+from testing import batch_fleet
+
+
+@pytest.mark.xdist_group("fleet-3")
+class OwnerFaultTest(testtools.TestCase):
+    """The owner of a zone fails while jobs are submitted and cancelled."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = batch_fleet.start(self)
+
+    def test_owner_killed(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.kill_host(owner)
+            batch_fleet.wait_owner(self.fleet, owner)
+            batch_fleet.wait_started(self.fleet, 20)
+            self.fleet.start_host(owner)
+            self.fleet.wait_ready(owner)
+        batch_fleet.check(self, self.fleet, submitted)
+
+    def test_owner_frozen_past_its_claim_and_woken(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.signal_host(owner, signal.SIGSTOP)
+            batch_fleet.wait_owner(self.fleet, owner)
+            batch_fleet.wait_started(self.fleet, 5)
+            self.fleet.signal_host(owner, signal.SIGCONT)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted)
+
+    def test_owner_frozen_and_its_successor_killed(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            first = batch_fleet.owner(self.fleet)
+            self.fleet.signal_host(first, signal.SIGSTOP)
+            second = batch_fleet.wait_owner(self.fleet, first)
+            batch_fleet.wait_started(self.fleet, 3)
+            self.fleet.kill_host(second)
+            self.fleet.signal_host(first, signal.SIGCONT)
+            batch_fleet.wait_owner(self.fleet, second)
+            batch_fleet.wait_started(self.fleet, 20)
+            self.fleet.start_host(second)
+            self.fleet.wait_ready(second)
+        batch_fleet.check(self, self.fleet, submitted)
+
+    def test_owner_cut_from_the_log_only(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.network.set(f"log/{owner}", cut=True)
+            batch_fleet.wait_owner(self.fleet, owner)
+            batch_fleet.wait_started(self.fleet, 10)
+            self.fleet.network.set(f"log/{owner}", cut=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted)
+
+    def test_owner_cut_from_its_peers_only(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.network.set(f"peer/*/{owner}/*", cut=True)
+            self.fleet.network.set(f"peer/*/*/*/{owner}", cut=True)
+            time.sleep(5.0)
+            batch_fleet.wait_started(self.fleet, 20)
+            self.fleet.network.set("peer/*", cut=False)
+        batch_fleet.check(self, self.fleet, submitted)
--- /dev/null
+++ b/tests/system/test_batch_worker_faults.py
@@ -0,0 +1,207 @@
+"""Promises about batch work while workers die, pause and are cut off."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import Any
+
+import pytest
+import testtools
+
+from testing import batch_fleet
+from testing import fleet as fleet_module
+from testing.standins import worker_records
+
+SPAN_S = 20.0
+
+
+@pytest.mark.xdist_group("fleet-4")
+class WorkerFaultTest(testtools.TestCase):
+    """Workers fail while jobs are submitted and cancelled."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = batch_fleet.start(self)
+
+    def test_workers_killed_in_turn(self) -> None:
+        faulty = ("wk-1", "wk-2")
+        with batch_fleet.submitter(self.fleet) as submitted:
+            for name in faulty:
+                batch_fleet.wait_started(self.fleet, 15)
+                self.fleet.workers.control(worker=name, kill=True)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, faulty)
+
+    def test_worker_paused_past_its_lease(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 15)
+            self.fleet.workers.control(worker="wk-1", pause=True)
+            time.sleep(6.0)
+            self.fleet.workers.control(worker="wk-1", pause=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, ("wk-1",))
+
+    def test_worker_that_refuses_connections(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 15)
+            self.fleet.workers.control(worker="wk-1", refuse=True)
+            time.sleep(6.0)
+            self.fleet.workers.control(worker="wk-1", refuse=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, ("wk-1",))
+
+    def test_worker_that_fails_everything(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 15)
+            self.fleet.workers.control(worker="wk-1", fail_all=True)
+            time.sleep(6.0)
+            batch_fleet.wait_started(self.fleet, 20)
+            self.fleet.workers.control(worker="wk-1", fail_all=False)
+        batch_fleet.check(self, self.fleet, submitted)
+
+    def test_all_workers_cut_past_their_leases(self) -> None:
+        names = self.fleet.deployment.worker_names()
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 15)
+            self.fleet.network.set("worker/*", cut=True)
+            time.sleep(6.0)
+            self.fleet.network.set("worker/*", cut=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, names)
+
+    def test_worker_paused_while_the_owner_is_killed(self) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 15)
+            self.fleet.workers.control(worker="wk-1", pause=True)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.kill_host(owner)
+            batch_fleet.wait_owner(self.fleet, owner)
+            time.sleep(2.0)
+            self.fleet.workers.control(worker="wk-1", pause=False)
+            batch_fleet.wait_started(self.fleet, 20)
+            self.fleet.start_host(owner)
+            self.fleet.wait_ready(owner)
+        batch_fleet.check(self, self.fleet, submitted, ("wk-1",))
+
+
+def job(name: str, run_time_ms: int, **changes: Any) -> dict[str, Any]:
+    """A job that leaves no room for a second one on its worker."""
+    return {
+        "id": name,
+        "team": "faculty",
+        "job_class": "stack",
+        "resources": {
+            "processors_milli": 4_000,
+            "memory_mib": 8_192,
+            "accelerators": 1,
+        },
+        "run_time_ms": run_time_ms,
+        **changes,
+    }
+
+
+def started(
+    running: fleet_module.Fleet, name: str, attempt: int
+) -> worker_records.WorkerEvent | None:
+    """The start of an attempt, if workers have started it."""
+    for event in running.worker_events():
+        if event.kind == "start" and event.job == name:
+            if event.attempt == attempt:
+                return event
+    return None
+
+
+def wait_started(
+    running: fleet_module.Fleet, name: str, attempt: int
+) -> worker_records.WorkerEvent:
+    """Waits for the start of an attempt."""
+    running.wait_until(
+        lambda: started(running, name, attempt) is not None,
+        f"attempt {attempt} of {name} has started",
+        SPAN_S,
+    )
+    found = started(running, name, attempt)
+    assert found is not None
+    return found
+
+
+def finishes(running: fleet_module.Fleet, name: str) -> list[int]:
+    """Attempts of a job that ran to their ends."""
+    return [
+        event.attempt
+        for event in running.worker_events()
+        if event.job == name and event.detail == "finished"
+    ]
+
+
+@pytest.mark.xdist_group("fleet-4")
+class LateAndStaleTest(testtools.TestCase):
+    """What comes late from an old attempt or an old owner does nothing."""
+
+    def test_late_completion_changes_nothing(self) -> None:
+        running = batch_fleet.start(self, workers=2)
+        seat = batch_fleet.owner(running)
+        running.submit_job(job("late", 1_800), seat)
+        first = wait_started(running, "late", 1)
+        running.network.set(f"worker/{first.worker}", cut=True)
+        second = wait_started(running, "late", 2)
+        self.assertEqual([1], finishes(running, "late"))
+        running.network.set(f"worker/{first.worker}", cut=False)
+        self.assertNotEqual(first.worker, second.worker)
+        running.wait_until(
+            lambda: running.job("late", seat).json()["phase"] == "finished",
+            "the job has finished",
+            SPAN_S,
+        )
+        page = running.job("late", seat).json()
+        self.assertEqual((2, 1), (page["attempt"], page["losses"]))
+        self.assertEqual([1, 2], finishes(running, "late"))
+
+    def test_start_in_a_buffer_is_stale_for_the_worker(self) -> None:
+        running = batch_fleet.start(self, workers=2)
+        owner = batch_fleet.owner(running)
+        host_id = running.status(owner)["host"]["host_id"]
+        running.network.set("worker/*", block_to_target=True)
+        running.submit_job(job("held", 3_000), owner)
+        # The start is on its way before its exchange is given up.
+        time.sleep(0.4)
+        running.signal_host(owner, signal.SIGSTOP)
+        worker = self.assigned_worker(running, "held", owner)
+        other = "wk-2" if worker == "wk-1" else "wk-1"
+        running.network.set(f"worker/{other}", block_to_target=False)
+        second = wait_started(running, "held", 2)
+        self.assertEqual(other, second.worker)
+        running.network.set(f"worker/{worker}", block_to_target=False)
+        running.wait_until(
+            lambda: self.refusals(running, worker, host_id) != [],
+            "the old owner's start has been refused",
+            SPAN_S,
+        )
+        running.signal_host(owner, signal.SIGCONT)
+        self.assertIsNone(started(running, "held", 1))
+        running.wait_until(
+            lambda: finishes(running, "held") == [2],
+            "the second attempt has finished",
+            SPAN_S,
+        )
+
+    def assigned_worker(
+        self, running: fleet_module.Fleet, name: str, frozen: str
+    ) -> str:
+        seat = next(one for one in running.hosts if one != frozen)
+        page = running.job(name, seat).json()
+        self.assertEqual("assigned", page["phase"])
+        worker: str = page["worker"]
+        return worker
+
+    def refusals(
+        self, running: fleet_module.Fleet, worker: str, host_id: str
+    ) -> list[str]:
+        return [
+            event.kind
+            for event in running.worker_events()
+            if event.worker == worker
+            and event.kind in ("refused-stale", "refused-term")
+            and event.detail == host_id
+        ]
