Give up the jobs of a worker that is silent but takes connections

Cause: every exchange that may have arrived moved the time from which a silent worker's leases are counted, also those that only ask and carry no lease. A paused worker, or one behind a stalled connection, still takes connections, so that each retry put the bound off again and its attempts were never declared lost. Ruled out: the successor's guard (the owner had not changed) and placement (the other worker was idle). Before: test_late_completion_changes_nothing saw no second attempt within 20 s. After: the second attempt starts once the lease, the staleness bound and the drift margin have passed; the unit test fails without the change.

--- a/src/comfreylatch/_process/batch/worker_session.py
+++ b/src/comfreylatch/_process/batch/worker_session.py
@@ -83,7 +83,7 @@
 
     @property
     def last_sent_ms(self) -> int:
-        """Before the last exchange that may have been received; -1: none."""
+        """Before the last lease that may have been received; -1: none."""
         return self._last_sent_ms
 
     @property
@@ -164,8 +164,9 @@
         """
         with self._lock:
             before_ms = self._last_sent_ms
-            self._last_sent_ms = now_ms
+            # One that only asks can't keep a task running.
             if exchange.lease_ms > 0:
+                self._last_sent_ms = now_ms
                 self._lease_sent_ms = now_ms
             return before_ms
 
--- a/testing/job_load.py
+++ b/testing/job_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import random
 import threading
 import time
@@ -10,13 +11,18 @@
 from typing import Self
 
 import attrs
+import msgspec
 
+from testing import client
 from testing import fleet as fleet_module
 from testing.standins import worker_model
 
 OK = 200
 REFUSED = frozenset({422, 503})
 REPEAT_PAUSE_S = 0.1
+# A host that answers later is taken for frozen.
+ANSWER_TIMEOUT_S = 2.0
+THREADS = 4
 ACCELERATOR_SHARE = 0.15
 
 
@@ -69,13 +75,15 @@
         self._load = load
         self._name = name
         self._chance = random.Random(f"{load.seed}/{name}")
-        self._turn = 0
+        self._turn = itertools.count()
         self._doubtful: collections.deque[dict[str, Any]] = collections.deque()
         self._stop = threading.Event()
+        self._count = itertools.count(1)
+        self._lock = threading.Lock()
         self._threads = [
-            threading.Thread(target=self._run),
-            threading.Thread(target=self._run_doubtful),
+            threading.Thread(target=self._run) for _ in range(THREADS)
         ]
+        self._threads.append(threading.Thread(target=self._run_doubtful))
 
     def __enter__(self) -> Self:
         print(f"seed {self._load.seed}")
@@ -97,10 +105,12 @@
         return tuple(job["id"] for job in self._doubtful)
 
     def _run(self) -> None:
-        count = 0
-        while not self._stop.wait(self._load.pause_ms / 1_000):
-            count += 1
-            self._submit(self._job(count), sent_before=False)
+        pause_s = self._load.pause_ms / 1_000 * THREADS
+        while not self._stop.wait(pause_s):
+            with self._lock:
+                count = next(self._count)
+                job = self._job(count)
+            self._submit(job, sent_before=False)
             every = self._load.burst_every
             if every and count % every == 0:
                 self._cancel_some()
@@ -130,13 +140,19 @@
             "urgent": urgent,
         }
 
-    def _seat(self) -> str:
-        self._turn += 1
-        return self._load.seats[self._turn % len(self._load.seats)]
+    def _call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> client.Answer:
+        seats = self._load.seats
+        seat = seats[next(self._turn) % len(seats)]
+        address = self._fleet.hosts[seat].operator_address
+        return self._fleet.client.call(
+            method, f"http://{address}{path}", body, timeout_s=ANSWER_TIMEOUT_S
+        )
 
     def _submit(self, job: dict[str, Any], sent_before: bool) -> None:
         name: str = job["id"]
-        answer = self._fleet.submit_job(job, self._seat())
+        answer = self._call("POST", "/jobs", msgspec.json.encode(job))
         not_sent = answer.outcome == "unreachable"
         if answer.status == OK:
             self.accepted[name] = None
@@ -148,6 +164,6 @@
     def _cancel_some(self) -> None:
         for name in list(self.accepted)[-2 * self._load.burst :: 2]:
             self.cancel_asked[name] = None
-            answer = self._fleet.cancel_job(name, self._seat())
+            answer = self._call("DELETE", f"/jobs/{name}")
             if answer.status == OK and answer.json().get("cancelled"):
                 self.cancelled[name] = None
--- a/testing/network.py
+++ b/testing/network.py
@@ -7,6 +7,7 @@
 from testing import deployments
 from testing import fleet_plan
 from testing import processes
+from testing import relay
 
 
 class Network:
@@ -29,6 +30,11 @@
         answer = self._relays.control(relay=pattern, **faults)
         return int(answer["relays"])
 
+    def held(self) -> list[relay.HeldChunk]:
+        """Everything that a stalled connection has kept in a relay."""
+        chunks: list[relay.HeldChunk] = self._relays.journal(relay.HeldChunk)
+        return chunks
+
     def cut_zones(self, one: str, other: str, cut: bool = True) -> None:
         """Cuts, or heals, every peer connection between two zones."""
         matched = self.set(f"peer/{one}/*/{other}/*", cut=cut)
--- a/testing/relay.py
+++ b/testing/relay.py
@@ -27,6 +27,7 @@
 LOSS_STALL_MS = 200.0
 POLL_S = 0.02
 NO_LIMIT = -1
+HELD_TEXT_BYTES = 2_048
 
 
 @attrs.frozen
@@ -66,11 +67,23 @@
     reset_after: int = NO_LIMIT
 
 
+@attrs.frozen
+class HeldChunk:
+    """Bytes that a fault kept in the relay; `text` is their beginning."""
+
+    relay: str
+    to_target: bool
+    text: str
+
+
 class Relay:
     """One listening address and its connections."""
 
-    def __init__(self, spec: RelaySpec, seed: int) -> None:
+    def __init__(
+        self, spec: RelaySpec, seed: int, journal: serving.Journal
+    ) -> None:
         self.spec = spec
+        self._journal = journal
         self.faults = RelayFaults()
         self.address = ""
         self._random = random.Random(f"{seed}/{spec.name}")
@@ -159,6 +172,9 @@
             left_s = due_s - loop.time()
             if left_s > 0:
                 await asyncio.sleep(left_s)
+            if chunk and self._blocked(to_target):
+                text = chunk[:HELD_TEXT_BYTES].decode("latin-1")
+                self._journal.add(HeldChunk(self.spec.name, to_target, text))
             await self._while(lambda: self._blocked(to_target))
             if not chunk:
                 writer.write_eof()
@@ -197,7 +213,7 @@
 
     def __init__(self, specs: list[RelaySpec], seed: int) -> None:
         self.journal = serving.Journal()
-        self._relays = [Relay(spec, seed) for spec in specs]
+        self._relays = [Relay(spec, seed, self.journal) for spec in specs]
         self._loop = asyncio.new_event_loop()
 
     def start(self) -> None:
--- /dev/null
+++ b/tests/process/batch/test_worker_session.py
@@ -0,0 +1,30 @@
+"""Tests of what a session counts as sent to its worker."""
+
+from __future__ import annotations
+
+import testtools
+
+from comfreylatch._ports import workers
+from comfreylatch._process.batch import worker_session
+
+
+class LastSentTest(testtools.TestCase):
+    """`last_sent_ms` bounds how long the worker's tasks can run."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.session = worker_session.WorkerSession("wk-1", "a:1", "host")
+
+    def test_lease_moves_it(self) -> None:
+        lease = workers.Exchange("host", 1, quoted_report=7, lease_ms=2_000)
+        self.session.sending(lease, 1_000)
+        self.assertEqual(1_000, self.session.last_sent_ms)
+
+    def test_question_to_a_silent_worker_does_not_move_it(self) -> None:
+        lease = workers.Exchange("host", 1, quoted_report=7, lease_ms=2_000)
+        self.session.sending(lease, 1_000)
+        question = workers.Exchange("host", 1, quoted_report=0, lease_ms=0)
+        before_ms = self.session.sending(question, 5_000)
+        lost = workers.WorkerAnswerLost("timeout")
+        self.session.unanswered(question, lost, 5_000, before_ms)
+        self.assertEqual(1_000, self.session.last_sent_ms)
--- a/tests/system/test_batch_worker_faults.py
+++ b/tests/system/test_batch_worker_faults.py
@@ -6,14 +6,18 @@
 import time
 from typing import Any
 
+import attrs
 import pytest
 import testtools
 
 from testing import batch_fleet
+from testing import checker
 from testing import fleet as fleet_module
 from testing.standins import worker_records
 
 SPAN_S = 20.0
+HOLD_S = 0.6
+HOLD_TRIES = 6
 
 
 @pytest.mark.xdist_group("fleet-4")
@@ -106,9 +110,9 @@
 ) -> worker_records.WorkerEvent | None:
     """The start of an attempt, if workers have started it."""
     for event in running.worker_events():
-        if event.kind == "start" and event.job == name:
-            if event.attempt == attempt:
-                return event
+        key = (event.kind, event.job, event.attempt)
+        if key == ("start", name, attempt):
+            return event
     return None
 
 
@@ -140,9 +144,11 @@
     """What comes late from an old attempt or an old owner does nothing."""
 
     def test_late_completion_changes_nothing(self) -> None:
-        running = batch_fleet.start(self, workers=2)
+        # Long enough for an attempt to end unheard within its lease.
+        limits = attrs.evolve(batch_fleet.LIMITS, lease_ms=4_000)
+        running = batch_fleet.start(self, workers=2, limits=limits)
         seat = batch_fleet.owner(running)
-        running.submit_job(job("late", 1_800), seat)
+        running.submit_job(job("late", 2_000), seat)
         first = wait_started(running, "late", 1)
         running.network.set(f"worker/{first.worker}", cut=True)
         second = wait_started(running, "late", 2)
@@ -158,19 +164,15 @@
         self.assertEqual((2, 1), (page["attempt"], page["losses"]))
         self.assertEqual([1, 2], finishes(running, "late"))
 
-    def test_start_in_a_buffer_is_stale_for_the_worker(self) -> None:
+    def test_start_in_a_buffer_is_refused_by_the_worker(self) -> None:
         running = batch_fleet.start(self, workers=2)
         owner = batch_fleet.owner(running)
         host_id = running.status(owner)["host"]["host_id"]
-        running.network.set("worker/*", block_to_target=True)
-        running.submit_job(job("held", 3_000), owner)
-        # The start is on its way before its exchange is given up.
-        time.sleep(0.4)
+        name, worker = self.hold_start(running, owner)
         running.signal_host(owner, signal.SIGSTOP)
-        worker = self.assigned_worker(running, "held", owner)
         other = "wk-2" if worker == "wk-1" else "wk-1"
         running.network.set(f"worker/{other}", block_to_target=False)
-        second = wait_started(running, "held", 2)
+        second = wait_started(running, name, 2)
         self.assertEqual(other, second.worker)
         running.network.set(f"worker/{worker}", block_to_target=False)
         running.wait_until(
@@ -179,21 +181,35 @@
             SPAN_S,
         )
         running.signal_host(owner, signal.SIGCONT)
-        self.assertIsNone(started(running, "held", 1))
+        self.assertIsNone(started(running, name, 1))
         running.wait_until(
-            lambda: finishes(running, "held") == [2],
+            lambda: finishes(running, name) == [2],
             "the second attempt has finished",
             SPAN_S,
         )
+        self.assertEqual(
+            [], checker.never_in_two_places(running.worker_events())
+        )
 
-    def assigned_worker(
-        self, running: fleet_module.Fleet, name: str, frozen: str
-    ) -> str:
-        seat = next(one for one in running.hosts if one != frozen)
-        page = running.job(name, seat).json()
-        self.assertEqual("assigned", page["phase"])
-        worker: str = page["worker"]
-        return worker
+    def hold_start(
+        self, running: fleet_module.Fleet, owner: str
+    ) -> tuple[str, str]:
+        """Gets a start stuck on its way; returns its job and its worker."""
+        for turn in range(HOLD_TRIES):
+            name = f"held-{turn}"
+            running.network.set("worker/*", block_to_target=True)
+            running.submit_job(job(name, 3_000), owner)
+            until = time.monotonic() + HOLD_S
+            while time.monotonic() < until:
+                for chunk in running.network.held():
+                    if "start" in chunk.text and name in chunk.text:
+                        return name, chunk.relay.removeprefix("worker/")
+                time.sleep(0.02)
+            # A renewal was under way, so that the start had to wait.
+            running.network.set("worker/*", block_to_target=False)
+            running.cancel_job(name, owner)
+            time.sleep(1.0)
+        raise AssertionError("no start could be held")
 
     def refusals(
         self, running: fleet_module.Fleet, worker: str, host_id: str
