--- a/src/comfreylatch/_commands/load.py
+++ b/src/comfreylatch/_commands/load.py
@@ -18,6 +18,7 @@
 
 from comfreylatch._commands import trace as traces
 from comfreylatch._connection import address as addresses
+from comfreylatch._process import reasons
 
 CONNECT_TIMEOUT_MS = 2_000
 # What a caller waits beyond the deadline it gave, for the answer's way back.
@@ -25,6 +26,8 @@
 # A request that starts later than this was held up by the tool itself.
 LATE_START_MS = 10.0
 MAX_POOLS = 256
+# How long a host is passed over after it failed or said that it stops.
+PASSED_OVER_MS = 1_000.0
 
 
 class Seen(enum.StrEnum):
@@ -88,6 +91,41 @@
     due_ms: float
 
 
+class Balancer:
+    """Picks hosts in turn, as the platform's balancer would. Thread-safe.
+
+    A host that failed or said that it stops is passed over for a while; no
+    request is sent a second time.
+    """
+
+    def __init__(
+        self, callers: Mapping[str, Sequence[addresses.Address]]
+    ) -> None:
+        self._by_zone = callers
+        self._everyone = [one for each in callers.values() for one in each]
+        self._turn = itertools.count()
+        self._until_s: dict[addresses.Address, float] = {}
+
+    def pick(self, zone: str) -> addresses.Address:
+        """The next host of the zone; of any zone when it has none left."""
+        now_s = time.monotonic()
+        of_zone = self._by_zone.get(zone) or self._by_zone.get("", ())
+        for choices in (of_zone, self._everyone):
+            usable = [
+                one for one in choices if self._until_s.get(one, 0.0) <= now_s
+            ]
+            if usable:
+                return usable[next(self._turn) % len(usable)]
+        return self._everyone[next(self._turn) % len(self._everyone)]
+
+    def told(self, address: addresses.Address, seen: Seen, reason: str) -> None:
+        """Takes note of what became of a request sent to a host."""
+        failed = seen is Seen.UNREACHABLE or seen is Seen.LOST
+        if failed or reason == reasons.RefusalReason.STOPPING:
+            until_s = time.monotonic() + PASSED_OVER_MS / 1_000
+            self._until_s[address] = until_s
+
+
 @final
 class Load:
     """Sends each request when it is due, on a thread of its own.
@@ -112,7 +150,7 @@
             ]
         )
         self._lock = threading.Lock()
-        self._turn = itertools.count()
+        self._balancer = Balancer(options.callers)
         self._samples: queue.SimpleQueue[Sample] = queue.SimpleQueue()
         self._pool = urllib3.PoolManager(
             num_pools=MAX_POOLS, maxsize=options.threads, retries=False
@@ -153,21 +191,15 @@
     def _now_ms(self) -> float:
         return (time.monotonic() - self._started_s) * 1_000
 
-    def _address(self, zone: str) -> addresses.Address:
-        callers = self._options.callers
-        choices = callers.get(zone) or callers.get("")
-        if not choices:
-            choices = [one for each in callers.values() for one in each]
-        return choices[next(self._turn) % len(choices)]
-
     def _send(self, due: _Due) -> Sample:
         request = due.request
         late_ms = self._now_ms() - due.due_ms
         name = f"{self._options.run}-{due.number}"
         status = 0
         retry_after_ms = 0
+        address = self._balancer.pick(request.zone)
         try:
-            answer = self._exchange(request, name, self._body(due))
+            answer = self._exchange(address, request, name, self._body(due))
         except (
             exceptions.NewConnectionError,
             exceptions.ConnectTimeoutError,
@@ -179,6 +211,7 @@
             status = answer.status
             seen, reason = _classify(answer, name)
             retry_after_ms = _whole(answer.headers.get("X-Retry-After-Ms"))
+        self._balancer.told(address, seen, reason)
         return Sample(
             service=request.service,
             due_ms=due.due_ms,
@@ -196,7 +229,11 @@
         return generator.randbytes(due.request.body_bytes)
 
     def _exchange(
-        self, request: traces.TracedRequest, name: str, body: bytes
+        self,
+        address: addresses.Address,
+        request: traces.TracedRequest,
+        name: str,
+        body: bytes,
     ) -> urllib3.BaseHTTPResponse:
         headers = {
             "X-Request-Id": name,
@@ -207,7 +244,6 @@
             headers["X-Caller"] = request.caller
         if request.work_ms >= 0:
             headers["X-Work-Ms"] = f"{request.work_ms:.3f}"
-        address = self._address(request.zone)
         return self._pool.request(
             "POST",
             f"http://{address}/services/{request.service}{request.path}",
--- a/testing/experiment.py
+++ b/testing/experiment.py
@@ -15,6 +15,7 @@
 
 from comfreylatch._commands import trace as trace_module
 from testing import checker
+from testing import fault_plan
 from testing import fleet
 from testing import fleet_plan
 from testing import traces
@@ -38,6 +39,7 @@
             deployment's delays.
         speed: Task time per real time, on the workers.
         label: Name of the policy, for the report.
+        fault: What strikes from a third to two thirds of the trace.
     """
 
     workload: str
@@ -48,6 +50,7 @@
     delays: bool
     speed: float
     label: str
+    fault: fault_plan.Fault
     with_jobs: bool
     as_json: bool
 
@@ -55,9 +58,13 @@
 def run(experiment: Experiment) -> int:
     """Runs it; 0 when outcomes were kept and no promise was broken."""
     workload = traces.WORKLOADS[experiment.workload]()
-    links = frozenset({fleet_plan.Link.PEERS, fleet_plan.Link.CALLERS})
+    links: set[fleet_plan.Link] = set()
+    if experiment.delays:
+        links |= {fleet_plan.Link.PEERS, fleet_plan.Link.CALLERS}
+    if experiment.fault is fault_plan.Fault.CUT_ZONE:
+        links |= {fleet_plan.Link.PEERS, fleet_plan.Link.PLATFORM}
     options = fleet_plan.FleetOptions(
-        links=links if experiment.delays else frozenset(),
+        links=frozenset(links),
         delays=experiment.delays,
         seed=experiment.seed,
         speed=experiment.speed,
@@ -73,7 +80,11 @@
     trace = maker.make(experiment.with_jobs)
     with fleet.Fleet(workload.deployment, options) as running:
         running.put_in_force()
-        code = _replay(running, trace, experiment)
+        faults = fault_plan.FaultPlan(
+            running, experiment.fault, experiment.duration_ms
+        )
+        with faults:
+            code = _replay(running, trace, experiment)
         print(f"workers: {_worker_words(running.worker_events())}")
         print(f"tasks: {_stretch_words(running.worker_events())}")
         breaches = _breaches(running)
@@ -156,6 +167,12 @@
     parser.add_argument("--scale", type=float, default=1.0)
     parser.add_argument("--speed", type=float, default=1.0)
     parser.add_argument("--label", default="")
+    parser.add_argument(
+        "--fault",
+        type=fault_plan.Fault,
+        choices=list(fault_plan.Fault),
+        default=fault_plan.Fault.NONE,
+    )
     parser.add_argument("--no-delays", dest="delays", action="store_false")
     parser.add_argument("--no-jobs", dest="with_jobs", action="store_false")
     parser.add_argument("--json", dest="as_json", action="store_true")
