Measure routing policies side by side; hold slots of silent endpoints

An endpoint that neither answers nor closes still runs its request: its slot is now held as long as the connection stays silent, for a minute more at most. The new test of it failed before.

--- a/src/comfreylatch/_connection/late_answers.py
+++ b/src/comfreylatch/_connection/late_answers.py
@@ -24,6 +24,8 @@
 from comfreylatch._ports import clock as clock_port
 
 MAX_WAIT_S = 1.0
+SILENT_RECHECK_MS = 500
+MAX_SILENT_MS = 60_000
 
 _log = logbook.Logger("comfreylatch.late-answers")
 
@@ -34,6 +36,7 @@
 
     connection: socket.socket | None
     ended: Callable[[], None]
+    silent_until_ms: int
     done: bool = False
 
 
@@ -85,9 +88,11 @@
         """Calls `ended` once, when the request has or must have ended.
 
         Owns `connection` from now on and closes it; None means that it is
-        closed already and only `hold_until_ms`, a monotonic time, tells.
+        closed already and only `hold_until_ms`, a monotonic time, tells. A
+        connection that stays open without an answer is a request that still
+        runs, beyond that time too, up to `MAX_SILENT_MS` more.
         """
-        watched = _Watched(connection, ended)
+        watched = _Watched(connection, ended, hold_until_ms + MAX_SILENT_MS)
         entry = (hold_until_ms, next(self._sequence), watched)
         with self._lock:
             heapq.heappush(self._due, entry)
@@ -156,11 +161,23 @@
         due: list[_Watched] = []
         with self._lock:
             while self._due and self._due[0][0] <= now_ms:
-                due.append(heapq.heappop(self._due)[2])
+                watched = heapq.heappop(self._due)[2]
+                if self._is_still_running(watched, now_ms):
+                    recheck_ms = now_ms + SILENT_RECHECK_MS
+                    entry = (recheck_ms, next(self._sequence), watched)
+                    heapq.heappush(self._due, entry)
+                else:
+                    due.append(watched)
         for watched in due:
             self._close(watched)
             self._end(watched)
 
+    @staticmethod
+    def _is_still_running(watched: _Watched, now_ms: int) -> bool:
+        return watched.connection is not None and (
+            now_ms < watched.silent_until_ms
+        )
+
     def _close(self, watched: _Watched) -> None:
         connection = watched.connection
         if connection is None:
--- a/testing/fleet_plan.py
+++ b/testing/fleet_plan.py
@@ -51,6 +51,7 @@
         timing: Timing settings of every host.
         threads: Threads for callers, per host; None keeps the default.
         log_level: Log level of every host.
+        routing: Routing settings of every host.
     """
 
     links: frozenset[Link] = frozenset()
@@ -64,6 +65,7 @@
     timing: settings_module.TimingSettings = settings_module.TimingSettings()
     threads: int | None = None
     log_level: str = "info"
+    routing: settings_module.RoutingSettings = settings_module.RoutingSettings()
 
 
 @attrs.define
@@ -199,6 +201,7 @@
         peers=peers,
         timing=options.timing,
         log_level=options.log_level,
+        routing=options.routing,
     )
     if options.threads is None:
         return settings
--- /dev/null
+++ b/testing/measure_routing.py
@@ -0,0 +1,206 @@
+"""Routing policies side by side, on real hosts and endpoints, in one run.
+
+`python -m testing.measure_routing --rounds 2 --seed 1` starts a small fleet
+for each policy in turn and offers each the same requests, open loop: calm,
+with slow endpoints, with endpoints that reset connections, and with a host
+killed. The time of a request counts from when it was due.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections
+from collections.abc import Callable
+import concurrent.futures
+import random
+import sys
+import time
+
+import attrs
+
+from comfreylatch._process import settings as settings_module
+from comfreylatch._process.routing import choice
+from testing import callers
+from testing import checker
+from testing import deployments
+from testing import fleet as fleet_module
+from testing import fleet_plan
+
+ENDPOINTS = 8
+WORK_MS = 60.0
+TIMEOUT_MS = 1_500
+LOAD_THREADS = 96
+SLOW_FACTOR = 8.0
+RESETS_PER_S = 4
+
+
+@attrs.frozen
+class Reply:
+    """What became of one request, and when, counted from when it was due."""
+
+    sent: checker.Sent
+    elapsed_ms: float
+
+
+@attrs.frozen
+class Phase:
+    """A part of a run.
+
+    Attributes:
+        name: What happens in it.
+        begin: Brings the fault about.
+        end: Ends it.
+    """
+
+    name: str
+    begin: Callable[[fleet_module.Fleet], None]
+    end: Callable[[fleet_module.Fleet], None]
+
+
+def _nothing(running: fleet_module.Fleet) -> None:
+    del running
+
+
+def _slow(running: fleet_module.Fleet) -> None:
+    for endpoint in ("ex-1", "ex-2"):
+        running.endpoints.control(endpoint=endpoint, slow=SLOW_FACTOR)
+
+
+def _usual(running: fleet_module.Fleet) -> None:
+    running.endpoints.control(endpoint="*", slow=1.0, reset=0)
+
+
+def _lossy(running: fleet_module.Fleet) -> None:
+    for endpoint in ("ex-1", "ex-2"):
+        running.endpoints.control(endpoint=endpoint, reset=1_000_000)
+
+
+def _kill(running: fleet_module.Fleet) -> None:
+    running.kill_host(running.deployment.all_seats()[-1])
+
+
+PHASES = (
+    Phase("calm", _nothing, _nothing),
+    Phase("slow", _slow, _usual),
+    Phase("lossy", _lossy, _usual),
+    Phase("host-killed", _kill, _nothing),
+)
+
+
+class Offer:
+    """Sends a steady stream of requests to the hosts in turn."""
+
+    def __init__(
+        self, running: fleet_module.Fleet, per_s: float, seed: int
+    ) -> None:
+        self._running = running
+        self._per_s = per_s
+        self._chance = random.Random(seed)
+
+    def run(self, name: str, seconds: float) -> list[Reply]:
+        """Replies to the requests of one phase."""
+        started_s = time.monotonic()
+        due_s = 0.0
+        pending: list[concurrent.futures.Future[Reply]] = []
+        with concurrent.futures.ThreadPoolExecutor(LOAD_THREADS) as pool:
+            while due_s < seconds:
+                time.sleep(max(started_s + due_s - time.monotonic(), 0.0))
+                number = len(pending)
+                idempotent = self._chance.random() < 0.5
+                pending.append(
+                    pool.submit(
+                        self._send,
+                        f"{name}-{number}",
+                        number,
+                        idempotent,
+                        started_s + due_s,
+                    )
+                )
+                due_s += self._chance.expovariate(self._per_s)
+            return [one.result() for one in pending]
+
+    def _send(
+        self, request_id: str, number: int, idempotent: bool, due_s: float
+    ) -> Reply:
+        alive = [
+            seat
+            for seat, host in self._running.hosts.items()
+            if host.process is not None and host.process.exit_code is None
+        ]
+        answer = self._running.request(
+            alive[number % len(alive)],
+            request_id,
+            b"body",
+            idempotent=idempotent,
+            timeout_ms=TIMEOUT_MS,
+        )
+        sent = checker.Sent(request_id, b"body", idempotent, answer)
+        return Reply(sent, (time.monotonic() - due_s) * 1_000)
+
+
+def _line(policy: str, phase: str, replies: list[Reply], tries: int) -> str:
+    outcomes = collections.Counter(one.sent.answer.outcome for one in replies)
+    elapsed = sorted(
+        one.elapsed_ms
+        for one in replies
+        if one.sent.answer.outcome == "answered"
+    )
+
+    def quantile(share: float) -> float:
+        place = min(int(len(elapsed) * share), len(elapsed) - 1)
+        return elapsed[place] if elapsed else 0.0
+
+    return (
+        f"policy={policy} phase={phase} offered={len(replies)} "
+        f"p50_ms={quantile(0.5):.0f} p99_ms={quantile(0.99):.0f} "
+        f"p999_ms={quantile(0.999):.0f} tries_per_request="
+        f"{tries / max(len(replies), 1):.3f} "
+        + " ".join(f"{name}={n}" for name, n in sorted(outcomes.items()))
+    )
+
+
+def measure(policy: choice.Policy, given: argparse.Namespace) -> None:
+    """One policy with its fleet; prints a line for each phase."""
+    deployment = attrs.evolve(
+        deployments.small(1), endpoints=ENDPOINTS, work_ms=WORK_MS
+    )
+    options = fleet_plan.FleetOptions(
+        seed=given.seed,
+        routing=settings_module.RoutingSettings(
+            policy=policy.value, seed=given.seed
+        ),
+    )
+    sent: list[checker.Sent] = []
+    with fleet_module.Fleet(deployment, options) as running:
+        running.put_in_force()
+        offer = Offer(running, given.per_s, given.seed)
+        offer.run("warm", given.seconds / 2)
+        for phase in PHASES:
+            before = len(running.endpoint_events())
+            phase.begin(running)
+            replies = offer.run(phase.name, given.seconds)
+            phase.end(running)
+            tries = len(running.endpoint_events()) - before
+            sent.extend(one.sent for one in replies)
+            print(_line(policy.value, phase.name, replies, tries), flush=True)
+            time.sleep(1.0)
+        broken = callers.breaches(running, sent)
+    print(f"policy={policy.value} promises_broken={len(broken)}", flush=True)
+
+
+def main() -> None:
+    """Measures every policy, in turn, as often as asked."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--per-s", type=float, default=120.0)
+    parser.add_argument("--seed", type=int, default=1)
+    given = parser.parse_args()
+    print(f"seed={given.seed} per_s={given.per_s} seconds={given.seconds}")
+    for _ in range(given.rounds):
+        for policy in choice.Policy:
+            measure(policy, given)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/connection/test_endpoint_client.py
+++ b/tests/connection/test_endpoint_client.py
@@ -140,6 +140,19 @@
         release.set()
         self.assertTrue(self.ended.wait(HOLD_MS / 2_000))
 
+    def test_hold_goes_on_while_endpoint_is_silent(self) -> None:
+        release = threading.Event()
+
+        def wait(seen: Seen) -> Send:
+            release.wait(5)
+            return scripted_endpoint.whole(seen)
+
+        tried = self.send(self.serve(wait), within_ms=SHORT_MS)
+        self.assertEqual(exchange.Loss.TIMED_OUT, self.loss(tried))
+        self.assertFalse(self.ended.wait(HOLD_MS * 2 / 1_000))
+        release.set()
+        self.assertTrue(self.ended.wait(1))
+
     def test_hold_ends_when_request_must_have_ended(self) -> None:
         tried = self.send(
             self.serve(lambda _: Send(b"", reset=True)), within_ms=SHORT_MS
