--- a/tests/process/test_shares.py
+++ b/tests/process/test_shares.py
@@ -8,6 +8,7 @@
 
 from comfreylatch._ports import peers as peers_port
 from comfreylatch._process import shares
+from comfreylatch._version import configuration
 from comfreylatch._version import objects
 from tests import fakes
 
