--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -21,6 +21,7 @@
 from comfreylatch._ports import streams
 from comfreylatch._ports import workers
 from comfreylatch._process import journal as journal_module
+from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.batch import end_observer
 from comfreylatch._process.batch import evictor
@@ -40,6 +41,8 @@
 IDLE_STEP_MS = 250
 LEAST_STEP_MS = 20
 CHECK_MS = 250
+IDLE_ROUND_MS = 500
+SLOW_POLL_MS = 1_500
 APPEND_TIMEOUT_MS = 1_500
 MAX_RECORDS_PER_APPEND = 256
 
@@ -84,6 +87,7 @@
         self._used_list: hosts.HostList | None = None
         self._checked_ms = -CHECK_MS
         self._append_after_ms = 0
+        self._place_ms = 0
         self._uncertain: dict[str, job_records.AttemptAssigned] = {}
         self._health = worker_health.WorkerHealth()
         self._usage = usage_intake.UsageIntake()
@@ -142,7 +146,7 @@
         """
         if not self._books.table.evict(job):
             return False
-        _events.info("evict job={} reason={}", job, reason)
+        logs.event(_events, "evict", job=job, reason=reason)
         return True
 
     def step(self) -> int:
@@ -196,7 +200,10 @@
         books.workers.set_configuration(configuration)
         books.queue.set_teams(configuration.teams)
         books.refresh_workers()
+        allowed = configuration.limits.service_slowdown_percent / 100
         books.mix.now_ms = now_ms
+        books.mix.allowed_slowdown = allowed
+        self._usage.control.allowed_slowdown = allowed
         for name, host in listed.items():
             books.ledger.set_open(name, self._is_open(host, now_ms))
 
@@ -248,6 +255,8 @@
             return
         attempts = self._books.table.on_worker(report.worker)
         action = self._usage.take(report, self._fold.job, attempts, now_ms)
+        if self._usage.control.is_slow(report.worker):
+            self._pool.poll_by(report.worker, now_ms + SLOW_POLL_MS)
         if action is not None:
             per_hour = self._source.current().limits.evictions_per_hour
             self._evictor.act(
@@ -322,6 +331,9 @@
         books = self._books
         if books.dispatcher.queued == 0 or now_ms < self._append_after_ms:
             return
+        if not books.dispatcher.take_changed() and now_ms < self._place_ms:
+            return
+        self._place_ms = now_ms + IDLE_ROUND_MS
         limits = self._source.current().limits
         planned = self._assign_planned(now_ms)
         made = books.dispatcher.run_round(
@@ -359,7 +371,7 @@
             try:
                 delay_ms = self.step()
             except Exception:
-                _events.exception("owner step failed zone={}", self._zone)
+                logs.failure(_events, "owner-step-failed", zone=self._zone)
                 delay_ms = IDLE_STEP_MS
             self._stopping.wait(LEAST_STEP_MS / 1_000)
             self._pool.woken.wait(delay_ms / 1_000)
