Throttle no more than causes the excess; spend the budget on victims only

A step throttled eight attempts whatever they contributed; it now takes those that are predicted to cause the excess. Work that does no harm may join a worker where a service is slow already.

--- a/src/comfreylatch/_process/batch/attempt.py
+++ b/src/comfreylatch/_process/batch/attempt.py
@@ -102,3 +102,15 @@
             run_time_ms=spec.run_time_ms,
             checkpoint_ms=self.state.checkpoint_ms,
         )
+
+    def stop_command(self) -> workers.StopTask:
+        """The command that stops it, or lets its worker forget it."""
+        return workers.StopTask(self.job, self.state.attempt)
+
+    def checkpoint_command(self) -> workers.CheckpointTask:
+        """The command that keeps its progress."""
+        return workers.CheckpointTask(self.job, self.state.attempt)
+
+    def throttle_command(self, share_milli: int) -> workers.ThrottleTask:
+        """The command that limits it to a share of its processors."""
+        return workers.ThrottleTask(self.job, self.state.attempt, share_milli)
--- a/src/comfreylatch/_process/batch/attempt_table.py
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import final
 
 from comfreylatch._ports import workers
@@ -23,6 +24,7 @@
 LEAST_POLL_MS = 400
 LONGEST_POLL_MS = 5_000
 CHECKPOINT_EVERY_MS = 60_000
+FULL_SHARE_MILLI = 1_000
 GIVE_UP_UNSENT_MS = 2_000
 
 
@@ -35,10 +37,12 @@
         fold: zone_fold.ZoneFold,
         sink: attempt_module.CommandSink,
         metrics: metrics_module.Metrics,
+        share_for: Callable[[str], int] = lambda _: FULL_SHARE_MILLI,
     ) -> None:
         self._fold = fold
         self._sink = sink
         self._metrics = metrics
+        self._share_for = share_for
         self._term = 0
         self._attempts: dict[str, attempt_module.Attempt] = {}
         self._by_worker: dict[str, dict[str, attempt_module.Attempt]] = {}
@@ -105,13 +109,11 @@
         self._pending.forget(job)
         if attempt.seen:
             # Lets the worker forget the ended line.
-            command = workers.StopTask(job, attempt.state.attempt)
+            command = attempt.stop_command()
             self._sink.request(worker, command, at_once=False)
         elif attempt.start_asked_ms >= 0:
             self._sink.withdraw(worker, attempt.start_command())
 
-    # Reports.
-
     def on_reported(
         self,
         event: worker_session.Reported,
@@ -225,7 +227,7 @@
         if now_ms - attempt.kept_ms < CHECKPOINT_EVERY_MS:
             return
         attempt.kept_ms = now_ms
-        command = workers.CheckpointTask(attempt.job, attempt.state.attempt)
+        command = attempt.checkpoint_command()
         self._sink.request(attempt.state.worker, command, at_once=False)
 
     def _take_status(
@@ -278,8 +280,6 @@
     def _lost(self, attempt: attempt_module.Attempt) -> None:
         self._pending.end(attempt, job_records.AttemptEnd.LOST)
 
-    # Time.
-
     def declare_lost(
         self,
         worker: str,
@@ -353,7 +353,11 @@
         if asked_ms >= 0 and now_ms - asked_ms < RESEND_MS:
             return
         attempt.start_asked_ms = now_ms
-        self._sink.request(attempt.state.worker, attempt.start_command())
+        worker = attempt.state.worker
+        self._sink.request(worker, attempt.start_command())
+        share_milli = self._share_for(attempt.job)
+        if share_milli < FULL_SHARE_MILLI:
+            self._sink.request(worker, attempt.throttle_command(share_milli))
 
     def _drive_stop(self, attempt: attempt_module.Attempt, now_ms: int) -> None:
         own = attempt.state.term == self._term
@@ -367,19 +371,16 @@
             return
         attempt.stop_asked_ms = now_ms
         worker = attempt.state.worker
-        key = (attempt.job, attempt.state.attempt)
         evicted = attempt.stop_reason is attempt_module.StopReason.EVICTED
         if evicted and attempt.keep_first:
-            self._sink.request(worker, workers.CheckpointTask(*key))
-        self._sink.request(worker, workers.StopTask(*key))
+            self._sink.request(worker, attempt.checkpoint_command())
+        self._sink.request(worker, attempt.stop_command())
 
     def throttle(self, job: str, share_milli: int) -> None:
         """Asks for a share of its processors for a job's attempt."""
         attempt = self._attempts.get(job)
         if attempt is not None and attempt.seen:
-            command = workers.ThrottleTask(
-                job, attempt.state.attempt, share_milli
-            )
+            command = attempt.throttle_command(share_milli)
             self._sink.request(attempt.state.worker, command)
 
     def evict(self, job: str, keep_first: bool = True) -> bool:
--- a/src/comfreylatch/_process/batch/eviction.py
+++ b/src/comfreylatch/_process/batch/eviction.py
@@ -49,12 +49,20 @@
 
     def take(self, count: int, per_hour: int, now_ms: int) -> bool:
         """Takes evictions out of the budget, all of them or none."""
+        if not self.has(count, per_hour, now_ms):
+            return False
+        self.spend(count, now_ms)
+        return True
+
+    def has(self, count: int, per_hour: int, now_ms: int) -> bool:
+        """Whether that many evictions are left."""
         while self._times_ms and self._times_ms[0] <= now_ms - HOUR_MS:
             self._times_ms.popleft()
-        if len(self._times_ms) + count > per_hour:
-            return False
+        return len(self._times_ms) + count <= per_hour
+
+    def spend(self, count: int, now_ms: int) -> None:
+        """Counts evictions, also beyond the budget."""
         self._times_ms.extend([now_ms] * count)
-        return True
 
 
 def lost_ms(attempt: attempt_module.Attempt) -> int:
--- a/src/comfreylatch/_process/batch/evictor.py
+++ b/src/comfreylatch/_process/batch/evictor.py
@@ -58,10 +58,10 @@
     ) -> None:
         """Carries out a step against interference."""
         match action:
-            case interference_control.Throttle(jobs, share_milli):
-                self._count("throttled" if share_milli < 1_000 else "relaxed")
-                for job in jobs:
-                    books.table.throttle(job, share_milli)
+            case interference_control.Throttle(shares, relaxes):
+                self._count("relaxed" if relaxes else "throttled")
+                for share in shares:
+                    books.table.throttle(share.job, share.share_milli)
             case interference_control.Move(jobs):
                 self._evict(books, worker, jobs, True, per_hour, now_ms)
             case interference_control.Stop(jobs):
@@ -117,7 +117,7 @@
         now_ms: int,
     ) -> None:
         """Takes borrowed room back, from teams above their quotas only."""
-        if not self._budget.take(1, per_hour, now_ms):
+        if not self._budget.has(1, per_hour, now_ms):
             self._count("eviction-budget-spent")
             return
 
@@ -127,9 +127,9 @@
             return over and _not_urgent(attempt)
 
         plan = self._plan(books, state, borrows, now_ms)
-        further = len(plan.victims) - 1 if plan else 0
-        self._budget.take(max(0, further), per_hour, now_ms)
         if plan is not None:
+            # A plan may take more than is left; the next one then waits.
+            self._budget.spend(len(plan.victims), now_ms)
             self._count("quota-reclaimed")
 
     def _due(
--- a/src/comfreylatch/_process/batch/interference_control.py
+++ b/src/comfreylatch/_process/batch/interference_control.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from collections.abc import Sequence
 import enum
 from typing import final
@@ -26,6 +27,8 @@
 FIRST_SHARE_MILLI = 500
 SECOND_SHARE_MILLI = 250
 MAX_THROTTLED_PER_STEP = 8
+LEAST_GAIN_MILLI = 100
+TINY_HARM = 0.001
 MAX_MOVED_PER_STEP = 2
 
 
@@ -40,13 +43,21 @@
 
 
 @attrs.frozen
-class Throttle:
-    """Limit these jobs' attempts to a share of their processors."""
+class JobShare:
+    """A share of its processors for a job's attempt, in thousandths."""
 
-    jobs: tuple[str, ...]
+    job: str
     share_milli: int
 
 
+@attrs.frozen
+class Throttle:
+    """Limit attempts to shares; `relaxes` if they get more than before."""
+
+    shares: tuple[JobShare, ...]
+    relaxes: bool = False
+
+
 @attrs.frozen
 class Move:
     """Checkpoint and stop these jobs' attempts; they resume elsewhere."""
@@ -62,6 +73,7 @@
 
 
 Action = Throttle | Move | Stop
+LoadOf = Callable[[attempt_module.Attempt], float]
 
 
 @attrs.define(eq=False)
@@ -110,6 +122,7 @@
         services: Sequence[tuple[str, float]],
         measured_ms: int,
         attempts: Sequence[attempt_module.Attempt],
+        load_of: LoadOf,
         now_ms: int,
     ) -> Action | None:
         """Takes one measurement of a worker's services.
@@ -119,6 +132,7 @@
             services: Services there and their slowdown, 1 if none.
             measured_ms: When it was measured, on this host's clock.
             attempts: Attempts that run there now.
+            load_of: Part of the host an attempt would use unthrottled.
             now_ms: Monotonic time.
         """
         if not services:
@@ -133,27 +147,32 @@
         action: Action | None = None
         allowed = 1.0 + self.allowed_slowdown
         if min(slowdowns) > allowed + HIGH_MARGIN:
-            action = self._escalate(state, attempts)
+            action = self._escalate(state, attempts, load_of)
         elif max(slowdowns) < allowed + LOW_MARGIN:
-            action = _relax(state, attempts)
+            action = self._relax(state, attempts, load_of)
         if action is not None:
             state.acted_ms = now_ms
             state.worst.clear()
         return action
 
     def _escalate(
-        self, state: _WorkerState, attempts: Sequence[attempt_module.Attempt]
+        self,
+        state: _WorkerState,
+        attempts: Sequence[attempt_module.Attempt],
+        load_of: LoadOf,
     ) -> Action | None:
-        service = state.worst[-1][0]
-        ranked = self._ranked(service, attempts)
+        service, slowdown = state.worst[-1]
+        ranked = self._ranked(service, attempts, load_of)
         if not ranked:
             return None
         state.step = Step(min(state.step + 1, Step.STOPPED))
         match state.step:
             case Step.THROTTLED:
-                return _throttle(ranked, FIRST_SHARE_MILLI)
+                chosen = self._enough(service, slowdown, ranked, load_of)
+                return _throttle(chosen, FIRST_SHARE_MILLI)
             case Step.THROTTLED_MORE:
-                return _throttle(ranked, SECOND_SHARE_MILLI)
+                chosen = self._enough(service, slowdown, ranked, load_of)
+                return _throttle(chosen, SECOND_SHARE_MILLI)
             case Step.MOVED:
                 return Move(_least_lost(ranked))
             case _:
@@ -161,16 +180,65 @@
                 state.step = Step.THROTTLED_MORE
                 return Stop(_least_lost(ranked))
 
+    def _enough(
+        self,
+        service: str,
+        slowdown: float,
+        ranked: Sequence[attempt_module.Attempt],
+        load_of: LoadOf,
+    ) -> list[attempt_module.Attempt]:
+        """Attempts that together are predicted to cause the excess."""
+        excess = slowdown - 1.0 - self.allowed_slowdown
+        chosen = []
+        for attempt in ranked:
+            if excess <= 0.0:
+                break
+            pair = self._model.coefficient(
+                service, attempt.state.spec.job_class
+            )
+            part = attempt.share_milli / FULL_SHARE_MILLI
+            excess -= pair.mean * load_of(attempt) * part
+            chosen.append(attempt)
+        return chosen
+
+    def _relax(
+        self,
+        state: _WorkerState,
+        attempts: Sequence[attempt_module.Attempt],
+        load_of: LoadOf,
+    ) -> Action | None:
+        """Gives back what is not predicted to bring the slowness back."""
+        state.step = Step(max(state.step - 1, Step.NONE))
+        service, slowdown = max(state.worst, key=lambda pair: pair[1])
+        left = 1.0 + self.allowed_slowdown - slowdown
+        shares = []
+        for attempt in reversed(self._ranked(service, attempts, load_of)):
+            if attempt.share_milli >= FULL_SHARE_MILLI:
+                continue
+            spec = attempt.state.spec
+            pair = self._model.coefficient(service, spec.job_class)
+            whole = max(pair.mean * load_of(attempt), TINY_HARM)
+            gain_milli = int(left / whole * FULL_SHARE_MILLI)
+            share = min(attempt.share_milli + gain_milli, FULL_SHARE_MILLI)
+            if share - attempt.share_milli < LEAST_GAIN_MILLI:
+                continue
+            gained_milli = share - attempt.share_milli
+            left -= whole * gained_milli / FULL_SHARE_MILLI
+            shares.append(JobShare(attempt.job, share))
+        return Throttle(tuple(shares), relaxes=True) if shares else None
+
     def _ranked(
-        self, service: str, attempts: Sequence[attempt_module.Attempt]
+        self,
+        service: str,
+        attempts: Sequence[attempt_module.Attempt],
+        load_of: LoadOf,
     ) -> list[attempt_module.Attempt]:
         """Attempts that still run, the largest contribution first."""
 
         def contribution(attempt: attempt_module.Attempt) -> float:
             spec = attempt.state.spec
             pair = self._model.coefficient(service, spec.job_class)
-            used_milli = spec.resources.processors_milli
-            return pair.mean * used_milli * attempt.share_milli
+            return pair.mean * load_of(attempt) * attempt.share_milli
 
         running = [
             attempt for attempt in attempts if attempt.stop_reason is None
@@ -181,10 +249,12 @@
 def _throttle(
     ranked: Sequence[attempt_module.Attempt], share_milli: int
 ) -> Action | None:
-    jobs = tuple(
-        attempt.job for attempt in ranked if attempt.share_milli > share_milli
+    shares = tuple(
+        JobShare(attempt.job, share_milli)
+        for attempt in ranked
+        if attempt.share_milli > share_milli
     )
-    return Throttle(jobs[:MAX_THROTTLED_PER_STEP], share_milli)
+    return Throttle(shares[:MAX_THROTTLED_PER_STEP])
 
 
 def _least_lost(
@@ -194,21 +264,3 @@
     upper = ranked[: max(1, (len(ranked) + 1) // 2)]
     ordered = sorted(upper, key=eviction.lost_ms)
     return tuple(attempt.job for attempt in ordered[:MAX_MOVED_PER_STEP])
-
-
-def _relax(
-    state: _WorkerState, attempts: Sequence[attempt_module.Attempt]
-) -> Action | None:
-    throttled = tuple(
-        attempt.job
-        for attempt in attempts
-        if attempt.share_milli < FULL_SHARE_MILLI
-    )
-    state.step = Step(max(state.step - 1, Step.NONE))
-    if not throttled:
-        state.step = Step.NONE
-        return None
-    share_milli = FULL_SHARE_MILLI
-    if state.step >= Step.THROTTLED:
-        share_milli = FIRST_SHARE_MILLI
-    return Throttle(throttled, share_milli)
--- a/src/comfreylatch/_process/batch/learned_sizes.py
+++ b/src/comfreylatch/_process/batch/learned_sizes.py
@@ -99,6 +99,11 @@
             )
         return sizes.cached
 
+    def used_milli(self, job_class: str, declared_milli: int) -> int:
+        """Processors a class really uses, above or below its declaration."""
+        ratio = self.ratio(job_class)
+        return max(1, declared_milli * ratio.processors_milli // 1_000)
+
     def size(
         self,
         job_class: str,
--- a/src/comfreylatch/_process/batch/usage_intake.py
+++ b/src/comfreylatch/_process/batch/usage_intake.py
@@ -30,6 +30,15 @@
         now_ms: int,
     ) -> interference_control.Action | None:
         """Takes the measurements of one report, oldest first."""
+        whole = max(1, report.capacity.processors_milli)
+
+        def load_of(attempt: attempt_module.Attempt) -> float:
+            spec = attempt.state.spec
+            milli = self.sizes.used_milli(
+                spec.job_class, spec.resources.processors_milli
+            )
+            return milli / whole
+
         action: interference_control.Action | None = None
         for usage in report.usage:
             self._learn(usage, report.capacity, job_of)
@@ -42,6 +51,7 @@
                 services,
                 now_ms - usage.age_ms,
                 attempts,
+                load_of,
                 now_ms,
             )
             action = decided or action
--- a/src/comfreylatch/_process/batch/worker_mix.py
+++ b/src/comfreylatch/_process/batch/worker_mix.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Collection
+from collections.abc import Mapping
 from typing import final
 
 from comfreylatch._process.batch import interference
@@ -13,6 +14,8 @@
 # Part of the allowed slowdown that placement plans to use.
 PLANNED_PART = 0.8
 NO_HARM = 0.02
+TINY_HARM = 0.004
+LEAST_SHARE_MILLI = 100
 AVOID_COST_MILLI = 5_000
 AVOID_MS = 60_000
 
@@ -83,24 +86,52 @@
     def harms(self, job_class: str, declared_milli: int, worker: str) -> bool:
         """See `placement.CostModel.harms`."""
         whole = self._whole.get(worker, 1)
-        load = self._real_milli(job_class, declared_milli) / whole
-        mix = self._milli.get(worker, {})
+        load = self._sizes.used_milli(job_class, declared_milli) / whole
         budget = PLANNED_PART * self.allowed_slowdown
         for service in self._services.get(worker, ()):
             known = self._model.estimates_for(service)
             unknown = interference.UNKNOWN
-            before = sum(
-                known.get(other, unknown).mean * milli / whole
-                for other, milli in mix.items()
-            )
+            before = self._harm(known, worker)
             more = known.get(job_class, unknown).mean * load
-            if before > NO_HARM and before + more > budget:
+            # Work that does no harm may join a slow worker.
+            if more < TINY_HARM or before <= NO_HARM:
+                continue
+            if before + more > budget:
                 return True
         return False
 
-    def _real_milli(self, job_class: str, declared_milli: int) -> int:
-        ratio = self._sizes.ratio(job_class)
-        return max(1, declared_milli * ratio.processors_milli // 1_000)
+    def share_milli(self, job: str) -> int:
+        """Share of its processors with which a placed job should start.
+
+        Less than all of them if services on its worker would get too slow.
+        """
+        placed = self._placed.get(job)
+        if placed is None:
+            return interference.FULL_MILLI
+        worker, job_class, milli = placed
+        whole = self._whole.get(worker, 1)
+        share = interference.FULL_MILLI
+        for service in self._services.get(worker, ()):
+            known = self._model.estimates_for(service)
+            unknown = interference.UNKNOWN
+            everything = self._harm(known, worker)
+            own = known.get(job_class, unknown).mean * milli / whole
+            left = self.allowed_slowdown - (everything - own)
+            if own > max(left, 0.0):
+                fitting = int(max(left, 0.0) / own * interference.FULL_MILLI)
+                share = min(share, fitting)
+        return max(share, LEAST_SHARE_MILLI)
+
+    def _harm(
+        self, known: Mapping[str, interference.Coefficient], worker: str
+    ) -> float:
+        """Predicted extra slowdown of a service on a worker."""
+        whole = self._whole.get(worker, 1)
+        unknown = interference.UNKNOWN
+        return sum(
+            known.get(other, unknown).mean * milli / whole
+            for other, milli in self._milli.get(worker, {}).items()
+        )
 
     def cost_milli(self, job_class: str, worker: str) -> int:
         """See `placement.CostModel.cost_milli`."""
--- a/src/comfreylatch/_process/batch/zone_books.py
+++ b/src/comfreylatch/_process/batch/zone_books.py
@@ -57,7 +57,9 @@
             placement_module.Placement(self.ledger, self.mix, policy),
             self.size_for,
         )
-        self.table = attempt_table.AttemptTable(fold, sink, metrics)
+        self.table = attempt_table.AttemptTable(
+            fold, sink, metrics, self._share_for
+        )
         self.table.reset(term)
         self.planner = eviction.EvictionPlanner(
             self.ledger, self.table.on_worker
@@ -89,3 +91,8 @@
             self.mix.set_worker(account.name, account.total.processors_milli)
             services = self.workers.services_on(account.name)
             self.mix.set_services(account.name, services)
+
+    def _share_for(self, job: str) -> int:
+        if self._policy is placement_module.Policy.FIRST_FIT:
+            return attempt_table.FULL_SHARE_MILLI
+        return self.mix.share_milli(job)
--- a/tests/process/batch/test_zone_owner.py
+++ b/tests/process/batch/test_zone_owner.py
@@ -5,6 +5,7 @@
 import testtools
 
 from comfreylatch._ports import workers
+from comfreylatch._process import metrics
 from comfreylatch._process.batch import placement
 from comfreylatch._version import job_state
 from comfreylatch._version import objects
@@ -195,6 +196,21 @@
         zone.run(40_000)
         self.assertEqual(job_state.JobPhase.QUEUED, zone.state("mine").phase)
 
+    def test_reclaim_without_victims_spends_no_budget(self) -> None:
+        """Nobody borrows, so nobody is evicted and nothing is spent."""
+        quota = workers.Resources(100_000, 100_000)
+        zone = started_zone(
+            teams={"faculty": objects.Team(quota)},
+            limits=objects.Limits(evictions_per_hour=1),
+        )
+        for number in range(8):
+            zone.submit(f"job-{number}", HALF, 300_000)
+        zone.run(60_000)
+        spent = zone.owner().metrics.value(
+            metrics.Counter.JOB_EVENTS, "eviction-budget-spent"
+        )
+        self.assertEqual(0, spent)
+
 
 class InterferenceTest(testtools.TestCase):
     """Steps against batch work that slows a service down."""
