--- a/src/comfreylatch/_commands/output.py
+++ b/src/comfreylatch/_commands/output.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 from typing import NoReturn
 
@@ -81,8 +82,8 @@
             again is harmless; printed with exit code 3.
     """
     match answer:
-        case result.Err(client.NoHostReached(details)):
-            fail("no host reached", "; ".join(details), exits.ExitCode.REFUSED)
+        case result.Err(client.NoHostReached() as unreached):
+            fail("no host reached", str(unreached), exits.ExitCode.REFUSED)
         case result.Err(client.AnswerLost(host, detail)):
             typer.echo(f"comfreylatch: {on_unknown}", err=True)
             fail(
@@ -109,10 +110,8 @@
             return reply.value
         case result.Ok(reply):
             detail = f"{reply.host} answered {reply.status}: {reply.value}"
-        case result.Err(client.NoHostReached(details)):
-            detail = "; ".join(details)
-        case result.Err(lost):
-            detail = f"{lost.host}: {lost.detail}"
+        case result.Err(failed):
+            detail = str(failed)
     return fail(error, detail, exits.ExitCode.REFUSED)
 
 
@@ -127,14 +126,21 @@
 
 def connect(hosts: list[str], timeout_ms: int) -> client.Client:
     """A client for addresses given on the command line."""
+    return client.Client(parse_addresses(hosts, "--host"), timeout_ms)
+
+
+def parse_addresses(
+    texts: Sequence[str], option: str
+) -> list[addresses.Address]:
+    """Addresses given for an option; a faulty one is a usage error."""
     parsed = []
-    for text in hosts:
+    for text in texts:
         match addresses.parse(text):
             case result.Ok(address):
                 parsed.append(address)
             case result.Err(bad):
-                raise typer.BadParameter(bad.detail, param_hint="--host")
-    return client.Client(parsed, timeout_ms)
+                raise typer.BadParameter(bad.detail, param_hint=option)
+    return parsed
 
 
 def _object_lines(value: dict[str, Any], indent: str) -> list[str]:
--- a/testing/capacity/report.py
+++ b/testing/capacity/report.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from testing.capacity import costs
 from testing.capacity import model as model_module
 from testing.capacity import slope
 
@@ -23,17 +24,17 @@
 KB = 1_000
 
 # What would mend the mechanisms that cost most, by how their names start.
-_MENDS = {
+_REMEDIES = {
     "interpreter and libraries": (
-        "fewer and lighter libraries in `serve`: urllib3 loads TLS and "
-        "OpenSSL's hashes, which nothing here uses, and the program's own "
-        "modules take several MB; pages shared by the `serve` processes of "
+        "fewer and lighter libraries in `serve`: logbook and urllib3 load TLS "
+        "and OpenSSL's hashes, which nothing here uses, and the program's "
+        "own modules take several MB; pages shared by the `serve` processes of "
         "one host count once"
     ),
     "journal": "a bound in bytes, and packed decisions",
     "jobs": (
-        "checkpoints recorded less often than every 30 s a task, or only "
-        "when an attempt ends; several shards of a zone's stream, each with "
+        "checkpoints recorded less often, or only when an attempt ends; "
+        "several shards of a zone's stream, each with "
         "an owner and one standby, instead of every host of the zone"
     ),
     "leases and reports": (
@@ -94,7 +95,7 @@
     )
 
 
-def _size(size: model_module.Size) -> str:
+def _size(size: costs.Size) -> str:
     fields = attrs.asdict(size)
     asked = (
         "zones",
@@ -117,7 +118,7 @@
     )
 
 
-def _summary(roles: Iterable[model_module.RoleCost]) -> str:
+def _summary(roles: Iterable[costs.RoleCost]) -> str:
     rows = [
         (
             role.role.value,
@@ -146,7 +147,7 @@
     return "## Roles\n\n" + _table(head, rows)
 
 
-def _bytes(role: model_module.RoleCost) -> float:
+def _bytes(role: costs.RoleCost) -> float:
     return role.total("state_kib") * KIB
 
 
@@ -155,7 +156,7 @@
     return f"{value:.1f} {unit}, {verdict}"
 
 
-def _missed(roles: Iterable[model_module.RoleCost]) -> str:
+def _missed(roles: Iterable[costs.RoleCost]) -> str:
     lines = ["## Budgets missed today, and what would mend them", ""]
     needed: dict[str, None] = {}
     for role in roles:
@@ -179,16 +180,17 @@
                 f"- {role.role.value}, {what}: {total / budget:.1f} times "
                 f"the budget; most of it {shares}."
             )
-            needed.update(dict.fromkeys(_mend_of(c) for c in largest))
+            needed.update(dict.fromkeys(remedy_of(c) for c in largest))
     lines.append("")
     for name in needed:
         if name:
-            lines.append(f"- *{name}*: {_MENDS[name]}.")
+            lines.append(f"- *{name}*: {_REMEDIES[name]}.")
     return "\n".join(lines)
 
 
-def _mend_of(cost: model_module.Cost) -> str:
-    for start in _MENDS:
+def remedy_of(cost: costs.Cost) -> str:
+    """Key of what would mend a mechanism; empty when nothing is known."""
+    for start in _REMEDIES:
         if cost.mechanism.startswith(start):
             return start
     return ""
@@ -208,17 +210,18 @@
         "## The log\n\n"
         f"Records a second of one zone: {rates}; of all zones {records:.0f}, "
         f"in at most {total:.0f} appends a second ({zone:.1f} a zone), "
-        f"against about {LOG_APPENDS_PER_S} that the log can be counted on "
-        f"to take ({_judged(total, LOG_APPENDS_PER_S, '/s')}). The owner "
-        "appends at most twice a step, and every append of one stream keeps "
-        "a distance from the one before, so that more records make longer "
-        "appends and not more of them; admissions come one by one at worst. "
+        f"against several hundred that the log takes, counted here as "
+        f"{LOG_APPENDS_PER_S} ({_judged(total, LOG_APPENDS_PER_S, '/s')}). "
+        "The owner appends at most twice a step, and every append of one "
+        "stream keeps a distance from the one before, so that more records "
+        "make longer appends and not more of them; admissions come one by "
+        "one at worst. "
         f"All hosts together read {reads:.0f} times a second. A longer step "
         "and admissions gathered by one host a zone would lower both."
     )
 
 
-def _role(role: model_module.RoleCost) -> str:
+def _role(role: costs.RoleCost) -> str:
     rows = [
         (
             cost.mechanism,
