Drop the unpacker from the memory of a serving host

Cause: the one-file program's bootstrap imports an archive reader, a compiler front end and process pools, and a serving process kept them. Ruled out: compiled modules carried in the file; they make the first start slower and the folder larger (trial, figures in docs/design/packaging.md). 'serve' replaces its program by exec, in the same process; the test of the binary fails without it (interpreter_kib above 14,000).

--- a/src/comfreylatch/__main__.py
+++ b/src/comfreylatch/__main__.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import os
+import pathlib
 import sys
 
 from comfreylatch._process import resident
 
+# The package that unpacks the one-file program before this module runs.
+UNPACKER = "_bootstrap"
+
 
 def main() -> None:
     """Runs the command line; never returns a value, may exit."""
     resident.mark(resident.INTERPRETER)
     match sys.argv[1:]:
         case ["serve", path] if not path.startswith("-"):
+            _drop_unpacker(path)
             # The command-line library would stay in a serving process's
             # memory for good.
             from comfreylatch._process import entry_host
@@ -23,5 +29,21 @@
             commands.run()
 
 
+def _drop_unpacker(path: str) -> None:
+    """Goes on in a fresh interpreter, in the same process.
+
+    What the one-file program imported to unpack itself would stay in a
+    serving process's memory for good.
+    """
+    if UNPACKER not in sys.modules:
+        return
+    site = str(pathlib.Path(__file__).resolve().parent.parent)
+    os.environ["PYTHONPATH"] = site
+    os.execv(
+        sys.executable,
+        [sys.executable, "-P", "-m", "comfreylatch", "serve", path],
+    )
+
+
 if __name__ == "__main__":
     main()
--- a/tests/commands/test_binary.py
+++ b/tests/commands/test_binary.py
@@ -20,6 +20,8 @@
 BINARY = REPO / "dist" / "comfreylatch"
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 20
+# A bare interpreter, without what unpacked the file.
+MAX_INTERPRETER_KIB = 14_000
 # Field of /proc/PID/stat, counted from the state: page faults of children
 # that were waited for.
 CHILD_FAULTS_FIELD = 8
@@ -99,7 +101,7 @@
             self.assertIn("did you mean 'seat'?", checked.stderr)
             self.assertNotIn("Traceback", checked.stderr)
 
-    def test_serve_starts_no_child_process_and_stops_with_0(self) -> None:
+    def test_serve_is_one_small_process_and_stops_with_0(self) -> None:
         arguments = [str(BINARY), "serve", self.write_settings()]
         self.log = self.folder / "log"
         with self.log.open("w", encoding="utf-8") as log:
@@ -108,6 +110,7 @@
         self.addCleanup(host.kill)
         self.wait_until_live(host)
         self.assertEqual([], self.children_of(host.pid))
+        self.assertLess(self.interpreter_kib(), MAX_INTERPRETER_KIB)
         host.send_signal(signal.SIGTERM)
         self.assertEqual(0, host.wait(STOP_TIMEOUT_S))
 
@@ -125,6 +128,12 @@
                 time.sleep(0.05)
         self.fail("serve did not come up")
 
+    def interpreter_kib(self) -> int:
+        """What the host says of its memory before any import."""
+        url = f"http://{self.operator}/status"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            return json.load(answer)["memory"]["interpreter_kib"]
+
     def children_of(self, pid: int) -> list[str]:
         """Children now, and a word when there was one that has ended."""
         process = pathlib.Path("/proc") / str(pid)
