Cut each host from each worker by itself in tests

With a relay for every pair, and a host list for every seat, a test cuts the owner from its workers alone, or its successor from one worker that the owner still reaches.

--- a/testing/batch_fleet.py
+++ b/testing/batch_fleet.py
@@ -31,7 +31,7 @@
     {
         fleet_plan.Link.PLATFORM,
         fleet_plan.Link.PEERS,
-        fleet_plan.Link.WORKERS,
+        fleet_plan.Link.SEAT_WORKERS,
     }
 )
 
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -53,7 +53,7 @@
         self.client = client_module.Client()
         self.hosts: dict[str, fleet_plan.Host] = {}
         self.endpoint_addresses: dict[str, str] = {}
-        self.worker_addresses: dict[str, str] = {}
+        self.worker_addresses: dict[str, dict[str, str]] = {}
         self._folder = folder
         self._start_hosts = start_hosts
         self._stack = contextlib.ExitStack()
@@ -101,9 +101,13 @@
         options = self.options
         seed = ("--seed", str(options.seed))
         self.log = self._stand_in("standins.log", options.log_arguments)
-        self.host_list = self._stand_in(
-            "standins.hosts", ("--lag-ms", str(options.list_lag_ms))
+        self.host_list = self._start_host_list()
+        self.host_lists = dict.fromkeys(
+            self.deployment.all_seats(), self.host_list
         )
+        if fleet_plan.Link.SEAT_WORKERS in options.links:
+            for seat in self.deployment.all_seats()[1:]:
+                self.host_lists[seat] = self._start_host_list()
         self.endpoints = self._stand_in(
             "standins.endpoint", seed, self.deployment.endpoint_specs()
         )
@@ -113,6 +117,10 @@
             "standins.worker", (*seed, *speed), self.deployment.worker_specs()
         )
 
+    def _start_host_list(self) -> processes.StandIn:
+        lag_ms = str(self.options.list_lag_ms)
+        return self._stand_in("standins.hosts", ("--lag-ms", lag_ms))
+
     def _plan_hosts(self) -> None:
         for seat in self.deployment.all_seats():
             self.hosts[seat] = fleet_plan.Host(
@@ -127,7 +135,10 @@
     def _start_relays(self) -> None:
         platform = fleet_plan.PlatformAddresses(
             log=self.log.ready["address"],
-            host_list=self.host_list.ready["address"],
+            host_lists={
+                seat: stand_in.ready["address"]
+                for seat, stand_in in self.host_lists.items()
+            },
             workers=self.workers.ready["addresses"],
             endpoints=self.endpoints.ready["addresses"],
         )
@@ -145,8 +156,10 @@
             self.endpoint_addresses[name] = routes.get(
                 f"endpoint/{name}", address
             )
-        for name, address in self.workers.ready["addresses"].items():
-            self.worker_addresses[name] = routes.get(f"worker/{name}", address)
+        for seat in self.hosts:
+            self.worker_addresses[seat] = fleet_plan.worker_routes(
+                seat, routes, platform.workers
+            )
         for host in self.hosts.values():
             settings = fleet_plan.settings_of(
                 host, self.hosts, routes, platform, self.options
@@ -171,24 +184,29 @@
             )
             for host in self.hosts.values()
         ]
-        entries += self.deployment.listed_workers(self.worker_addresses)
         entries += self.deployment.listed_endpoints(self.endpoint_addresses)
-        self.host_list.control(
-            put=[attrs.asdict(entry) for entry in entries], at_once=True
-        )
+        for seat, stand_in in self.host_lists.items():
+            addresses = self.worker_addresses[seat]
+            listed = entries + self.deployment.listed_workers(addresses)
+            stand_in.control(
+                put=[attrs.asdict(entry) for entry in listed], at_once=True
+            )
 
     def list_host(
         self, kind: hosts_port.HostKind, name: str, **changes: Any
     ) -> None:
         """Changes one line of the host list, seen after its lag."""
-        lines = self.deployment.listed_workers(self.worker_addresses)
-        lines += self.deployment.listed_endpoints(self.endpoint_addresses)
-        for line in lines:
-            if (line.kind, line.name) == (kind, name):
-                changed = attrs.evolve(line, **changes)
-                self.host_list.control(put=[attrs.asdict(changed)])
-                return
-        raise fleet_plan.FleetError(f"no {kind} {name!r} is listed")
+        for seat, stand_in in self.host_lists.items():
+            addresses = self.worker_addresses[seat]
+            lines = self.deployment.listed_workers(addresses)
+            lines += self.deployment.listed_endpoints(self.endpoint_addresses)
+            found = [
+                one for one in lines if (one.kind, one.name) == (kind, name)
+            ]
+            if not found:
+                raise fleet_plan.FleetError(f"no {kind} {name!r} is listed")
+            changed = attrs.evolve(found[0], **changes)
+            stand_in.control(put=[attrs.asdict(changed)])
 
     # Entry hosts.
 
--- a/testing/fleet_plan.py
+++ b/testing/fleet_plan.py
@@ -29,6 +29,8 @@
     WORKERS = "workers"
     ENDPOINTS = "endpoints"
     CALLERS = "callers"
+    # A relay for each worker and seat; every seat has a host list of its own.
+    SEAT_WORKERS = "seat-workers"
 
 
 class FleetError(Exception):
@@ -111,10 +113,10 @@
 
 @attrs.frozen
 class PlatformAddresses:
-    """Where the stand-ins for the platform listen."""
+    """Where the stand-ins for the platform listen; host lists by seat."""
 
     log: str
-    host_list: str
+    host_lists: Mapping[str, str]
     workers: Mapping[str, str]
     endpoints: Mapping[str, str]
 
@@ -131,7 +133,7 @@
             case Link.PLATFORM:
                 targets |= {f"log/{seat}": platform.log for seat in hosts}
                 targets |= {
-                    f"list/{seat}": platform.host_list for seat in hosts
+                    f"list/{seat}": platform.host_lists[seat] for seat in hosts
                 }
             case Link.CALLERS:
                 targets |= {
@@ -142,11 +144,26 @@
                 targets |= _peer_targets(hosts)
             case Link.WORKERS:
                 targets |= _named("worker", platform.workers)
+            case Link.SEAT_WORKERS:
+                for seat in hosts:
+                    targets |= _named(f"worker/{seat}", platform.workers)
             case Link.ENDPOINTS:
                 targets |= _named("endpoint", platform.endpoints)
     return targets
 
 
+def worker_routes(
+    seat: str, routes: Mapping[str, str], workers: Mapping[str, str]
+) -> dict[str, str]:
+    """Where the host of a seat reaches each worker."""
+    return {
+        name: routes.get(
+            f"worker/{seat}/{name}", routes.get(f"worker/{name}", address)
+        )
+        for name, address in workers.items()
+    }
+
+
 def _named(kind: str, addresses: Mapping[str, str]) -> dict[str, str]:
     return {f"{kind}/{name}": at for name, at in addresses.items()}
 
@@ -193,7 +210,7 @@
         platform=settings_module.PlatformSettings(
             log_address=routes.get(f"log/{host.seat}", platform.log),
             host_list_address=routes.get(
-                f"list/{host.seat}", platform.host_list
+                f"list/{host.seat}", platform.host_lists[host.seat]
             ),
         ),
         peers=peers,
--- a/testing/network.py
+++ b/testing/network.py
@@ -25,7 +25,8 @@
         """Sets faults of the relays that fit; returns how many did.
 
         Names are `peer/ZONE/SEAT/OTHER-ZONE/OTHER-SEAT`, `log/SEAT`,
-        `list/SEAT`, `caller/SEAT`, `worker/NAME` and `endpoint/NAME`.
+        `list/SEAT`, `caller/SEAT`, `worker/NAME` or `worker/SEAT/NAME`, and
+        `endpoint/NAME`.
         """
         answer = self._relays.control(relay=pattern, **faults)
         return int(answer["relays"])
--- a/tests/system/test_batch_owner_faults.py
+++ b/tests/system/test_batch_owner_faults.py
@@ -77,3 +77,31 @@
             batch_fleet.wait_started(self.fleet, 20)
             self.fleet.network.set("peer/*", cut=False)
         batch_fleet.check(self, self.fleet, submitted)
+
+    def test_owner_cut_from_its_workers_only(self) -> None:
+        names = self.fleet.deployment.worker_names()
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.network.set(f"worker/{owner}/*", cut=True)
+            time.sleep(7.0)
+            self.fleet.network.set(f"worker/{owner}/*", cut=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, names)
+
+    def test_owner_cut_from_the_log_and_its_successor_from_a_worker(
+        self,
+    ) -> None:
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            for seat in self.fleet.hosts:
+                if seat != owner:
+                    self.fleet.network.set(f"worker/{seat}/wk-1", cut=True)
+            self.fleet.network.set(f"log/{owner}", cut=True)
+            batch_fleet.wait_owner(self.fleet, owner)
+            time.sleep(6.0)
+            self.fleet.network.set("worker/*", cut=False)
+            self.fleet.network.set(f"log/{owner}", cut=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, ("wk-1",))
--- a/tests/system/test_batch_worker_faults.py
+++ b/tests/system/test_batch_worker_faults.py
@@ -17,6 +17,7 @@
 
 SPAN_S = 20.0
 HOLD_S = 0.6
+LONGEST_RETRY_S = 2.5
 HOLD_TRIES = 6
 
 
@@ -145,16 +146,19 @@
 
     def test_late_completion_changes_nothing(self) -> None:
         # Long enough for an attempt to end unheard within its lease.
-        limits = attrs.evolve(batch_fleet.LIMITS, lease_ms=4_000)
-        running = batch_fleet.start(self, workers=2, limits=limits)
+        limits = attrs.evolve(batch_fleet.LIMITS, lease_ms=5_000)
+        running = batch_fleet.start(self, workers=2, endpoints=0, limits=limits)
         seat = batch_fleet.owner(running)
-        running.submit_job(job("late", 2_000), seat)
+        running.submit_job(job("late", 4_200), seat)
         first = wait_started(running, "late", 1)
-        running.network.set(f"worker/{first.worker}", cut=True)
+        running.network.set(f"worker/*/{first.worker}", cut=True)
         second = wait_started(running, "late", 2)
         self.assertEqual([1], finishes(running, "late"))
-        running.network.set(f"worker/{first.worker}", cut=False)
+        running.network.set(f"worker/*/{first.worker}", cut=False)
         self.assertNotEqual(first.worker, second.worker)
+        time.sleep(LONGEST_RETRY_S)
+        page = running.job("late", seat).json()
+        self.assertEqual(("assigned", 2), (page["phase"], page["attempt"]))
         running.wait_until(
             lambda: running.job("late", seat).json()["phase"] == "finished",
             "the job has finished",
@@ -171,10 +175,10 @@
         name, worker = self.hold_start(running, owner)
         running.signal_host(owner, signal.SIGSTOP)
         other = "wk-2" if worker == "wk-1" else "wk-1"
-        running.network.set(f"worker/{other}", block_to_target=False)
+        running.network.set(f"worker/*/{other}", block_to_target=False)
         second = wait_started(running, name, 2)
         self.assertEqual(other, second.worker)
-        running.network.set(f"worker/{worker}", block_to_target=False)
+        running.network.set(f"worker/*/{worker}", block_to_target=False)
         running.wait_until(
             lambda: self.refusals(running, worker, host_id) != [],
             "the old owner's start has been refused",
@@ -203,7 +207,7 @@
             while time.monotonic() < until:
                 for chunk in running.network.held():
                     if "start" in chunk.text and name in chunk.text:
-                        return name, chunk.relay.removeprefix("worker/")
+                        return name, chunk.relay.rpartition("/")[2]
                 time.sleep(0.02)
             # A renewal was under way, so that the start had to wait.
             running.network.set("worker/*", block_to_target=False)
