--- a/tests/process/test_shares.py
+++ b/tests/process/test_shares.py
@@ -8,10 +8,11 @@
 
 from comfreylatch._ports import peers as peers_port
 from comfreylatch._process import shares
+from comfreylatch._version import configuration
 from comfreylatch._version import objects
 from tests import fakes
 
-LONGEST_MS = 2_500
+LONGEST_MS = shares.longest_request_ms(configuration.Configuration())
 
 
 def make_shares(
