Take changed limits into force by a new term

Cause: a claim keeps its bounds for its whole term, and only a new owner read the limits in force. A zone's first owner claims before the first ticket, so that its leases stayed those of the default limits, whatever tickets said. Found by the faults tests: a successor with claims of 2 s took over after 6.5 s, and the log showed the first claim with a claim of 6 s and a lease of 15 s. Ruled out: a slow relay, a late host list. Now the owner claims the next term itself, at the time of a renewal, and counts what silent workers run under the old term as running until that term's bounds have passed. Both new unit tests fail without the change.

--- a/src/comfreylatch/_process/batch/ownership.py
+++ b/src/comfreylatch/_process/batch/ownership.py
@@ -132,7 +132,7 @@
         self._renewal_sent_ms: int | None = None
         self._unresolved_ms: int | None = None
         self._own_touched_offset = -1
-        self._seen: dict[int, tuple[int, bool]] = {}
+        self._seen: dict[int, tuple[int, bool, bool]] = {}
         self._guards_ms: dict[int, int] = {}
         self._changed_ms = clock.monotonic_ms()
         self._fenced_term = 0
@@ -222,12 +222,14 @@
         claims = self._fold.claims()
         with self._lock:
             for claim in claims:
-                mark = (claim.touched_offset, claim.released)
+                own = claim.host == self._host_id
+                superseded = own and claim is not claims[-1]
+                mark = (claim.touched_offset, claim.released, superseded)
                 if self._seen.get(claim.term) == mark:
                     continue
                 self._seen[claim.term] = mark
                 self._changed_ms = now_ms
-                if claim.host != self._host_id:
+                if superseded or not own:
                     self._guards_ms[claim.term] = now_ms + hold_span_ms(claim)
             self._forget_old(claims, now_ms)
             self._update_hold(claims[-1] if claims else None)
@@ -316,6 +318,10 @@
             return
         if self._stopping.is_set():
             return
+        if claim.bounds != self._configured_bounds():
+            # A term keeps its bounds to its end; new ones need a new term.
+            self._claim(claim.term)
+            return
         self._append(job_records.OwnerRenewed(claim.term, self._host_id))
 
     def _append(
--- a/testing/batch_fleet.py
+++ b/testing/batch_fleet.py
@@ -5,9 +5,12 @@
 from collections.abc import Collection
 from typing import Any
 
+import result
 import testtools
 
+from comfreylatch._version import job_records
 from comfreylatch._version import objects
+from comfreylatch._version import records
 from testing import deployments
 from testing import fleet as fleet_module
 from testing import fleet_plan
@@ -58,10 +61,32 @@
         fleet_module.Fleet(deployment(**changes), options)
     )
     running.put_in_force()
+    lease_ms = running.deployment.limits.lease_ms
+    running.wait_until(
+        lambda: claimed_lease_ms(running) == lease_ms,
+        "the zone is owned under its limits",
+        2 * TAKEOVER_S,
+    )
     wait_owner(running)
     return running
 
 
+def claimed_lease_ms(running: fleet_module.Fleet) -> int:
+    """Lease of the last claim on the log; 0 when there is none."""
+    address = running.log.ready["address"]
+    stream = job_records.zone_stream(ZONE)
+    answer = running.client.get(address, f"/streams/{stream}/records")
+    lease_ms = 0
+    for line in answer.json()["records"]:
+        decoded = records.decode(line["payload"].encode())
+        match decoded:
+            case result.Ok((_, job_records.OwnerClaimed() as claim)):
+                lease_ms = claim.bounds.lease_ms
+            case _:
+                pass
+    return lease_ms
+
+
 def owner(running: fleet_module.Fleet) -> str:
     """The seat whose host may start work now; empty if there is none."""
     for seat, host in running.hosts.items():
--- a/tests/process/batch/test_ownership.py
+++ b/tests/process/batch/test_ownership.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import attrs
 import testtools
 
+from comfreylatch._process.batch import ownership
 from comfreylatch._version import job_state
 from comfreylatch._version import objects
 from testing.fakes import zone as fake_zone
@@ -155,3 +157,37 @@
         session = other.pool.sessions[zone.running()["job"]]
         self.assertEqual(2, session.fenced_term)
         self.assertEqual(1, zone.state("job").attempt)
+
+
+class ChangedLimitsTest(testtools.TestCase):
+    """Limits that a ticket changes while a host owns the zone."""
+
+    def change_limits(self, zone: fake_zone.FakeZone) -> None:
+        limits = objects.Limits(lease_ms=3_000, claim_ms=3_000)
+        zone.source.given = attrs.evolve(zone.source.given, limits=limits)
+
+    def test_owner_takes_them_into_force_by_a_new_term(self) -> None:
+        """The same host goes on, and so does the running attempt."""
+        zone, owner = owned_zone()
+        zone.submit("job", HALF, 30_000)
+        zone.run(2_000)
+        before = zone.running()
+        self.change_limits(zone)
+        zone.run(5_000)
+        claim = zone.hosts[1].fold.claims()[-1]
+        self.assertEqual(
+            (2, owner.name, 3_000),
+            (claim.term, claim.host, claim.bounds.lease_ms),
+        )
+        self.assertEqual(before, zone.running())
+
+    def test_leases_of_the_old_term_are_waited_for(self) -> None:
+        """What a silent worker runs under longer leases counts as running."""
+        zone, owner = owned_zone()
+        old = owner.fold.claims()[-1]
+        self.change_limits(zone)
+        zone.run(5_000)
+        self.assertGreater(
+            owner.ownership.guard_until_ms(),
+            zone.clock.now_ms - 5_000 + ownership.hold_span_ms(old),
+        )
