--- a/tests/system/test_batch_owner_faults.py
+++ b/tests/system/test_batch_owner_faults.py
@@ -77,3 +77,39 @@
             batch_fleet.wait_started(self.fleet, 20)
             self.fleet.network.set("peer/*", cut=False)
         batch_fleet.check(self, self.fleet, submitted)
+
+    def test_owner_cut_from_its_workers_only(self) -> None:
+        names = self.fleet.deployment.worker_names()
+        with batch_fleet.submitter(self.fleet) as submitted:
+            batch_fleet.wait_started(self.fleet, 20)
+            owner = batch_fleet.owner(self.fleet)
+            self.fleet.network.set(f"worker/{owner}/*", cut=True)
+            time.sleep(7.0)
+            self.fleet.network.set(f"worker/{owner}/*", cut=False)
+            batch_fleet.wait_started(self.fleet, 20)
+        batch_fleet.check(self, self.fleet, submitted, names)
+
+
+@pytest.mark.xdist_group("fleet-4")
+class TwoOwnersTest(testtools.TestCase):
+    """An owner cut off with one worker, and a successor without it."""
+
+    def test_successor_waits_for_the_worker_it_cannot_reach(self) -> None:
+        running = batch_fleet.start(self, autonomy_ms=4_000)
+        # Long enough to run on under the old owner's last leases.
+        load = batch_fleet.submitter(
+            running, pause_ms=150.0, shortest_ms=3_000, longest_ms=5_000
+        )
+        with load as submitted:
+            batch_fleet.wait_started(running, 12)
+            owner = batch_fleet.owner(running)
+            for seat in running.hosts:
+                if seat != owner:
+                    running.network.set(f"worker/{seat}/wk-1", cut=True)
+            running.network.set(f"peer/*/{owner}/*", cut=True)
+            running.network.set(f"peer/*/*/*/{owner}", cut=True)
+            running.network.set(f"log/{owner}", cut=True)
+            batch_fleet.wait_owner(running, owner)
+            time.sleep(6.0)
+            running.network.set("*", cut=False)
+        batch_fleet.check(self, running, submitted, ("wk-1",))
