Refuse whole requests while draining, under their own id

Cause: the refusal of a draining server went out before the request's body was read, which breaks the connection under a caller that is still sending, and it carried no X-Request-Id, which docs/API.md promises. The test failed before on both counts.

--- a/src/comfreylatch/_connection/http_gateway.py
+++ b/src/comfreylatch/_connection/http_gateway.py
@@ -76,8 +76,11 @@
         state = self.req.server.state
         if state.draining:
             state.last_arrival_ms = state.clock.monotonic_ms()
+            # A reply before the end of the body would break the connection
+            # under a caller that is still sending, and be lost with it.
+            self._read_body()
             self.req.close_connection = True
-            self._send(_stopping_reply())
+            self._send(self._identified(_stopping_reply()))
             return
         with state:
             match self._read_body():
@@ -85,11 +88,22 @@
                     reply = self._handle(state, self._request(body))
                 case result.Err(bad):
                     self.req.close_connection = True
-                    reply = _bad_body_reply(bad)
+                    reply = self._identified(_bad_body_reply(bad))
             if state.draining or state.closing:
                 self.req.close_connection = True
             self._send(reply)
 
+    def _identified(self, reply: http.HttpReply) -> http.HttpReply:
+        """The reply with the id that the caller gave its request, if any."""
+        request_id = self.req.inheaders.get(b"X-Request-Id")
+        if request_id is None:
+            return reply
+        headers = {
+            **reply.headers,
+            "X-Request-Id": request_id.decode("latin-1"),
+        }
+        return attrs.evolve(reply, headers=headers)
+
     def _request(self, body: bytes) -> http.HttpRequest:
         req = self.req
         query = urllib.parse.parse_qsl(
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -179,6 +179,31 @@
         self.assertIn(b"X-Outcome: not-run", reply)
         self.assertRaises(OSError, self.connect)
 
+    def test_refusal_while_draining_waits_for_the_body(self) -> None:
+        held = self.connect()
+        held.sendall(self.post(b"kept", "/wait"))
+        late = self.connect()
+        self.assertTrue(self.entered.wait(5))
+        stopper = threading.Thread(target=self.server.drain, args=(5_000,))
+        stopper.start()
+        self.addCleanup(stopper.join)
+        self.addCleanup(self.release.set)
+        time.sleep(0.15)
+        head = (
+            "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: q-1\r\n"
+            "Content-Length: 4\r\n\r\n"
+        )
+        late.sendall(head.encode())
+        late.settimeout(0.1)
+        self.assertRaises(TimeoutError, late.recv, 1)
+        late.settimeout(5)
+        late.sendall(b"body")
+        reply = b""
+        while part := late.recv(65_536):
+            reply += part
+        self.assertIn(b" 503 ", reply)
+        self.assertIn(b"X-Request-Id: q-1\r\n", reply)
+
     def test_taken_port_is_a_clear_error(self) -> None:
         second = http_server.HttpServer(
             self.server.address, self.handle, 1, MAX_BODY_BYTES
