--- a/src/comfreylatch/_process/routing/endpoint_stats.py
+++ b/src/comfreylatch/_process/routing/endpoint_stats.py
@@ -19,6 +19,7 @@
 
 FIRST_LATENCY_MS = 20.0
 LATENCY_SMOOTHING = 0.1
+RISING_SMOOTHING = 0.25
 FAILURE_SMOOTHING = 0.1
 EJECT_FAILURES_IN_A_ROW = 3
 EJECT_FAILURE_SHARE = 0.5
@@ -40,6 +41,7 @@
 
     Attributes:
         in_flight: Requests sent from here and not ended.
+        begun_sum_ms: Sum of the monotonic times at which those were begun.
         latency_ms: Smoothed time of an answer.
         failure_share: Smoothed share of tries that failed, 0 to 1.
         failures_in_a_row: Failed tries since the last answer.
@@ -51,6 +53,7 @@
     """
 
     in_flight: int = 0
+    begun_sum_ms: int = 0
     latency_ms: float = FIRST_LATENCY_MS
     failure_share: float = 0.0
     failures_in_a_row: int = 0
@@ -66,10 +69,19 @@
         return self.ejected_until_ms > 0
 
     def expected_ms(self, now_ms: int) -> float:
-        """Expected time of one more request sent now."""
-        queue = 1.0 + self.in_flight
+        """Expected time of one more request sent now.
+
+        Requests that have been running for longer than usual tell of a slow
+        endpoint before their answers do.
+        """
+        latency_ms = self.latency_ms
+        in_flight = self.in_flight
+        if in_flight:
+            age_ms = now_ms - self.begun_sum_ms / in_flight
+            latency_ms = max(latency_ms, age_ms)
         answered_share = max(1.0 - self.failure_share, 0.05)
-        return self.latency_ms * queue / answered_share / self.admitted(now_ms)
+        expected_ms = latency_ms * (1.0 + in_flight) / answered_share
+        return expected_ms / self.admitted(now_ms)
 
     def admitted(self, now_ms: int) -> float:
         """Share of its usual requests it gets in slow start, up to 1."""
@@ -140,19 +152,21 @@
         now_ms = self._clock.monotonic_ms()
         return now_ms >= stats.ejected_until_ms + patience_ms
 
-    def begin(self, endpoint: str) -> None:
+    def begin(self, endpoint: str, now_ms: int) -> None:
         """Notes that a request is sent."""
         stats = self.get(endpoint)
         with self._lock:
             stats.in_flight += 1
+            stats.begun_sum_ms += now_ms
             if stats.is_ejected:
                 stats.probing = True
 
-    def ended(self, endpoint: str) -> None:
+    def ended(self, endpoint: str, begun_ms: int) -> None:
         """Notes that the endpoint no longer runs a request."""
         stats = self.get(endpoint)
         with self._lock:
             stats.in_flight -= 1
+            stats.begun_sum_ms -= begun_ms
 
     def skipped(self, endpoint: str) -> None:
         """Notes that a try told nothing of the endpoint."""
@@ -170,9 +184,9 @@
             stats.failure_share *= 1 - FAILURE_SMOOTHING
             was_probe = stats.probing
             stats.probing = False
-            stats.latency_ms += LATENCY_SMOOTHING * (
-                elapsed_ms - stats.latency_ms
-            )
+            is_rising = elapsed_ms > stats.latency_ms
+            smoothing = RISING_SMOOTHING if is_rising else LATENCY_SMOOTHING
+            stats.latency_ms += smoothing * (elapsed_ms - stats.latency_ms)
             if stats.is_ejected:
                 if was_probe:
                     self._judge_probe(stats, elapsed_ms, now_ms)
--- a/src/comfreylatch/_request/call.py
+++ b/src/comfreylatch/_request/call.py
@@ -21,9 +21,7 @@
 ISSUED_PREFIX = "cl-"
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
 
-_OWN_HEADERS = frozenset(
-    {"x-request-id", "x-caller", "x-idempotent", "x-timeout-ms"}
-)
+_OWN_HEADERS = frozenset({"x-request-id", "x-timeout-ms"})
 
 
 @attrs.frozen
--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -163,7 +163,7 @@
         if not slots.try_take(endpoint, hold_ms):
             return None
         self._taken_ms = self._parts.clock.monotonic_ms()
-        state.stats.begin(endpoint)
+        state.stats.begin(endpoint, self._taken_ms)
         return endpoint
 
     def _claim_id(
@@ -185,11 +185,12 @@
         """What is to be done when the request in a taken slot has ended."""
         state = self._state
         slots = self._parts.slots
-        taken_s = time.monotonic()
+        clock = self._parts.clock
+        taken_ms = self._taken_ms
 
         def ended() -> None:
-            state.stats.ended(endpoint)
-            state.queue.left((time.monotonic() - taken_s) * 1_000)
+            state.stats.ended(endpoint, taken_ms)
+            state.queue.left(clock.monotonic_ms() - taken_ms)
             slots.give_back(endpoint)
 
         return ended
--- a/testing/measure_routing.py
+++ b/testing/measure_routing.py
@@ -27,6 +27,7 @@
 from testing import fleet_plan
 
 ENDPOINTS = 8
+SEATS = 3
 WORK_MS = 60.0
 TIMEOUT_MS = 1_500
 LOAD_THREADS = 96
@@ -162,7 +163,10 @@
 def measure(policy: choice.Policy, given: argparse.Namespace) -> None:
     """One policy with its fleet; prints a line for each phase."""
     deployment = attrs.evolve(
-        deployments.small(1), endpoints=ENDPOINTS, work_ms=WORK_MS
+        deployments.small(1),
+        endpoints=ENDPOINTS,
+        work_ms=WORK_MS,
+        seats_per_zone=SEATS,
     )
     options = fleet_plan.FleetOptions(
         seed=given.seed,
