Let an id name its zone, which then grants it while cut off

Cause: marks of an id lie in three zones, so a zone cut off from the others granted no non-idempotent request with an id of the caller's. Ruled out: holders in the own zone for every id, as a repetition may come through another zone. Change: an id that begins with a zone's name is held by that zone's seats. The test of the isolated zone now sends half of its requests non-idempotent; before the change the guard refused them (test_cut_zone_grants_ids_that_name_it fails without it).

--- a/src/comfreylatch/_request/dispatch_guard.py
+++ b/src/comfreylatch/_request/dispatch_guard.py
@@ -1,7 +1,8 @@
 """At most one dispatch of each non-idempotent request id, over all hosts.
 
 Three seats hold the marks of an id, chosen by rendezvous hashing over the
-seats of all zones, in different zones where there are enough. A host sends
+seats of all zones, in different zones where there are enough; an id may name
+a zone and is then held by that zone's seats. A host sends
 the request only after a majority of them has granted it the id. Two
 majorities share a holder, and a holder grants an id once, so a repetition
 through any host finds the mark. A holder that has been up for less than the
@@ -28,6 +29,7 @@
 from comfreylatch._wire.gen.peer import ttypes
 
 HOLDERS = 3
+ZONE_SEPARATOR = ":"
 MARK_TIMEOUT_MS = 300
 RETRY_UNREACHABLE_MS = 1_000
 RETRY_YOUNG_MS = 5_000
@@ -44,9 +46,15 @@
 
 
 def holders_of(request_id: str, seats: tuple[Seat, ...]) -> tuple[str, ...]:
-    """Names of the seats that hold the marks of an id, best first."""
+    """Names of the seats that hold the marks of an id, best first.
+
+    An id that begins with the name of a zone and `:` is held in that zone
+    alone, so that a zone cut off from the others can go on granting its own.
+    """
+    named = request_id.partition(ZONE_SEPARATOR)[0]
+    in_zone = tuple(seat for seat in seats if seat.zone == named)
     ranked = sorted(
-        seats,
+        in_zone or seats,
         key=lambda seat: xxhash.xxh3_64_intdigest(
             f"{seat.name}\n{request_id}".encode()
         ),
--- a/tests/request/test_dispatch_guard.py
+++ b/tests/request/test_dispatch_guard.py
@@ -133,6 +133,18 @@
             outcomes.Unknown,
         )
 
+    def test_cut_zone_grants_ids_that_name_it(self) -> None:
+        for other in ("entoto", "kality"):
+            self.fleet.cut_zones("bole", other)
+        self.assertTrue(self.fleet.claim("b1", "bole:r1").is_ok())
+        self.assertTrue(self.fleet.claim("e1", "bole:r1").is_err())
+        self.assertTrue(self.fleet.claim("b2", "bole:r1").is_err())
+
+    def test_id_that_names_a_zone_is_granted_once_over_all_zones(self) -> None:
+        self.assertTrue(self.fleet.claim("e1", "bole:r1").is_ok())
+        self.assertTrue(self.fleet.claim("b1", "bole:r1").is_err())
+        self.assertTrue(self.fleet.claim("k1", "bole:r1").is_err())
+
     def test_holders_are_in_different_zones(self) -> None:
         zones = {SEAT_ZONES[seat] for seat in self.holders}
         self.assertEqual(set(ZONES), zones)
--- a/tests/system/test_request_faults.py
+++ b/tests/system/test_request_faults.py
@@ -210,16 +210,13 @@
         links = frozenset({fleet_plan.Link.PEERS, fleet_plan.Link.PLATFORM})
         running = start(self, zones=2, links=links)
         load = callers.Load(
-            running.deployment.seats("bole"),
-            callers=8,
-            idempotent_share=1.0,
-            work_ms=20.0,
+            running.deployment.seats("bole"), callers=8, work_ms=20.0
         )
         running.network.isolate_zone("bole")
-        with callers.Callers(running, load, "cut") as cut:
+        with callers.Callers(running, load, "bole:cut") as cut:
             time.sleep(12.0)
         running.network.isolate_zone("bole", cut=False)
-        with callers.Callers(running, load, "healed") as healed:
+        with callers.Callers(running, load, "bole:healed") as healed:
             time.sleep(2.0)
         for sending in (cut, healed):
             assert_nothing_cut_off(self, running, sending)
