--- a/src/comfreylatch/_process/batch/service.py
+++ b/src/comfreylatch/_process/batch/service.py
@@ -9,6 +9,7 @@
 import attrs
 
 from comfreylatch._connection import http
+from comfreylatch._connection import routes
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import configuration as configuration_port
 from comfreylatch._ports import hosts
@@ -144,6 +145,15 @@
         self._owner_stack.close()
         self._stack.close()
 
+    def routes(self) -> list[routes.Route]:
+        """The routes of jobs."""
+        return [
+            routes.Route("POST", "/jobs", self.handle),
+            routes.Route("GET", "/jobs", self.handle),
+            routes.Route("GET", "/jobs/*", self.handle),
+            routes.Route("DELETE", "/jobs/*", self.handle),
+        ]
+
     def handle(self, request: http.HttpRequest) -> http.HttpReply:
         """Answers `/jobs` and `/jobs/ID`."""
         return self._desk.handle(request)
--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -9,11 +9,9 @@
 import secrets
 import signal
 import threading
-import time
 from typing import final
 from typing import Self
 
-import attrs
 import logbook
 
 from comfreylatch._connection import address
@@ -31,6 +29,7 @@
 from comfreylatch._process import dispatch_marks
 from comfreylatch._process import follower as follower_module
 from comfreylatch._process import host_list
+from comfreylatch._process import host_status
 from comfreylatch._process import journal as journal_module
 from comfreylatch._process import loans
 from comfreylatch._process import logs
@@ -45,6 +44,7 @@
 from comfreylatch._process import resident
 from comfreylatch._process import settings as settings_module
 from comfreylatch._process import shares as shares_module
+from comfreylatch._process import shutdown
 from comfreylatch._process import slot_book
 from comfreylatch._process import snapshot_publisher
 from comfreylatch._process import stream_state
@@ -60,29 +60,12 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 OPERATOR_THREADS = 8
 NEVER_OPENED_MS = 2**40
-BALANCER_GRACE_MS = 500
-IDLE_CHECK_MS = 20
-LENT_WAIT_MS = 1_500
 STOP_CHECK_S = 0.2
 FAILED_EXIT_CODE = 1
 
 _logger = logbook.Logger(__name__)
 
 
-@attrs.frozen
-class HostStatus:
-    """The host's own lines of the status page."""
-
-    host_id: str
-    seat: str
-    zone: str
-    config_offset: int
-    config_digest: str
-    config_age_ms: int
-    seat_open: bool
-    stopping: bool
-
-
 @final
 class EntryHost:
     """All parts of one entry host, started in order while it is entered."""
@@ -137,41 +120,20 @@
         self._stack.close()
 
     def drain(self) -> bool:
-        """Stops gracefully; returns whether everything ended in time.
-
-        Callers go elsewhere first, then requests in progress are answered,
-        loans returned, and the claim on the zone's workers given up.
-        """
-        timeout_ms = self._settings.timing.stop_timeout_ms
-        logs.event(_logger, "stopping", host=self.host_id)
-        self._state.stopping.set()
-        self._caller_server.close_after_replies()
-        time.sleep(BALANCER_GRACE_MS / 1_000)
-        finished = self._caller_server.drain(timeout_ms)
-        self._router.stop_taking()
-        self._batch.release()
-        idle = self._wait_idle(timeout_ms)
-        if idle and self._gate.is_open.is_set():
-            self._state.drained.set()
-        self._membership.say_drained()
-        logs.event(_logger, "stopped", host=self.host_id, idle=idle)
-        return finished
-
-    def _wait_idle(self, timeout_ms: int) -> bool:
-        """Waits until no slot is used by this host's own or lent shares."""
-        deadline_ms = self._clock.monotonic_ms() + timeout_ms
-        lent_deadline_ms = self._clock.monotonic_ms() + LENT_WAIT_MS
-        while True:
-            lines = self._ledger.status()
-            now_ms = self._clock.monotonic_ms()
-            if not any(line.used or line.lent for line in lines):
-                return True
-            if now_ms >= deadline_ms:
-                return False
-            only_lent = not any(line.used for line in lines)
-            if only_lent and now_ms >= lent_deadline_ms:
-                return False
-            time.sleep(IDLE_CHECK_MS / 1_000)
+        """Stops gracefully; returns whether everything ended in time."""
+        parts = shutdown.StopParts(
+            state=self._state,
+            callers=self._caller_server,
+            router=self._router,
+            batch=self._batch,
+            ledger=self._ledger,
+            gate=self._gate,
+            membership=self._membership,
+            clock=self._clock,
+        )
+        return shutdown.stop_gracefully(
+            parts, self._settings.timing.stop_timeout_ms
+        )
 
     def _make_platform(self) -> None:
         timing = self._settings.timing
@@ -321,8 +283,8 @@
             zone_stream: self._batch.follower,
         }
         self._publishers = [
-            self._publisher(self._config, self._all_seats),
-            self._publisher(self._batch.follower, self._zone_seats),
+            self._publisher(self._config, settings.all_seats),
+            self._publisher(self._batch.follower, settings.zone_seats),
         ]
 
     def _make_servers(self) -> None:
@@ -359,30 +321,25 @@
             self._journal,
             self._metrics,
             {
-                "host": self._host_status,
-                "peers": lambda: operator_pages.peer_lines(
-                    self._membership.views(), self._clock.monotonic_ms()
-                ),
+                "host": self._own_status,
+                "peers": self._membership.views,
                 "slots": self._ledger.status,
                 "batch": self._batch.status,
             },
             self._is_ready,
             self._membership,
         )
-        desk = self._desk
-        jobs = self._batch.handle
         return [
             *pages.routes(),
-            routes.Route("POST", "/tickets", desk.submit),
-            routes.Route("GET", "/tickets", desk.list_tickets),
-            routes.Route("GET", "/tickets/*", desk.show_ticket),
-            routes.Route("GET", "/objects", desk.list_objects),
-            routes.Route("POST", "/jobs", jobs),
-            routes.Route("GET", "/jobs", jobs),
-            routes.Route("GET", "/jobs/*", jobs),
-            routes.Route("DELETE", "/jobs/*", jobs),
+            *self._desk.routes(),
+            *self._batch.routes(),
         ]
 
+    def _own_status(self) -> host_status.HostStatus:
+        return host_status.of(
+            self._settings, self._state, self._config, self._gate
+        )
+
     def _handle_caller(self, request: http.HttpRequest) -> http.HttpReply:
         if request.path.startswith("/services/"):
             return self._router.handle(request)
@@ -396,19 +353,6 @@
         is_up = self._gate.is_decided.is_set()
         return is_up and not self._state.stopping.is_set()
 
-    def _host_status(self) -> HostStatus:
-        offset, digest = self._config.position()
-        return HostStatus(
-            host_id=self.host_id,
-            seat=self._settings.seat,
-            zone=self._settings.zone,
-            config_offset=offset,
-            config_digest=digest,
-            config_age_ms=self._config.age_ms(),
-            seat_open=self._gate.is_open.is_set(),
-            stopping=self._state.stopping.is_set(),
-        )
-
     def _publisher(
         self,
         follower: follower_module.StreamFollower,
@@ -424,17 +368,6 @@
             self._clock,
         )
 
-    def _all_seats(self) -> tuple[str, ...]:
-        others = (peer.seat for peer in self._settings.peers)
-        return tuple(sorted([self._settings.seat, *others]))
-
-    def _zone_seats(self) -> tuple[str, ...]:
-        zone = self._settings.zone
-        others = (
-            peer.seat for peer in self._settings.peers if peer.zone == zone
-        )
-        return tuple(sorted([self._settings.seat, *others]))
-
     def _note_longest_hold(self, new: configuration.Configuration) -> None:
         self._longest_hold_ms = shares_module.longest_hold_ms(new)
 
--- a/src/comfreylatch/_process/settings.py
+++ b/src/comfreylatch/_process/settings.py
@@ -101,3 +101,12 @@
     threads: int = 96
     log_level: str = "info"
     routing: RoutingSettings = RoutingSettings()
+
+    def all_seats(self) -> tuple[str, ...]:
+        """Names of all seats, the own one included, in order."""
+        return tuple(sorted([self.seat, *(peer.seat for peer in self.peers)]))
+
+    def zone_seats(self) -> tuple[str, ...]:
+        """Names of the seats of the own zone, in order."""
+        others = [peer.seat for peer in self.peers if peer.zone == self.zone]
+        return tuple(sorted([self.seat, *others]))
--- /dev/null
+++ b/src/comfreylatch/_process/shutdown.py
@@ -0,0 +1,77 @@
+"""The planned stop of an entry host, which cuts nothing off."""
+
+from __future__ import annotations
+
+import time
+
+import attrs
+import logbook
+
+from comfreylatch._connection import http_server
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import loans
+from comfreylatch._process import logs
+from comfreylatch._process import membership as membership_module
+from comfreylatch._process import own_state
+from comfreylatch._process.batch import service as batch_service
+from comfreylatch._request import router as router_module
+
+BALANCER_GRACE_MS = 500
+IDLE_CHECK_MS = 20
+LENT_WAIT_MS = 1_500
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class StopParts:
+    """The parts of a host that take part in its stop."""
+
+    state: own_state.OwnState
+    callers: http_server.HttpServer
+    router: router_module.RequestRouter
+    batch: batch_service.BatchService
+    ledger: loans.LoanLedger
+    gate: own_state.SeatGate
+    membership: membership_module.Membership
+    clock: clock_port.Clock
+
+
+def stop_gracefully(parts: StopParts, timeout_ms: int) -> bool:
+    """Stops taking work and waits for what is in progress.
+
+    Callers go elsewhere first, then requests in progress are answered, loans
+    come back, and the claim on the zone's workers is given up. Peers are told
+    whether all has ended, so that a successor need not wait for it.
+
+    Returns:
+        Whether every caller's request was answered within `timeout_ms`.
+    """
+    host_id = parts.state.host_id
+    logs.event(_logger, "stopping", host=host_id)
+    parts.state.stopping.set()
+    parts.callers.close_after_replies()
+    time.sleep(BALANCER_GRACE_MS / 1_000)
+    finished = parts.callers.drain(timeout_ms)
+    parts.router.stop_taking()
+    parts.batch.release()
+    is_idle = _wait_idle(parts, timeout_ms)
+    if is_idle and parts.gate.is_open.is_set():
+        parts.state.drained.set()
+    parts.membership.say_drained()
+    logs.event(_logger, "stopped", host=host_id, idle=is_idle)
+    return finished
+
+
+def _wait_idle(parts: StopParts, timeout_ms: int) -> bool:
+    """Waits until no slot of this host is in use, by itself or on loan."""
+    started_ms = parts.clock.monotonic_ms()
+    while True:
+        lines = parts.ledger.status()
+        waited_ms = parts.clock.monotonic_ms() - started_ms
+        is_used = any(line.used for line in lines)
+        if not is_used and not any(line.lent for line in lines):
+            return True
+        if waited_ms >= (timeout_ms if is_used else LENT_WAIT_MS):
+            return False
+        time.sleep(IDLE_CHECK_MS / 1_000)
--- a/src/comfreylatch/_process/ticket_desk.py
+++ b/src/comfreylatch/_process/ticket_desk.py
@@ -10,6 +10,7 @@
 import result
 
 from comfreylatch._connection import http
+from comfreylatch._connection import routes
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import peers as peers_port
 from comfreylatch._ports import streams
@@ -67,6 +68,15 @@
         self._seat = seat
         fold.on_ticket(self._note_folded)
 
+    def routes(self) -> list[routes.Route]:
+        """The routes of tickets and objects."""
+        return [
+            routes.Route("POST", "/tickets", self.submit),
+            routes.Route("GET", "/tickets", self.list_tickets),
+            routes.Route("GET", "/tickets/*", self.show_ticket),
+            routes.Route("GET", "/objects", self.list_objects),
+        ]
+
     def submit(self, request: http.HttpRequest) -> http.HttpReply:
         """`POST /tickets`."""
         started_ms = self._clock.monotonic_ms()
