Start no processes to compile the one-file program's modules

A test build with it failed test_serve_is_one_small_process_and_stops_with_0: 'serve' had ten children. Users rule out that a process starts another. Ruled out: shipping them in the file (trial, docs/design/packaging.md). Conclusion: the option is off again; modules are compiled at their first import.

--- a/testing/build_binary.py
+++ b/testing/build_binary.py
@@ -32,7 +32,6 @@
                 "comfreylatch.__main__:main",
                 "--python",
                 "/usr/bin/env python3",
-                "--compile-pyc",
                 "--compressed",
                 "--reproducible",
             ],
