Close connections beyond a smaller share; remember losses of second tries

A second try beside a first one that fails in writing may have reached its endpoint. It was forgotten, so that a first try declined later could have been told as not run. Read in review; the case of a second try lost after writing has a test, that of one lost in writing none.

--- a/src/comfreylatch/_connection/connection_pool.py
+++ b/src/comfreylatch/_connection/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 import socket
 import threading
 import time
@@ -215,6 +216,22 @@
             pool = self._pools.get(address)
             return 0 if pool is None else pool.open_count
 
+    def trim(self, limits: Mapping[str, int]) -> None:
+        """Closes unused connections that are old or beyond a limit.
+
+        Addresses without a limit are no longer used at all.
+        """
+        oldest_s = time.monotonic() - MAX_IDLE_MS / 1_000
+        useless: list[urllib3_connection.HTTPConnection] = []
+        with self._lock:
+            for address, pool in self._pools.items():
+                pool.drop_old(oldest_s, useless)
+                excess = pool.open_count - limits.get(address, 0)
+                for _ in range(excess):
+                    pool.drop_oldest(useless)
+        for connection in useless:
+            connection.close()
+
     def forget(self, address: str) -> None:
         """Closes the unused connections to an address."""
         with self._lock:
--- a/src/comfreylatch/_connection/endpoint_client.py
+++ b/src/comfreylatch/_connection/endpoint_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import http.client
 import socket
 from types import TracebackType
@@ -133,6 +134,10 @@
         probe.close()
         return True
 
+    def trim(self, limits: Mapping[str, int]) -> None:
+        """Closes unused connections beyond the limits, given by address."""
+        self._pools.trim(limits)
+
     def forget(self, address: str) -> None:
         """Closes the unused connections to an address."""
         self._pools.forget(address)
--- a/src/comfreylatch/_process/routing/retry_budget.py
+++ b/src/comfreylatch/_process/routing/retry_budget.py
@@ -45,6 +45,11 @@
             self._tokens -= 1
             return True
 
+    def refund(self) -> None:
+        """Gives back a token that was spent on nothing."""
+        with self._lock:
+            self._tokens = min(self._tokens + 1, MAX_TOKENS)
+
 
 def backoff_ms(retry: int, rng: random.Random) -> int:
     """Wait before retry number `retry` (from 1), with full jitter."""
--- a/src/comfreylatch/_request/router.py
+++ b/src/comfreylatch/_request/router.py
@@ -259,6 +259,7 @@
             try:
                 self._take_peers_signs()
                 self._probe_leaving()
+                self._trim_connections()
             except Exception:
                 _log.exception("router-upkeep-failed")
 
@@ -283,6 +284,17 @@
             self._table.leaving_changed()
             self._note_endpoint(endpoint, "back", "takes connections again")
 
+    def _trim_connections(self) -> None:
+        """Closes connections that a smaller share no longer allows."""
+        share = self._parts.slots.share_connections
+        self._parts.client.trim(
+            {
+                address: share(endpoint)
+                for state in self._table.all()
+                for endpoint, address in state.addresses.items()
+            }
+        )
+
     def _drained(self, endpoints: frozenset[str], how: str) -> None:
         self._table.leaving_changed()
         for state in self._table.all():
--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -257,6 +257,7 @@
         self._excluded |= {sent.endpoint}
         endpoint = self._state.queue.try_enter(self._pick)
         if endpoint is None:
+            self._state.budget.refund()
             return None
         self._note_retry(
             reasons.RetryReason.HEDGED,
@@ -266,6 +267,7 @@
         begun = self._begin(endpoint)
         if isinstance(begun, result.Err):
             self._observer.failed(endpoint, begun.err_value, 0.0)
+            self._note_loss(begun.err_value)
             return None
         return begun.ok_value
 
@@ -289,10 +291,14 @@
             self._state.stats.skipped(other.endpoint)
             self._count_retry(reasons.RetryReason.HEDGE_CANCELLED)
             return tried
-        if isinstance(tried.err_value, exchange.LostAfterSend):
-            self._lost = tried.err_value
+        self._note_loss(tried.err_value)
         return self._finish(other)
 
+    def _note_loss(self, error: exchange.EndpointError) -> None:
+        """Remembers that an endpoint may have seen the request."""
+        if isinstance(error, exchange.LostAfterSend):
+            self._lost = error
+
     def _after_failure(
         self, endpoint: str, error: exchange.EndpointError
     ) -> outcomes.RequestOutcome | None:
--- a/tests/connection/test_endpoint_client.py
+++ b/tests/connection/test_endpoint_client.py
@@ -214,6 +214,29 @@
         )
         self.assertEqual(1, endpoint.connections)
 
+    def test_connections_beyond_smaller_share_are_closed(self) -> None:
+        endpoint = self.serve()
+        both = threading.Barrier(2, timeout=5)
+
+        def together(seen: Seen) -> Send:
+            both.wait()
+            return scripted_endpoint.whole(seen)
+
+        endpoint.script = together
+        threads = [
+            threading.Thread(target=self.send, args=(endpoint,))
+            for _ in range(2)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(2, self.client.open_connections(endpoint.address))
+        self.client.trim({endpoint.address: 1})
+        self.assertEqual(1, self.client.open_connections(endpoint.address))
+        self.client.trim({})
+        self.assertEqual(0, self.client.open_connections(endpoint.address))
+
     def test_nothing_is_sent_after_deadline(self) -> None:
         endpoint = self.serve()
         refused = self.send(endpoint, within_ms=0).unwrap_err()
--- a/tests/request/test_router.py
+++ b/tests/request/test_router.py
@@ -199,6 +199,22 @@
         self.assertGreater(made.retries(reasons.RetryReason.HEDGED), 0)
         self.assertGreater(made.retries(reasons.RetryReason.HEDGE_CANCELLED), 0)
 
+    def test_loss_of_second_try_is_not_forgotten(self) -> None:
+        def lose_first_seen(seen: Seen) -> Send:
+            # The first try is declined late, the second one beside it lost.
+            if len(made.seen()) == 1:
+                time.sleep(0.3)
+                return declined(seen)
+            return Send(b"", reset=True)
+
+        made = self.make(
+            lose_first_seen,
+            lose_first_seen,
+            service=objects.Service(retry_budget_percent=100),
+        )
+        reply = made.ask("r1", method="GET", body=b"", timeout_ms=400)
+        self.assert_outcome(reply, 504, "unknown")
+
     def test_non_idempotent_request_is_never_hedged(self) -> None:
         made = self.make(
             slow(0.2), slow(0.2), service=objects.Service(hedge_percentile=50)
