Command no attempt whose end is not recorded

Cause: a worker forgets an ended attempt when it gets a command for it. An owner cut from the log knew the end, could not append it, and throttled the attempt all the same; its successor found nothing, counted the attempt as lost and ran the work again. Ruled out: two places at once (no such breach). After: while the hold does not allow starts only leases go out, and commands skip attempts whose end is pending.

--- a/src/comfreylatch/_process/batch/attempt_table.py
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -379,7 +379,8 @@
     def throttle(self, job: str, share_milli: int) -> None:
         """Asks for a share of its processors for a job's attempt."""
         attempt = self._attempts.get(job)
-        if attempt is not None and attempt.seen:
+        # A command would make the worker forget an end not yet recorded.
+        if attempt and attempt.seen and not self._pending.has_end(job):
             command = attempt.throttle_command(share_milli)
             self._sink.request(attempt.state.worker, command)
 
@@ -391,6 +392,8 @@
         attempt = self._attempts.get(job)
         if attempt is None or attempt.stop_reason is not None:
             return False
+        if self._pending.has_end(job):
+            return False
         attempt.stop_reason = attempt_module.StopReason.EVICTED
         attempt.keep_first = keep_first
         self._todo[job] = None
--- a/src/comfreylatch/_process/batch/worker_session.py
+++ b/src/comfreylatch/_process/batch/worker_session.py
@@ -126,7 +126,7 @@
         if hold.bounds is None or self._fenced_term < hold.term:
             return 0
         with self._lock:
-            if self._sendable(hold.may_start(now_ms)):
+            if self._commands and hold.may_start(now_ms):
                 return 0
         interval_ms = hold.bounds.lease_ms // 3
         due_ms = min(self._lease_sent_ms + interval_ms, self._poll_ms)
@@ -226,22 +226,16 @@
         )
 
     def _take(self, may_start: bool) -> tuple[workers.Command, ...]:
-        """Takes queued commands; starts stay queued while not allowed."""
+        """Takes queued commands, none while their outcome can't be recorded.
+
+        A worker forgets an ended attempt once it gets a command for it; the
+        end would be lost if this host could not record it.
+        """
+        if not may_start:
+            return ()
         taken: list[workers.Command] = []
         for queue in (self._commands, self._later):
-            kept: list[workers.Command] = []
-            for command in queue:
-                start = isinstance(command, workers.StartTask)
-                room = len(taken) < MAX_COMMANDS_PER_EXCHANGE
-                goes = room and (may_start or not start)
-                (taken if goes else kept).append(command)
-            queue[:] = kept
+            room = MAX_COMMANDS_PER_EXCHANGE - len(taken)
+            taken.extend(queue[:room])
+            del queue[:room]
         return tuple(taken)
-
-    def _sendable(self, may_start: bool) -> bool:
-        if may_start:
-            return bool(self._commands)
-        return any(
-            not isinstance(command, workers.StartTask)
-            for command in self._commands
-        )
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -149,6 +149,10 @@
         logs.event(_events, "evict", job=job, reason=reason)
         return True
 
+    def throttle(self, job: str, share_milli: int) -> None:
+        """Limits a running attempt; from the thread that calls `step`."""
+        self._books.table.throttle(job, share_milli)
+
     def step(self) -> int:
         """Does all that is due; returns milliseconds until the next step."""
         hold = self._ownership.hold()
--- a/tests/process/batch/test_zone_owner.py
+++ b/tests/process/batch/test_zone_owner.py
@@ -87,6 +87,37 @@
         self.assertGreater(state.checkpoint_ms, 80_000)
 
 
+class EndedAttemptTest(testtools.TestCase):
+    """An end that the cut-off owner could not record."""
+
+    def test_no_command_makes_a_worker_forget_an_unrecorded_end(self) -> None:
+        """The successor still finds it, and the work isn't redone."""
+        zone = started_zone()
+        zone.submit("job", HALF, 3_000)
+        zone.run(2_000)
+        owner = zone.owner()
+        zone.stream.cut.add(owner.name)
+        zone.run(2_000)
+        owner.owner.throttle("job", 500)
+        zone.run(15_000)
+        state = zone.state("job")
+        self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+        self.assertEqual(1, state.attempt)
+
+    def test_cut_off_owner_sends_leases_only(self) -> None:
+        """What it could not record it doesn't ask for."""
+        zone = started_zone()
+        zone.submit("job", HALF, 60_000)
+        zone.run(2_000)
+        owner = zone.owner()
+        zone.stream.cut.update(host.name for host in zone.hosts)
+        zone.run(6_500)
+        owner.owner.throttle("job", 500)
+        zone.run(1_000)
+        worker = zone.fleet[zone.running()["job"]]
+        self.assertEqual(1_000, worker.running()[0].share_milli)
+
+
 class FaultyWorkerTest(testtools.TestCase):
     """Workers and jobs that fail."""
 
