Take the workers' own guards out of the tests of faults

A guard refuses what is too much, so that no assignment beyond a worker's size could have been seen. The load stays below what the workers bear, so that the tests don't wait for a backlog.

--- a/testing/batch_fleet.py
+++ b/testing/batch_fleet.py
@@ -44,6 +44,8 @@
     values: dict[str, Any] = {
         "seats_per_zone": 3,
         "workers": 4,
+        # A guard would hide an assignment that is too much.
+        "worker_guards": False,
         "limits": LIMITS,
         "autonomy_ms": AUTONOMY_MS,
     }
@@ -61,6 +63,12 @@
         fleet_module.Fleet(deployment(**changes), options)
     )
     running.put_in_force()
+    wait_limits(running)
+    return running
+
+
+def wait_limits(running: fleet_module.Fleet) -> None:
+    """Waits until the zone is owned under the limits put in force."""
     lease_ms = running.deployment.limits.lease_ms
     running.wait_until(
         lambda: claimed_lease_ms(running) == lease_ms,
@@ -68,7 +76,6 @@
         2 * TAKEOVER_S,
     )
     wait_owner(running)
-    return running
 
 
 def claimed_lease_ms(running: fleet_module.Fleet) -> int:
--- a/testing/deployments.py
+++ b/testing/deployments.py
@@ -30,6 +30,7 @@
         work_ms: Median work of a request.
         teams: Teams, which share all workers evenly as their quotas.
         job_classes: Names of the kinds of batch work.
+        worker_guards: Whether workers refuse what doesn't fit.
         limits: Fleet-wide bounds.
         service_options: The service as put in force.
     """
@@ -49,6 +50,7 @@
     work_ms: float = 20.0
     work_spread: float = 0.4
     autonomy_ms: int = 60_000
+    worker_guards: bool = True
     limits: objects.Limits = objects.Limits()
     service_options: objects.Service = objects.Service()
 
@@ -113,6 +115,7 @@
                 name=name,
                 capacity=self.worker_capacity,
                 services=shared if index < self.endpoints else (),
+                guards=self.worker_guards,
             )
             for index, name in enumerate(self.worker_names())
         ]
--- a/testing/job_load.py
+++ b/testing/job_load.py
@@ -44,9 +44,9 @@
     """
 
     seats: tuple[str, ...]
-    pause_ms: float = 60.0
+    pause_ms: float = 100.0
     shortest_ms: int = 200
-    longest_ms: int = 2_000
+    longest_ms: int = 1_400
     urgent_share: float = 0.05
     never_works_share: float = 0.02
     burst_every: int = 25
