--- a/testing/deployments.py
+++ b/testing/deployments.py
@@ -14,6 +14,9 @@
 from testing.standins import worker_records
 
 WORKERS_PER_RACK = 8
+KIND_BY_CLASS = {
+    state_class: kind for kind, state_class in objects.CLASS_BY_KIND.items()
+}
 
 
 @attrs.frozen
@@ -209,55 +212,34 @@
     deployment: Deployment, endpoint_addresses: dict[str, str], number: int = 1
 ) -> dict[str, Any]:
     """The ticket that puts a whole deployment in force."""
-    changes = [
-        _change(
-            objects.ObjectKind.SERVICE,
-            deployment.service,
-            deployment.service_options,
-        )
-    ]
-    changes += [
-        _change(objects.ObjectKind.ZONE, zone, _zone(deployment, zone))
-        for zone in deployment.zones
+    states: list[tuple[str, objects.ConfigObject]] = [
+        (deployment.service, deployment.service_options),
+        (
+            deployment.worker_class,
+            objects.WorkerClass(deployment.worker_capacity),
+        ),
+        (objects.FLEET_LIMITS_NAME, deployment.limits),
     ]
-    changes += [
-        _change(objects.ObjectKind.TEAM, team, _team(deployment, index))
+    states += [(zone, _zone(deployment, zone)) for zone in deployment.zones]
+    states += [
+        (team, _team(deployment, index))
         for index, team in enumerate(deployment.teams)
     ]
-    changes += [
-        _change(
-            objects.ObjectKind.ENDPOINT,
-            name,
-            _endpoint(deployment, index, endpoint_addresses[name]),
-        )
+    states += [
+        (name, _endpoint(deployment, index, endpoint_addresses[name]))
         for index, name in enumerate(deployment.endpoint_names())
     ]
-    worker_class = objects.WorkerClass(deployment.worker_capacity)
-    changes += [
-        _change(
-            objects.ObjectKind.WORKER_CLASS,
-            deployment.worker_class,
-            worker_class,
-        ),
-        _change(
-            objects.ObjectKind.LIMITS,
-            objects.FLEET_LIMITS_NAME,
-            deployment.limits,
-        ),
-    ]
     return {
         "number": number,
         "author": "operator",
         "reason": f"first configuration of {deployment.name}",
-        "changes": changes,
+        "changes": [_change(name, state) for name, state in states],
     }
 
 
-def _change(
-    kind: objects.ObjectKind, name: str, state: objects.ConfigObject
-) -> dict[str, Any]:
+def _change(name: str, state: objects.ConfigObject) -> dict[str, Any]:
     return {
-        "kind": kind.value,
+        "kind": KIND_BY_CLASS[type(state)].value,
         "name": name,
         "replaces": 0,
         "state": attrs.asdict(state),
