Read the clock before taking a slot; survive nonsense in answers

A slot's age was read after it was taken: a host frozen in between could have sent a request in a slot that others counted as free. Found in review; the window is too short for a test. Whatever an answer makes the HTTP library raise is now a lost answer, and a slot goes back when a claim raises.

--- a/src/comfreylatch/_connection/pending_answer.py
+++ b/src/comfreylatch/_connection/pending_answer.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import final
 
+import logbook
 import result
 from urllib3 import exceptions as urllib3_exceptions
 from urllib3 import response as urllib3_response
@@ -22,6 +23,8 @@
 
 _BODILESS_STATUSES = frozenset({204, 304})
 
+_log = logbook.Logger("comfreylatch.pending-answer")
+
 
 class _TooLongError(Exception):
     """The answer is longer than `MAX_ANSWER_BYTES`."""
@@ -65,6 +68,10 @@
             return self._lost(self._loss_of(e), repr(e))
         except OSError as error:
             return self._lost(exchange.Loss.RESET, repr(error))
+        except Exception as error:
+            # Whatever a faulty answer does to the library, it is lost.
+            _log.exception("answer-unreadable id={}", self._request.request_id)
+            return self._lost(exchange.Loss.MALFORMED, repr(error))
         match outcome:
             case result.Err(exchange.LostAfterSend()):
                 self._lease.close()
--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -85,11 +85,7 @@
         self._lost: exchange.LostAfterSend | None = None
         self._tries = 0
         self._taken_ms = 0
-
-    @property
-    def seen(self) -> bool:
-        """Whether an endpoint may have seen the request."""
-        return self._lost is not None
+        self._answered_by = ""
 
     def run(self) -> outcomes.RequestOutcome:
         """Tries until there is an answer or no further try is allowed."""
@@ -117,7 +113,10 @@
             if isinstance(tried, result.Ok):
                 answer = tried.ok_value
                 return outcomes.Answered(
-                    answer.status, answer.headers, answer.body, endpoint
+                    answer.status,
+                    answer.headers,
+                    answer.body,
+                    self._answered_by,
                 )
             ended = self._after_failure(endpoint, tried.err_value)
             if ended is not None:
@@ -160,10 +159,13 @@
                 slots.want(self._parts.rng.choice(state.usable))
             return None
         hold_ms = shares.SEND_WITHIN_MS + self._parts.table.longest_request_ms
+        # Read first, so that a pause in between can't make the slot look
+        # younger than its ledger counts it.
+        now_ms = self._parts.clock.monotonic_ms()
         if not slots.try_take(endpoint, hold_ms):
             return None
-        self._taken_ms = self._parts.clock.monotonic_ms()
-        state.stats.begin(endpoint, self._taken_ms)
+        self._taken_ms = now_ms
+        state.stats.begin(endpoint, now_ms)
         return endpoint
 
     def _claim_id(
@@ -172,13 +174,19 @@
         """Claims the id before its first try, if it can have been used."""
         if self._guard is None or self._claim is not None:
             return None
-        match self._guard.claim(self._call.request_id, self._call.deadline_ms):
+        deadline_ms = self._call.deadline_ms
+        claimed = None
+        try:
+            claimed = self._guard.claim(self._call.request_id, deadline_ms)
+        finally:
+            if claimed is None or claimed.is_err():
+                self._state.stats.skipped(endpoint)
+                self._slot_returner(endpoint)()
+        match claimed:
             case result.Ok(claim):
                 self._claim = claim
                 return None
             case result.Err(refused):
-                self._state.stats.skipped(endpoint)
-                self._slot_returner(endpoint)()
                 return refused
 
     def _slot_returner(self, endpoint: str) -> Callable[[], None]:
@@ -237,6 +245,7 @@
         tried = sent.pending.finish()
         match tried:
             case result.Ok(answer):
+                self._answered_by = sent.endpoint
                 self._observer.answered(sent.endpoint, answer, sent.elapsed_ms)
             case result.Err(error):
                 self._observer.failed(sent.endpoint, error, sent.elapsed_ms)
--- a/tests/connection/test_endpoint_client.py
+++ b/tests/connection/test_endpoint_client.py
@@ -106,6 +106,19 @@
         tried = self.send(self.serve(lambda _: other))
         self.assertEqual(exchange.Loss.WRONG_ID, self.loss(tried))
 
+    def test_nonsense_is_lost(self) -> None:
+        for nonsense in (
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 abc\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1, 2\r\n\r\nab",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 200,
+        ):
+            with self.subTest(nonsense=nonsense[:40]):
+                endpoint = self.serve(lambda _, data=nonsense: Send(data, True))
+                self.loss(self.send(endpoint, within_ms=1_000))
+
     def test_not_run_of_endpoint_is_declined(self) -> None:
         data = scripted_endpoint.answer_bytes(
             "r1", b"full", "503 Busy", "X-Outcome: not-run\r\n"
