--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -322,7 +322,9 @@
             self._metrics,
             {
                 "host": self._own_status,
-                "peers": self._membership.views,
+                "peers": lambda: operator_pages.peer_lines(
+                    self._membership.views(), self._clock.monotonic_ms()
+                ),
                 "slots": self._ledger.status,
                 "batch": self._batch.status,
             },
--- a/tests/commands/test_binary.py
+++ b/tests/commands/test_binary.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+from typing import Any
 import urllib.error
 import urllib.request
 
@@ -68,9 +69,11 @@
 
     def write_settings(self, **members: object) -> str:
         caller, operator, peer, log, hosts = _free_addresses(5)
+        peer_2 = {"seat": "bole-2", "zone": "bole", "peer_address": hosts}
         value = {
             "seat": "bole-1",
             "zone": "bole",
+            "peers": [peer_2],
             "caller_address": caller,
             "operator_address": operator,
             "peer_address": peer,
@@ -110,7 +113,10 @@
         self.addCleanup(host.kill)
         self.wait_until_live(host)
         self.assertEqual([], self.children_of(host.pid))
-        self.assertLess(self.interpreter_kib(), MAX_INTERPRETER_KIB)
+        status = self.status()
+        interpreter_kib = status["memory"]["interpreter_kib"]
+        self.assertLess(interpreter_kib, MAX_INTERPRETER_KIB)
+        self.assertEqual(-1, status["peers"][0]["heard_age_ms"])
         host.send_signal(signal.SIGTERM)
         self.assertEqual(0, host.wait(STOP_TIMEOUT_S))
 
@@ -128,11 +134,11 @@
                 time.sleep(0.05)
         self.fail("serve did not come up")
 
-    def interpreter_kib(self) -> int:
-        """What the host says of its memory before any import."""
+    def status(self) -> Any:
+        """What the host says of itself."""
         url = f"http://{self.operator}/status"
         with urllib.request.urlopen(url, timeout=5) as answer:
-            return json.load(answer)["memory"]["interpreter_kib"]
+            return json.load(answer)
 
     def children_of(self, pid: int) -> list[str]:
         """Children now, and a word when there was one that has ended."""
