--- /dev/null
+++ b/tests/system/test_batch_evictions.py
@@ -0,0 +1,97 @@
+"""Evicted work resumes once, at its checkpoint, whatever its owner does."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+import testtools
+
+from testing import batch_fleet
+from testing import fleet as fleet_module
+from testing.standins import worker_records
+
+RESIDENTS = 8
+URGENT = 3
+EVICTION_S = 15.0
+
+
+def job(name: str, urgent: bool) -> dict[str, Any]:
+    """A quarter of a worker for seconds, or half of one for a moment."""
+    return {
+        "id": name,
+        "team": "faculty",
+        "job_class": "stack",
+        "resources": {
+            "processors_milli": 4_000 if urgent else 2_000,
+            "memory_mib": 1_024,
+            "accelerators": 0,
+        },
+        "run_time_ms": 500 if urgent else 6_000,
+        "urgent": urgent,
+    }
+
+
+def events(
+    running: fleet_module.Fleet, kind: str
+) -> list[worker_records.WorkerEvent]:
+    """What happened on workers, of one kind."""
+    return [event for event in running.worker_events() if event.kind == kind]
+
+
+@pytest.mark.xdist_group("fleet-3")
+class EvictionTest(testtools.TestCase):
+    """Two full workers; urgent jobs make room for themselves."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = batch_fleet.start(self, workers=2, endpoints=0)
+        self.submitted = batch_fleet.submitter(self.fleet)
+        owner = batch_fleet.owner(self.fleet)
+        self.submit("resident", RESIDENTS, False, owner)
+        batch_fleet.wait_started(
+            self.fleet, RESIDENTS - batch_fleet.starts(self.fleet)
+        )
+        self.submit("urgent", URGENT, True, owner)
+        self.fleet.wait_until(
+            lambda: events(self.fleet, "checkpoint") != [],
+            "a checkpoint",
+            EVICTION_S,
+        )
+        self.owner = owner
+
+    def submit(self, name: str, count: int, urgent: bool, seat: str) -> None:
+        for number in range(count):
+            one = job(f"{name}-{number}", urgent)
+            answer = self.fleet.submit_job(one, seat)
+            self.assertEqual(200, answer.status)
+            self.submitted.accepted[one["id"]] = None
+
+    def check_resumed(self) -> None:
+        """Each job with a checkpoint started again just there."""
+        batch_fleet.check(self, self.fleet, self.submitted)
+        kept = {
+            event.job: event.progress_ms
+            for event in events(self.fleet, "checkpoint")
+        }
+        resumed = {
+            event.job: event.progress_ms
+            for event in events(self.fleet, "start")
+            if event.attempt > 1
+        }
+        self.assertEqual(kept, {name: resumed.get(name) for name in kept})
+        self.assertGreater(min(kept.values()), 0)
+
+    def test_resumed_at_the_checkpoint(self) -> None:
+        self.check_resumed()
+
+    def test_resumed_at_the_checkpoint_by_a_successor(self) -> None:
+        self.fleet.kill_host(self.owner)
+        batch_fleet.wait_owner(self.fleet, self.owner)
+        self.fleet.start_host(self.owner)
+        self.fleet.wait_ready(self.owner)
+        self.check_resumed()
+
+    def test_resumed_at_the_checkpoint_when_answers_are_lost(self) -> None:
+        self.fleet.log.control(lose_after=5)
+        self.check_resumed()
