--- a/tests/system/test_batch_evictions.py
+++ b/tests/system/test_batch_evictions.py
@@ -49,8 +49,10 @@
         self.submitted = batch_fleet.submitter(self.fleet)
         owner = batch_fleet.owner(self.fleet)
         self.submit("resident", RESIDENTS, False, owner)
-        batch_fleet.wait_started(
-            self.fleet, RESIDENTS - batch_fleet.starts(self.fleet)
+        self.fleet.wait_until(
+            lambda: batch_fleet.starts(self.fleet) >= RESIDENTS,
+            "the workers are full",
+            EVICTION_S,
         )
         self.submit("urgent", URGENT, True, owner)
         self.fleet.wait_until(
