--- a/src/comfreylatch/_request/tries.py
+++ b/src/comfreylatch/_request/tries.py
@@ -85,11 +85,7 @@
         self._lost: exchange.LostAfterSend | None = None
         self._tries = 0
         self._taken_ms = 0
-
-    @property
-    def seen(self) -> bool:
-        """Whether an endpoint may have seen the request."""
-        return self._lost is not None
+        self._answered_by = ""
 
     def run(self) -> outcomes.RequestOutcome:
         """Tries until there is an answer or no further try is allowed."""
@@ -117,7 +113,10 @@
             if isinstance(tried, result.Ok):
                 answer = tried.ok_value
                 return outcomes.Answered(
-                    answer.status, answer.headers, answer.body, endpoint
+                    answer.status,
+                    answer.headers,
+                    answer.body,
+                    self._answered_by,
                 )
             ended = self._after_failure(endpoint, tried.err_value)
             if ended is not None:
@@ -160,10 +159,13 @@
                 slots.want(self._parts.rng.choice(state.usable))
             return None
         hold_ms = shares.SEND_WITHIN_MS + self._parts.table.longest_request_ms
+        # Read first, so that a pause in between can't make the slot look
+        # younger than its ledger counts it.
+        now_ms = self._parts.clock.monotonic_ms()
         if not slots.try_take(endpoint, hold_ms):
             return None
-        self._taken_ms = self._parts.clock.monotonic_ms()
-        state.stats.begin(endpoint)
+        self._taken_ms = now_ms
+        state.stats.begin(endpoint, now_ms)
         return endpoint
 
     def _claim_id(
@@ -172,24 +174,31 @@
         """Claims the id before its first try, if it can have been used."""
         if self._guard is None or self._claim is not None:
             return None
-        match self._guard.claim(self._call.request_id, self._call.deadline_ms):
+        deadline_ms = self._call.deadline_ms
+        claimed = None
+        try:
+            claimed = self._guard.claim(self._call.request_id, deadline_ms)
+        finally:
+            if claimed is None or claimed.is_err():
+                self._state.stats.skipped(endpoint)
+                self._slot_returner(endpoint)()
+        match claimed:
             case result.Ok(claim):
                 self._claim = claim
                 return None
             case result.Err(refused):
-                self._state.stats.skipped(endpoint)
-                self._slot_returner(endpoint)()
                 return refused
 
     def _slot_returner(self, endpoint: str) -> Callable[[], None]:
         """What is to be done when the request in a taken slot has ended."""
         state = self._state
         slots = self._parts.slots
-        taken_s = time.monotonic()
+        clock = self._parts.clock
+        taken_ms = self._taken_ms
 
         def ended() -> None:
-            state.stats.ended(endpoint)
-            state.queue.left((time.monotonic() - taken_s) * 1_000)
+            state.stats.ended(endpoint, taken_ms)
+            state.queue.left(clock.monotonic_ms() - taken_ms)
             slots.give_back(endpoint)
 
         return ended
@@ -236,6 +245,7 @@
         tried = sent.pending.finish()
         match tried:
             case result.Ok(answer):
+                self._answered_by = sent.endpoint
                 self._observer.answered(sent.endpoint, answer, sent.elapsed_ms)
             case result.Err(error):
                 self._observer.failed(sent.endpoint, error, sent.elapsed_ms)
@@ -256,6 +266,7 @@
         self._excluded |= {sent.endpoint}
         endpoint = self._state.queue.try_enter(self._pick)
         if endpoint is None:
+            self._state.budget.refund()
             return None
         self._note_retry(
             reasons.RetryReason.HEDGED,
@@ -265,6 +276,7 @@
         begun = self._begin(endpoint)
         if isinstance(begun, result.Err):
             self._observer.failed(endpoint, begun.err_value, 0.0)
+            self._note_loss(begun.err_value)
             return None
         return begun.ok_value
 
@@ -288,10 +300,14 @@
             self._state.stats.skipped(other.endpoint)
             self._count_retry(reasons.RetryReason.HEDGE_CANCELLED)
             return tried
-        if isinstance(tried.err_value, exchange.LostAfterSend):
-            self._lost = tried.err_value
+        self._note_loss(tried.err_value)
         return self._finish(other)
 
+    def _note_loss(self, error: exchange.EndpointError) -> None:
+        """Remembers that an endpoint may have seen the request."""
+        if isinstance(error, exchange.LostAfterSend):
+            self._lost = error
+
     def _after_failure(
         self, endpoint: str, error: exchange.EndpointError
     ) -> outcomes.RequestOutcome | None:
