Keep the ports of a fleet from other fleets

Cause: a port was picked by binding it for a moment, so that another fleet could take it before the host listened: seen once in a run of two fleets at once, as a host that ended with 'Address already in use'. Ruled out: a host of the same fleet (its picker never gives a port twice). The picker now keeps each port bound, without listening, until the fleet ends. The new test fails without the change.

--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -76,6 +76,7 @@
             self._folder = pathlib.Path(self._stack.enter_context(temporary))
         self.folder = self._folder
         self._stack.callback(self.client.close)
+        self._stack.enter_context(self._ports)
         self._start_stand_ins()
         self._plan_hosts()
         self._start_relays()
--- a/testing/fleet_plan.py
+++ b/testing/fleet_plan.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import contextlib
 import enum
 import pathlib
 import random
 import socket
 import sys
 from typing import Any
+from typing import Self
 
 import attrs
 
@@ -92,11 +94,18 @@
 
 
 class PortPicker:
-    """Picks ports that are free now and never gives one twice."""
+    """Picks free ports and keeps other pickers from them until its exit."""
 
     def __init__(self) -> None:
+        self._stack = contextlib.ExitStack()
         self._next = random.SystemRandom().randrange(LOWEST_PORT, HIGHEST_PORT)
 
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+
     def address(self) -> str:
         """An address with a free port."""
         while True:
@@ -104,12 +113,15 @@
             self._next += 1
             if self._next >= HIGHEST_PORT:
                 self._next = LOWEST_PORT
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind((serving.LOOPBACK, port))
-                except OSError:
-                    continue
+            keeper = socket.socket()
+            try:
+                keeper.bind((serving.LOOPBACK, port))
+            except OSError:
+                keeper.close()
+                continue
+            # Lets a host listen on it, but no other picker bind it.
+            keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._stack.enter_context(keeper)
             return f"{serving.LOOPBACK}:{port}"
 
 
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import msgspec
 import testtools
 import urllib3
@@ -61,3 +63,15 @@
             started = [running.log, running.endpoints, running.workers]
         codes = [one.process.exit_code for one in started]
         self.assertEqual([0, 0, 0], codes)
+
+
+class PortPickerTest(testtools.TestCase):
+    """Fleets that run at once."""
+
+    def test_picked_port_is_kept_for_its_host(self) -> None:
+        with fleet_plan.PortPicker() as picker:
+            ip, _, port = picker.address().rpartition(":")
+            with socket.socket() as other:
+                self.assertRaises(OSError, other.bind, (ip, int(port)))
+            with socket.create_server((ip, int(port))) as host:
+                self.assertEqual(int(port), host.getsockname()[1])
