Claim a zone's workers only once the zone is configured

Ruled out: capacity or quarantine of the other worker (all free, none quarantined); a lost assignment (it stood at attempt 1, not lost yet). Change: no claim before the zone is in the configuration. The unit test fails without the change.

--- a/src/comfreylatch/_process/batch/ownership.py
+++ b/src/comfreylatch/_process/batch/ownership.py
@@ -272,6 +272,10 @@
     ) -> bool:
         if self._stopping.is_set():
             return False
+        # Bounds of a claim made before the zone's limits are known would
+        # have to be waited out by the first successor.
+        if self._zone not in self._source.current().zones:
+            return False
         bounds = self._configured_bounds()
         if age_ms > bounds.claim_ms // 2:
             return False
--- a/tests/process/batch/test_ownership.py
+++ b/tests/process/batch/test_ownership.py
@@ -41,6 +41,17 @@
         self.assertEqual([owner], holders)
         self.assertEqual(1, owner.ownership.hold().term)
 
+    def test_zone_that_is_not_configured_is_not_claimed(self) -> None:
+        """A first claim by default bounds would hold its successor up."""
+        zone = fake_zone.FakeZone()
+        configured = zone.source.given
+        zone.source.given = attrs.evolve(configured, zones={})
+        zone.run(10_000)
+        self.assertIsNone(zone.owner())
+        zone.source.given = configured
+        zone.run(3_000)
+        self.assertIsNotNone(zone.owner())
+
     def test_silent_owner_is_replaced_after_the_lapse(self) -> None:
         """Not before its claim has lapsed, and soon after."""
         zone, owner = owned_zone()
