--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -45,14 +45,13 @@
 from comfreylatch._process import settings as settings_module
 from comfreylatch._process import shares as shares_module
 from comfreylatch._process import shutdown
-from comfreylatch._process import slot_book
 from comfreylatch._process import snapshot_publisher
 from comfreylatch._process import stream_state
 from comfreylatch._process import ticket_desk
+from comfreylatch._process import waits
 from comfreylatch._process.batch import service as batch_service
 from comfreylatch._request import dispatch_guard
 from comfreylatch._request import router as router_module
-from comfreylatch._version import configuration
 from comfreylatch._version import configuration_fold
 from comfreylatch._version import job_records
 
@@ -177,8 +176,6 @@
             after_apply=after_apply,
         )
         self._fold.use_age_source(self._config.age_ms)
-        self._note_longest_hold(self._fold.current())
-        self._fold.on_change(self._note_longest_hold)
         self._desk = ticket_desk.TicketDesk(
             self._config_appender,
             self._fold,
@@ -193,6 +190,7 @@
     def _make_requests(self) -> None:
         settings = self._settings
         seed = settings.routing.seed or secrets.randbits(32)
+        longest = waits.LongestHold(self._fold)
         shares = shares_module.FixedShares(
             self._fold,
             settings.zone,
@@ -208,7 +206,7 @@
             self.host_id,
             self._fold,
             self._membership,
-            self._longest_request_ms,
+            longest.ms,
             self._metrics,
             self._clock,
             random.Random(seed),
@@ -221,13 +219,17 @@
                 self._fold,
                 self._membership,
                 shares,
-                self._left_over_ms,
+                lambda: waits.left_over_ms(longest, self._ledger),
                 self._marks.assume_complete,
                 self._clock,
             )
         )
         self._pause_watch = pause_watch.PauseWatch(
-            self._clock, lambda _: shares.hold_until(self._pause_end_ms())
+            self._clock,
+            lambda _: shares.hold_until(
+                self._clock.monotonic_ms()
+                + waits.seat_check_ms(settings.timing)
+            ),
         )
         self._client = endpoint_client.EndpointClient(
             settings.timing.connect_timeout_ms, self._clock
@@ -370,24 +372,6 @@
             self._clock,
         )
 
-    def _note_longest_hold(self, new: configuration.Configuration) -> None:
-        self._longest_hold_ms = shares_module.longest_hold_ms(new)
-
-    def _longest_request_ms(self) -> int:
-        return self._longest_hold_ms
-
-    def _left_over_ms(self) -> int:
-        """How long requests and loans of a killed predecessor may last."""
-        loan_ms = self._ledger.loan_ms()
-        margin_ms = loan_ms // slot_book.DRIFT_DIVISOR + 1
-        return loan_ms + margin_ms + 2 * self._longest_request_ms()
-
-    def _pause_end_ms(self) -> int:
-        """When peers have had time to say that the seat is taken."""
-        timing = self._settings.timing
-        wait_ms = 2 * timing.heartbeat_ms + timing.peer_timeout_ms
-        return self._clock.monotonic_ms() + wait_ms
-
 
 def run(settings: settings_module.Settings) -> int:
     """Runs an entry host until a signal, or until its seat is taken.
--- /dev/null
+++ b/src/comfreylatch/_process/waits.py
@@ -0,0 +1,43 @@
+"""How long a host waits for what other processes may have left behind."""
+
+from __future__ import annotations
+
+from typing import final
+
+from comfreylatch._ports import configuration as configuration_port
+from comfreylatch._process import loans
+from comfreylatch._process import settings as settings_module
+from comfreylatch._process import shares
+from comfreylatch._process import slot_book
+from comfreylatch._version import configuration
+
+# A request forwarded by a killed host may start one longest request later.
+LONGEST_HOLDS_LEFT = 2
+
+
+@final
+class LongestHold:
+    """The longest time a slot is held, worked out once for each version."""
+
+    def __init__(self, source: configuration_port.ConfigurationSource) -> None:
+        self._note(source.current())
+        source.on_change(self._note)
+
+    def ms(self) -> int:
+        """The bound under the configuration in force."""
+        return self._longest_ms
+
+    def _note(self, new: configuration.Configuration) -> None:
+        self._longest_ms = shares.longest_hold_ms(new)
+
+
+def left_over_ms(longest: LongestHold, ledger: loans.LoanLedger) -> int:
+    """How long requests and loans of a killed predecessor may last."""
+    loan_ms = ledger.loan_ms()
+    margin_ms = loan_ms // slot_book.DRIFT_DIVISOR + 1
+    return loan_ms + margin_ms + LONGEST_HOLDS_LEFT * longest.ms()
+
+
+def seat_check_ms(timing: settings_module.TimingSettings) -> int:
+    """How long peers need to say that another process has the seat."""
+    return 2 * timing.heartbeat_ms + timing.peer_timeout_ms
