Record an eviction's checkpoint before its stop is sent

Cause: the checkpoint and the stop went in one exchange. A worker forgets an ended attempt once it has answered a command for it, so the answer to that exchange was the last to name the checkpoint; an owner that died or lost the claim before it recorded the end, or an answer that was lost, took the checkpoint with it. The next owner found no line, called the attempt lost at the folded checkpoint, and the work resumed at 0 ms.

The fake worker dropped the line of an ended attempt before the next command for it, not after the answer, and hid this; it now does what the stand-in does.

Now an eviction asks for the checkpoint alone, its record is appended and folded, and only then the stop is asked for. A cancellation in between stops at once.

Remains: an attempt that finishes between its checkpoint and the stop, with the answer to the stop lost, resumes from the checkpoint.

--- a/src/comfreylatch/_process/batch/attempt.py
+++ b/src/comfreylatch/_process/batch/attempt.py
@@ -55,7 +55,11 @@
         unsettled_ms: When a start was sent whose answer was lost; -1 if none.
         seen: Whether the worker has confirmed it.
         stop_reason: Why it is being stopped.
-        keep_first: Whether a checkpoint is written before the stop.
+        evicted_ms: When its eviction was decided.
+        kept: Whether a checkpoint has been written for its eviction, or none
+            is wanted.
+        keep_asked_ms: When that checkpoint was last handed to the link; -1 if
+            not.
         stop_asked_ms: When the stop was last handed to the link; -1 if not.
         progress_ms: Progress in the last report.
         checkpoint_ms: Checkpoint in the last report.
@@ -71,7 +75,9 @@
     unsettled_ms: int = -1
     seen: bool = False
     stop_reason: StopReason | None = None
-    keep_first: bool = True
+    evicted_ms: int = 0
+    kept: bool = False
+    keep_asked_ms: int = -1
     stop_asked_ms: int = -1
     progress_ms: int = 0
     checkpoint_ms: int = 0
@@ -85,6 +91,39 @@
         """Job id."""
         return self.state.spec.id
 
+    def evict(self, keep_first: bool, now_ms: int) -> None:
+        """Begins an eviction, with a checkpoint of its own if wanted."""
+        self.stop_reason = StopReason.EVICTED
+        self.evicted_ms = now_ms
+        self.kept = not keep_first
+        self.keep_asked_ms = -1
+
+    def may_stop(self) -> bool:
+        """Whether a stop can lose nothing that its worker has kept.
+
+        The answer to a stop may be the last that its worker says of it, so
+        the checkpoint of an eviction is folded before.
+        """
+        if self.stop_reason is not StopReason.EVICTED:
+            return True
+        return self.kept and self.state.checkpoint_ms >= self.checkpoint_ms
+
+    def unanswered(self, was_sent: bool, sent_ms: int) -> None:
+        """Takes that a start got no answer."""
+        self.start_asked_ms = -1
+        if was_sent:
+            self.unsettled_ms = sent_ms
+
+    def ask_again(self) -> None:
+        """Makes an eviction begin anew, as when an answer was lost.
+
+        Until a stop arrives the attempt goes on, beyond its checkpoint.
+        """
+        self.stop_asked_ms = -1
+        if self.keep_asked_ms >= 0:
+            self.keep_asked_ms = -1
+            self.kept = False
+
     def left_ms(self) -> int:
         """Time until it ends if it goes on undisturbed."""
         work_ms = self.state.spec.run_time_ms - self.progress_ms
--- a/src/comfreylatch/_process/batch/attempt_table.py
+++ b/src/comfreylatch/_process/batch/attempt_table.py
@@ -12,13 +12,13 @@
 from comfreylatch._ports import workers
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.batch import attempt as attempt_module
+from comfreylatch._process.batch import attempt_stops
 from comfreylatch._process.batch import pending_records
 from comfreylatch._process.batch import worker_session
 from comfreylatch._version import job_records
 from comfreylatch._version import job_state
 from comfreylatch._version import zone_fold
 
-RESEND_MS = 2_000
 # Ends that fall together are asked for together.
 END_SLACK_MS = 100
 LEAST_POLL_MS = 400
@@ -48,6 +48,7 @@
         self._by_worker: dict[str, dict[str, attempt_module.Attempt]] = {}
         self._todo: dict[str, None] = {}
         self._pending = pending_records.PendingRecords()
+        self._stops = attempt_stops.AttemptStops(sink, self._pending)
 
     def reset(self, term: int) -> None:
         """Forgets everything, as at the start of a term."""
@@ -127,7 +128,7 @@
         for command, status in zip(
             event.commands, event.report.statuses, strict=True
         ):
-            self._take_status(command, status)
+            self._take_status(command, status, now_ms)
 
     def _take_lines(
         self,
@@ -169,11 +170,9 @@
                 continue
             match command:
                 case workers.StartTask():
-                    attempt.start_asked_ms = -1
-                    if event.was_sent:
-                        attempt.unsettled_ms = event.sent_ms
-                case workers.StopTask():
-                    attempt.stop_asked_ms = -1
+                    attempt.unanswered(event.was_sent, event.sent_ms)
+                case workers.StopTask() | workers.CheckpointTask():
+                    attempt.ask_again()
                 case _:
                     pass
 
@@ -231,7 +230,10 @@
         self._sink.request(attempt.state.worker, command, at_once=False)
 
     def _take_status(
-        self, command: workers.Command, status: workers.CommandStatus
+        self,
+        command: workers.Command,
+        status: workers.CommandStatus,
+        now_ms: int,
     ) -> None:
         self._metrics.count(
             metrics_module.Counter.WORKER_COMMANDS,
@@ -255,10 +257,11 @@
                     self._lost(attempt)
             case workers.StartTask(), _:
                 attempt.start_asked_ms = -1
-            case workers.StopTask(), statuses.DONE:
-                pass
-            case workers.StopTask(), _:
-                attempt.stop_asked_ms = -1
+            case workers.CheckpointTask(), statuses.DONE:
+                self._stops.take_kept(attempt, now_ms)
+            case ((workers.StopTask() | workers.CheckpointTask()), _):
+                if status is not statuses.DONE:
+                    attempt.ask_again()
             case _:
                 pass
 
@@ -339,7 +342,7 @@
     def _drive_one(
         self, attempt: attempt_module.Attempt, may_start: bool, now_ms: int
     ) -> None:
-        if attempt.state.cancelled and attempt.stop_reason is None:
+        if attempt.state.cancelled:
             attempt.stop_reason = attempt_module.StopReason.CANCELLED
         if attempt.stop_reason is not None:
             self._drive_stop(attempt, now_ms)
@@ -350,7 +353,7 @@
         if attempt.state.term != self._term or not may_start:
             return
         asked_ms = attempt.start_asked_ms
-        if asked_ms >= 0 and now_ms - asked_ms < RESEND_MS:
+        if asked_ms >= 0 and now_ms - asked_ms < attempt_stops.RESEND_MS:
             return
         attempt.start_asked_ms = now_ms
         worker = attempt.state.worker
@@ -366,15 +369,7 @@
             if self._withdraw_start(attempt):
                 self._lost(attempt)
             return
-        asked_ms = attempt.stop_asked_ms
-        if asked_ms >= 0 and now_ms - asked_ms < RESEND_MS:
-            return
-        attempt.stop_asked_ms = now_ms
-        worker = attempt.state.worker
-        evicted = attempt.stop_reason is attempt_module.StopReason.EVICTED
-        if evicted and attempt.keep_first:
-            self._sink.request(worker, attempt.checkpoint_command())
-        self._sink.request(worker, attempt.stop_command())
+        self._stops.drive(attempt, now_ms)
 
     def throttle(self, job: str, share_milli: int) -> None:
         """Asks for a share of its processors for a job's attempt."""
@@ -384,8 +379,8 @@
             command = attempt.throttle_command(share_milli)
             self._sink.request(attempt.state.worker, command)
 
-    def evict(self, job: str, keep_first: bool = True) -> bool:
-        """Asks for a checkpoint, if wanted, and a stop.
+    def evict(self, job: str, now_ms: int, keep_first: bool = True) -> bool:
+        """Asks for a checkpoint, if wanted, and then a stop.
 
         False if the job isn't running or is being stopped already.
         """
@@ -394,7 +389,6 @@
             return False
         if self._pending.has_end(job):
             return False
-        attempt.stop_reason = attempt_module.StopReason.EVICTED
-        attempt.keep_first = keep_first
+        attempt.evict(keep_first, now_ms)
         self._todo[job] = None
         return True
--- a/src/comfreylatch/_process/batch/evictor.py
+++ b/src/comfreylatch/_process/batch/evictor.py
@@ -84,7 +84,7 @@
             attempt = books.table.attempt(job)
             if attempt is not None:
                 books.mix.avoid(worker, attempt.state.spec.job_class)
-            books.table.evict(job, keep_first)
+            books.table.evict(job, now_ms, keep_first)
             logs.event(_events, "evict", job=job, worker=worker, cause="slow")
 
     def _plan(
@@ -100,7 +100,7 @@
         if plan is None:
             return None
         for victim in plan.victims:
-            books.table.evict(victim)
+            books.table.evict(victim, now_ms)
         logs.event(
             _events,
             "evict",
--- a/src/comfreylatch/_process/batch/pending_records.py
+++ b/src/comfreylatch/_process/batch/pending_records.py
@@ -62,8 +62,10 @@
         )
 
     def checkpoint(self, attempt: attempt_module.Attempt, now_ms: int) -> None:
-        """Notes a newer checkpoint, now and then."""
-        if now_ms - attempt.recorded_ms < CHECKPOINT_RECORD_MS:
+        """Notes a newer checkpoint now and then, at once for an eviction."""
+        due = now_ms - attempt.recorded_ms >= CHECKPOINT_RECORD_MS
+        evicted = attempt.stop_reason is attempt_module.StopReason.EVICTED
+        if not due and not (evicted and attempt.kept):
             return
         if attempt.checkpoint_ms <= attempt.recorded_checkpoint_ms:
             return
--- a/src/comfreylatch/_process/batch/zone_owner.py
+++ b/src/comfreylatch/_process/batch/zone_owner.py
@@ -144,7 +144,8 @@
 
         To be called from the thread that calls `step`.
         """
-        if not self._books.table.evict(job):
+        now_ms = self._clock.monotonic_ms()
+        if not self._books.table.evict(job, now_ms):
             return False
         logs.event(_events, "evict", job=job, reason=reason)
         return True
--- a/testing/fakes/workers.py
+++ b/testing/fakes/workers.py
@@ -124,8 +124,6 @@
         refusal = self._refusal(exchange, now_ms)
         statuses = tuple(refusal for _ in exchange.commands if refusal)
         if refusal is None:
-            for command in exchange.commands:
-                self._drop_ended(command)
             self._term = exchange.term
             if exchange.lease_ms:
                 self._lease_until_ms = now_ms + exchange.lease_ms
@@ -134,7 +132,7 @@
             )
         self._report += 1
         self._report_times[self._report] = now_ms
-        return workers.WorkerReport(
+        report = workers.WorkerReport(
             worker=self.name,
             boot=f"{self.name}-{self._boots}",
             report=self._report,
@@ -145,6 +143,10 @@
             usage=self.usage,
             statuses=statuses,
         )
+        if refusal is None:
+            for command in exchange.commands:
+                self._drop_ended(command)
+        return report
 
     def used(self) -> workers.Resources:
         """What running tasks hold."""
