--- /dev/null
+++ b/tests/process/test_membership.py
@@ -0,0 +1,114 @@
+"""Tests of who fills a seat, as peers tell each other."""
+
+from __future__ import annotations
+
+import testtools
+
+from comfreylatch._connection import address
+from comfreylatch._connection import peer_link
+from comfreylatch._connection import peer_server
+from comfreylatch._ports import peers
+from comfreylatch._process import journal
+from comfreylatch._process import membership
+from comfreylatch._process import metrics
+from comfreylatch._process import peer_service
+from comfreylatch._process import settings
+from comfreylatch._wire.gen.peer import ttypes
+from testing.fakes import clock as fake_clock
+
+TIMEOUT_MS = 1_000
+ANY_PORT = address.Address("127.0.0.1", 0)
+SETTINGS = settings.Settings(
+    seat="bole-2",
+    zone="bole",
+    caller_address="127.0.0.1:1",
+    operator_address="127.0.0.1:2",
+    peer_address="127.0.0.1:3",
+    platform=settings.PlatformSettings("127.0.0.1:4", "127.0.0.1:5"),
+)
+
+
+def beat(
+    host_id: str,
+    seat: str = "bole-1",
+    protocol: int = membership.PROTOCOL,
+    drained: bool = False,
+) -> ttypes.Heartbeat:
+    return ttypes.Heartbeat(
+        protocol=protocol,
+        seat=seat,
+        host_id=host_id,
+        zone="bole",
+        config_offset=3,
+        config_digest="d",
+        stopping=False,
+        drained=drained,
+    )
+
+
+class _Own:
+    """What the asked host says of itself."""
+
+    def heartbeat(self) -> ttypes.Heartbeat:
+        return beat("bole-2-a", seat="bole-2")
+
+
+class SeatTest(testtools.TestCase):
+    """Heartbeats to one host, over a real connection."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        clock = fake_clock.FakeClock()
+        counted = metrics.Metrics()
+        self.members = membership.Membership(SETTINGS, _Own(), counted, clock)
+        service = peer_service.PeerService(
+            _Own(),
+            self.members,
+            {},
+            None,
+            None,
+            None,
+            journal.Journal("bole-2-a", clock),
+        )
+        server = peer_server.PeerServer(ANY_PORT, service, counted)
+        self.enterContext(server)
+        link = peer_link.PeerLink(server.address, TIMEOUT_MS)
+        self.link = self.enterContext(link)
+
+    def send(self, given: ttypes.Heartbeat) -> ttypes.HeartbeatReply:
+        answer = self.link.call(lambda c: c.heartbeat(given), TIMEOUT_MS)
+        return answer.unwrap()
+
+    def refused(self, given: ttypes.Heartbeat) -> str:
+        answer = self.link.call(lambda c: c.heartbeat(given), TIMEOUT_MS)
+        refusal = answer.unwrap_err()
+        assert isinstance(refusal, peers.PeerRefusal)
+        return refusal.reason
+
+    def test_first_process_has_no_predecessor(self) -> None:
+        self.assertIsNone(self.send(beat("bole-1-a")).predecessor_host_id)
+
+    def test_successor_hears_that_its_predecessor_drained(self) -> None:
+        self.send(beat("bole-1-a"))
+        self.send(beat("bole-1-a", drained=True))
+        reply = self.send(beat("bole-1-b"))
+        self.assertEqual("bole-1-a", reply.predecessor_host_id)
+        self.assertTrue(reply.predecessor_drained)
+
+    def test_successor_of_a_killed_process_hears_no_drain(self) -> None:
+        self.send(beat("bole-1-a"))
+        self.assertFalse(self.send(beat("bole-1-b")).predecessor_drained)
+
+    def test_woken_process_is_told_that_its_seat_is_taken(self) -> None:
+        self.send(beat("bole-1-a"))
+        self.send(beat("bole-1-b"))
+        self.assertEqual(membership.SUPERSEDED, self.refused(beat("bole-1-a")))
+
+    def test_other_protocol_is_refused_plainly(self) -> None:
+        self.assertEqual("protocol", self.refused(beat("bole-1-a", protocol=0)))
+        self.assertEqual("bole-2-a", self.send(beat("bole-1-a")).host_id)
+
+    def test_unknown_stream_is_refused(self) -> None:
+        request = ttypes.CatchUpRequest("zone.nowhere", -1)
+        answer = self.link.call(lambda c: c.catch_up(request), TIMEOUT_MS)
+        self.assertEqual("unknown-stream", answer.unwrap_err().reason)
