Take a predecessor for drained only on the whole zone's fresh word

Cause, found in reading: a host that was cut off during the whole life of a process in a seat still spoke of the one before, which had drained, and the next process would have used slots in which the killed one's requests ran. Change: a drain counts only if the successor is heard within 5 s of it, less than a host without its zone's word keeps its seat closed, and only if every other host of the zone says so. Tests in tests/process/test_membership.py.

--- a/src/comfreylatch/_process/membership.py
+++ b/src/comfreylatch/_process/membership.py
@@ -33,6 +33,9 @@
 OTHER_ZONE_FACTOR = 2
 SUPERSEDED = "superseded"
 MAX_RETIRED_PER_SEAT = 64
+# Below the shortest time for which a host without its zone's word keeps its
+# seat closed, `loans.MIN_LOAN_MS` and more.
+DRAINED_VALID_MS = 5_000
 MAX_PUSHED_ENTRIES = 1_000
 
 _logger = logbook.Logger(__name__)
@@ -52,11 +55,24 @@
 
     Attributes:
         host_id: Its host id.
-        drained: Whether it said that all its requests have ended.
+        drained: Whether it said that all its requests have ended, and said so
+            shortly before its successor was first heard.
+        drained_ms: Monotonic time at which it said so.
     """
 
     host_id: str
     drained: bool
+    drained_ms: int = 0
+
+
+def _as_retired(known: SeatMemory, now_ms: int) -> SeatMemory:
+    """What is remembered of a process once another has its seat.
+
+    After a longer gap a third process, which this host never met, may have
+    filled the seat in between and left requests running.
+    """
+    is_fresh = now_ms - known.drained_ms < DRAINED_VALID_MS
+    return attrs.evolve(known, drained=known.drained and is_fresh)
 
 
 @final
@@ -75,7 +91,7 @@
         self._lock = threading.Lock()
         self._seats: dict[str, SeatMemory] = {}
         self._retired: dict[str, collections.deque[SeatMemory]] = {}
-        self._own_predecessor: SeatMemory | None = None
+        self._predecessor_drained: dict[str, bool] = {}
         self._superseded = threading.Event()
         self._listeners: list[Callable[[peers.PeerView], None]] = []
         self._members = {
@@ -125,13 +141,15 @@
             )
             if any(memory.host_id == host_id for memory in retired):
                 return False
+            now_ms = self._clock.monotonic_ms()
             known = self._seats.get(seat)
-            if known is not None and known.host_id != host_id:
-                retired.append(known)
-            was_drained = known is not None and known == SeatMemory(
-                host_id, drained=True
-            )
-            self._seats[seat] = SeatMemory(host_id, drained or was_drained)
+            if known is None or known.host_id != host_id:
+                if known is not None:
+                    retired.append(_as_retired(known, now_ms))
+                known = SeatMemory(host_id, drained=False)
+            if drained and not known.drained:
+                known = SeatMemory(host_id, True, now_ms)
+            self._seats[seat] = known
             return True
 
     def predecessor(self, seat: str) -> SeatMemory | None:
@@ -145,15 +163,25 @@
         """Set once a peer says that another process has this host's seat."""
         return self._superseded
 
-    def note_own_predecessor(self, memory: SeatMemory) -> None:
-        """Notes what a peer said of the process before this one."""
+    def note_own_predecessor(self, told_by: str, drained: bool) -> None:
+        """Notes what the host in a seat said of the process before this."""
         with self._lock:
-            self._own_predecessor = memory
+            self._predecessor_drained[told_by] = drained
+
+    def is_predecessor_drained(self) -> bool:
+        """Whether every other host of the zone says so.
 
-    def own_predecessor(self) -> SeatMemory | None:
-        """What peers said of the process before this one; None if nothing."""
+        One that was cut off may not have met the last process in this seat,
+        and would speak of the one before.
+        """
+        zone_seats = [
+            peer.seat
+            for peer in self._settings.peers
+            if peer.zone == self._settings.zone
+        ]
         with self._lock:
-            return self._own_predecessor
+            told = [self._predecessor_drained.get(seat) for seat in zone_seats]
+        return bool(told) and all(told)
 
     def note_reply(
         self, view: peers.PeerView, reply: ttypes.HeartbeatReply
@@ -304,8 +332,9 @@
                 self._membership.remember(
                     self._peer.seat, reply.host_id, drained=False
                 )
-                if reply.predecessor_host_id:
-                    self._take_predecessor(reply)
+                self._membership.note_own_predecessor(
+                    self._peer.seat, bool(reply.predecessor_drained)
+                )
                 self.view = self._membership.note_reply(self.view, reply)
             case result.Err(peers.PeerRefusal() as refusal):
                 if refusal.reason == SUPERSEDED:
@@ -316,13 +345,6 @@
                     type(error).__name__,
                 )
 
-    def _take_predecessor(self, reply: ttypes.HeartbeatReply) -> None:
-        self._membership.note_own_predecessor(
-            SeatMemory(
-                reply.predecessor_host_id, bool(reply.predecessor_drained)
-            )
-        )
-
     def _run(self) -> None:
         while True:
             self.beat()
--- a/src/comfreylatch/_process/own_state.py
+++ b/src/comfreylatch/_process/own_state.py
@@ -128,9 +128,9 @@
 class SeatGate:
     """Opens this seat's slots once no predecessor can be using them.
 
-    At once when there was no endpoint in force at the start, or when a peer
-    knows that the predecessor has ended all its work; else after the longest
-    time for which the predecessor's requests and loans can last.
+    At once when there was no endpoint in force at the start, or when all the
+    zone's other hosts know that the predecessor ended all its work; else after
+    the longest time for which its requests and loans can last.
     """
 
     def __init__(self, parts: GateParts) -> None:
@@ -183,8 +183,7 @@
             return ""
         if not self._had_endpoints:
             return NO_ENDPOINT_BEFORE
-        predecessor = parts.membership.own_predecessor()
-        if predecessor is not None and predecessor.drained:
+        if parts.membership.is_predecessor_drained():
             return "predecessor-drained"
         waited_ms = parts.clock.monotonic_ms() - self._started_ms
         if waited_ms >= parts.left_over_ms():
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import testtools
 
 from comfreylatch._connection import address
@@ -58,7 +59,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        clock = fake_clock.FakeClock()
+        self.clock = clock = fake_clock.FakeClock()
         counted = metrics.Metrics()
         self.members = membership.Membership(SETTINGS, _Own(), counted, clock)
         service = peer_service.PeerService(
@@ -95,6 +96,27 @@
         self.assertEqual("bole-1-a", reply.predecessor_host_id)
         self.assertTrue(reply.predecessor_drained)
 
+    def test_drain_long_ago_says_nothing_of_who_came_between(self) -> None:
+        self.send(beat("bole-1-a", drained=True))
+        self.clock.advance(membership.DRAINED_VALID_MS)
+        self.assertFalse(self.send(beat("bole-1-b")).predecessor_drained)
+
+    def test_only_the_whole_zone_can_vouch_for_a_predecessor(self) -> None:
+        given = attrs.evolve(
+            SETTINGS,
+            peers=(
+                settings.PeerSettings("bole-1", "bole", "127.0.0.1:6"),
+                settings.PeerSettings("bole-3", "bole", "127.0.0.1:7"),
+            ),
+        )
+        members = membership.Membership(
+            given, _Own(), metrics.Metrics(), self.clock
+        )
+        members.note_own_predecessor("bole-1", drained=True)
+        self.assertFalse(members.is_predecessor_drained())
+        members.note_own_predecessor("bole-3", drained=True)
+        self.assertTrue(members.is_predecessor_drained())
+
     def test_successor_of_a_killed_process_hears_no_drain(self) -> None:
         self.send(beat("bole-1-a"))
         self.assertFalse(self.send(beat("bole-1-b")).predecessor_drained)
--- a/tests/process/test_own_state.py
+++ b/tests/process/test_own_state.py
@@ -7,7 +7,6 @@
 
 import testtools
 
-from comfreylatch._process import membership
 from comfreylatch._process import own_state
 from comfreylatch._version import configuration
 from comfreylatch._version import objects
@@ -26,7 +25,7 @@
     def __init__(self) -> None:
         self.clock = fake_clock.FakeClock()
         self.config = types.SimpleNamespace(ready=False)
-        self.predecessor: membership.SeatMemory | None = None
+        self.drained = False
         self.listener: Callable[[configuration.Configuration], None]
         self.source = self
         self.membership = self
@@ -36,8 +35,8 @@
     ) -> None:
         self.listener = listener
 
-    def own_predecessor(self) -> membership.SeatMemory | None:
-        return self.predecessor
+    def is_predecessor_drained(self) -> bool:
+        return self.drained
 
     def left_over_ms(self) -> int:
         return LEFT_OVER_MS
@@ -71,5 +70,5 @@
     def test_drained_predecessor_left_nothing(self) -> None:
         self.parts.listener(WITH_ENDPOINT)
         self.parts.config.ready = True
-        self.parts.predecessor = membership.SeatMemory("bole-1-a", True)
+        self.parts.drained = True
         self.assertEqual("predecessor-drained", self.gate.reason_to_open())
