--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -204,7 +204,6 @@
             settings.zone,
             settings.seat,
             self.host_id,
-            self._fold,
             self._membership,
             longest.ms,
             self._metrics,
--- a/src/comfreylatch/_process/loans.py
+++ b/src/comfreylatch/_process/loans.py
@@ -20,7 +20,6 @@
 import result
 
 from comfreylatch._ports import clock as clock_port
-from comfreylatch._ports import configuration as configuration_port
 from comfreylatch._ports import peers as peers_port
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process import slot_book
@@ -70,12 +69,12 @@
         zone: This host's zone; loans stay within it.
         seat: This host's seat.
         host_id: This process's id.
-        source: Configuration in force.
         peers: The other hosts.
         longest_request_ms: Bound on how long a request may run.
         metrics: Counts loans.
         clock: Monotonic time.
         chance: Orders the hosts that are asked.
+        timeout_ms: For one call to a host that may lend.
     """
 
     def __init__(
@@ -84,7 +83,6 @@
         zone: str,
         seat: str,
         host_id: str,
-        source: configuration_port.ConfigurationSource,
         peers: peers_port.Peers,
         longest_request_ms: Callable[[], int],
         metrics: metrics_module.Metrics,
@@ -96,7 +94,6 @@
         self._zone = zone
         self._seat = seat
         self._host_id = host_id
-        self._source = source
         self._peers = peers
         self._longest_request_ms = longest_request_ms
         self._metrics = metrics
@@ -221,15 +218,19 @@
         for listener in self._listeners:
             listener(endpoint)
 
+    def step(self) -> None:
+        """Borrows what is wanted and gives back what is idle, once."""
+        wanted = sorted(self._wanted)
+        self._wanted.clear()
+        for endpoint in wanted:
+            self._borrow(endpoint)
+        self._return_idle(IDLE_LOAN_MS)
+
     def _run(self) -> None:
         while not self._stopping:
             self._wake.wait(TICK_MS / 1_000)
             self._wake.clear()
-            wanted = sorted(self._wanted)
-            self._wanted.clear()
-            for endpoint in wanted:
-                self._borrow(endpoint)
-            self._return_idle(IDLE_LOAN_MS)
+            self.step()
 
     def _borrow(self, endpoint: str) -> None:
         lenders = [
--- /dev/null
+++ b/tests/process/test_loans.py
@@ -0,0 +1,136 @@
+"""Tests of lending and borrowing between two hosts' ledgers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+import result
+import testtools
+
+from comfreylatch._ports import peers as peers_port
+from comfreylatch._process import loans
+from comfreylatch._process import metrics
+from comfreylatch._wire.gen.peer import ttypes
+from testing.fakes import clock as fake_clock
+
+ENDPOINT = "ex-1"
+SHARE = 4
+RUN_MS = 1_000
+HOLD_MS = 2_000
+
+
+class _Shares:
+    """A fixed share of one endpoint."""
+
+    def free(self, endpoint: str) -> int:
+        return SHARE
+
+    def share_connections(self, endpoint: str) -> int:
+        return 32
+
+    def on_free(self, callback: Callable[[str], None]) -> None:
+        pass
+
+
+class _Peers:
+    """Calls to the other host's ledger, which may lose answers."""
+
+    def __init__(self) -> None:
+        self.other: loans.LoanLedger
+        self.loses_answers = False
+        self.is_stopping = False
+
+    def views(self) -> tuple[peers_port.PeerView, ...]:
+        view = peers_port.PeerView(
+            "other", "bole", reachable=True, stopping=self.is_stopping
+        )
+        return (view,)
+
+    def borrow(
+        self, seat: str, request: ttypes.LoanRequest, timeout_ms: int
+    ) -> result.Result[ttypes.LoanReply, peers_port.PeerError]:
+        reply = self.other.lend(request)
+        if self.loses_answers:
+            return result.Err(peers_port.PeerAnswerLost("cut"))
+        return result.Ok(reply)
+
+    def give_back(
+        self, seat: str, loan: ttypes.LoanReturn, timeout_ms: int
+    ) -> result.Result[None, peers_port.PeerError]:
+        self.other.take_back(loan)
+        return result.Ok(None)
+
+
+class LoanLedgerTest(testtools.TestCase):
+    """Two hosts of a zone, each with half of an endpoint's slots."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = fake_clock.FakeClock()
+        self.peers = {"a": _Peers(), "b": _Peers()}
+        self.ledgers = {seat: self._ledger(seat) for seat in self.peers}
+        self.peers["a"].other = self.ledgers["b"]
+        self.peers["b"].other = self.ledgers["a"]
+
+    def _ledger(self, seat: str) -> loans.LoanLedger:
+        return loans.LoanLedger(
+            _Shares(),
+            "bole",
+            seat,
+            f"{seat}-1",
+            self.peers[seat],
+            lambda: HOLD_MS,
+            metrics.Metrics(),
+            self.clock,
+            random.Random(1),
+            RUN_MS,
+        )
+
+    def _fill(self, seat: str) -> int:
+        """Takes every slot there is; returns how many."""
+        ledger = self.ledgers[seat]
+        taken = 0
+        while ledger.try_take(ENDPOINT, RUN_MS):
+            taken += 1
+        return taken
+
+    def test_busy_host_borrows_from_an_idle_one(self) -> None:
+        self.assertEqual(SHARE, self._fill("a"))
+        self.ledgers["a"].step()
+        self.assertEqual(loans.ASKED_SLOTS, self._fill("a"))
+        self.assertEqual(SHARE - loans.ASKED_SLOTS, self._fill("b"))
+
+    def test_lost_answer_leaves_the_slots_unused(self) -> None:
+        self.peers["a"].loses_answers = True
+        self._fill("a")
+        self.ledgers["a"].step()
+        self.assertEqual(0, self._fill("a"))
+        self.assertEqual(SHARE - loans.ASKED_SLOTS, self._fill("b"))
+
+    def test_idle_loan_goes_back(self) -> None:
+        self._fill("a")
+        self.ledgers["a"].step()
+        self.clock.advance(loans.IDLE_LOAN_MS)
+        self.ledgers["a"].step()
+        self.assertEqual(SHARE, self._fill("b"))
+
+    def test_stopping_host_is_not_asked(self) -> None:
+        self.peers["a"].is_stopping = True
+        self._fill("a")
+        self.ledgers["a"].step()
+        self.assertEqual(SHARE, self._fill("b"))
+
+    def test_refusal_is_not_repeated_at_once(self) -> None:
+        self._fill("b")
+        self._fill("a")
+        self.ledgers["a"].step()
+        for _ in range(SHARE):
+            self.ledgers["b"].give_back(ENDPOINT)
+        self._fill("a")
+        self.ledgers["a"].step()
+        self.assertEqual(0, self._fill("a"))
+        self.clock.advance(loans.REFUSED_WAIT_MS)
+        self._fill("a")
+        self.ledgers["a"].step()
+        self.assertEqual(loans.ASKED_SLOTS, self._fill("a"))
