--- a/src/comfreylatch/_connection/json_call.py
+++ b/src/comfreylatch/_connection/json_call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+import socket
 import time
 from typing import Any
 
@@ -12,6 +14,20 @@
 MAX_ANSWER_BYTES = 64 * 1_024 * 1_024
 CHUNK_BYTES = 65_536
 POOL_CONNECTIONS = 4
+# A peer that vanished without a reset is noticed after this long, as sent
+# bytes or probes go without an acknowledgement.
+SILENCE_MS = 2_000
+PROBE_INTERVAL_S = 1
+PROBES = 2
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+)
+JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 @attrs.frozen
@@ -39,15 +55,18 @@
 CallError = NotSent | AnswerLost
 
 
-def open_pool(address: str) -> urllib3.HTTPConnectionPool:
+def open_pool(
+    address: str, connections: int = POOL_CONNECTIONS
+) -> urllib3.HTTPConnectionPool:
     """A pool of connections to `IP:port` which never retries by itself."""
     host, _, port = address.rpartition(":")
     return urllib3.HTTPConnectionPool(
         host,
         int(port),
-        maxsize=POOL_CONNECTIONS,
+        maxsize=connections,
         block=False,
         retries=False,
+        socket_options=SOCKET_OPTIONS,
     )
 
 
@@ -57,6 +76,7 @@
     target: str,
     body: bytes | None,
     timeout_ms: int,
+    headers: Mapping[str, str] = JSON_HEADERS,
 ) -> result.Result[Answer, CallError]:
     """Makes a call and reads its answer whole within `timeout_ms`.
 
@@ -64,13 +84,12 @@
     be broken is `AnswerLost`, as the other side may have read the call.
     """
     deadline = time.monotonic() + timeout_ms / 1_000
-    headers = {} if body is None else {"Content-Type": "application/json"}
     try:
         response = pool.urlopen(
             method,
             target,
             body=body,
-            headers=headers,
+            headers=None if body is None else headers,
             timeout=urllib3.Timeout(total=timeout_ms / 1_000),
             preload_content=False,
             redirect=False,
--- /dev/null
+++ b/src/comfreylatch/_process/cell/durations.py
@@ -0,0 +1,39 @@
+"""How long tasks take, learned against what their jobs declare."""
+
+from __future__ import annotations
+
+from typing import final
+
+from comfreylatch._process.cell import specs
+
+# Weight of a new duration in the smoothed ratio: about the last ten count.
+SMOOTHING = 0.1
+# Ratios outside these bounds say more of a fault than of an image.
+LOWEST_RATIO = 0.05
+HIGHEST_RATIO = 20.0
+# For a task without a declared duration.
+DEFAULT_ESTIMATE_MS = 1_000
+
+
+@final
+class Durations:
+    """Smoothed ratio of real to declared duration by queue and image."""
+
+    def __init__(self) -> None:
+        self._ratios: dict[str, float] = {}
+
+    def note(self, queue: str, spec: specs.StepSpec, duration_ms: int) -> None:
+        """Takes in the duration of a task that went undisturbed."""
+        declared_ms = spec.estimated_ms or DEFAULT_ESTIMATE_MS
+        ratio = min(max(duration_ms / declared_ms, LOWEST_RATIO), HIGHEST_RATIO)
+        for key in (queue, f"{queue}/{spec.image}"):
+            known = self._ratios.get(key, ratio)
+            self._ratios[key] = known + SMOOTHING * (ratio - known)
+
+    def estimate_ms(self, queue: str, spec: specs.StepSpec) -> float:
+        """Expected duration of one task."""
+        declared_ms = spec.estimated_ms or DEFAULT_ESTIMATE_MS
+        ratio = self._ratios.get(f"{queue}/{spec.image}")
+        if ratio is None:
+            ratio = self._ratios.get(queue, 1.0)
+        return declared_ms * ratio
--- /dev/null
+++ b/src/comfreylatch/_process/cell/events.py
@@ -0,0 +1,90 @@
+"""What the owner's thread is told by the threads around it."""
+
+from __future__ import annotations
+
+import attrs
+import result
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import runs as runs_module
+
+
+@attrs.frozen
+class BookChanged:
+    """A job was accepted or cancelled."""
+
+    change: job_book.BookChange
+
+
+@attrs.frozen
+class WorkersListed:
+    """The workers that the platform lists, whole."""
+
+    entries: dict[str, cell_workers.WorkerEntry]
+
+
+@attrs.frozen
+class HoldReturned:
+    """A worker answered a hold, or did not.
+
+    Attributes:
+        worker_id: The worker.
+        born_ms: Its life.
+        sent_ms: Monotonic time before the call.
+        received_ms: Monotonic time after it.
+        deadline_ms: Lease end that was sent, on the worker's clock.
+        outcome: What came of it.
+    """
+
+    worker_id: str
+    born_ms: int
+    sent_ms: int
+    received_ms: int
+    deadline_ms: int
+    outcome: result.Result[cell_workers.HoldAnswer, cell_workers.OrderError]
+
+
+@attrs.frozen
+class StartReturned:
+    """A start was answered, or not. `tries` counts its sendings."""
+
+    run: runs_module.Run
+    sent_ms: int
+    tries: int
+    outcome: result.Result[int, cell_workers.OrderError]
+
+
+@attrs.frozen
+class StopReturned:
+    """A stop was answered, or not; `run` is None for what we don't know."""
+
+    worker_id: str
+    run: runs_module.Run | None
+    outcome: result.Result[int, cell_workers.OrderError]
+
+
+@attrs.frozen
+class AdviceReturned:
+    """Workers that may run a step, with their tickets; None on failure."""
+
+    step: runs_module.StepRun
+    tickets: dict[str, str] | None
+
+
+@attrs.frozen
+class Fenced:
+    """Another host owns the cell."""
+
+    detail: str
+
+
+Event = (
+    BookChanged
+    | WorkersListed
+    | HoldReturned
+    | StartReturned
+    | StopReturned
+    | AdviceReturned
+    | Fenced
+)
--- /dev/null
+++ b/src/comfreylatch/_process/cell/intake.py
@@ -0,0 +1,300 @@
+"""Takes callers' jobs, cancellations and questions on any host."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import queue
+import threading
+import time
+import types
+from typing import final
+from typing import Self
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import specs
+from comfreylatch._process.cell import tail as tail_module
+
+APPEND_TIMEOUT_MS = 700
+RETRY_PAUSE_MS = 50
+# Records of one append; far below what the store takes in a call.
+MOST_RECORDS = 64
+# A caller that was refused comes back after this; the store's outages last
+# seconds, and a host that can't reach it is out of rotation by then.
+RETRY_AFTER_MS = 1_000
+# Views older than this are not answered from; callers may be shown what is
+# two seconds old.
+OLDEST_VIEW_MS = 1_900
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class Kept:
+    """The record is in the store."""
+
+
+@attrs.frozen
+class NotKept:
+    """The record is not in the store and never will be."""
+
+    detail: str
+
+
+@attrs.frozen
+class PerhapsKept:
+    """The record may be in the store, or get there yet."""
+
+    detail: str
+
+
+KeepOutcome = Kept | NotKept | PerhapsKept
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    """A record that a caller waits for."""
+
+    record: store_port.NewRecord
+    deadline_ms: int
+    done: threading.Event = attrs.field(factory=threading.Event)
+    outcome: KeepOutcome = PerhapsKept("no answer in time")
+
+
+@final
+class RecordKeeper:
+    """Appends callers' records, many in one call. A context manager.
+
+    Records that could not be sent are refused at once; one whose answer was
+    lost is sent again until its caller's deadline, as a repeat of the same
+    key and value changes nothing.
+    """
+
+    def __init__(
+        self,
+        store: store_port.RecordStore,
+        cell: int,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._store = store
+        self._cell = cell
+        self._clock = clock
+        self._queue: queue.SimpleQueue[_Waiting | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(
+            target=self._run, name=f"keeper-{cell}", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._queue.put(None)
+
+    def keep(
+        self, record: store_port.NewRecord, deadline_ms: int
+    ) -> KeepOutcome:
+        """Appends a record; waits for what came of it."""
+        waiting = _Waiting(record, deadline_ms)
+        self._queue.put(waiting)
+        left_ms = max(deadline_ms - self._clock.monotonic_ms(), 0)
+        waiting.done.wait(left_ms / 1_000)
+        return waiting.outcome
+
+    def _run(self) -> None:
+        while True:
+            first = self._queue.get()
+            if first is None:
+                return
+            batch = [first]
+            while len(batch) < MOST_RECORDS:
+                try:
+                    more = self._queue.get_nowait()
+                except queue.Empty:
+                    break
+                if more is None:
+                    return
+                batch.append(more)
+            self._append(batch)
+
+    def _append(self, batch: list[_Waiting]) -> None:
+        may_be_kept = False
+        while True:
+            outcome = self._try(batch)
+            match outcome:
+                case Kept():
+                    break
+                case PerhapsKept():
+                    may_be_kept = True
+                case NotKept() if not may_be_kept:
+                    break
+            now_ms = self._clock.monotonic_ms()
+            late = [one for one in batch if one.deadline_ms <= now_ms]
+            batch = [one for one in batch if one.deadline_ms > now_ms]
+            _settle(late, PerhapsKept("no answer in time"))
+            if not batch:
+                return
+            time.sleep(RETRY_PAUSE_MS / 1_000)
+        _settle(batch, outcome)
+
+    def _try(self, batch: Sequence[_Waiting]) -> KeepOutcome:
+        match self._store.append(
+            records.JOBS_TOPIC,
+            self._cell,
+            tuple(one.record for one in batch),
+            timeout_ms=APPEND_TIMEOUT_MS,
+        ):
+            case result.Ok(_):
+                return Kept()
+            case result.Err(store_port.StoreAnswerLost(detail)):
+                return PerhapsKept(detail)
+            case result.Err(error):
+                return NotKept(str(error))
+
+
+def _settle(batch: list[_Waiting], outcome: KeepOutcome) -> None:
+    for one in batch:
+        one.outcome = outcome
+        one.done.set()
+
+
+@attrs.frozen
+class Accepted:
+    """The job is stored and will run."""
+
+
+@attrs.frozen
+class Refused:
+    """The job is not stored and never runs; come back later."""
+
+    reason: str
+    retry_after_ms: int
+
+
+@attrs.frozen
+class Undecided:
+    """The job may be stored; handing it in again tells."""
+
+    detail: str
+
+
+SubmitOutcome = Accepted | Refused | Undecided
+
+
+@attrs.frozen
+class Unknown:
+    """No such job was ever accepted."""
+
+
+@attrs.frozen
+class CannotTell:
+    """This host's view is too old to say."""
+
+    view_age_ms: int
+
+
+@final
+class Intake:
+    """Jobs of a cell as callers see them, on any host."""
+
+    def __init__(
+        self,
+        book: job_book.JobBook,
+        tail: tail_module.Tail,
+        keeper: RecordKeeper,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._book = book
+        self._tail = tail
+        self._keeper = keeper
+        self._clock = clock
+
+    def submit(self, spec: specs.JobSpec, wait_ms: int) -> SubmitOutcome:
+        """Accepts a job, once however often it is handed in."""
+        if self._is_known(spec.job_id):
+            return Accepted()
+        record = store_port.NewRecord(
+            records.JOB_PREFIX + spec.job_id, records.encode(spec)
+        )
+        started_ms = self._clock.monotonic_ms()
+        outcome = self._keeper.keep(record, started_ms + wait_ms)
+        took_ms = self._clock.monotonic_ms() - started_ms
+        logs.event(
+            _logger,
+            "job-submitted",
+            job=spec.job_id,
+            queue=spec.queue.name,
+            steps=len(spec.steps),
+            tasks=sum(step.task_count for step in spec.steps),
+            outcome=outcome,
+            took_ms=took_ms,
+        )
+        match outcome:
+            case Kept():
+                return Accepted()
+            case NotKept(_):
+                return Refused("store-unavailable", RETRY_AFTER_MS)
+            case PerhapsKept(detail):
+                if self._is_known(spec.job_id):
+                    return Accepted()
+                return Undecided(detail)
+
+    def _is_known(self, job_id: str) -> bool:
+        entry = self._book.find(job_id)
+        return entry is not None and (
+            entry.spec is not None or entry.state.is_final
+        )
+
+    def state(self, job_id: str) -> records.JobState | Unknown | CannotTell:
+        """The state of a job."""
+        if self._is_known(job_id):
+            entry = self._book.find(job_id)
+            if entry is not None:
+                return entry.shown_state
+        if self._tail.age_ms > OLDEST_VIEW_MS:
+            return CannotTell(self._tail.age_ms)
+        return Unknown()
+
+    def cancel(
+        self, job_id: str, wait_ms: int
+    ) -> Accepted | Refused | Undecided | Unknown:
+        """Cancels a job; Accepted also when it has ended already."""
+        entry = self._book.find(job_id)
+        if entry is not None and (entry.is_cancelled or entry.state.is_final):
+            return Accepted()
+        if not self._is_known(job_id):
+            if self._tail.age_ms > OLDEST_VIEW_MS:
+                return Refused("view-too-old", RETRY_AFTER_MS)
+            return Unknown()
+        record = store_port.NewRecord(
+            records.CANCEL_PREFIX + job_id,
+            records.encode(records.CancelRecord(self._clock.wall_ms())),
+        )
+        deadline_ms = self._clock.monotonic_ms() + wait_ms
+        outcome = self._keeper.keep(record, deadline_ms)
+        logs.event(_logger, "job-cancelled", job=job_id, outcome=outcome)
+        match outcome:
+            case Kept():
+                return Accepted()
+            case NotKept(_):
+                return Refused("store-unavailable", RETRY_AFTER_MS)
+            case PerhapsKept(detail):
+                return Undecided(detail)
+
+    def waiting(self, queue: specs.QueueSpec) -> int | CannotTell:
+        """Accepted jobs of a queue of which nothing has started."""
+        if self._tail.age_ms > OLDEST_VIEW_MS:
+            return CannotTell(self._tail.age_ms)
+        return self._book.waiting(queue.prefix, queue.host)
--- /dev/null
+++ b/src/comfreylatch/_process/cell/job_book.py
@@ -0,0 +1,181 @@
+"""Every host's view of the jobs of a cell, folded from the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+from typing import final
+
+import attrs
+import logbook
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import specs
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.define(eq=False)
+class JobEntry:
+    """What is known of a job.
+
+    `spec` is None for a job of which only a later record was seen.
+    """
+
+    spec: specs.JobSpec | None = None
+    state: records.JobState = records.JobState.QUEUED
+    is_cancelled: bool = False
+
+    @property
+    def shown_state(self) -> records.JobState:
+        """The state that callers are told."""
+        if self.is_cancelled and not self.state.is_final:
+            return records.JobState.CANCELLED
+        return self.state
+
+
+@attrs.frozen
+class OwnerSighting:
+    """The newest heartbeat of the owner, and when it was seen here."""
+
+    heartbeat: records.HeartbeatRecord
+    seen_ms: int
+
+
+class BookChange:
+    """Base of the changes that a listener is told."""
+
+
+@attrs.frozen
+class JobAdded(BookChange):
+    """A job was accepted."""
+
+    spec: specs.JobSpec
+
+
+@attrs.frozen
+class JobCancelled(BookChange):
+    """A caller has cancelled a job."""
+
+    job_id: str
+
+
+Listener = Callable[[BookChange], None]
+
+
+@final
+class JobBook:
+    """Folds the topic of jobs. Thread-safe.
+
+    Only ids and states of ended jobs are kept; their text is dropped.
+    """
+
+    def __init__(self, clock: clock_port.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._jobs: dict[str, JobEntry] = {}
+        self._owner: OwnerSighting | None = None
+        self._listener: Listener | None = None
+
+    def listen(self, listener: Listener | None) -> list[JobEntry]:
+        """Sets who is told of changes; returns the unfinished jobs so far."""
+        with self._lock:
+            self._listener = listener
+            return [
+                attrs.evolve(entry)
+                for entry in self._jobs.values()
+                if entry.spec is not None and not entry.state.is_final
+            ]
+
+    def find(self, job_id: str) -> JobEntry | None:
+        """The entry of an accepted job."""
+        with self._lock:
+            entry = self._jobs.get(job_id)
+            return None if entry is None else attrs.evolve(entry)
+
+    def waiting(self, queue_prefix: str, queue_host: str) -> int:
+        """Accepted jobs of a queue for which no task has started."""
+        with self._lock:
+            return sum(
+                1
+                for entry in self._jobs.values()
+                if entry.spec is not None
+                and entry.shown_state is records.JobState.QUEUED
+                and entry.spec.queue.prefix == queue_prefix
+                and entry.spec.queue.host == queue_host
+            )
+
+    @property
+    def owner(self) -> OwnerSighting | None:
+        """The owner's newest heartbeat."""
+        return self._owner
+
+    def apply(
+        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
+    ) -> None:
+        """Folds records in the order of their offsets."""
+        del is_whole  # Nothing is ever taken back by a whole reading.
+        for record in batch:
+            try:
+                self._apply_one(record)
+            except records.BadRecordError as error:
+                logs.warning(
+                    _logger,
+                    "bad-record",
+                    key=record.key,
+                    offset=record.offset,
+                    detail=str(error),
+                )
+
+    def _apply_one(self, record: store_port.StoredRecord) -> None:
+        kind, _, job_id = record.key.partition("/")
+        if record.value is None:
+            if record.key.startswith(records.JOB_PREFIX):
+                with self._lock:
+                    self._jobs.pop(job_id, None)
+            return
+        if record.key == records.HEARTBEAT_KEY:
+            beat = records.decode(records.HeartbeatRecord, record.value)
+            self._owner = OwnerSighting(beat, self._clock.monotonic_ms())
+        elif kind + "/" == records.JOB_PREFIX:
+            self._add(records.decode(specs.JobSpec, record.value))
+        elif kind + "/" == records.CANCEL_PREFIX:
+            self._cancel(job_id)
+        elif kind + "/" == records.STATE_PREFIX:
+            word = records.decode(records.StateRecord, record.value)
+            self._set_state(job_id, word.state)
+
+    def _add(self, spec: specs.JobSpec) -> None:
+        with self._lock:
+            entry = self._jobs.setdefault(spec.job_id, JobEntry())
+            if entry.spec is not None or entry.state.is_final:
+                return
+            entry.spec = spec
+            listener = self._listener
+            is_cancelled = entry.is_cancelled
+        if listener is not None:
+            listener(JobAdded(spec))
+            if is_cancelled:
+                listener(JobCancelled(spec.job_id))
+
+    def _cancel(self, job_id: str) -> None:
+        with self._lock:
+            entry = self._jobs.setdefault(job_id, JobEntry())
+            if entry.is_cancelled or entry.state.is_final:
+                return
+            entry.is_cancelled = True
+            listener = self._listener if entry.spec is not None else None
+        if listener is not None:
+            listener(JobCancelled(job_id))
+
+    def _set_state(self, job_id: str, state: records.JobState) -> None:
+        with self._lock:
+            entry = self._jobs.setdefault(job_id, JobEntry())
+            if entry.state.is_final:
+                return
+            entry.state = state
+            if state.is_final:
+                entry.spec = None
--- /dev/null
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -0,0 +1,218 @@
+"""The owner's unfinished jobs, what of them is ready, and what to record."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import final
+
+import attrs
+import logbook
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import specs
+
+# A lasting task that ends at once each time is not started more often.
+LASTING_RESTART_MS = 50
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class Writes:
+    """Records to be written, by key."""
+
+    jobs: dict[str, bytes | None]
+    work: dict[str, bytes | None]
+
+
+@final
+class JobTable:
+    """All unfinished jobs of a cell. Only the owner's thread uses it."""
+
+    def __init__(self, token: int, clock: clock_port.Clock) -> None:
+        self._token = token
+        self._clock = clock
+        self._jobs: dict[str, runs_module.JobRun] = {}
+        self._ready: dict[str, runs_module.StepRun] = {}
+        self._timed: set[str] = set()
+        self._state_writes: dict[str, bytes | None] = {}
+        self._work_writes: dict[str, bytes | None] = {}
+        self._dirty: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def __iter__(self) -> Iterator[runs_module.JobRun]:
+        return iter(self._jobs.values())
+
+    def find(self, job_id: str) -> runs_module.JobRun | None:
+        """An unfinished job."""
+        return self._jobs.get(job_id)
+
+    def find_task(self, name: str) -> runs_module.Task | None:
+        """A task of an unfinished job."""
+        parts = runs_module.parse_task_name(name)
+        if parts is None:
+            return None
+        job = self._jobs.get(parts.job_id)
+        if job is None:
+            return None
+        if parts.occurrence not in job.steps and (
+            parts.occurrence < job.occurrence_count
+        ):
+            # Started by an earlier owner whose records are not all here.
+            job.open_occurrence(parts.occurrence)
+            self._note_ready(job, parts.occurrence)
+        return job.find(parts.occurrence, parts.step, parts.index)
+
+    def add(
+        self,
+        spec: specs.JobSpec,
+        run_floor: int = 0,
+        progress: records.ProgressRecord | None = None,
+        state: records.JobState = records.JobState.QUEUED,
+    ) -> runs_module.JobRun | None:
+        """Takes in an accepted job; None when it is here already."""
+        if spec.job_id in self._jobs:
+            return None
+        now_ms = self._clock.monotonic_ms()
+        age_ms = max(self._clock.wall_ms() - spec.accepted_wall_ms, 0)
+        job = runs_module.JobRun(
+            spec, now_ms - age_ms, run_floor=run_floor, state=state
+        )
+        self._jobs[spec.job_id] = job
+        if spec.repetitions:
+            self._timed.add(spec.job_id)
+        else:
+            job.open_occurrence(0)
+        if progress is not None:
+            job.restore(progress)
+        self.open_due()
+        for occurrence in job.steps:
+            self._note_ready(job, occurrence)
+        if job.is_complete:
+            self.finish(job, records.JobState.COMPLETED)
+        return job
+
+    def open_due(self) -> None:
+        """Opens the repetitions whose time has come."""
+        now_ms = self._clock.wall_ms()
+        for job_id in list(self._timed):
+            job = self._jobs[job_id]
+            while (
+                job.next_occurrence < job.occurrence_count
+                and job.due_wall_ms(job.next_occurrence) <= now_ms
+            ):
+                occurrence = job.next_occurrence
+                if occurrence in job.steps:
+                    job.next_occurrence += 1
+                    continue
+                job.open_occurrence(occurrence)
+                self._note_ready(job, occurrence)
+            if job.next_occurrence >= job.occurrence_count:
+                self._timed.discard(job_id)
+
+    def _note_ready(self, job: runs_module.JobRun, occurrence: int) -> None:
+        for step in job.steps[occurrence]:
+            if step.undone and job.is_ready(step):
+                self._ready[step.name] = step
+
+    def ready_steps(self) -> list[runs_module.StepRun]:
+        """Steps that may run and have tasks without a run."""
+        return [step for step in self._ready.values() if step.open_tasks]
+
+    def note_started(self, job: runs_module.JobRun) -> None:
+        """A worker has begun a task of a job."""
+        if job.state is records.JobState.QUEUED:
+            job.state = records.JobState.RUNNING
+            self._record_state(job)
+
+    def note_done(self, task: runs_module.Task) -> None:
+        """A task, or with one member its whole gang, is done."""
+        step = task.step
+        members = step.tasks if step.spec.is_gang else [task]
+        for member in members:
+            step.note_done(member)
+        job = step.job
+        self._dirty.add(job.spec.job_id)
+        if step.undone:
+            return
+        self._ready.pop(step.name, None)
+        if job.is_complete:
+            self.finish(job, records.JobState.COMPLETED)
+        else:
+            self._note_ready(job, step.occurrence)
+
+    def note_failed(self, task: runs_module.Task) -> None:
+        """A run of a task has failed by itself."""
+        step = task.step
+        job = step.job
+        if step.spec.is_lasting:
+            task.not_before_ms = self._clock.monotonic_ms() + LASTING_RESTART_MS
+            return
+        members = step.tasks if step.spec.is_gang else [task]
+        for member in members:
+            member.failures += 1
+        self._dirty.add(job.spec.job_id)
+        if task.failures >= job.spec.queue.max_attempts:
+            self.finish(job, records.JobState.FAILED)
+
+    def note_checkpoint(self, task: runs_module.Task, checkpoint: str) -> None:
+        """A run has ended before its time and left a checkpoint."""
+        if checkpoint and checkpoint != task.checkpoint:
+            members = task.step.tasks if task.step.spec.is_gang else [task]
+            for member in members:
+                member.checkpoint = checkpoint
+            self._dirty.add(task.step.job.spec.job_id)
+
+    def cancel(self, job_id: str) -> runs_module.JobRun | None:
+        """A caller has cancelled a job; returns it when it was unfinished."""
+        job = self._jobs.get(job_id)
+        if job is not None:
+            job.is_cancelled = True
+            self.finish(job, records.JobState.CANCELLED)
+        return job
+
+    def finish(self, job: runs_module.JobRun, state: records.JobState) -> None:
+        """Ends a job for good; its runs may still be there."""
+        job_id = job.spec.job_id
+        if self._jobs.pop(job_id, None) is None:
+            return
+        job.state = state
+        self._timed.discard(job_id)
+        for step in job.all_steps():
+            self._ready.pop(step.name, None)
+        self._dirty.discard(job_id)
+        self._record_state(job)
+        self._work_writes[job_id] = None
+        logs.event(
+            _logger,
+            "job-ended",
+            job=job_id,
+            state=state,
+            queue=job.spec.queue.name,
+            age_ms=self._clock.monotonic_ms() - job.accepted_ms,
+            first_start_ms=(job.first_start_ms or job.accepted_ms)
+            - job.accepted_ms,
+            token=self._token,
+        )
+
+    def _record_state(self, job: runs_module.JobRun) -> None:
+        record = records.StateRecord(job.state, self._token)
+        key = records.STATE_PREFIX + job.spec.job_id
+        self._state_writes[key] = records.encode(record)
+
+    def drain_writes(self) -> Writes:
+        """What has to be recorded since the last call."""
+        for job_id in self._dirty:
+            job = self._jobs.get(job_id)
+            if job is not None:
+                self._work_writes[job_id] = records.encode(job.progress())
+        self._dirty.clear()
+        writes = Writes(self._state_writes, self._work_writes)
+        self._state_writes = {}
+        self._work_writes = {}
+        return writes
--- /dev/null
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -0,0 +1,264 @@
+"""Runs a cell: decides what runs where, and has it done and recorded."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import queue
+import types
+from typing import final
+from typing import Self
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import durations as durations_module
+from comfreylatch._process.cell import events
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import planner as planner_module
+from comfreylatch._process.cell import ranking as ranking_module
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import run_control as run_control_module
+from comfreylatch._process.cell import scribe as scribe_module
+from comfreylatch._process.cell import worker_session
+from comfreylatch._process.cell import worker_table as worker_table_module
+
+# Between two looks at what only time changes.
+TICK_MS = 100
+# Least time between two passes over many waiting steps, which all cost a
+# look; a pass over few is made at once.
+CROWDED_PASS_MS = 25
+CROWDED_STEPS = 24
+# Run numbers of a task rise by this much with each owner, so that one whose
+# predecessor's starts it can't know never uses a number twice.
+RUNS_PER_OWNER = 1_000
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class Inheritance:
+    """What a new owner takes over.
+
+    Attributes:
+        token: Its fencing token.
+        jobs: Unfinished jobs as the book has them.
+        progress: Recorded progress by job.
+        release_after_ms: Monotonic time after which nothing that the owner
+            before started can run where this one reaches no worker.
+        known_workers: Birth times of the workers of the owner before.
+    """
+
+    token: int
+    jobs: tuple[job_book.JobEntry, ...]
+    progress: dict[str, records.ProgressRecord]
+    release_after_ms: int
+    known_workers: dict[str, int]
+
+
+@final
+class Owner:
+    """One host's tenure over a cell. A context manager.
+
+    Args:
+        inheritance: What it starts from.
+        scribe: Writes its records.
+        connect: Opens the orders to a worker.
+        lease_ms: Length of leases at workers.
+        clock: For all times.
+    """
+
+    def __init__(
+        self,
+        inheritance: Inheritance,
+        scribe: scribe_module.Scribe,
+        connect: worker_table_module.Connect,
+        lease_ms: int,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._inheritance = inheritance
+        self._scribe = scribe
+        self._clock = clock
+        self._events: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
+        self._jobs = job_table_module.JobTable(inheritance.token, clock)
+        self._durations = durations_module.Durations()
+        self._ranker = ranking_module.Ranker(self._durations)
+        self._workers = worker_table_module.WorkerTable(
+            connect,
+            worker_session.LeaseTerms(
+                inheritance.token, lease_ms, scribe.may_act
+            ),
+            self._events.put,
+            clock,
+            inheritance.release_after_ms,
+        )
+        self._control = run_control_module.RunControl(
+            self._jobs, self._workers, self._durations, clock
+        )
+        self._planner = planner_module.Planner(self._workers, self._ranker)
+        self._started_ms = clock.monotonic_ms()
+        self._is_settled = False
+        self._ticked_ms = 0
+        self._placed_ms = 0
+        self._stop_reason = ""
+        self._must_acknowledge: set[str] = set()
+        self._recorded_lives: dict[str, int] = {}
+
+    def __enter__(self) -> Self:
+        self._workers.__enter__()
+        floor = self._inheritance.token * RUNS_PER_OWNER
+        for entry in self._inheritance.jobs:
+            assert entry.spec is not None
+            progress = self._inheritance.progress.get(entry.spec.job_id)
+            job = self._jobs.add(entry.spec, floor, progress, entry.state)
+            if job is not None:
+                self._ranker.note_job(job)
+            if entry.is_cancelled:
+                self._jobs.cancel(entry.spec.job_id)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._workers.__exit__(exc_type, exc, traceback)
+
+    def post(self, event: events.Event) -> None:
+        """Tells the owner something; any thread may call it."""
+        self._events.put(event)
+
+    def post_change(self, change: job_book.BookChange) -> None:
+        """Tells the owner of a job accepted or cancelled."""
+        self._events.put(events.BookChanged(change))
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether most workers are out of reach of this host."""
+        listed = [view for view in self._workers if view.is_listed]
+        failing = [view for view in listed if not view.is_answering]
+        return bool(listed) and 2 * len(failing) > len(listed)
+
+    def run(self, must_stop: Callable[[], str]) -> str:
+        """Works until told to stop; returns why it stopped.
+
+        `must_stop` is asked often, and says why or returns an empty string.
+        """
+        while True:
+            self._take_events()
+            reason = self._stop_reason or must_stop()
+            if reason:
+                return reason
+            now_ms = self._clock.monotonic_ms()
+            if now_ms - self._ticked_ms >= TICK_MS:
+                self._ticked_ms = now_ms
+                self._tick(now_ms)
+            self._place(now_ms)
+            self._record()
+
+    def _take_events(self) -> None:
+        """Waits for an event and takes in all that are there."""
+        try:
+            self._handle(self._events.get(timeout=TICK_MS / 1_000))
+            while True:
+                self._handle(self._events.get_nowait())
+        except queue.Empty:
+            return
+
+    def _handle(self, event: events.Event) -> None:
+        match event:
+            case events.BookChanged(job_book.JobAdded(spec)):
+                job = self._jobs.add(spec)
+                if job is not None:
+                    self._ranker.note_job(job)
+            case events.BookChanged(job_book.JobCancelled(job_id)):
+                self._cancel(job_id)
+            case events.WorkersListed(entries):
+                self._control.take_lost(self._workers.list_workers(entries))
+            case events.HoldReturned():
+                self._handle_hold(event)
+            case events.StartReturned():
+                self._control.take_start(event)
+            case events.StopReturned():
+                self._control.take_stop(event)
+            case events.Fenced(detail):
+                self._stop_reason = f"fenced: {detail}"
+
+    def _cancel(self, job_id: str) -> None:
+        job = self._jobs.cancel(job_id)
+        if job is not None:
+            self._control.stop_all(job)
+
+    def _handle_hold(self, event: events.HoldReturned) -> None:
+        if not self._workers.take_hold(event):
+            return
+        match event.outcome:
+            case result.Ok(answer):
+                if self._control.take_hold(event, answer):
+                    self._must_acknowledge.add(event.worker_id)
+            case result.Err(cell_workers.OrderRefused(reason)):
+                if reason is cell_workers.Refusal.FENCED:
+                    self._stop_reason = f"fenced by {event.worker_id}"
+
+    def _tick(self, now_ms: int) -> None:
+        self._jobs.open_due()
+        for lost in self._workers.expire():
+            self._control.take_lost(lost)
+        self._control.look_after(now_ms)
+        if not self._is_settled:
+            self._settle(now_ms)
+
+    def _settle(self, now_ms: int) -> None:
+        """Sees whether all that the owner before started is known."""
+        waited_ms = now_ms - self._started_ms
+        if now_ms <= self._inheritance.release_after_ms:
+            if not len(self._workers) or self._workers.unanswered():
+                return
+            known = self._inheritance.known_workers
+            if any(self._workers.find(name) is None for name in known):
+                return
+        self._is_settled = True
+        logs.event(
+            _logger,
+            "takeover-settled",
+            token=self._inheritance.token,
+            waited_ms=waited_ms,
+            workers=len(self._workers),
+            jobs=len(self._jobs),
+        )
+
+    def _place(self, now_ms: int) -> None:
+        if not self._scribe.may_act():
+            return
+        steps = self._jobs.ready_steps()
+        if not self._is_settled:
+            steps = [step for step in steps if step.job.run_floor == 0]
+        if not steps:
+            return
+        since_ms = now_ms - self._placed_ms
+        if len(steps) > CROWDED_STEPS and since_ms < CROWDED_PASS_MS:
+            return
+        self._placed_ms = now_ms
+        for placement in self._planner.place(steps, now_ms):
+            self._control.send_start(placement.run)
+
+    def _record(self) -> None:
+        writes = self._jobs.drain_writes()
+        born_ms = self._workers.lives()
+        if born_ms != self._recorded_lives:
+            self._recorded_lives = born_ms
+            writes.work[records.WORKERS_KEY] = records.encode(
+                records.WorkersRecord(born_ms)
+            )
+        recorded = []
+        for worker_id in self._must_acknowledge:
+            acknowledge = self._workers.acknowledger(worker_id)
+            if acknowledge is not None:
+                recorded.append(acknowledge)
+        self._must_acknowledge.clear()
+        self._scribe.write(writes.jobs, writes.work, recorded)
--- /dev/null
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -0,0 +1,160 @@
+"""Gives ready tasks to workers with room, in the order of their rank."""
+
+from __future__ import annotations
+
+from typing import final
+
+import attrs
+
+from comfreylatch._process.cell import placement
+from comfreylatch._process.cell import ranking as ranking_module
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_table as worker_table_module
+from comfreylatch._process.cell import worker_view
+
+# A task that fills idle processors is placed only where it would get at least
+# this share of what it asks for.
+FILL_SHARE = 0.7
+
+
+@attrs.frozen
+class Placement:
+    """A run that has been given a worker; its start is to be sent."""
+
+    run: runs_module.Run
+    worker: worker_view.WorkerView
+
+
+@attrs.define(eq=False)
+class _Pass:
+    """One pass over the ready steps."""
+
+    workers: list[worker_view.WorkerView]
+    racks: dict[str, str]
+    now_ms: int
+    smallest_unfit_cpu: int = 1 << 60
+
+
+@final
+class Planner:
+    """Places tasks. Only the owner's thread uses it."""
+
+    def __init__(
+        self,
+        workers: worker_table_module.WorkerTable,
+        ranker: ranking_module.Ranker,
+    ) -> None:
+        self._workers = workers
+        self._ranker = ranker
+
+    def place(
+        self, steps: list[runs_module.StepRun], now_ms: int
+    ) -> list[Placement]:
+        """Reserves room for as many tasks as fit; returns their runs."""
+        taking = [
+            worker for worker in self._workers if worker.takes_work(now_ms)
+        ]
+        if not taking or not steps:
+            return []
+        this_pass = _Pass(taking, self._workers.racks(), now_ms)
+        ranked = sorted(steps, key=lambda step: self._ranker.rank(step, now_ms))
+        placements: list[Placement] = []
+        for step in ranked:
+            if step.spec.is_gang:
+                placements.extend(self._place_gang(step, this_pass))
+            else:
+                placements.extend(self._place_step(step, this_pass))
+        return placements
+
+    def _place_step(
+        self, step: runs_module.StepRun, this_pass: _Pass
+    ) -> list[Placement]:
+        placements = []
+        spec = step.spec
+        if not spec.fills_idle and (
+            spec.cpu_millicores >= this_pass.smallest_unfit_cpu
+        ):
+            return []
+        for task in list(step.open_tasks.values()):
+            if task.not_before_ms > this_pass.now_ms:
+                continue
+            placed = self._place_task(task, this_pass, task.last_run + 1)
+            if placed is None:
+                self._note_unfit(step, this_pass)
+                break
+            placements.append(placed)
+        return placements
+
+    def _note_unfit(self, step: runs_module.StepRun, this_pass: _Pass) -> None:
+        """Spares the rest of the pass a search that must fail, too."""
+        spec = step.spec
+        is_plain = not (
+            spec.required_label
+            or spec.max_per_worker
+            or spec.gpus
+            or spec.fills_idle
+            or step.tickets is not None
+        )
+        if is_plain and not self._has_memory_bound(step, this_pass):
+            this_pass.smallest_unfit_cpu = min(
+                this_pass.smallest_unfit_cpu, spec.cpu_millicores
+            )
+
+    def _has_memory_bound(
+        self, step: runs_module.StepRun, this_pass: _Pass
+    ) -> bool:
+        """Whether memory rather than processors kept a step out."""
+        return any(
+            worker.free_cpu >= step.spec.cpu_millicores
+            for worker in this_pass.workers
+        )
+
+    def _place_task(
+        self, task: runs_module.Task, this_pass: _Pass, number: int
+    ) -> Placement | None:
+        step = task.step
+        workers = this_pass.workers
+        if step.spec.fills_idle:
+            least = int(step.spec.cpu_millicores * FILL_SHARE)
+            workers = [
+                worker for worker in workers if worker.idle_millicores >= least
+            ]
+        rack = placement.wanted_rack(step, this_pass.racks)
+        if step.spec.needs_one_rack and not rack:
+            rack = placement.roomiest_rack(workers, step.spec)
+        worker = placement.choose(
+            task, workers, step.job.spec.queue.service, rack
+        )
+        if worker is None:
+            return None
+        run = runs_module.Run(
+            task,
+            number,
+            worker.worker_id,
+            runs_module.RunPhase.STARTING,
+            this_pass.now_ms,
+        )
+        task.last_run = number
+        step.note_run(run)
+        worker.add(run)
+        return Placement(run, worker)
+
+    def _place_gang(
+        self, step: runs_module.StepRun, this_pass: _Pass
+    ) -> list[Placement]:
+        """Places all tasks of a gang at once, or none."""
+        if len(step.open_tasks) < len(step.tasks):
+            return []
+        if any(task.not_before_ms > this_pass.now_ms for task in step.tasks):
+            return []
+        number = max(task.last_run for task in step.tasks) + 1
+        placements: list[Placement] = []
+        for task in step.tasks:
+            placed = self._place_task(task, this_pass, number)
+            if placed is None:
+                for made in placements:
+                    made.worker.remove(made.run)
+                    step.note_gone(made.run)
+                return []
+            placements.append(placed)
+        return placements
--- /dev/null
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -0,0 +1,311 @@
+"""The owner's state of jobs, their tasks, and the runs of these.
+
+Only the owner's own thread touches these objects.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import enum
+
+import attrs
+
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import specs
+
+
+class RunPhase(enum.Enum):
+    """Where a run of a task stands."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a task on a worker, until it is known to have ended.
+
+    Attributes:
+        task: What is run.
+        number: Run number; rises with each run of the task.
+        worker_id: Where it runs.
+        phase: Where it stands.
+        since_ms: Monotonic time of its start order.
+        confirmed_ms: When the worker first said that it runs; 0 before.
+        percent: Progress as last reported.
+        moved_ms: When the progress last rose.
+        reading: Last figure of its usage or tail.
+        pace_percent: Pace it was last told.
+        unanswered: Orders in a row that got no answer.
+        is_in_doubt: An order may be carried out without our knowledge.
+        over_target_ms: Since when its tail is over its target; 0 when not.
+    """
+
+    task: Task
+    number: int
+    worker_id: str
+    phase: RunPhase
+    since_ms: int
+    confirmed_ms: int = 0
+    percent: float = 0.0
+    moved_ms: int = 0
+    reading: int = 0
+    pace_percent: int = 100
+    unanswered: int = 0
+    is_in_doubt: bool = False
+    over_target_ms: int = 0
+
+
+@attrs.define(eq=False)
+class Task:
+    """A task, with the runs that have not ended.
+
+    Attributes:
+        name: Its id, `job.occurrence.step.index`.
+        index: Its number within the step.
+        step: The step it belongs to.
+        last_run: Highest run number used.
+        checkpoint: Where a new run goes on from; empty for the beginning.
+        failures: Runs that ended as failed.
+        is_done: A run has ended as done.
+        runs: Runs that may still be there.
+        not_before_ms: Monotonic time before which it is not started again.
+        shunned: Workers on which it has failed.
+    """
+
+    name: str
+    index: int
+    step: StepRun
+    last_run: int = 0
+    checkpoint: str = ""
+    failures: int = 0
+    is_done: bool = False
+    runs: list[Run] = attrs.field(factory=list)
+    not_before_ms: int = 0
+    shunned: frozenset[str] = frozenset()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it needs a run and has none."""
+        return not self.is_done and not self.runs
+
+
+@attrs.define(eq=False)
+class StepRun:
+    """One step of one repetition of a job.
+
+    Attributes:
+        job: The job it belongs to.
+        occurrence: Number of the repetition.
+        number: Number of the step.
+        spec: What the caller asked for.
+        tasks: Its tasks by index.
+        open_tasks: Tasks that need a run and have none.
+        undone: Tasks that are not done.
+        per_worker: Runs by worker.
+        tickets: Advised workers and their tickets; None before advice.
+        advice_asked_ms: When advice was last asked for.
+        durations_ms: Durations of its undisturbed runs.
+    """
+
+    job: JobRun
+    occurrence: int
+    number: int
+    spec: specs.StepSpec
+    tasks: list[Task] = attrs.field(factory=list)
+    open_tasks: dict[int, Task] = attrs.field(factory=dict)
+    undone: int = 0
+    per_worker: dict[str, int] = attrs.field(factory=dict)
+    tickets: dict[str, str] | None = None
+    advice_asked_ms: int = 0
+    durations_ms: list[int] = attrs.field(factory=list)
+
+    @property
+    def name(self) -> str:
+        """Its id, `job.occurrence.step`."""
+        return f"{self.job.spec.job_id}.{self.occurrence}.{self.number}"
+
+    def note_run(self, run: Run) -> None:
+        """Counts a new run of one of its tasks."""
+        run.task.runs.append(run)
+        self.open_tasks.pop(run.task.index, None)
+        self.per_worker[run.worker_id] = (
+            self.per_worker.get(run.worker_id, 0) + 1
+        )
+
+    def note_gone(self, run: Run) -> None:
+        """Forgets a run that has ended."""
+        task = run.task
+        if run not in task.runs:
+            return
+        task.runs.remove(run)
+        left = self.per_worker.get(run.worker_id, 0) - 1
+        if left > 0:
+            self.per_worker[run.worker_id] = left
+        else:
+            self.per_worker.pop(run.worker_id, None)
+        if task.is_open:
+            self.open_tasks[task.index] = task
+
+    def note_done(self, task: Task) -> None:
+        """Counts the end of a task."""
+        if not task.is_done:
+            task.is_done = True
+            self.undone -= 1
+            self.open_tasks.pop(task.index, None)
+
+
+@attrs.define(eq=False)
+class JobRun:
+    """A job that has not ended.
+
+    Attributes:
+        spec: What was submitted.
+        accepted_ms: When it was accepted, on this host's monotonic clock.
+        steps: Steps of the occurrences that are due, by occurrence.
+        next_occurrence: The next repetition that is not due yet.
+        state: State as last recorded.
+        is_cancelled: A caller has cancelled it.
+        is_dirty: Its progress has to be recorded.
+        run_floor: Run numbers start above it; what an earlier owner may have
+            used lies below.
+        first_start_ms: When its first task was started; 0 before.
+    """
+
+    spec: specs.JobSpec
+    accepted_ms: int
+    steps: dict[int, list[StepRun]] = attrs.field(factory=dict)
+    next_occurrence: int = 0
+    state: records.JobState = records.JobState.QUEUED
+    is_cancelled: bool = False
+    is_dirty: bool = False
+    run_floor: int = 0
+    first_start_ms: int = 0
+
+    @property
+    def occurrence_count(self) -> int:
+        """How often its steps run."""
+        return max(self.spec.repetitions, 1)
+
+    def due_wall_ms(self, occurrence: int) -> int:
+        """Wall time at which a repetition is due; 0 for at once."""
+        if self.spec.repetitions == 0:
+            return 0
+        return self.spec.first_due_ms + occurrence * self.spec.interval_ms
+
+    def open_occurrence(self, occurrence: int) -> list[StepRun]:
+        """Creates the steps of a repetition."""
+        steps = []
+        for number, spec in enumerate(self.spec.steps):
+            step = StepRun(self, occurrence, number, spec)
+            for index in range(spec.task_count):
+                name = f"{step.name}.{index}"
+                task = Task(name, index, step, last_run=self.run_floor)
+                step.tasks.append(task)
+                step.open_tasks[index] = task
+            step.undone = spec.task_count
+            steps.append(step)
+        self.steps[occurrence] = steps
+        self.next_occurrence = max(self.next_occurrence, occurrence + 1)
+        return steps
+
+    def all_steps(self) -> Iterator[StepRun]:
+        """The steps of all repetitions that are due."""
+        for steps in self.steps.values():
+            yield from steps
+
+    def all_runs(self) -> Iterator[Run]:
+        """Every run that may still be there."""
+        for step in self.all_steps():
+            for task in step.tasks:
+                yield from task.runs
+
+    def find(self, occurrence: int, step: int, index: int) -> Task | None:
+        """A task by its numbers."""
+        steps = self.steps.get(occurrence)
+        if steps is None or not 0 <= step < len(steps):
+            return None
+        tasks = steps[step].tasks
+        return tasks[index] if 0 <= index < len(tasks) else None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every task of every repetition is done."""
+        if self.next_occurrence < self.occurrence_count:
+            return False
+        return all(step.undone == 0 for step in self.all_steps())
+
+    def is_ready(self, step: StepRun) -> bool:
+        """Whether all that a step depends on is done."""
+        siblings = self.steps[step.occurrence]
+        return all(
+            siblings[number].undone == 0
+            for number in step.spec.depends_on
+            if number < len(siblings)
+        )
+
+    def progress(self) -> records.ProgressRecord:
+        """What a later owner has to know."""
+        steps = []
+        for step in self.all_steps():
+            done = tuple(task.index for task in step.tasks if task.is_done)
+            failures = {
+                task.index: task.failures
+                for task in step.tasks
+                if task.failures and not task.is_done
+            }
+            checkpoints = {
+                task.index: task.checkpoint
+                for task in step.tasks
+                if task.checkpoint and not task.is_done
+            }
+            if done or failures or checkpoints:
+                steps.append(
+                    records.StepProgress(
+                        step.occurrence,
+                        step.number,
+                        done,
+                        failures,
+                        checkpoints,
+                    )
+                )
+        return records.ProgressRecord(
+            tuple(steps), self.state is not records.JobState.QUEUED
+        )
+
+    def restore(self, progress: records.ProgressRecord) -> None:
+        """Takes over what an earlier owner recorded."""
+        for part in progress.steps:
+            if part.occurrence not in self.steps:
+                self.open_occurrence(part.occurrence)
+            for index in part.done:
+                task = self.find(part.occurrence, part.step, index)
+                if task is not None:
+                    task.step.note_done(task)
+            for index, failures in part.failures.items():
+                task = self.find(part.occurrence, part.step, index)
+                if task is not None:
+                    task.failures = failures
+            for index, checkpoint in part.checkpoints.items():
+                task = self.find(part.occurrence, part.step, index)
+                if task is not None:
+                    task.checkpoint = checkpoint
+
+
+@attrs.frozen
+class TaskName:
+    """A task's id in its parts."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+
+def parse_task_name(name: str) -> TaskName | None:
+    """The parts of a task's id; None for what is not one."""
+    parts = name.split(".")
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- /dev/null
+++ b/src/comfreylatch/_process/cell/scribe.py
@@ -0,0 +1,227 @@
+"""Writes what the owner decides, fenced by its token."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import threading
+import time
+import types
+from typing import final
+from typing import Self
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import records
+
+# The owner is alive as far as others can tell while they see one of these;
+# a third of the time after which they take over.
+HEARTBEAT_INTERVAL_MS = 500
+APPEND_TIMEOUT_MS = 800
+RETRY_PAUSE_MS = 60
+# After this long without a recorded append the owner starts and renews
+# nothing. Longer than most outages of the store, as until then nobody else
+# can have restarted what runs at workers that they can't reach.
+AUTONOMY_MS = 4_500
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """What the next round of appends carries."""
+
+    jobs: dict[str, bytes | None] = attrs.field(factory=dict)
+    work: dict[str, bytes | None] = attrs.field(factory=dict)
+    recorded: list[Callable[[], None]] = attrs.field(factory=list)
+
+    @property
+    def is_empty(self) -> bool:
+        return not (self.jobs or self.work or self.recorded)
+
+
+@final
+class Scribe:
+    """A thread that appends the owner's records, one round after the other.
+
+    A context manager; leaving it writes what is pending, for a bounded time.
+
+    Args:
+        store: Where to write.
+        cell: Partition of both topics.
+        heartbeat: Written at each interval.
+        on_fenced: Called once when another host's epoch is higher.
+        clock: For intervals and the owner's autonomy.
+    """
+
+    def __init__(
+        self,
+        store: store_port.RecordStore,
+        cell: int,
+        heartbeat: records.HeartbeatRecord,
+        on_fenced: Callable[[str], None],
+        clock: clock_port.Clock,
+    ) -> None:
+        self._store = store
+        self._cell = cell
+        self._heartbeat = heartbeat
+        self._on_fenced = on_fenced
+        self._clock = clock
+        self._name = f"cell-{cell}"
+        self._sequences = {records.JOBS_TOPIC: 0, records.WORK_TOPIC: 0}
+        self._condition = threading.Condition()
+        self._pending = _Pending()
+        self._ended = False
+        self._is_fenced = False
+        self._appended_ms = clock.monotonic_ms()
+        self._beat_ms = 0
+        self._thread = threading.Thread(
+            target=self._run, name=f"scribe-{cell}", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        with self._condition:
+            self._ended = True
+            self._condition.notify_all()
+        self._thread.join(2 * APPEND_TIMEOUT_MS / 1_000)
+
+    def fence(self) -> int | None:
+        """Sets the epoch on both topics; None when another is higher.
+
+        Returns the offset of the first heartbeat. An owner before reads it
+        ahead of all jobs that follow, so that it starts none of those.
+        """
+        if self._append_until_known(records.WORK_TOPIC, ()) is None:
+            return None
+        beat = store_port.NewRecord(
+            records.HEARTBEAT_KEY, records.encode(self._heartbeat)
+        )
+        return self._append_until_known(records.JOBS_TOPIC, (beat,))
+
+    def may_act(self) -> bool:
+        """Whether the owner may start tasks and renew leases."""
+        age_ms = self._clock.monotonic_ms() - self._appended_ms
+        return not self._is_fenced and age_ms < AUTONOMY_MS
+
+    @property
+    def append_age_ms(self) -> int:
+        """How long ago the last recorded append was sent."""
+        return self._clock.monotonic_ms() - self._appended_ms
+
+    def release(self, last: records.HeartbeatRecord) -> None:
+        """Writes that the cell is given up, as the last of all."""
+        with self._condition:
+            self._heartbeat = last
+            self._beat_ms = 0
+            self._pending.recorded.append(lambda: None)
+            self._ended = True
+            self._condition.notify_all()
+
+    def write(
+        self,
+        jobs: dict[str, bytes | None],
+        work: dict[str, bytes | None],
+        recorded: Sequence[Callable[[], None]],
+    ) -> None:
+        """Queues records by key, and what to call when they are kept."""
+        if not (jobs or work or recorded):
+            return
+        with self._condition:
+            self._pending.jobs.update(jobs)
+            self._pending.work.update(work)
+            self._pending.recorded.extend(recorded)
+            self._condition.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._condition:
+                self._condition.wait_for(self._is_due, self._until_beat_s())
+                pending, self._pending = self._pending, _Pending()
+                is_last = self._ended
+            if self._is_fenced or (is_last and pending.is_empty):
+                return
+            self._write_round(pending)
+            if is_last:
+                return
+
+    def _is_due(self) -> bool:
+        return self._ended or not self._pending.is_empty
+
+    def _until_beat_s(self) -> float:
+        next_ms = self._beat_ms + HEARTBEAT_INTERVAL_MS
+        return max(next_ms - self._clock.monotonic_ms(), 0) / 1_000
+
+    def _write_round(self, pending: _Pending) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._beat_ms >= HEARTBEAT_INTERVAL_MS:
+            self._beat_ms = now_ms
+            pending.jobs[records.HEARTBEAT_KEY] = records.encode(
+                self._heartbeat
+            )
+        for topic, values in (
+            (records.JOBS_TOPIC, pending.jobs),
+            (records.WORK_TOPIC, pending.work),
+        ):
+            new = tuple(
+                store_port.NewRecord(key, value)
+                for key, value in values.items()
+            )
+            if new and self._append_until_known(topic, new) is None:
+                return
+        for recorded in pending.recorded:
+            recorded()
+
+    def _append_until_known(
+        self, topic: str, new: tuple[store_port.NewRecord, ...]
+    ) -> int | None:
+        """Appends, repeating with the same sequence until it is known.
+
+        Returns the first record's offset; None when it may not be known.
+        """
+        producer = store_port.Producer(
+            self._name, self._heartbeat.token, self._sequences[topic]
+        )
+        while not self._is_fenced:
+            sent_ms = self._clock.monotonic_ms()
+            match self._store.append(
+                topic,
+                self._cell,
+                new,
+                producer=producer,
+                timeout_ms=APPEND_TIMEOUT_MS,
+            ):
+                case result.Ok(offset):
+                    self._appended_ms = max(sent_ms, self._appended_ms)
+                    if new:
+                        self._sequences[topic] += 1
+                    return offset
+                case result.Err(store_port.ProducerFenced(detail)):
+                    self._is_fenced = True
+                    self._on_fenced(detail)
+                    return None
+                case result.Err(store_port.SequenceExpected(sequence)):
+                    self._sequences[topic] = sequence
+                    producer = attrs.evolve(producer, sequence=sequence)
+                    continue
+                case result.Err(error):
+                    logs.detail(
+                        _logger, "append-retried", topic=topic, error=error
+                    )
+            if self._ended and self.append_age_ms > 2 * APPEND_TIMEOUT_MS:
+                return None
+            time.sleep(RETRY_PAUSE_MS / 1_000)
+        return None
--- /dev/null
+++ b/src/comfreylatch/_process/cell/tail.py
@@ -0,0 +1,195 @@
+"""Follows one partition of the store and hands on what changes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+import types
+from typing import final
+from typing import Self
+
+import logbook
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import logs
+
+# Bounds how old a view that sees no changes can be: half of the two seconds
+# after which callers must not be answered from it.
+READ_WAIT_MS = 700
+# First and longest pause after a failed read; the store's outages are
+# answered at once, so that an eager reader would use up its call rate.
+RETRY_FIRST_MS = 50
+RETRY_LONGEST_MS = 400
+
+Apply = Callable[[tuple[store_port.StoredRecord, ...], bool], None]
+
+_logger = logbook.Logger(__name__)
+
+
+@final
+class Tail:
+    """A thread that reads a partition from its newest records on.
+
+    A context manager: entering starts the thread, leaving ends it.
+
+    Args:
+        store: Where the partition is.
+        topic: Its topic.
+        partition: Its number.
+        apply: Called with records in rising order of offset; the flag is set
+            where they are the newest of each key, all that there is.
+        clock: For ages.
+        read_wait_ms: How long a read waits for a record.
+        pause_ms: Least time between two reads, to read several at once.
+    """
+
+    def __init__(
+        self,
+        store: store_port.RecordStore,
+        topic: str,
+        partition: int,
+        apply: Apply,
+        clock: clock_port.Clock,
+        read_wait_ms: int = READ_WAIT_MS,
+        pause_ms: int = 0,
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._partition = partition
+        self._apply = apply
+        self._clock = clock
+        self._read_wait_ms = read_wait_ms
+        self._pause_ms = pause_ms
+        self._next_offset = -1
+        self._current_ms = -(10**9)
+        self._reachable_since_ms = clock.monotonic_ms()
+        self._is_reachable = True
+        self._ended = threading.Event()
+        self._moved = threading.Condition()
+        self._thread = threading.Thread(
+            target=self._run, name=f"tail-{topic}-{partition}", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._ended.set()
+
+    @property
+    def age_ms(self) -> int:
+        """How long ago the view was known to be current."""
+        return self._clock.monotonic_ms() - self._current_ms
+
+    @property
+    def reachable_ms(self) -> int:
+        """For how long every read has been answered; 0 when the last wasn't."""
+        if not self._is_reachable:
+            return 0
+        return self._clock.monotonic_ms() - self._reachable_since_ms
+
+    @property
+    def next_offset(self) -> int:
+        """Records below this offset are applied; -1 before the first read."""
+        return self._next_offset
+
+    def wait_for(self, offset: int, timeout_ms: int) -> bool:
+        """Waits until the record at an offset is applied."""
+        with self._moved:
+            return self._moved.wait_for(
+                lambda: self._next_offset > offset, timeout_ms / 1_000
+            )
+
+    def _run(self) -> None:
+        retry_ms = RETRY_FIRST_MS
+        while not self._ended.is_set():
+            if self._step():
+                retry_ms = RETRY_FIRST_MS
+                if self._pause_ms:
+                    self._ended.wait(self._pause_ms / 1_000)
+                continue
+            self._ended.wait(retry_ms / 1_000)
+            retry_ms = min(2 * retry_ms, RETRY_LONGEST_MS)
+
+    def _step(self) -> bool:
+        """One read; returns whether the store answered."""
+        asked_ms = self._clock.monotonic_ms()
+        is_whole = self._next_offset < 0
+        if is_whole:
+            answer = self._store.newest(self._topic, self._partition)
+        else:
+            answer = self._store.read(
+                self._topic,
+                self._partition,
+                self._next_offset,
+                self._read_wait_ms,
+            )
+        match answer:
+            case result.Ok(batch):
+                self._take(batch, is_whole, asked_ms)
+                return True
+            case result.Err(store_port.RecordsExpired(first_offset)):
+                logs.event(
+                    _logger,
+                    "records-expired",
+                    topic=self._topic,
+                    partition=self._partition,
+                    next_offset=self._next_offset,
+                    first_offset=first_offset,
+                )
+                self._next_offset = -1
+                return True
+            case result.Err(error):
+                self._note_lost(error.detail)
+                return False
+
+    def _take(
+        self, batch: store_port.StoreBatch, is_whole: bool, asked_ms: int
+    ) -> None:
+        if not self._is_reachable:
+            now_ms = self._clock.monotonic_ms()
+            logs.event(
+                _logger,
+                "store-regained",
+                topic=self._topic,
+                partition=self._partition,
+                away_ms=now_ms - self._current_ms,
+            )
+            self._is_reachable = True
+            self._reachable_since_ms = now_ms
+        if not is_whole and batch.end_offset < self._next_offset:
+            # The store has forgotten records that it gave us; start anew.
+            self._next_offset = -1
+            return
+        if batch.records or is_whole:
+            self._apply(batch.records, is_whole)
+        with self._moved:
+            self._next_offset = batch.next_offset
+            self._moved.notify_all()
+        # An answer without records waited for some until it came.
+        is_current = batch.next_offset >= batch.end_offset
+        if not batch.records:
+            self._current_ms = self._clock.monotonic_ms()
+        elif is_current:
+            self._current_ms = max(asked_ms, self._current_ms)
+
+    def _note_lost(self, detail: str) -> None:
+        if not self._is_reachable:
+            return
+        self._is_reachable = False
+        logs.warning(
+            _logger,
+            "store-lost",
+            topic=self._topic,
+            partition=self._partition,
+            detail=detail,
+            next_offset=self._next_offset,
+        )
--- /dev/null
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -0,0 +1,436 @@
+"""Decides when a host takes over a cell, and takes it over.
+
+The owner writes a heartbeat to the topic of jobs. A host that has seen none
+for a while, though it reads the topic well, appends a claim at the end of the
+topic of claims, which only one host can. The claim's offset gives the fencing
+token, by which the store and the workers refuse the owner before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+from typing import final
+
+import attrs
+import logbook
+import result
+import xxhash
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import events
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import owner as owner_module
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import scribe as scribe_module
+from comfreylatch._process.cell import tail as tail_module
+from comfreylatch._process.cell import worker_table
+from comfreylatch._process.cell import worker_view
+
+# Three heartbeats. Shorter, and a slow append of the owner would cost it its
+# cell; longer, and the work of a dead owner waits.
+TAKEOVER_MS = 1_500
+# Hosts come forward one after the other, so that few claims collide.
+LONGEST_TURN_MS = 240
+# Hosts of the zone of an owner that gave up as it reached few workers wait
+# this much longer than others.
+ISOLATED_ZONE_WAIT_MS = 2_000
+# For how long most workers must be out of reach before the owner gives up.
+ISOLATION_MS = 900
+LOOK_INTERVAL_MS = 40
+CLAIM_TIMEOUT_MS = 800
+CATCH_UP_MS = 3_000
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class HostIdentity:
+    """This host and this life of its process.
+
+    Attributes:
+        name: The host's name; a restarted process has the same.
+        boot: Differs with each life.
+        zone: Availability zone.
+        core_share: Processors it may use; hosts with more come first.
+    """
+
+    name: str
+    boot: str
+    zone: str
+    core_share: float
+
+    @property
+    def turn_ms(self) -> int:
+        """How long it lets others go first."""
+        spread = xxhash.xxh32_intdigest(self.name.encode()) % 100 / 100
+        weakness = 1 / (1 + self.core_share)
+        return int(LONGEST_TURN_MS * (0.5 * spread + 0.5 * weakness))
+
+
+@attrs.frozen
+class ClaimView:
+    """What the decision to claim a cell rests on.
+
+    Attributes:
+        now_ms: Monotonic time.
+        view_age_ms: How long ago the topic of jobs was known to be current.
+        reachable_ms: For how long all reads have been answered.
+        owner: Newest heartbeat and when it was seen.
+        started_ms: When this process began to look.
+    """
+
+    now_ms: int
+    view_age_ms: int
+    reachable_ms: int
+    owner: job_book.OwnerSighting | None
+    started_ms: int
+
+
+def reason_to_claim(view: ClaimView, host: HostIdentity) -> str:
+    """Why a host should claim a cell now; empty when it should not."""
+    if view.view_age_ms > TAKEOVER_MS:
+        return ""
+    sighting = view.owner
+    if sighting is None:
+        waited_ms = view.now_ms - view.started_ms
+        return "no-owner" if waited_ms >= host.turn_ms else ""
+    beat = sighting.heartbeat
+    silent_ms = view.now_ms - sighting.seen_ms
+    if beat.host == host.name and beat.boot != host.boot:
+        return "restarted"
+    if beat.is_released:
+        is_cut_off = beat.is_isolated and beat.zone == host.zone
+        wait_ms = ISOLATED_ZONE_WAIT_MS if is_cut_off else 0
+        is_over = silent_ms >= wait_ms + host.turn_ms
+        return "released" if is_over else ""
+    quiet_ms = min(silent_ms, view.reachable_ms)
+    if quiet_ms >= TAKEOVER_MS + host.turn_ms:
+        return "owner-silent"
+    return ""
+
+
+@attrs.frozen
+class TenureParts:
+    """What a tenure needs of its host.
+
+    Attributes:
+        cell: Number of the cell.
+        store: The platform's store.
+        book: View of the cell's jobs.
+        jobs_tail: Feeds the book.
+        connect: Opens the orders to a worker.
+        follow_workers: Makes a tail that reports all workers of the cell
+            at each change.
+        lease_ms: Length of leases at workers.
+        clock: For all times.
+    """
+
+    cell: int
+    store: store_port.RecordStore
+    book: job_book.JobBook
+    jobs_tail: tail_module.Tail
+    connect: worker_table.Connect
+    follow_workers: Callable[
+        [Callable[[dict[str, cell_workers.WorkerEntry]], None]],
+        tail_module.Tail,
+    ]
+    lease_ms: int
+    clock: clock_port.Clock
+
+
+@attrs.define(eq=False)
+class _Work:
+    """What the owner before has recorded."""
+
+    progress: dict[str, records.ProgressRecord] = attrs.field(factory=dict)
+    workers: records.WorkersRecord = records.WorkersRecord()
+
+
+@final
+class Tenure:
+    """Watches a cell and owns it when it has to. Runs in its own thread."""
+
+    def __init__(self, parts: TenureParts, host: HostIdentity) -> None:
+        self._parts = parts
+        self._host = host
+        self._stopping = threading.Event()
+        self._finished = threading.Event()
+        self._started_ms = parts.clock.monotonic_ms()
+        self._isolated_since_ms = 0
+        self._disputed_offset = -1
+        self._disputed_ms = 0
+        self.is_owner = False
+
+    def start(self) -> None:
+        """Begins to watch the cell."""
+        threading.Thread(
+            target=self._watch, name=f"tenure-{self._parts.cell}", daemon=True
+        ).start()
+
+    def stop(self, timeout_ms: int) -> None:
+        """Gives the cell up, if it is owned, and never claims it again."""
+        self._stopping.set()
+        self._finished.wait(timeout_ms / 1_000)
+
+    def _watch(self) -> None:
+        try:
+            while not self._stopping.wait(LOOK_INTERVAL_MS / 1_000):
+                self._look()
+        finally:
+            self._finished.set()
+
+    def _look(self) -> None:
+        parts = self._parts
+        view = ClaimView(
+            now_ms=parts.clock.monotonic_ms(),
+            view_age_ms=parts.jobs_tail.age_ms,
+            reachable_ms=parts.jobs_tail.reachable_ms,
+            owner=parts.book.owner,
+            started_ms=self._started_ms,
+        )
+        reason = reason_to_claim(view, self._host)
+        if not reason:
+            return
+        token = self._claim(reason)
+        if token is None:
+            return
+        predecessor = view.owner.heartbeat if view.owner else None
+        try:
+            self._own(token, predecessor)
+        except Exception:
+            logs.failure(_logger, "owner-failed", cell=parts.cell, token=token)
+        finally:
+            parts.book.listen(None)
+            self.is_owner = False
+
+    def _claim(self, reason: str) -> int | None:
+        """Tries to claim the cell; returns the fencing token."""
+        parts = self._parts
+        match parts.store.newest(
+            records.CLAIMS_TOPIC, records.CLAIMS_PARTITION
+        ):
+            case result.Ok(claims):
+                pass
+            case result.Err(_):
+                return None
+        key = f"cell/{parts.cell}"
+        if self._is_disputed(claims.records, key):
+            return None
+        claim = records.ClaimRecord(
+            parts.cell, self._host.name, self._host.boot, self._host.zone
+        )
+        outcome = parts.store.append(
+            records.CLAIMS_TOPIC,
+            records.CLAIMS_PARTITION,
+            (store_port.NewRecord(key, records.encode(claim)),),
+            at_offset=claims.end_offset,
+            timeout_ms=CLAIM_TIMEOUT_MS,
+        )
+        logs.event(
+            _logger,
+            "claim",
+            cell=parts.cell,
+            reason=reason,
+            at_offset=claims.end_offset,
+            outcome=outcome,
+        )
+        match outcome:
+            case result.Ok(offset):
+                return offset + 1
+            case result.Err(store_port.StoreAnswerLost(_)):
+                return self._own_claim(key)
+        return None
+
+    def _is_disputed(
+        self, claims: tuple[store_port.StoredRecord, ...], key: str
+    ) -> bool:
+        """Whether another host has claimed since the newest heartbeat."""
+        for record in claims:
+            if record.key != key or record.value is None:
+                continue
+            sighting = self._parts.book.owner
+            seen_token = sighting.heartbeat.token if sighting else 0
+            if record.offset + 1 <= seen_token:
+                return False
+            now_ms = self._parts.clock.monotonic_ms()
+            if record.offset != self._disputed_offset:
+                self._disputed_offset = record.offset
+                self._disputed_ms = now_ms
+            # The claimant gets as long to show itself as a silent owner.
+            claim = records.decode(records.ClaimRecord, record.value)
+            is_mine = claim.host == self._host.name
+            return not is_mine and now_ms - self._disputed_ms < TAKEOVER_MS
+        return False
+
+    def _own_claim(self, key: str) -> int | None:
+        """The token of a claim whose answer was lost, if it was made."""
+        match self._parts.store.newest(
+            records.CLAIMS_TOPIC, records.CLAIMS_PARTITION
+        ):
+            case result.Ok(claims):
+                for record in claims.records:
+                    if record.key != key or record.value is None:
+                        continue
+                    claim = records.decode(records.ClaimRecord, record.value)
+                    if claim.boot == self._host.boot:
+                        return record.offset + 1
+        return None
+
+    def _own(
+        self, token: int, predecessor: records.HeartbeatRecord | None
+    ) -> None:
+        parts = self._parts
+        heartbeat = records.HeartbeatRecord(
+            self._host.name, self._host.boot, token, zone=self._host.zone
+        )
+        inbox: list[Callable[[events.Event], None]] = []
+
+        def on_fenced(detail: str) -> None:
+            for post in inbox:
+                post(events.Fenced(detail))
+
+        with scribe_module.Scribe(
+            parts.store, parts.cell, heartbeat, on_fenced, parts.clock
+        ) as scribe:
+            inheritance = self._take_over(token, scribe, predecessor)
+            if inheritance is None:
+                return
+            with owner_module.Owner(
+                inheritance,
+                scribe,
+                parts.connect,
+                parts.lease_ms,
+                parts.clock,
+            ) as owner:
+                inbox.append(owner.post)
+                for entry in parts.book.listen(owner.post_change):
+                    if entry.spec is None:
+                        continue
+                    owner.post_change(job_book.JobAdded(entry.spec))
+                    if entry.is_cancelled:
+                        owner.post_change(
+                            job_book.JobCancelled(entry.spec.job_id)
+                        )
+                self.is_owner = True
+                self._run(owner, scribe, heartbeat)
+
+    def _run(
+        self,
+        owner: owner_module.Owner,
+        scribe: scribe_module.Scribe,
+        heartbeat: records.HeartbeatRecord,
+    ) -> None:
+        def on_workers(
+            entries: dict[str, cell_workers.WorkerEntry],
+        ) -> None:
+            owner.post(events.WorkersListed(entries))
+
+        self._isolated_since_ms = 0
+        with self._parts.follow_workers(on_workers):
+            reason = owner.run(lambda: self._reason_to_stop(owner, heartbeat))
+        logs.event(
+            _logger,
+            "tenure-ended",
+            cell=self._parts.cell,
+            token=heartbeat.token,
+            reason=reason,
+        )
+        if reason in ("stopping", "isolated"):
+            last = attrs.evolve(
+                heartbeat,
+                is_released=True,
+                is_isolated=reason == "isolated",
+            )
+            scribe.release(last)
+
+    def _reason_to_stop(
+        self,
+        owner: owner_module.Owner,
+        heartbeat: records.HeartbeatRecord,
+    ) -> str:
+        if self._stopping.is_set():
+            return "stopping"
+        sighting = self._parts.book.owner
+        if sighting and sighting.heartbeat.token > heartbeat.token:
+            return f"superseded by {sighting.heartbeat.host}"
+        now_ms = self._parts.clock.monotonic_ms()
+        if not owner.is_isolated:
+            self._isolated_since_ms = 0
+        elif self._isolated_since_ms == 0:
+            self._isolated_since_ms = now_ms
+        elif now_ms - self._isolated_since_ms > ISOLATION_MS:
+            return "isolated"
+        return ""
+
+    def _take_over(
+        self,
+        token: int,
+        scribe: scribe_module.Scribe,
+        predecessor: records.HeartbeatRecord | None,
+    ) -> owner_module.Inheritance | None:
+        """Fences the owner before and reads what it has recorded."""
+        parts = self._parts
+        started_ms = parts.clock.monotonic_ms()
+        first_offset = scribe.fence()
+        if first_offset is None:
+            return None
+        # The book then has all that the owner before may have started.
+        if not parts.jobs_tail.wait_for(first_offset, CATCH_UP_MS):
+            return None
+        work = self._read_work()
+        if work is None:
+            return None
+        lease_ms = int(parts.lease_ms / (1 - worker_view.CLOCK_DRIFT))
+        release_after_ms = started_ms + lease_ms
+        if predecessor is None:
+            release_after_ms = started_ms
+        elif not (
+            predecessor.is_released or predecessor.host == self._host.name
+        ):
+            release_after_ms += scribe_module.AUTONOMY_MS
+        jobs = parts.book.listen(None)
+        logs.event(
+            _logger,
+            "takeover",
+            cell=parts.cell,
+            token=token,
+            predecessor=predecessor,
+            jobs=len(jobs),
+            took_ms=parts.clock.monotonic_ms() - started_ms,
+        )
+        return owner_module.Inheritance(
+            token,
+            tuple(jobs),
+            work.progress,
+            release_after_ms,
+            work.workers.born_ms,
+        )
+
+    def _read_work(self) -> _Work | None:
+        match self._parts.store.newest(records.WORK_TOPIC, self._parts.cell):
+            case result.Ok(batch):
+                pass
+            case result.Err(_):
+                return None
+        work = _Work()
+        for record in batch.records:
+            if record.value is None:
+                continue
+            try:
+                if record.key == records.WORKERS_KEY:
+                    work.workers = records.decode(
+                        records.WorkersRecord, record.value
+                    )
+                else:
+                    work.progress[record.key] = records.decode(
+                        records.ProgressRecord, record.value
+                    )
+            except records.BadRecordError as error:
+                logs.warning(
+                    _logger, "bad-record", key=record.key, detail=str(error)
+                )
+        return work
--- /dev/null
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -0,0 +1,279 @@
+"""The owner's two threads for one life of a worker: leases and orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import queue
+import threading
+import types
+from typing import final
+from typing import Self
+
+import attrs
+import result
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process.cell import events
+from comfreylatch._process.cell import runs as runs_module
+
+# A worker answers a hold at the latest after this long, so that its figures
+# are about a second old at most; the platform allows 2,000.
+HOLD_WAIT_MS = 1_000
+# Round trips take 12 ms at most where zones are slow to reach; the rest is
+# room for a host that gets a share of a core only.
+ORDER_TIMEOUT_MS = 450
+HOLD_TIMEOUT_MS = 700
+# Sendings of a start before the owner is told that it is in doubt.
+START_TRIES = 2
+FAILED_HOLD_PAUSE_MS = 150
+# How long the hold thread waits for its ends to be recorded before it renews
+# the lease without having them forgotten.
+RECORD_WAIT_MS = 300
+
+Post = Callable[[events.Event], None]
+
+
+@attrs.frozen
+class LeaseTerms:
+    """The owner's part in leases.
+
+    Attributes:
+        token: Fencing token.
+        lease_ms: Length of a lease on the worker's clock.
+        may_renew: Whether the owner may still act as such.
+    """
+
+    token: int
+    lease_ms: int
+    may_renew: Callable[[], bool]
+
+
+@attrs.frozen
+class _Start:
+    run: runs_module.Run
+    payload: str
+    checkpoint: str
+    ticket: str
+
+
+@attrs.frozen
+class _Stop:
+    run: runs_module.Run | None
+    task: str
+    number: int
+
+
+@attrs.frozen
+class _Pace:
+    task: str
+    number: int
+    percent: int
+
+
+@final
+class WorkerSession:
+    """Holds the lease of a worker and sends it orders, one after the other.
+
+    A context manager: entering starts its threads, leaving tells them to end
+    and closes the connections under them.
+    """
+
+    def __init__(
+        self,
+        entry: cell_workers.WorkerEntry,
+        orders: cell_workers.WorkerOrders,
+        terms: LeaseTerms,
+        post: Post,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._entry = entry
+        self._orders = orders
+        self._terms = terms
+        self._post = post
+        self._clock = clock
+        self._ended = threading.Event()
+        self._seen = 0
+        self._listed_end = 0
+        self._clock_ms = 0
+        self._clock_read_ms = 0
+        self._latest_deadline_ms = 0
+        self._recorded = threading.Condition()
+        self._queue: queue.SimpleQueue[_Start | _Stop | _Pace | None] = (
+            queue.SimpleQueue()
+        )
+
+    def __enter__(self) -> Self:
+        for target in (self._hold_loop, self._order_loop):
+            threading.Thread(
+                target=target,
+                name=f"worker-{self._entry.worker_id}",
+                daemon=True,
+            ).start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._ended.set()
+        self._queue.put(None)
+        with self._recorded:
+            self._recorded.notify_all()
+        self._orders.close()
+
+    @property
+    def entry(self) -> cell_workers.WorkerEntry:
+        """The worker, in the life that the session is for."""
+        return self._entry
+
+    @property
+    def latest_deadline_ms(self) -> int:
+        """Latest end of lease sent, on the worker's clock."""
+        return self._latest_deadline_ms
+
+    def start(
+        self,
+        run: runs_module.Run,
+        payload: str,
+        checkpoint: str,
+        ticket: str,
+    ) -> None:
+        """Queues the start of a run."""
+        self._queue.put(_Start(run, payload, checkpoint, ticket))
+
+    def stop(self, run: runs_module.Run | None, task: str, number: int) -> None:
+        """Queues the stop of a run."""
+        self._queue.put(_Stop(run, task, number))
+
+    def pace(self, task: str, number: int, percent: int) -> None:
+        """Queues a new pace for a run."""
+        self._queue.put(_Pace(task, number, percent))
+
+    def acknowledge(self, seen_end: int) -> None:
+        """Lets the worker forget its ends up to a number."""
+        with self._recorded:
+            self._seen = max(self._seen, seen_end)
+            self._recorded.notify_all()
+
+    def _deadline_ms(self) -> int:
+        """End of a lease renewed now; 0 when none may be given."""
+        if self._clock_read_ms == 0 or not self._terms.may_renew():
+            return 0
+        elapsed_ms = self._clock.monotonic_ms() - self._clock_read_ms
+        deadline_ms = self._clock_ms + elapsed_ms + self._terms.lease_ms
+        self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
+        return deadline_ms
+
+    def _hold_loop(self) -> None:
+        wait_ms = 0
+        while not self._ended.is_set():
+            sent_ms = self._clock.monotonic_ms()
+            deadline_ms = self._deadline_ms()
+            outcome = self._orders.hold(
+                cell_workers.HoldOrder(
+                    self._terms.token, self._seen, deadline_ms, wait_ms
+                ),
+                wait_ms + HOLD_TIMEOUT_MS,
+            )
+            if self._ended.is_set():
+                return
+            received_ms = self._clock.monotonic_ms()
+            wait_ms = HOLD_WAIT_MS
+            match outcome:
+                case result.Ok(answer):
+                    first = self._clock_read_ms == 0
+                    self._clock_ms = answer.clock_ms
+                    self._clock_read_ms = received_ms
+                    if first:
+                        # The clock was unknown, so nothing was renewed yet.
+                        wait_ms = 0
+            self._post(
+                events.HoldReturned(
+                    self._entry.worker_id,
+                    self._entry.born_ms,
+                    sent_ms,
+                    received_ms,
+                    deadline_ms,
+                    outcome,
+                )
+            )
+            match outcome:
+                case result.Ok(answer):
+                    if not self._wait_recorded(answer):
+                        wait_ms = 0
+                case result.Err(_):
+                    wait_ms = 0
+                    self._ended.wait(FAILED_HOLD_PAUSE_MS / 1_000)
+
+    def _wait_recorded(self, answer: cell_workers.HoldAnswer) -> bool:
+        """Waits until the ends of an answer are recorded, for a while."""
+        if not answer.ended:
+            return True
+        last = answer.ended[-1].number
+        with self._recorded:
+            return self._recorded.wait_for(
+                lambda: self._seen >= last or self._ended.is_set(),
+                RECORD_WAIT_MS / 1_000,
+            )
+
+    def _order_loop(self) -> None:
+        while True:
+            order = self._queue.get()
+            if order is None or self._ended.is_set():
+                return
+            match order:
+                case _Start():
+                    self._send_start(order)
+                case _Stop():
+                    self._send_stop(order)
+                case _Pace():
+                    self._orders.pace(
+                        cell_workers.PaceOrder(
+                            order.task,
+                            order.number,
+                            order.percent,
+                            self._terms.token,
+                        ),
+                        ORDER_TIMEOUT_MS,
+                    )
+
+    def _send_start(self, order: _Start) -> None:
+        tries = 0
+        sent_ms = self._clock.monotonic_ms()
+        outcome: result.Result[int, cell_workers.OrderError] = result.Err(
+            cell_workers.OrderNotSent("the owner may not start tasks now")
+        )
+        while tries < START_TRIES:
+            deadline_ms = self._deadline_ms()
+            if deadline_ms == 0:
+                break
+            tries += 1
+            outcome = self._orders.start(
+                cell_workers.StartOrder(
+                    task=order.run.task.name,
+                    run=order.run.number,
+                    payload=order.payload,
+                    deadline_ms=deadline_ms,
+                    token=self._terms.token,
+                    checkpoint=order.checkpoint,
+                    ticket=order.ticket,
+                ),
+                ORDER_TIMEOUT_MS,
+            )
+            match outcome:
+                case result.Err(cell_workers.OrderUnanswered()):
+                    continue
+            break
+        self._post(events.StartReturned(order.run, sent_ms, tries, outcome))
+
+    def _send_stop(self, order: _Stop) -> None:
+        outcome = self._orders.stop(
+            cell_workers.StopOrder(order.task, order.number, self._terms.token),
+            ORDER_TIMEOUT_MS,
+        )
+        self._post(
+            events.StopReturned(self._entry.worker_id, order.run, outcome)
+        )
--- /dev/null
+++ b/src/comfreylatch/platform/wire.py
@@ -0,0 +1,384 @@
+"""The platform's messages, with what each field holds.
+
+The attribute names are the project's; `rename` gives the platform's. All
+numbers may come as whole numbers or fractions unless a page says otherwise.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+_Message = TypeVar("_Message")
+
+
+class BadMessageError(ValueError):
+    """A message does not have the form that the platform's pages give."""
+
+
+class Capacity(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "cpu_millicores": "CpuMillicores",
+        "memory_mb": "RequestedMemoryMb",
+        "gpus": "Gpus",
+    },
+):
+    """What an executor has. The memory is its own, not a request."""
+
+    cpu_millicores: float = 0
+    memory_mb: float = 0
+    gpus: float = 0
+
+
+class Step(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "task_count": "TaskCount",
+        "cpu_millicores": "CpuMillicores",
+        "memory_mb": "RequestedMemoryMb",
+        "gpus": "Gpus",
+        "estimated_ms": "EstimatedDurationMs",
+        "depends_on": "DependsOn",
+        "has_checkpoints": "Checkpointing",
+        "is_gang": "Gang",
+        "needs_one_rack": "SameRack",
+        "required_label": "Requirements",
+        "data_rack": "DataRack",
+        "max_per_worker": "AntiAffinity",
+        "is_speculative": "Speculative",
+        "is_lasting": "Perpetual",
+        "image": "Image",
+        "tail_target_ms": "TargetMs",
+        "fills_idle": "Fills",
+        "max_unavailable": "MaxUnavailable",
+    },
+):
+    """A step of a submission.
+
+    `Requirements` is a single label; `AntiAffinity` is a number of tasks.
+    """
+
+    task_count: int = 0
+    cpu_millicores: float = 0
+    memory_mb: float = 0
+    gpus: float = 0
+    estimated_ms: float = 0
+    depends_on: tuple[int, ...] = ()
+    has_checkpoints: bool = False
+    is_gang: bool = False
+    needs_one_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    is_speculative: bool = False
+    is_lasting: bool = False
+    image: str = ""
+    tail_target_ms: float = 0
+    fills_idle: bool = False
+    max_unavailable: int = 0
+
+
+class Submission(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "payload": "Specification",
+        "steps": "JobSteps",
+        "repetitions": "Repetitions",
+        "first_due_ms": "StartTimeMs",
+        "interval_ms": "IntervalMs",
+    },
+):
+    """What a caller hands in; `Specification` is text for the tasks."""
+
+    steps: tuple[Step, ...]
+    payload: str = ""
+    repetitions: int = 0
+    first_due_ms: float = 0
+    interval_ms: float = 0
+
+
+class Advice(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "decision_ms": "DecisionMs",
+        "per_worker_ms": "PerWorkerMs",
+        "valid_ms": "ValidityMs",
+    },
+):
+    """A queue's terms for advice."""
+
+    decision_ms: float = 0
+    per_worker_ms: float = 0
+    valid_ms: float = 0
+
+
+class Route(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "name": "Name",
+        "host": "Host",
+        "prefix": "PathPrefix",
+        "service": "Service",
+        "priority": "Priority",
+        "max_attempts": "MaxAttempts",
+        "slack_factor": "SlackFactor",
+        "target_ms": "TargetCompletionMs",
+        "advice": "Recommendation",
+    },
+):
+    """A queue. `TargetCompletionMs` is added to the slack, not a total."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_ms: float = 0
+    advice: Advice | None = None
+
+
+class Service(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "name": "Name",
+        "guards_capacity": "EnforcesCapacity",
+        "is_standby": "Standby",
+        "health_path": "HealthCheckPath",
+    },
+):
+    """A pool of workers."""
+
+    name: str
+    guards_capacity: bool = False
+    is_standby: bool = False
+    health_path: str = ""
+
+
+class Configuration(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "version": "Version",
+        "routes": "Routes",
+        "services": "Services",
+    },
+):
+    """The newest configuration, in full."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+
+
+class WorkerRecord(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "service": "Service",
+        "address": "Address",
+        "zone": "Zone",
+        "state": "State",
+        "capacity": "Capacity",
+        "labels": "Labels",
+    },
+):
+    """What an executor publishes; its id is the record's key."""
+
+    service: str
+    address: str
+    state: str
+    capacity: Capacity
+    zone: str = ""
+    labels: tuple[str, ...] = ()
+    born: int = 0
+
+
+class HoldReply(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "clock_ms": "ClockMs",
+        "running": "Running",
+        "ended": "Ended",
+    },
+):
+    """An executor's lists.
+
+    `running` has rows of task, run, checkpoint, percent and reading, `ended`
+    rows of number, task, run, how it ended and checkpoint.
+    """
+
+    clock_ms: float
+    running: tuple[tuple[Any, ...], ...] = ()
+    ended: tuple[tuple[int, str, int, str, str], ...] = ()
+    born: int = 0
+
+
+class OrderReply(
+    msgspec.Struct,
+    frozen=True,
+    rename={"clock_ms": "ClockMs", "reason": "Reason"},
+):
+    """An executor's answer to an order."""
+
+    clock_ms: float = 0
+    reason: str = ""
+
+
+class AppendReply(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "offset": "Offset",
+        "end_offset": "EndOffset",
+        "reason": "Reason",
+        "sequence": "Sequence",
+        "first_offset": "FirstOffset",
+    },
+):
+    """The store's answer to an append or a read that it refused."""
+
+    offset: int = 0
+    end_offset: int = 0
+    reason: str = ""
+    sequence: int = 0
+    first_offset: int = 0
+
+
+class NewestItem(
+    msgspec.Struct,
+    frozen=True,
+    rename={"key": "Key", "value": "Value", "offset": "Offset"},
+):
+    """The newest record of a key; the value is base64."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+class NewestReply(
+    msgspec.Struct,
+    frozen=True,
+    rename={"has_more": "HasMore", "end_offset": "EndOffset"},
+):
+    """A page of the newest records."""
+
+    items: tuple[NewestItem, ...] = ()
+    has_more: bool = False
+    end_offset: int = 0
+
+
+class StoreSettings(
+    msgspec.Struct,
+    frozen=True,
+    rename={"address": "Address", "partitions": "parts"},
+):
+    """Where the store is, and the partitions of a topic."""
+
+    address: str
+    partitions: int = 1
+
+
+class MachinesSettings(
+    msgspec.Struct, frozen=True, rename={"address": "Address"}
+):
+    """Where the machines' API is."""
+
+    address: str = ""
+
+
+class Limits(
+    msgspec.Struct,
+    frozen=True,
+    rename={"cpu_share": "CpuShare", "cores": "Cores"},
+):
+    """What the machine may use; `CpuShare` is of each of its cores."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
+class ListenAddresses(
+    msgspec.Struct,
+    frozen=True,
+    rename={"callers": "Frontend", "readiness": "Readiness"},
+):
+    """Addresses to listen on."""
+
+    callers: str
+    readiness: str
+
+
+class Bounds(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "lease_ms": "MaxHoldMs",
+        "grace_s": "GracePeriodS",
+        "drain_ms": "DrainTimeoutMs",
+        "status_s": "status_s",
+    },
+):
+    """Bounds that the platform sets; `MaxHoldMs` is the longest lease."""
+
+    lease_ms: float = 6_000
+    grace_s: float = 6
+    drain_ms: float = 2_000
+    status_s: float = 120
+
+
+class Settings(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "name": "NodeName",
+        "address": "IpAddress",
+        "zone": "Zone",
+        "listen": "ListenAddresses",
+        "internal_ports": "InternalPortRange",
+        "limits": "Limits",
+        "advice_address": "Recommendation",
+        "store": "platform",
+        "machines": "CloudApi",
+        "bounds": "Bounds",
+        "contracts": "Contracts",
+    },
+):
+    """The settings file of a process, as far as it is used."""
+
+    name: str
+    address: str
+    zone: str
+    listen: ListenAddresses
+    store: StoreSettings
+    internal_ports: tuple[int, int] = (0, 0)
+    limits: Limits = Limits()
+    advice_address: str | None = None
+    machines: MachinesSettings | None = None
+    bounds: Bounds = Bounds()
+    contracts: tuple[str, ...] = ()
+
+
+def decode(kind: type[_Message], body: bytes) -> _Message:
+    """Decodes a message; raises `BadMessageError`."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadMessageError(f"{kind.__name__}: {error}") from error
+
+
+def encode(message: object) -> bytes:
+    """Encodes a body."""
+    return msgspec.json.encode(message)
