Learn how tasks that fill disturb lasting ones, and place and pace by it

Cause: tasks that fill were placed by idle processors alone; two or three images in nine push the tails of what they sit beside over their targets.

--- /dev/null
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -0,0 +1,238 @@
+"""How much tasks that fill idle processors disturb lasting tasks beside them.
+
+A lasting task's tail latency is modelled as that of a queue: `base / (1 - x)`
+where `x` is the sum of the task's own load and of the pressure of each task
+that fills beside it. A filling task's pressure is its use of the worker's
+processors times a coefficient, which depends on both images and is learned
+from the tails and uses that workers report.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_view
+
+# Coefficient of a pair of images of which nothing is known: between those of
+# harmless images (about 0.2) and of harmful ones (about 1.8).
+UNKNOWN_PRESSURE = 0.7
+HIGHEST_PRESSURE = 6.0
+# Share of an error that a task's own load takes at once, as load changes in
+# seconds, and the share that goes to the coefficients.
+LOAD_RATE = 0.35
+PRESSURE_RATE = 0.12
+# Error above which a reading is so far off the model's range that it only
+# says that there is too much pressure.
+SATURATED = 0.93
+# Uses below this share of a worker say nothing of a coefficient.
+LEAST_USE = 0.01
+# A task's peak load is forgotten at this rate, in load a second; its load
+# comes back to its peak every ten seconds or so.
+PEAK_DECAY_PER_S = 0.03
+# Until a task has shown its load; the middle of what loads have been seen.
+UNKNOWN_LOAD = 0.45
+# Part of a tail target that is planned for; the rest is for what the model
+# does not know.
+TARGET_SHARE = 0.85
+# A task that has just started serves slowly whatever is beside it.
+SETTLING_MS = 1_500
+# Base of an image's tail relative to its target, until lower tails are seen.
+BASE_SHARE = 0.25
+FULL_PACE = 100
+PACE_STEP = 10
+# Head room that a pace is raised into, so that it isn't lowered at once.
+RAISE_MARGIN = 0.04
+
+
+@attrs.define(eq=False)
+class ServingLoad:
+    """What is known of a lasting task's own load, as a share of capacity."""
+
+    load: float = UNKNOWN_LOAD
+    peak: float = UNKNOWN_LOAD
+    updated_ms: int = 0
+
+
+@attrs.frozen
+class PaceChange:
+    """A run that should work at another pace."""
+
+    run: runs_module.Run
+    percent: int
+
+
+@final
+class DisturbanceModel:
+    """Learns pressures and plans with them. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._by_image: dict[str, float] = {}
+        self._by_pair: dict[tuple[str, str], float] = {}
+        self._base_ms: dict[str, float] = {}
+        self._loads: dict[runs_module.Run, ServingLoad] = {}
+
+    def pressure(self, serving: str, filling: str) -> float:
+        """Coefficient of a filling image on a serving image."""
+        common = self._by_image.get(filling, UNKNOWN_PRESSURE)
+        return max(common + self._by_pair.get((serving, filling), 0.0), 0.0)
+
+    def _base(self, run: runs_module.Run) -> float:
+        spec = run.task.step.spec
+        guess = spec.tail_target_ms * BASE_SHARE
+        return min(self._base_ms.get(spec.image, guess), guess)
+
+    def limit(self, run: runs_module.Run) -> float:
+        """Sum of load and pressures at which a task nears its target."""
+        target_ms = run.task.step.spec.tail_target_ms
+        return 1 - self._base(run) / (TARGET_SHARE * target_ms)
+
+    def load(self, run: runs_module.Run) -> ServingLoad:
+        """What is known of a lasting task's own load."""
+        return self._loads.setdefault(run, ServingLoad())
+
+    def forget(self, run: runs_module.Run) -> None:
+        """Drops what is known of a run that has ended."""
+        self._loads.pop(run, None)
+
+    def learn(self, worker: worker_view.WorkerView, now_ms: int) -> None:
+        """Takes in a worker's newest readings."""
+        fills = list(_fills(worker))
+        cpu = max(worker.entry.capacity.cpu_millicores, 1)
+        uses = [(run, run.reading / cpu) for run in fills]
+        for run in serving(worker):
+            settled = now_ms - run.confirmed_ms > SETTLING_MS
+            if run.reading > 0 and run.confirmed_ms and settled:
+                self._learn_one(run, uses, now_ms)
+
+    def _learn_one(
+        self,
+        run: runs_module.Run,
+        uses: list[tuple[runs_module.Run, float]],
+        now_ms: int,
+    ) -> None:
+        image = run.task.step.spec.image
+        base_ms = min(self._base(run), run.reading)
+        self._base_ms[image] = base_ms
+        seen = 1 - base_ms / run.reading
+        state = self.load(run)
+        pressed = sum(
+            self.pressure(image, _image(fill)) * use for fill, use in uses
+        )
+        error = seen - state.load - pressed
+        if seen > SATURATED and error < 0:
+            return
+        norm = sum(use * use for _, use in uses) + LEAST_USE
+        for fill, use in uses:
+            self._adjust(
+                image, _image(fill), PRESSURE_RATE * error * use / norm
+            )
+        state.load = min(max(state.load + LOAD_RATE * error, 0.0), 1.0)
+        elapsed_s = max(now_ms - state.updated_ms, 0) / 1_000
+        if state.updated_ms:
+            state.peak -= PEAK_DECAY_PER_S * elapsed_s
+        else:
+            state.peak = state.load
+        state.peak = max(state.peak, state.load)
+        state.updated_ms = now_ms
+
+    def _adjust(self, serving_image: str, filling: str, change: float) -> None:
+        common = self._by_image.get(filling, UNKNOWN_PRESSURE)
+        common = min(max(common + change / 2, 0.0), HIGHEST_PRESSURE)
+        self._by_image[filling] = common
+        pair = serving_image, filling
+        own = self._by_pair.get(pair, 0.0) + change / 2
+        self._by_pair[pair] = min(max(own, -HIGHEST_PRESSURE), HIGHEST_PRESSURE)
+
+    def head_room(
+        self, worker: worker_view.WorkerView, image: str, millicores: int
+    ) -> float:
+        """Least distance to its limit that a lasting task would be left with.
+
+        Negative where some task would come over its limit at its peak load.
+        """
+        cpu = max(worker.entry.capacity.cpu_millicores, 1)
+        room = 1.0
+        fills = list(_fills(worker))
+        for run in serving(worker):
+            serving_image = run.task.step.spec.image
+            pressed = sum(
+                self.pressure(serving_image, _image(fill))
+                * fill.task.step.spec.cpu_millicores
+                * fill.pace_percent
+                / FULL_PACE
+                for fill in fills
+            )
+            pressed += self.pressure(serving_image, image) * millicores
+            left = self.limit(run) - self.load(run).peak - pressed / cpu
+            room = min(room, left)
+        return room
+
+    def pace_changes(self, worker: worker_view.WorkerView) -> list[PaceChange]:
+        """Paces that keep a worker's lasting tasks within their targets."""
+        fills = list(_fills(worker))
+        lasting = list(serving(worker))
+        if not fills:
+            return []
+        cpu = max(worker.entry.capacity.cpu_millicores, 1)
+        paces = dict.fromkeys(fills, FULL_PACE)
+        for run in lasting:
+            self._fit(run, paces, cpu)
+        return [
+            PaceChange(run, percent)
+            for run, percent in paces.items()
+            if run.pace_percent != percent
+            and (
+                percent < run.pace_percent
+                or percent == FULL_PACE
+                or percent >= run.pace_percent + 2 * PACE_STEP
+            )
+        ]
+
+    def _fit(
+        self,
+        run: runs_module.Run,
+        paces: dict[runs_module.Run, int],
+        cpu: int,
+    ) -> None:
+        """Lowers the paces of the most harmful runs until a task is well."""
+        image = run.task.step.spec.image
+        allowed = self.limit(run) - self.load(run).load
+        full = {
+            fill: self.pressure(image, _image(fill))
+            * fill.task.step.spec.cpu_millicores
+            / cpu
+            for fill in paces
+        }
+        total = sum(full[fill] * paces[fill] / FULL_PACE for fill in paces)
+        for fill in sorted(paces, key=lambda one: -full[one]):
+            margin = RAISE_MARGIN if fill.pace_percent < FULL_PACE else 0.0
+            over = total - allowed + margin
+            if over <= 0 or full[fill] <= 0:
+                return
+            cut = -(-int(over / full[fill] * FULL_PACE) // PACE_STEP)
+            lowered = max(paces[fill] - cut * PACE_STEP, 0)
+            total -= full[fill] * (paces[fill] - lowered) / FULL_PACE
+            paces[fill] = lowered
+
+
+def serving(
+    worker: worker_view.WorkerView,
+) -> Iterable[runs_module.Run]:
+    """Runs of lasting tasks with a tail target on a worker."""
+    return (
+        run for run in worker.runs.values() if run.task.step.spec.tail_target_ms
+    )
+
+
+def _fills(worker: worker_view.WorkerView) -> Iterable[runs_module.Run]:
+    return (
+        run for run in worker.runs.values() if run.task.step.spec.fills_idle
+    )
+
+
+def _image(run: runs_module.Run) -> str:
+    return run.task.step.spec.image
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -15,6 +15,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
+from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_book
@@ -33,6 +34,8 @@
 # look; a pass over few is made at once.
 CROWDED_PASS_MS = 25
 CROWDED_STEPS = 24
+# Between two log lines on how full the cell is.
+REPORT_MS = 1_000
 # Run numbers of a task rise by this much with each owner, so that one whose
 # predecessor's starts it can't know never uses a number twice.
 RUNS_PER_OWNER = 1_000
@@ -96,13 +99,17 @@
             clock,
             inheritance.release_after_ms,
         )
+        model = disturbance.DisturbanceModel()
         self._control = run_control_module.RunControl(
-            self._jobs, self._workers, self._durations, clock
+            self._jobs, self._workers, self._durations, model, clock
+        )
+        self._planner = planner_module.Planner(
+            self._workers, self._ranker, model
         )
-        self._planner = planner_module.Planner(self._workers, self._ranker)
         self._started_ms = clock.monotonic_ms()
         self._is_settled = False
         self._ticked_ms = 0
+        self._reported_ms = 0
         self._placed_ms = 0
         self._stop_reason = ""
         self._must_acknowledge: set[str] = set()
@@ -210,9 +217,40 @@
         for lost in self._workers.expire():
             self._control.take_lost(lost)
         self._control.look_after(now_ms)
+        if now_ms - self._reported_ms >= REPORT_MS:
+            self._reported_ms = now_ms
+            self._report()
         if not self._is_settled:
             self._settle(now_ms)
 
+    def _report(self) -> None:
+        """Logs how full the cell is."""
+        views = list(self._workers)
+        answering = [view for view in views if view.is_answering]
+        steps = self._jobs.ready_steps()
+        logs.event(
+            _logger,
+            "cell",
+            token=self._inheritance.token,
+            workers=len(views),
+            answering=len(answering),
+            cpu_millicores=sum(
+                view.entry.capacity.cpu_millicores for view in answering
+            ),
+            free_millicores=sum(view.free_cpu for view in answering),
+            lasting_millicores=sum(
+                view.lasting_millicores for view in answering
+            ),
+            lasting_workers=sum(
+                view.lasting_millicores > 0 for view in answering
+            ),
+            fill_millicores=sum(view.fill_millicores for view in answering),
+            jobs=len(self._jobs),
+            waiting_steps=len(steps),
+            waiting_tasks=sum(len(step.open_tasks) for step in steps),
+            append_age_ms=self._scribe.append_age_ms,
+        )
+
     def _settle(self, now_ms: int) -> None:
         """Sees whether all that the owner before started is known."""
         waited_ms = now_ms - self._started_ms
--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_view
@@ -13,7 +14,11 @@
 # does so by its slowness.
 OFF_RACK_COST = 60_000.0
 SLOWNESS_COST = 40_000.0
-FILL_BESIDE_LASTING_COST = 8_000.0
+# The same for a task that fills, in room to the targets of lasting tasks.
+FILL_SLOWNESS_COST = 0.5
+# A task that fills idle processors is placed only where it would get at least
+# this share of what it asks for.
+FILL_SHARE = 0.7
 
 
 def is_allowed(
@@ -44,12 +49,7 @@
     cost = SLOWNESS_COST * max(worker.slowness - 1.0, 0.0)
     if wanted_rack and worker.rack != wanted_rack:
         cost += OFF_RACK_COST
-    if spec.fills_idle:
-        cost -= worker.idle_millicores
-        if worker.lasting_millicores:
-            cost += FILL_BESIDE_LASTING_COST
-    else:
-        cost += worker.free_cpu - spec.cpu_millicores
+    cost += worker.free_cpu - spec.cpu_millicores
     if worker.worker_id in task.shunned:
         cost += OFF_RACK_COST
     return cost
@@ -105,3 +105,32 @@
         if best is None or cost < best_cost:
             best, best_cost = worker, cost
     return best
+
+
+def choose_to_fill(
+    task: runs_module.Task,
+    workers: Iterable[worker_view.WorkerView],
+    service: str,
+    model: disturbance.DisturbanceModel,
+) -> worker_view.WorkerView | None:
+    """The worker whose idle processors a task should fill.
+
+    It is the one whose lasting tasks are left with the most room to their
+    targets; none is taken where one of them would come over its target.
+    """
+    spec = task.step.spec
+    least = int(spec.cpu_millicores * FILL_SHARE)
+    best: worker_view.WorkerView | None = None
+    best_room = 0.0
+    for worker in workers:
+        if worker.idle_millicores < least or not worker.fits(spec.need):
+            continue
+        if not is_allowed(worker, task, service):
+            continue
+        if worker.worker_id in task.shunned:
+            continue
+        room = model.head_room(worker, spec.image, spec.cpu_millicores)
+        room -= FILL_SLOWNESS_COST * max(worker.slowness - 1.0, 0.0)
+        if room >= best_room:
+            best, best_room = worker, room
+    return best
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -6,16 +6,13 @@
 
 import attrs
 
+from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
 
-# A task that fills idle processors is placed only where it would get at least
-# this share of what it asks for.
-FILL_SHARE = 0.7
-
 
 @attrs.frozen
 class Placement:
@@ -43,9 +40,11 @@
         self,
         workers: worker_table_module.WorkerTable,
         ranker: ranking_module.Ranker,
+        model: disturbance.DisturbanceModel,
     ) -> None:
         self._workers = workers
         self._ranker = ranker
+        self._disturbance = model
 
     def place(
         self, steps: list[runs_module.StepRun], now_ms: int
@@ -114,17 +113,16 @@
     ) -> Placement | None:
         step = task.step
         workers = this_pass.workers
-        if step.spec.fills_idle:
-            least = int(step.spec.cpu_millicores * FILL_SHARE)
-            workers = [
-                worker for worker in workers if worker.idle_millicores >= least
-            ]
         rack = placement.wanted_rack(step, this_pass.racks)
         if step.spec.needs_one_rack and not rack:
             rack = placement.roomiest_rack(workers, step.spec)
-        worker = placement.choose(
-            task, workers, step.job.spec.queue.service, rack
-        )
+        service = step.job.spec.queue.service
+        if step.spec.fills_idle:
+            worker = placement.choose_to_fill(
+                task, workers, service, self._disturbance
+            )
+        else:
+            worker = placement.choose(task, workers, service, rack)
         if worker is None:
             return None
         run = runs_module.Run(
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -11,6 +11,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
+from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_table as job_table_module
@@ -47,11 +48,13 @@
         jobs: job_table_module.JobTable,
         workers: worker_table_module.WorkerTable,
         durations: durations_module.Durations,
+        model: disturbance.DisturbanceModel,
         clock: clock_port.Clock,
     ) -> None:
         self._jobs = jobs
         self._workers = workers
         self._durations = durations
+        self._disturbance = model
         self._clock = clock
 
     def send_start(self, run: runs_module.Run) -> None:
@@ -106,6 +109,7 @@
                 phase=run.phase.value,
             )
             run.task.step.note_gone(run)
+            self._disturbance.forget(run)
 
     def take_start(self, event: events.StartReturned) -> None:
         """Takes in what came of a start order."""
@@ -188,6 +192,7 @@
         if worker is not None:
             worker.remove(run)
         run.task.step.note_gone(run)
+        self._disturbance.forget(run)
 
     def take_stop(self, event: events.StopReturned) -> None:
         """Takes in what came of a stop order."""
@@ -218,8 +223,31 @@
             self._take_running(worker, task, event.received_ms)
         if len(answer.ended) < FULL_ENDS_LIST:
             self._take_missing(worker, listed, event.sent_ms)
+        self._disturbance.learn(worker, event.received_ms)
+        self._set_paces(worker)
         return bool(ended)
 
+    def _set_paces(self, worker: worker_view.WorkerView) -> None:
+        """Slows tasks that fill where they disturb lasting ones too much."""
+        session = self._workers.session(worker.worker_id)
+        if session is None:
+            return
+        for change in self._disturbance.pace_changes(worker):
+            run = change.run
+            if run.phase is not runs_module.RunPhase.RUNNING:
+                continue
+            logs.event(
+                _logger,
+                "pace",
+                task=run.task.name,
+                run=run.number,
+                worker=worker.worker_id,
+                before=run.pace_percent,
+                percent=change.percent,
+            )
+            run.pace_percent = change.percent
+            session.pace(run.task.name, run.number, change.percent)
+
     def _take_end(
         self, worker: worker_view.WorkerView, end: cell_workers.EndedRun
     ) -> None:
@@ -238,6 +266,7 @@
         if run is not None:
             worker.remove(run)
             run.task.step.note_gone(run)
+            self._disturbance.forget(run)
         if task is None:
             return
         task.last_run = max(task.last_run, end.run)
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -19,7 +19,7 @@
 
 # A worker answers a hold at the latest after this long, so that its figures
 # are about a second old at most; the platform allows 2,000.
-HOLD_WAIT_MS = 1_000
+HOLD_WAIT_MS = 500
 # Round trips take 12 ms at most where zones are slow to reach; the rest is
 # room for a host that gets a share of a core only.
 ORDER_TIMEOUT_MS = 450
