--- a/src/comfreylatch/_process/cell/disturbance.py
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 from typing import final
 
@@ -21,18 +22,27 @@
 # harmless images (about 0.2) and of harmful ones (about 1.8).
 UNKNOWN_PRESSURE = 0.7
 HIGHEST_PRESSURE = 6.0
-# Share of an error that a task's own load takes at once, as load changes in
-# seconds, and the share that goes to the coefficients.
-LOAD_RATE = 0.35
-PRESSURE_RATE = 0.12
+# Share of an error that a step's load takes from each reading; a step of
+# seven tasks gives some fifteen readings a second, and load changes in
+# seconds.
+LOAD_RATE = 0.15
+# Share of an error that goes to the coefficients.
+PRESSURE_RATE = 0.08
 # Error above which a reading is so far off the model's range that it only
 # says that there is too much pressure.
 SATURATED = 0.93
 # Uses below this share of a worker say nothing of a coefficient.
 LEAST_USE = 0.01
-# A task's peak load is forgotten at this rate, in load a second; its load
-# comes back to its peak every ten seconds or so.
-PEAK_DECAY_PER_S = 0.03
+# The trend of a load is taken over this time, and followed this far: for
+# paces until readings show what they did, for placing into a task's run.
+TREND_MS = 1_000
+PACE_AHEAD_MS = 700
+PLACE_AHEAD_MS = 1_200
+# A task that fills is placed where it can work at this pace at least.
+LEAST_FIRST_PACE = 30
+# A task that was slowed down wants its pace back: where more are placed, it
+# counts with this pace at least.
+LEAST_COUNTED_PACE = 60
 # Until a task has shown its load; the middle of what loads have been seen.
 UNKNOWN_LOAD = 0.45
 # Part of a tail target that is planned for; the rest is for what the model
@@ -50,11 +60,40 @@
 
 @attrs.define(eq=False)
 class ServingLoad:
-    """What is known of a lasting task's own load, as a share of capacity."""
+    """Own load of a step's lasting tasks, as a share of their capacity.
+
+    Attributes:
+        load: Newest estimate.
+        readings: How many readings it rests on.
+        recent: Estimates of the last `TREND_MS`, with their times.
+    """
 
     load: float = UNKNOWN_LOAD
-    peak: float = UNKNOWN_LOAD
-    updated_ms: int = 0
+    readings: int = 0
+    recent: collections.deque[tuple[int, float]] = attrs.field(
+        factory=collections.deque
+    )
+
+    def update(self, error: float, now_ms: int) -> None:
+        """Moves the estimate towards a reading."""
+        # The first few readings say more than the guess before them.
+        rate = max(LOAD_RATE, 1 / (1 + self.readings))
+        self.readings += 1
+        self.load = min(max(self.load + rate * error, 0.0), 1.0)
+        self.recent.append((now_ms, self.load))
+        while now_ms - self.recent[0][0] > TREND_MS:
+            self.recent.popleft()
+
+    def ahead(self, ahead_ms: int) -> float:
+        """The load expected soon; never below what it is now."""
+        if len(self.recent) < 2:
+            return self.load
+        before_ms, before = self.recent[0]
+        elapsed_ms = self.recent[-1][0] - before_ms
+        if elapsed_ms < TREND_MS / 3:
+            return self.load
+        rise = (self.load - before) * ahead_ms / elapsed_ms
+        return min(self.load + max(rise, 0.0), 1.0)
 
 
 @attrs.frozen
@@ -73,7 +112,7 @@
         self._by_image: dict[str, float] = {}
         self._by_pair: dict[tuple[str, str], float] = {}
         self._base_ms: dict[str, float] = {}
-        self._loads: dict[runs_module.Run, ServingLoad] = {}
+        self._loads: dict[runs_module.StepRun, ServingLoad] = {}
 
     def pressure(self, serving: str, filling: str) -> float:
         """Coefficient of a filling image on a serving image."""
@@ -91,12 +130,12 @@
         return 1 - self._base(run) / (TARGET_SHARE * target_ms)
 
     def load(self, run: runs_module.Run) -> ServingLoad:
-        """What is known of a lasting task's own load."""
-        return self._loads.setdefault(run, ServingLoad())
+        """What is known of the load of a lasting task's step."""
+        return self._loads.setdefault(run.task.step, ServingLoad())
 
-    def forget(self, run: runs_module.Run) -> None:
-        """Drops what is known of a run that has ended."""
-        self._loads.pop(run, None)
+    def forget(self, step: runs_module.StepRun) -> None:
+        """Drops what is known of a step that has ended."""
+        self._loads.pop(step, None)
 
     def learn(self, worker: worker_view.WorkerView, now_ms: int) -> None:
         """Takes in a worker's newest readings."""
@@ -130,14 +169,7 @@
             self._adjust(
                 image, _image(fill), PRESSURE_RATE * error * use / norm
             )
-        state.load = min(max(state.load + LOAD_RATE * error, 0.0), 1.0)
-        elapsed_s = max(now_ms - state.updated_ms, 0) / 1_000
-        if state.updated_ms:
-            state.peak -= PEAK_DECAY_PER_S * elapsed_s
-        else:
-            state.peak = state.load
-        state.peak = max(state.peak, state.load)
-        state.updated_ms = now_ms
+        state.update(error, now_ms)
 
     def _adjust(self, serving_image: str, filling: str, change: float) -> None:
         common = self._by_image.get(filling, UNKNOWN_PRESSURE)
@@ -152,7 +184,8 @@
     ) -> float:
         """Least distance to its limit that a lasting task would be left with.
 
-        Negative where some task would come over its limit at its peak load.
+        The new task is taken at the least pace that it may begin with.
+        Negative where some task would come over its limit.
         """
         cpu = max(worker.entry.capacity.cpu_millicores, 1)
         room = 1.0
@@ -162,12 +195,16 @@
             pressed = sum(
                 self.pressure(serving_image, _image(fill))
                 * fill.task.step.spec.cpu_millicores
-                * fill.pace_percent
+                * max(fill.pace_percent, LEAST_COUNTED_PACE)
                 / FULL_PACE
                 for fill in fills
             )
             pressed += self.pressure(serving_image, image) * millicores
-            left = self.limit(run) - self.load(run).peak - pressed / cpu
+            load = self.load(run).ahead(PLACE_AHEAD_MS)
+            left = self.limit(run) - load - pressed / cpu
+            # It can be slowed to a pace at which it presses less.
+            own = self.pressure(serving_image, image) * millicores / cpu
+            left += own * (FULL_PACE - LEAST_FIRST_PACE) / FULL_PACE
             room = min(room, left)
         return room
 
@@ -200,7 +237,7 @@
     ) -> None:
         """Lowers the paces of the most harmful runs until a task is well."""
         image = run.task.step.spec.image
-        allowed = self.limit(run) - self.load(run).load
+        allowed = self.limit(run) - self.load(run).ahead(PACE_AHEAD_MS)
         full = {
             fill: self.pressure(image, _image(fill))
             * fill.task.step.spec.cpu_millicores
--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -118,6 +118,7 @@
     def _note_ready(self, job: runs_module.JobRun, occurrence: int) -> None:
         for step in job.steps[occurrence]:
             if step.undone and job.is_ready(step):
+                step.ready_ms = step.ready_ms or self._clock.monotonic_ms()
                 self._ready[step.name] = step
 
     def ready_steps(self) -> list[runs_module.StepRun]:
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -284,6 +284,9 @@
         self._placed_ms = now_ms
         for placement in self._planner.place(steps, now_ms):
             self._control.send_start(placement.run)
+        left = [step for step in steps if step.open_tasks]
+        for victim in self._planner.choose_victims(left, now_ms):
+            self._control.stop(victim, "room-for-short-task")
 
     def _record(self) -> None:
         writes = self._jobs.drain_writes()
--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/placement.py
@@ -14,6 +14,8 @@
 # does so by its slowness.
 OFF_RACK_COST = 60_000.0
 SLOWNESS_COST = 40_000.0
+# Worth of each task of the same step on a worker, for lasting ones.
+TOGETHER_WORTH = 20_000.0
 # The same for a task that fills, in room to the targets of lasting tasks.
 FILL_SLOWNESS_COST = 0.5
 # A task that fills idle processors is placed only where it would get at least
@@ -50,11 +52,32 @@
     if wanted_rack and worker.rack != wanted_rack:
         cost += OFF_RACK_COST
     cost += worker.free_cpu - spec.cpu_millicores
+    if spec.is_lasting:
+        cost -= TOGETHER_WORTH * _fitting_together(worker, task.step)
     if worker.worker_id in task.shunned:
         cost += OFF_RACK_COST
     return cost
 
 
+def _fitting_together(
+    worker: worker_view.WorkerView, step: runs_module.StepRun
+) -> int:
+    """How many tasks of a step a worker would have in the end.
+
+    Lasting tasks of a step have their load at the same times. Beside them
+    alone, others can fill the idle times; beside tasks whose loads take
+    turns, somebody is always busy.
+    """
+    spec = step.spec
+    placed = step.per_worker.get(worker.worker_id, 0)
+    room = worker.free_cpu // max(spec.cpu_millicores, 1)
+    room = min(room, worker.free_memory // max(spec.memory_mb, 1))
+    together = placed + min(room, len(step.open_tasks))
+    if spec.max_per_worker:
+        together = min(together, spec.max_per_worker)
+    return together
+
+
 def wanted_rack(step: runs_module.StepRun, racks: dict[str, str]) -> str:
     """The rack that a step's tasks are faster on; empty for any.
 
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -8,11 +8,19 @@
 
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import placement
+from comfreylatch._process.cell import preemption
 from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
 
+# How long a short task waits for room before a lasting one makes way.
+PREEMPT_AFTER_MS = 40
+# Tasks of one step for which room is made at once.
+MOST_TASKS_FOR = 8
+# Share of the lasting runs that may be on their way out.
+MOST_STOPPED_SHARE = 0.08
+
 
 @attrs.frozen
 class Placement:
@@ -65,6 +73,49 @@
                 placements.extend(self._place_step(step, this_pass))
         return placements
 
+    def choose_victims(
+        self, steps: list[runs_module.StepRun], now_ms: int
+    ) -> list[runs_module.Run]:
+        """Lasting runs to be stopped for short tasks that find no room.
+
+        A short job earns as much as a lasting one does in two seconds, for a
+        fraction of the processors; the lasting task starts again once the
+        short ones are done.
+        """
+        urgent = [step for step in steps if self._may_preempt(step, now_ms)]
+        if not urgent:
+            return []
+        taking = [
+            worker for worker in self._workers if worker.takes_work(now_ms)
+        ]
+        lasting = sum(
+            run.task.step.spec.is_lasting
+            for worker in taking
+            for run in worker.runs.values()
+        )
+        room = preemption.VirtualRoom(taking)
+        victims: list[runs_module.Run] = []
+        for step in urgent:
+            for task in list(step.open_tasks.values())[:MOST_TASKS_FOR]:
+                if room.take(task):
+                    continue
+                if room.stopping_count >= lasting * MOST_STOPPED_SHARE:
+                    return victims
+                victim = room.find_victim(task)
+                if victim is None:
+                    break
+                victims.append(victim)
+        return victims
+
+    def _may_preempt(self, step: runs_module.StepRun, now_ms: int) -> bool:
+        spec = step.spec
+        if spec.is_lasting or spec.fills_idle or spec.is_gang:
+            return False
+        if now_ms - step.ready_ms < PREEMPT_AFTER_MS:
+            return False
+        rank = self._ranker.rank(step, now_ms)
+        return rank.prospect is ranking_module.Prospect.ON_TIME
+
     def _place_step(
         self, step: runs_module.StepRun, this_pass: _Pass
     ) -> list[Placement]:
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -30,6 +30,10 @@
 # An image's tasks vary by half; one that has made no progress for this long
 # while its worker reports others stands still.
 STALLED_MS = 2_500
+# A task that fills and has worked at this pace or less for so long is moved,
+# if it can go on from a checkpoint.
+SLOW_PACE = 20
+SLOW_MS = 1_200
 # Smoothing of a worker's slowness over its tasks.
 SLOWNESS_SMOOTHING = 0.3
 # A hold answer lists at most this many ends, so that a full one proves
@@ -69,6 +73,9 @@
             job.first_start_ms = self._clock.monotonic_ms()
         ticket = (step.tickets or {}).get(run.worker_id, "")
         session.start(run, job.spec.payload, run.task.checkpoint, ticket)
+        worker = self._workers.find(run.worker_id)
+        if step.spec.fills_idle and worker is not None:
+            self._set_paces(worker)
 
     def stop(self, run: runs_module.Run, reason: str) -> None:
         """Orders a worker to stop a run."""
@@ -95,6 +102,8 @@
         """Stops every run of a job that has ended."""
         for run in list(job.all_runs()):
             self.stop(run, f"job-{job.state}")
+        for step in job.all_steps():
+            self._disturbance.forget(step)
 
     def take_lost(self, lost: worker_table_module.LostRuns) -> None:
         """Takes in runs that are surely over, without an end."""
@@ -109,7 +118,6 @@
                 phase=run.phase.value,
             )
             run.task.step.note_gone(run)
-            self._disturbance.forget(run)
 
     def take_start(self, event: events.StartReturned) -> None:
         """Takes in what came of a start order."""
@@ -192,7 +200,6 @@
         if worker is not None:
             worker.remove(run)
         run.task.step.note_gone(run)
-        self._disturbance.forget(run)
 
     def take_stop(self, event: events.StopReturned) -> None:
         """Takes in what came of a stop order."""
@@ -234,7 +241,7 @@
             return
         for change in self._disturbance.pace_changes(worker):
             run = change.run
-            if run.phase is not runs_module.RunPhase.RUNNING:
+            if run.phase is runs_module.RunPhase.STOPPING:
                 continue
             logs.event(
                 _logger,
@@ -246,6 +253,10 @@
                 percent=change.percent,
             )
             run.pace_percent = change.percent
+            if change.percent > SLOW_PACE:
+                run.slow_since_ms = 0
+            elif run.slow_since_ms == 0:
+                run.slow_since_ms = self._clock.monotonic_ms()
             session.pace(run.task.name, run.number, change.percent)
 
     def _take_end(
@@ -266,7 +277,6 @@
         if run is not None:
             worker.remove(run)
             run.task.step.note_gone(run)
-            self._disturbance.forget(run)
         if task is None:
             return
         task.last_run = max(task.last_run, end.run)
@@ -442,15 +452,28 @@
             if not worker.is_answering:
                 continue
             for run in list(worker.runs.values()):
-                if self._is_stalled(run, now_ms):
+                reason = self._reason_to_move(run, now_ms)
+                if reason:
                     run.task.shunned |= {worker.worker_id}
-                    self.stop(run, "stalled")
+                    self.stop(run, reason)
+
+    def _reason_to_move(self, run: runs_module.Run, now_ms: int) -> str:
+        """Why a run should go on elsewhere; empty when it should not."""
+        if run.phase is not runs_module.RunPhase.RUNNING:
+            return ""
+        if self._is_stalled(run, now_ms):
+            return "stalled"
+        is_slow = (
+            run.slow_since_ms > 0
+            and now_ms - run.slow_since_ms > SLOW_MS
+            and run.task.step.spec.has_checkpoints
+        )
+        return "slowed-down" if is_slow else ""
 
     def _is_stalled(self, run: runs_module.Run, now_ms: int) -> bool:
         spec = run.task.step.spec
         return (
-            run.phase is runs_module.RunPhase.RUNNING
-            and not spec.is_lasting
+            not spec.is_lasting
             and not spec.fills_idle
             and not spec.is_gang
             and run.moved_ms > 0
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -37,9 +37,10 @@
         moved_ms: When the progress last rose.
         reading: Last figure of its usage or tail.
         pace_percent: Pace it was last told.
+        slow_since_ms: Since when its pace is so low that it hardly works; 0
+            while it isn't.
         unanswered: Orders in a row that got no answer.
         is_in_doubt: An order may be carried out without our knowledge.
-        over_target_ms: Since when its tail is over its target; 0 when not.
     """
 
     task: Task
@@ -52,9 +53,9 @@
     moved_ms: int = 0
     reading: int = 0
     pace_percent: int = 100
+    slow_since_ms: int = 0
     unanswered: int = 0
     is_in_doubt: bool = False
-    over_target_ms: int = 0
 
 
 @attrs.define(eq=False)
@@ -105,6 +106,7 @@
         undone: Tasks that are not done.
         per_worker: Runs by worker.
         tickets: Advised workers and their tickets; None before advice.
+        ready_ms: Monotonic time since which it may run.
         advice_asked_ms: When advice was last asked for.
         durations_ms: Durations of its undisturbed runs.
     """
@@ -118,6 +120,7 @@
     undone: int = 0
     per_worker: dict[str, int] = attrs.field(factory=dict)
     tickets: dict[str, str] | None = None
+    ready_ms: int = 0
     advice_asked_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
 
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -98,6 +98,7 @@
         self._clock_ms = 0
         self._clock_read_ms = 0
         self._latest_deadline_ms = 0
+        self._is_failing = False
         self._recorded = threading.Condition()
         self._queue: queue.SimpleQueue[_Start | _Stop | _Pace | None] = (
             queue.SimpleQueue()
@@ -162,6 +163,9 @@
         """End of a lease renewed now; 0 when none may be given."""
         if self._clock_read_ms == 0 or not self._terms.may_renew():
             return 0
+        if self._is_failing:
+            # What it runs must be allowed to end, as it can't be known.
+            return 0
         elapsed_ms = self._clock.monotonic_ms() - self._clock_read_ms
         deadline_ms = self._clock_ms + elapsed_ms + self._terms.lease_ms
         self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
@@ -181,15 +185,18 @@
             if self._ended.is_set():
                 return
             received_ms = self._clock.monotonic_ms()
+            is_first = self._clock_read_ms == 0
             wait_ms = HOLD_WAIT_MS
             match outcome:
                 case result.Ok(answer):
-                    first = self._clock_read_ms == 0
                     self._clock_ms = answer.clock_ms
                     self._clock_read_ms = received_ms
-                    if first:
-                        # The clock was unknown, so nothing was renewed yet.
+                    if self._is_failing or is_first:
+                        # Nothing was renewed yet.
                         wait_ms = 0
+                    self._is_failing = False
+                case result.Err(_):
+                    self._is_failing = True
             self._post(
                 events.HoldReturned(
                     self._entry.worker_id,
