--- a/src/comfreylatch/_process/cell/disturbance.py
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -96,6 +96,14 @@
         return min(self.load + max(rise, 0.0), 1.0)
 
 
+@attrs.frozen
+class Slack:
+    """How far the lasting tasks of an image are from their limit."""
+
+    image: str
+    left: float
+
+
 @attrs.frozen
 class PaceChange:
     """A run that should work at another pace."""
@@ -179,34 +187,42 @@
         own = self._by_pair.get(pair, 0.0) + change / 2
         self._by_pair[pair] = min(max(own, -HIGHEST_PRESSURE), HIGHEST_PRESSURE)
 
+    def slacks(self, worker: worker_view.WorkerView) -> tuple[Slack, ...]:
+        """What each lasting step on a worker has left to its limit soon."""
+        cpu = max(worker.entry.capacity.cpu_millicores, 1)
+        wanted: dict[str, float] = {}
+        for fill in _fills(worker):
+            pace = max(fill.pace_percent, LEAST_COUNTED_PACE) / FULL_PACE
+            image = _image(fill)
+            used = fill.task.step.spec.cpu_millicores * pace / cpu
+            wanted[image] = wanted.get(image, 0.0) + used
+        steps = {run.task.step: run for run in serving(worker)}
+        slacks = []
+        for run in steps.values():
+            image = _image(run)
+            left = self.limit(run) - self.load(run).ahead(PLACE_AHEAD_MS)
+            for filling, use in wanted.items():
+                left -= self.pressure(image, filling) * use
+            slacks.append(Slack(image, left))
+        return tuple(slacks)
+
     def head_room(
-        self, worker: worker_view.WorkerView, image: str, millicores: int
+        self, slacks: tuple[Slack, ...], image: str, use: float
     ) -> float:
-        """Least distance to its limit that a lasting task would be left with.
+        """Least slack that a further filling task would leave.
 
-        The new task is taken at the least pace that it may begin with.
-        Negative where some task would come over its limit.
+        `use` is the share of the worker's processors that the task asks for;
+        it is taken at the least pace that it may begin with. Negative where
+        some lasting task would come over its limit.
         """
-        cpu = max(worker.entry.capacity.cpu_millicores, 1)
-        room = 1.0
-        fills = list(_fills(worker))
-        for run in serving(worker):
-            serving_image = run.task.step.spec.image
-            pressed = sum(
-                self.pressure(serving_image, _image(fill))
-                * fill.task.step.spec.cpu_millicores
-                * max(fill.pace_percent, LEAST_COUNTED_PACE)
-                / FULL_PACE
-                for fill in fills
-            )
-            pressed += self.pressure(serving_image, image) * millicores
-            load = self.load(run).ahead(PLACE_AHEAD_MS)
-            left = self.limit(run) - load - pressed / cpu
-            # It can be slowed to a pace at which it presses less.
-            own = self.pressure(serving_image, image) * millicores / cpu
-            left += own * (FULL_PACE - LEAST_FIRST_PACE) / FULL_PACE
-            room = min(room, left)
-        return room
+        use *= LEAST_FIRST_PACE / FULL_PACE
+        return min(
+            (
+                slack.left - self.pressure(slack.image, image) * use
+                for slack in slacks
+            ),
+            default=1.0,
+        )
 
     def pace_changes(self, worker: worker_view.WorkerView) -> list[PaceChange]:
         """Paces that keep a worker's lasting tasks within their targets."""
--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import final
 
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import runs as runs_module
@@ -130,30 +131,55 @@
     return best
 
 
-def choose_to_fill(
-    task: runs_module.Task,
-    workers: Iterable[worker_view.WorkerView],
-    service: str,
-    model: disturbance.DisturbanceModel,
-) -> worker_view.WorkerView | None:
-    """The worker whose idle processors a task should fill.
-
-    It is the one whose lasting tasks are left with the most room to their
-    targets; none is taken where one of them would come over its target.
-    """
-    spec = task.step.spec
-    least = int(spec.cpu_millicores * FILL_SHARE)
-    best: worker_view.WorkerView | None = None
-    best_room = 0.0
-    for worker in workers:
-        if worker.idle_millicores < least or not worker.fits(spec.need):
-            continue
-        if not is_allowed(worker, task, service):
-            continue
-        if worker.worker_id in task.shunned:
-            continue
-        room = model.head_room(worker, spec.image, spec.cpu_millicores)
-        room -= FILL_SLOWNESS_COST * max(worker.slowness - 1.0, 0.0)
-        if room >= best_room:
-            best, best_room = worker, room
-    return best
+@final
+class FillRooms:
+    """Room to the targets of lasting tasks, for one pass of placing."""
+
+    def __init__(self, model: disturbance.DisturbanceModel) -> None:
+        self._model = model
+        self._slacks: dict[str, tuple[disturbance.Slack, ...]] = {}
+
+    def forget(self, worker: worker_view.WorkerView) -> None:
+        """A task was placed on a worker."""
+        self._slacks.pop(worker.worker_id, None)
+
+    def _room(
+        self, worker: worker_view.WorkerView, spec: specs.StepSpec
+    ) -> float:
+        slacks = self._slacks.get(worker.worker_id)
+        if slacks is None:
+            slacks = self._model.slacks(worker)
+            self._slacks[worker.worker_id] = slacks
+        cpu = max(worker.entry.capacity.cpu_millicores, 1)
+        room = self._model.head_room(
+            slacks, spec.image, spec.cpu_millicores / cpu
+        )
+        return room - FILL_SLOWNESS_COST * max(worker.slowness - 1.0, 0.0)
+
+    def choose(
+        self,
+        task: runs_module.Task,
+        workers: Iterable[worker_view.WorkerView],
+        service: str,
+    ) -> worker_view.WorkerView | None:
+        """The worker whose idle processors a task should fill.
+
+        It is the one whose lasting tasks are left with the most room to their
+        targets; none is taken where one would come over its target.
+        """
+        spec = task.step.spec
+        need = spec.need
+        least = int(spec.cpu_millicores * FILL_SHARE)
+        best: worker_view.WorkerView | None = None
+        best_room = 0.0
+        for worker in workers:
+            if worker.idle_millicores < least or not worker.fits(need):
+                continue
+            if worker.worker_id in task.shunned:
+                continue
+            if not is_allowed(worker, task, service):
+                continue
+            room = self._room(worker, spec)
+            if room >= best_room:
+                best, best_room = worker, room
+        return best
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -37,6 +37,7 @@
     workers: list[worker_view.WorkerView]
     racks: dict[str, str]
     now_ms: int
+    fill_rooms: placement.FillRooms
     smallest_unfit_cpu: int = 1 << 60
 
 
@@ -63,7 +64,12 @@
         ]
         if not taking or not steps:
             return []
-        this_pass = _Pass(taking, self._workers.racks(), now_ms)
+        this_pass = _Pass(
+            taking,
+            self._workers.racks(),
+            now_ms,
+            placement.FillRooms(self._disturbance),
+        )
         ranked = sorted(steps, key=lambda step: self._ranker.rank(step, now_ms))
         placements: list[Placement] = []
         for step in ranked:
@@ -169,9 +175,7 @@
             rack = placement.roomiest_rack(workers, step.spec)
         service = step.job.spec.queue.service
         if step.spec.fills_idle:
-            worker = placement.choose_to_fill(
-                task, workers, service, self._disturbance
-            )
+            worker = this_pass.fill_rooms.choose(task, workers, service)
         else:
             worker = placement.choose(task, workers, service, rack)
         if worker is None:
@@ -186,6 +190,7 @@
         task.last_run = number
         step.note_run(run)
         worker.add(run)
+        this_pass.fill_rooms.forget(worker)
         return Placement(run, worker)
 
     def _place_gang(
