--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/placement.py
@@ -19,6 +19,8 @@
 TOGETHER_WORTH = 20_000.0
 # The same for a task that fills, in room to the targets of lasting tasks.
 FILL_SLOWNESS_COST = 0.5
+# The same where a run of the task has failed or stood still.
+SHUNNED_COST = 0.1
 # A task that fills idle processors is placed only where it would get at least
 # this share of what it asks for.
 FILL_SHARE = 0.7
@@ -175,11 +177,11 @@
         for worker in workers:
             if worker.idle_millicores < least or not worker.fits(need):
                 continue
-            if worker.worker_id in task.shunned:
-                continue
             if not is_allowed(worker, task, service):
                 continue
             room = self._room(worker, spec)
+            if worker.worker_id in task.shunned:
+                room -= SHUNNED_COST
             if room >= best_room:
                 best, best_room = worker, room
         return best
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -454,7 +454,6 @@
             for run in list(worker.runs.values()):
                 reason = self._reason_to_move(run, now_ms)
                 if reason:
-                    run.task.shunned |= {worker.worker_id}
                     self.stop(run, reason)
 
     def _reason_to_move(self, run: runs_module.Run, now_ms: int) -> str:
@@ -462,6 +461,7 @@
         if run.phase is not runs_module.RunPhase.RUNNING:
             return ""
         if self._is_stalled(run, now_ms):
+            run.task.shunned |= {run.worker_id}
             return "stalled"
         is_slow = (
             run.slow_since_ms > 0
