--- /dev/null
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -0,0 +1,85 @@
+"""When a worker is cleared of lasting tasks for tasks that disturb too much.
+
+Some images press so hard on lasting tasks that they find no place beside
+any, while nearly every worker has some. Clearing one worker for a few seconds
+costs the lasting tasks there a small share of their time; in it, the worker
+does a whole worker's share of jobs that would wait without end.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_view
+
+# How long a worker stays cleared.
+CLEARED_MS = 4_000
+# A lasting task that has been away for this long goes on a cleared worker if
+# there is no other; after six seconds it counts as lost where it has room.
+OVERDUE_MS = 4_500
+# A worker is not cleared again so soon, so that all bear their part.
+REST_MS = 9_000
+# How long a task waits for a place beside lasting tasks before it counts.
+WAIT_MS = 400
+# Share of a worker's processors that must be asked for to clear it.
+LEAST_DEMAND_SHARE = 0.4
+# Share of all workers that may be cleared at once.
+MOST_CLEARED_SHARE = 0.1
+
+
+def waiting_millicores(
+    steps: Iterable[runs_module.StepRun], now_ms: int
+) -> int:
+    """Processors asked for by filling tasks that have waited in vain."""
+    return sum(
+        len(step.open_tasks) * step.spec.cpu_millicores
+        for step in steps
+        if step.spec.fills_idle and now_ms - step.ready_ms >= WAIT_MS
+    )
+
+
+def open_to_lasting(
+    workers: list[worker_view.WorkerView],
+    task: runs_module.Task,
+    now_ms: int,
+) -> list[worker_view.WorkerView]:
+    """The workers on which a lasting task may be placed now."""
+    since_ms = max(task.open_since_ms, task.step.ready_ms)
+    if now_ms - since_ms > OVERDUE_MS:
+        return workers
+    return [one for one in workers if now_ms >= one.cleared_until_ms]
+
+
+def choose_worker(
+    workers: list[worker_view.WorkerView], demand: int, now_ms: int
+) -> worker_view.WorkerView | None:
+    """The worker to be cleared next; None when there is no cause."""
+    cleared = [one for one in workers if now_ms < one.cleared_until_ms]
+    if len(cleared) >= max(MOST_CLEARED_SHARE * len(workers), 1):
+        return None
+    demand -= sum(max(one.idle_millicores, 0) for one in cleared)
+    candidates = [one for one in workers if _may_clear(one, now_ms)]
+    if not candidates:
+        return None
+    best = max(candidates, key=_gain)
+    if demand < LEAST_DEMAND_SHARE * best.entry.capacity.cpu_millicores:
+        return None
+    return best
+
+
+def _gain(worker: worker_view.WorkerView) -> float:
+    """Processors won for each one taken from lasting tasks."""
+    won = worker.free_cpu + worker.lasting_millicores
+    return won / max(worker.lasting_millicores, 1)
+
+
+def _may_clear(worker: worker_view.WorkerView, now_ms: int) -> bool:
+    if now_ms < worker.cleared_until_ms + REST_MS:
+        return False
+    lasting = [
+        run for run in worker.runs.values() if run.task.step.spec.is_lasting
+    ]
+    return bool(lasting) and not any(
+        run.task.step.spec.max_unavailable for run in lasting
+    )
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -287,6 +287,8 @@
         left = [step for step in steps if step.open_tasks]
         for victim in self._planner.choose_victims(left, now_ms):
             self._control.stop(victim, "room-for-short-task")
+        for run in self._planner.clear_worker(left, now_ms):
+            self._control.stop(run, "worker-cleared")
 
     def _record(self) -> None:
         writes = self._jobs.drain_writes()
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from comfreylatch._process.cell import clearing
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import preemption
@@ -79,6 +80,24 @@
                 placements.extend(self._place_step(step, this_pass))
         return placements
 
+    def clear_worker(
+        self, steps: list[runs_module.StepRun], now_ms: int
+    ) -> list[runs_module.Run]:
+        """Clears a worker where there is cause; returns runs to be stopped."""
+        demand = clearing.waiting_millicores(steps, now_ms)
+        if not demand:
+            return []
+        taking = [
+            worker for worker in self._workers if worker.takes_work(now_ms)
+        ]
+        worker = clearing.choose_worker(taking, demand, now_ms)
+        if worker is None:
+            return []
+        worker.cleared_until_ms = now_ms + clearing.CLEARED_MS
+        return [
+            run for run in worker.runs.values() if run.task.step.spec.is_lasting
+        ]
+
     def choose_victims(
         self, steps: list[runs_module.StepRun], now_ms: int
     ) -> list[runs_module.Run]:
@@ -177,6 +196,10 @@
         if step.spec.fills_idle:
             worker = this_pass.fill_rooms.choose(task, workers, service)
         else:
+            if step.spec.is_lasting:
+                workers = clearing.open_to_lasting(
+                    workers, task, this_pass.now_ms
+                )
             worker = placement.choose(task, workers, service, rack)
         if worker is None:
             return None
@@ -208,7 +231,7 @@
             if placed is None:
                 for made in placements:
                     made.worker.remove(made.run)
-                    step.note_gone(made.run)
+                    step.note_gone(made.run, this_pass.now_ms)
                 return []
             placements.append(placed)
         return placements
--- a/src/comfreylatch/_process/cell/ranking.py
+++ b/src/comfreylatch/_process/cell/ranking.py
@@ -36,7 +36,7 @@
     prospect: Prospect
     priority: int
     negative_density: float
-    accepted_ms: int
+    since_ms: int
 
 
 @attrs.frozen
@@ -120,7 +120,8 @@
         job = step.job
         queue = job.spec.queue
         if step.spec.is_lasting:
-            return Rank(Prospect.ON_TIME, queue.priority, 0, job.accepted_ms)
+            since_ms = step.oldest_open_ms
+            return Rank(Prospect.ON_TIME, queue.priority, 0, since_ms)
         left = self._left(job, step.occurrence)
         objective_ms = self.objective_ms(job)
         end_ms = now_ms - job.accepted_ms + left.chain_ms
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -117,7 +117,7 @@
                 reason=lost.reason,
                 phase=run.phase.value,
             )
-            run.task.step.note_gone(run)
+            run.task.step.note_gone(run, self._clock.monotonic_ms())
 
     def take_start(self, event: events.StartReturned) -> None:
         """Takes in what came of a start order."""
@@ -199,7 +199,7 @@
         worker = self._workers.find(run.worker_id)
         if worker is not None:
             worker.remove(run)
-        run.task.step.note_gone(run)
+        run.task.step.note_gone(run, self._clock.monotonic_ms())
 
     def take_stop(self, event: events.StopReturned) -> None:
         """Takes in what came of a stop order."""
@@ -276,7 +276,7 @@
         )
         if run is not None:
             worker.remove(run)
-            run.task.step.note_gone(run)
+            run.task.step.note_gone(run, self._clock.monotonic_ms())
         if task is None:
             return
         task.last_run = max(task.last_run, end.run)
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -73,6 +73,7 @@
         runs: Runs that may still be there.
         not_before_ms: Monotonic time before which it is not started again.
         shunned: Workers on which it has failed.
+        open_since_ms: Since when it needs a run and has none.
     """
 
     name: str
@@ -85,6 +86,7 @@
     runs: list[Run] = attrs.field(factory=list)
     not_before_ms: int = 0
     shunned: frozenset[str] = frozenset()
+    open_since_ms: int = 0
 
     @property
     def is_open(self) -> bool:
@@ -124,6 +126,17 @@
     advice_asked_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
 
+    @property
+    def oldest_open_ms(self) -> int:
+        """Since when its longest waiting task has needed a run."""
+        return min(
+            (
+                max(task.open_since_ms, self.ready_ms)
+                for task in self.open_tasks.values()
+            ),
+            default=0,
+        )
+
     @property
     def name(self) -> str:
         """Its id, `job.occurrence.step`."""
@@ -137,7 +150,7 @@
             self.per_worker.get(run.worker_id, 0) + 1
         )
 
-    def note_gone(self, run: Run) -> None:
+    def note_gone(self, run: Run, now_ms: int) -> None:
         """Forgets a run that has ended."""
         task = run.task
         if run not in task.runs:
@@ -149,6 +162,7 @@
         else:
             self.per_worker.pop(run.worker_id, None)
         if task.is_open:
+            task.open_since_ms = now_ms
             self.open_tasks[task.index] = task
 
     def note_done(self, task: Task) -> None:
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -37,6 +37,7 @@
         avoided_until_ms: No new work before this time, as it fails too much.
         recent_failures: Runs that failed in a row, across jobs.
         slowness: Smoothed duration of its tasks against their peers'.
+        cleared_until_ms: No lasting tasks before this time.
         release_after_ms: For a worker that has never answered this owner:
             when the leases of the owner before have surely ended.
     """
@@ -58,6 +59,7 @@
     avoided_until_ms: int = 0
     recent_failures: int = 0
     slowness: float = 1.0
+    cleared_until_ms: int = -(10**9)
     release_after_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
