--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -25,7 +25,7 @@
 # Share of a worker's processors that must be asked for to clear it.
 LEAST_DEMAND_SHARE = 0.4
 # Share of all workers that may be cleared at once.
-MOST_CLEARED_SHARE = 0.1
+MOST_CLEARED_SHARE = 0.25
 
 
 def waiting_millicores(
