--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -19,13 +19,13 @@
 # there is no other; after six seconds it counts as lost where it has room.
 OVERDUE_MS = 4_500
 # A worker is not cleared again so soon, so that all bear their part.
-REST_MS = 9_000
+REST_MS = 6_000
 # How long a task waits for a place beside lasting tasks before it counts.
 WAIT_MS = 400
 # Share of a worker's processors that must be asked for to clear it.
 LEAST_DEMAND_SHARE = 0.4
 # Share of all workers that may be cleared at once.
-MOST_CLEARED_SHARE = 0.25
+MOST_CLEARED_SHARE = 0.35
 
 
 def waiting_millicores(
--- a/src/comfreylatch/_process/cell/disturbance.py
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -47,7 +47,7 @@
 UNKNOWN_LOAD = 0.45
 # Part of a tail target that is planned for; the rest is for what the model
 # does not know.
-TARGET_SHARE = 0.85
+TARGET_SHARE = 0.78
 # A task that has just started serves slowly whatever is beside it.
 SETTLING_MS = 1_500
 # Base of an image's tail relative to its target, until lower tails are seen.
