--- /dev/null
+++ b/src/comfreylatch/_process/json_logs.py
@@ -0,0 +1,152 @@
+"""Structured logs on standard output that never hold up the program.
+
+Each event is one line of JSON. Lines go through a bounded queue to one thread
+that writes them; when the queue is full, lines are dropped and counted by
+event, and the counts are logged as soon as there is room. Events that say the
+same thing often are folded: beyond a number in a second they are counted too.
+"""
+
+from __future__ import annotations
+
+import collections
+import os
+import threading
+import time
+from typing import Any
+from typing import Final
+from typing import final
+from typing import Self
+
+import logbook
+import msgspec
+
+from comfreylatch._process import logs
+
+# About a second's worth at the busiest, in 1 MB of memory.
+MOST_LINES = 4_096
+# The writer wakes this often; a line may be that late.
+WRITE_INTERVAL_S = 0.1
+# Time that leaving waits for the last lines.
+FLUSH_S = 0.5
+# Lines of a folded event that are written in a second; the rest are counted.
+FOLD_ABOVE = 20
+FOLDED_EVENTS: Final = frozenset(
+    {
+        "append-retried",
+        "bad-record",
+        "bad-worker-entry",
+        "pace",
+        "start-refused",
+        "unknown-run-stopped",
+    }
+)
+
+
+@final
+class JsonLogOutput(logbook.Handler):
+    """Writes every logger's lines to a file descriptor while it is open.
+
+    A context manager.
+
+    Args:
+        level: One of logbook's level names, in lower case.
+        descriptor: Where the lines go; standard output by default.
+    """
+
+    def __init__(self, level: str, descriptor: int = 1) -> None:
+        super().__init__(level=logbook.lookup_level(level.upper()))
+        self._descriptor = descriptor
+        self._lock = threading.Lock()
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._dropped: collections.Counter[str] = collections.Counter()
+        self._folded: collections.Counter[str] = collections.Counter()
+        self._in_second: collections.Counter[str] = collections.Counter()
+        self._second = 0
+        self._ended = threading.Event()
+        self._thread = threading.Thread(
+            target=self._write_all, name="log-writer", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self.push_application()
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.pop_application()
+        self._ended.set()
+        self._thread.join(FLUSH_S)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queues a record's line; never waits."""
+        message = record.msg
+        if isinstance(message, logs.Line):
+            name, fields = message.name, message.fields
+        else:
+            name, fields = "message", {"text": record.message}
+        if self._is_folded(name):
+            return
+        line = self._encode(record, name, fields)
+        with self._lock:
+            if len(self._lines) < MOST_LINES:
+                self._lines.append(line)
+            else:
+                self._dropped[name] += 1
+
+    def _is_folded(self, name: str) -> bool:
+        if name not in FOLDED_EVENTS:
+            return False
+        second = int(time.monotonic())
+        with self._lock:
+            if second != self._second:
+                self._second = second
+                self._in_second.clear()
+            self._in_second[name] += 1
+            if self._in_second[name] <= FOLD_ABOVE:
+                return False
+            self._folded[name] += 1
+            return True
+
+    def _encode(
+        self, record: logbook.LogRecord, name: str, fields: dict[str, Any]
+    ) -> bytes:
+        line: dict[str, Any] = {
+            "time": record.time.isoformat(timespec="milliseconds") + "Z",
+            "level": record.level_name.lower(),
+            "logger": record.channel,
+            "event": name,
+            **fields,
+        }
+        if record.exc_info:
+            line["traceback"] = record.formatted_exception
+        return msgspec.json.encode(line, enc_hook=str) + b"\n"
+
+    def _write_all(self) -> None:
+        while not self._ended.wait(WRITE_INTERVAL_S):
+            self._write_queued()
+        self._write_queued()
+
+    def _write_queued(self) -> None:
+        with self._lock:
+            lines = list(self._lines)
+            self._lines.clear()
+            counts = {"dropped": self._dropped, "folded": self._folded}
+            self._dropped = collections.Counter()
+            self._folded = collections.Counter()
+        for kind, by_event in counts.items():
+            if by_event:
+                summary = {"event": f"lines-{kind}", "by_event": by_event}
+                lines.append(msgspec.json.encode(summary) + b"\n")
+        if not lines:
+            return
+        try:
+            _write_whole(self._descriptor, b"".join(lines))
+        except OSError:
+            # Nobody reads the logs any more; there is nowhere to say so.
+            self._ended.set()
+
+
+def _write_whole(descriptor: int, content: bytes) -> None:
+    view = memoryview(content)
+    while view:
+        view = view[os.write(descriptor, view) :]
--- a/src/comfreylatch/_process/logs.py
+++ b/src/comfreylatch/_process/logs.py
@@ -65,39 +65,44 @@
 
 def event(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
     """Logs something that happened, at level info."""
-    logger.info(_Line(name, fields))
+    logger.info(Line(name, fields))
 
 
 def detail(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
     """Logs something only wanted in a close look, at level debug."""
-    logger.debug(_Line(name, fields))
+    logger.debug(Line(name, fields))
 
 
 def warning(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
     """Logs something that an operator should look at."""
-    logger.warning(_Line(name, fields))
+    logger.warning(Line(name, fields))
 
 
 def error(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
     """Logs something that went wrong here."""
-    logger.error(_Line(name, fields))
+    logger.error(Line(name, fields))
 
 
 def failure(logger: logbook.Logger, name: str, /, **fields: Any) -> None:
     """Logs the exception being handled, with its traceback."""
-    logger.exception(_Line(name, fields))
+    logger.exception(Line(name, fields))
 
 
-class _Line:
-    """Text of a line, made only when some handler wants it."""
+class Line:
+    """An event and its fields; made to text only where a handler wants it.
+
+    Attributes:
+        name: Name of the event.
+        fields: What is told of it.
+    """
 
     def __init__(self, name: str, fields: dict[str, Any]) -> None:
-        self._name = name
-        self._fields = fields
+        self.name = name
+        self.fields = fields
 
     def __str__(self) -> str:
-        parts = [f"event={self._name}"]
-        for key, value in self._fields.items():
+        parts = [f"event={self.name}"]
+        for key, value in self.fields.items():
             parts.append(f"{key}={_quoted(value)}")
         return " ".join(parts)
 
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -20,6 +20,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
+from comfreylatch._process import json_logs
 from comfreylatch._process import logs
 from comfreylatch._process.cell import intake as intake_module
 from comfreylatch._process.cell import job_book
@@ -151,7 +152,7 @@
         )
         return FAULTY_SETTINGS_EXIT_CODE
     threading.stack_size(THREAD_STACK_BYTES)
-    with logs.LogOutput("info", sys.stdout):
+    with json_logs.JsonLogOutput("info"):
         _serve(settings)
     return 0
 
