Name the reasons of a cell's decisions, count them, and time its work

Each refusal, stop, loss, claim and end of a tenure has a typed reason, which is logged and counted; metrics are served beside the readiness page.

--- a/src/comfreylatch/_process/cell/intake.py
+++ b/src/comfreylatch/_process/cell/intake.py
@@ -17,7 +17,9 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import tail as tail_module
@@ -179,7 +181,7 @@
 class Refused:
     """The job is not stored and never runs; come back later."""
 
-    reason: str
+    reason: reasons.Refusal
     retry_after_ms: int
 
 
@@ -214,16 +216,20 @@
         book: job_book.JobBook,
         tail: tail_module.Tail,
         keeper: RecordKeeper,
+        metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
         self._book = book
         self._tail = tail
         self._keeper = keeper
+        self._metrics = metrics
+        self._shown: dict[str, records.JobState] = {}
         self._clock = clock
 
     def submit(self, spec: specs.JobSpec, wait_ms: int) -> SubmitOutcome:
         """Accepts a job, once however often it is handed in."""
         if self._is_known(spec.job_id):
+            logs.event(_logger, "job-repeated", job=spec.job_id)
             return Accepted()
         record = store_port.NewRecord(
             records.JOB_PREFIX + spec.job_id, records.encode(spec)
@@ -240,12 +246,20 @@
             tasks=sum(step.task_count for step in spec.steps),
             outcome=outcome,
             took_ms=took_ms,
+            view_age_ms=self._tail.age_ms,
+        )
+        self._metrics.observe(
+            metrics_module.Latency.ACCEPTANCE,
+            took_ms * 1_000,
+            type(outcome).__name__,
         )
         match outcome:
             case Kept():
                 return Accepted()
             case NotKept(_):
-                return Refused("store-unavailable", RETRY_AFTER_MS)
+                return Refused(
+                    reasons.Refusal.STORE_UNAVAILABLE, RETRY_AFTER_MS
+                )
             case PerhapsKept(detail):
                 if self._is_known(spec.job_id):
                     return Accepted()
@@ -262,11 +276,25 @@
         if self._is_known(job_id):
             entry = self._book.find(job_id)
             if entry is not None:
+                self._note_shown(job_id, entry.shown_state)
                 return entry.shown_state
         if self._tail.age_ms > OLDEST_VIEW_MS:
             return CannotTell(self._tail.age_ms)
         return Unknown()
 
+    def _note_shown(self, job_id: str, state: records.JobState) -> None:
+        """Logs the first showing of a state on this host."""
+        if self._shown.get(job_id) is state:
+            return
+        self._shown[job_id] = state
+        logs.event(
+            _logger,
+            "job-shown",
+            job=job_id,
+            state=state,
+            view_age_ms=self._tail.age_ms,
+        )
+
     def cancel(
         self, job_id: str, wait_ms: int
     ) -> Accepted | Refused | Undecided | Unknown:
@@ -276,7 +304,7 @@
             return Accepted()
         if not self._is_known(job_id):
             if self._tail.age_ms > OLDEST_VIEW_MS:
-                return Refused("view-too-old", RETRY_AFTER_MS)
+                return Refused(reasons.Refusal.VIEW_TOO_OLD, RETRY_AFTER_MS)
             return Unknown()
         record = store_port.NewRecord(
             records.CANCEL_PREFIX + job_id,
@@ -289,7 +317,9 @@
             case Kept():
                 return Accepted()
             case NotKept(_):
-                return Refused("store-unavailable", RETRY_AFTER_MS)
+                return Refused(
+                    reasons.Refusal.STORE_UNAVAILABLE, RETRY_AFTER_MS
+                )
             case PerhapsKept(detail):
                 return Undecided(detail)
 
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -15,6 +15,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
 from comfreylatch._process.cell import events
@@ -22,6 +23,7 @@
 from comfreylatch._process.cell import job_table as job_table_module
 from comfreylatch._process.cell import planner as planner_module
 from comfreylatch._process.cell import ranking as ranking_module
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import run_control as run_control_module
 from comfreylatch._process.cell import scribe as scribe_module
@@ -72,6 +74,7 @@
         scribe: Writes its records.
         connect: Opens the orders to a worker.
         lease_ms: Length of leases at workers.
+        metrics: Counts and times what it does.
         clock: For all times.
     """
 
@@ -81,10 +84,12 @@
         scribe: scribe_module.Scribe,
         connect: worker_session.Connect,
         lease_ms: int,
+        metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
         self._inheritance = inheritance
         self._scribe = scribe
+        self._metrics = metrics
         self._clock = clock
         self._events: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
         self._jobs = job_table_module.JobTable(inheritance.token, clock)
@@ -102,7 +107,12 @@
         )
         model = disturbance.DisturbanceModel()
         self._control = run_control_module.RunControl(
-            self._jobs, self._workers, self._durations, model, clock
+            self._jobs,
+            self._workers,
+            self._durations,
+            model,
+            metrics,
+            clock,
         )
         self._planner = planner_module.Planner(
             self._workers, self._ranker, model
@@ -112,7 +122,7 @@
         self._ticked_ms = 0
         self._reported_ms = 0
         self._placed_ms = 0
-        self._stop_reason = ""
+        self._stop_reason: reasons.TenureEnd | None = None
         self._must_acknowledge: set[str] = set()
         self._recorded_lives: dict[str, int] = {}
 
@@ -152,15 +162,17 @@
         failing = [view for view in listed if not view.is_answering]
         return bool(listed) and 2 * len(failing) > len(listed)
 
-    def run(self, must_stop: Callable[[], str]) -> str:
+    def run(
+        self, must_stop: Callable[[], reasons.TenureEnd | None]
+    ) -> reasons.TenureEnd:
         """Works until told to stop; returns why it stopped.
 
-        `must_stop` is asked often, and says why or returns an empty string.
+        `must_stop` is asked often, and says why or returns None.
         """
         while True:
             self._take_events()
             reason = self._stop_reason or must_stop()
-            if reason:
+            if reason is not None:
                 return reason
             now_ms = self._clock.monotonic_ms()
             if now_ms - self._ticked_ms >= TICK_MS:
@@ -194,8 +206,8 @@
                 self._control.take_start(event)
             case events.StopReturned():
                 self._control.take_stop(event)
-            case events.Fenced(detail):
-                self._stop_reason = f"fenced: {detail}"
+            case events.Fenced():
+                self._stop_reason = reasons.TenureEnd.FENCED
 
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.cancel(job_id)
@@ -211,7 +223,7 @@
                     self._must_acknowledge.add(event.worker_id)
             case result.Err(cell_workers.OrderRefused(reason)):
                 if reason is cell_workers.Refusal.FENCED:
-                    self._stop_reason = f"fenced by {event.worker_id}"
+                    self._stop_reason = reasons.TenureEnd.FENCED
 
     def _tick(self, now_ms: int) -> None:
         self._jobs.open_due()
@@ -287,9 +299,21 @@
             self._control.send_start(placement.run)
         left = [step for step in steps if step.open_tasks]
         for victim in self._planner.choose_victims(left, now_ms):
-            self._control.stop(victim, "room-for-short-task")
+            self._control.stop(victim, reasons.StopReason.SHORT_TASK)
         for run in self._planner.clear_worker(left, now_ms):
-            self._control.stop(run, "worker-cleared")
+            self._control.stop(run, reasons.StopReason.WORKER_CLEARED)
+
+    def _record_timer(self) -> Callable[[], None]:
+        """What measures the time until ends seen now are recorded."""
+        seen_ms = self._clock.monotonic_ms()
+
+        def observe() -> None:
+            took_ms = self._clock.monotonic_ms() - seen_ms
+            self._metrics.observe(
+                metrics_module.Latency.END_RECORDED, took_ms * 1_000
+            )
+
+        return observe
 
     def _record(self) -> None:
         writes = self._jobs.drain_writes()
@@ -300,6 +324,8 @@
                 records.WorkersRecord(born_ms)
             )
         recorded = []
+        if self._must_acknowledge:
+            recorded.append(self._record_timer())
         for worker_id in self._must_acknowledge:
             acknowledge = self._workers.acknowledger(worker_id)
             if acknowledge is not None:
--- /dev/null
+++ b/src/comfreylatch/_process/cell/reasons.py
@@ -0,0 +1,61 @@
+"""Typed reasons of a cell's decisions, as logged, counted and documented."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Refusal(enum.StrEnum):
+    """Why a caller's request was not carried out."""
+
+    NO_CONFIGURATION = "no-configuration"
+    UNKNOWN_QUEUE = "unknown-queue"
+    UNKNOWN_JOB = "unknown-job"
+    BAD_JOB_ID = "bad-job-id"
+    BAD_JOB = "bad-job"
+    PAYLOAD_TOO_LONG = "payload-too-long"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+    STORE_UNAVAILABLE = "store-unavailable"
+    VIEW_TOO_OLD = "view-too-old"
+    UNDECIDED = "undecided"
+
+
+class StopReason(enum.StrEnum):
+    """Why the owner had a run stopped."""
+
+    JOB_ENDED = "job-ended"
+    DONE_ELSEWHERE = "done-elsewhere"
+    START_UNANSWERED = "start-unanswered"
+    START_REFUSED = "start-refused"
+    STALLED = "stalled"
+    SLOWED_DOWN = "slowed-down"
+    SHORT_TASK = "room-for-short-task"
+    WORKER_CLEARED = "worker-cleared"
+    WORKER_LEAVES = "worker-leaves"
+
+
+class LossReason(enum.StrEnum):
+    """Why a run is known to be over without an end."""
+
+    REBORN = "reborn"
+    WORKER_GONE = "worker-gone"
+    LEASE_OVER = "lease-over"
+    NOT_LISTED = "not-listed"
+
+
+class ClaimReason(enum.StrEnum):
+    """Why a host claimed a cell."""
+
+    NO_OWNER = "no-owner"
+    RESTARTED = "restarted"
+    RELEASED = "released"
+    OWNER_SILENT = "owner-silent"
+
+
+class TenureEnd(enum.StrEnum):
+    """Why a host stopped owning a cell."""
+
+    STOPPING = "stopping"
+    ISOLATED = "isolated"
+    SUPERSEDED = "superseded"
+    FENCED = "fenced"
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -11,10 +11,12 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
@@ -53,12 +55,14 @@
         workers: worker_table_module.WorkerTable,
         durations: durations_module.Durations,
         model: disturbance.DisturbanceModel,
+        metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
         self._jobs = jobs
         self._workers = workers
         self._durations = durations
         self._disturbance = model
+        self._metrics = metrics
         self._clock = clock
 
     def send_start(self, run: runs_module.Run) -> None:
@@ -69,15 +73,44 @@
             self._drop(run)
             return
         job = step.job
+        now_ms = self._clock.monotonic_ms()
+        waited_ms = now_ms - max(run.task.open_since_ms, step.ready_ms)
         if job.first_start_ms == 0:
-            job.first_start_ms = self._clock.monotonic_ms()
+            job.first_start_ms = now_ms
+            self._observe(
+                metrics_module.Latency.FIRST_START, now_ms - job.accepted_ms
+            )
+        elif run.number == 1:
+            self._observe(metrics_module.Latency.STEP_GAP, waited_ms)
         ticket = (step.tickets or {}).get(run.worker_id, "")
         session.start(run, job.spec.payload, run.task.checkpoint, ticket)
         worker = self._workers.find(run.worker_id)
-        if step.spec.fills_idle and worker is not None:
+        if worker is None:
+            return
+        logs.event(
+            _logger,
+            "run-placed",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            waited_ms=waited_ms,
+            free_cpu_after=worker.free_cpu,
+            worker_seen_ago_ms=now_ms - worker.answered_ms,
+            has_checkpoint=bool(run.task.checkpoint),
+        )
+        self._metrics.count(metrics_module.Counter.RUN_STARTS)
+        if step.spec.fills_idle:
             self._set_paces(worker)
 
-    def stop(self, run: runs_module.Run, reason: str) -> None:
+    def _observe(self, latency: metrics_module.Latency, took_ms: int) -> None:
+        self._metrics.observe(latency, took_ms * 1_000)
+
+    def stop(
+        self,
+        run: runs_module.Run,
+        reason: reasons.StopReason,
+        detail: str = "",
+    ) -> None:
         """Orders a worker to stop a run."""
         if run.phase is runs_module.RunPhase.STOPPING:
             return
@@ -90,7 +123,11 @@
             run=run.number,
             worker=run.worker_id,
             reason=reason,
+            detail=detail,
+            percent=run.percent,
+            pace_percent=run.pace_percent,
         )
+        self._metrics.count(metrics_module.Counter.RUN_STOPS, reason)
         self._send_stop(run)
 
     def _send_stop(self, run: runs_module.Run) -> None:
@@ -101,7 +138,7 @@
     def stop_all(self, job: runs_module.JobRun) -> None:
         """Stops every run of a job that has ended."""
         for run in list(job.all_runs()):
-            self.stop(run, f"job-{job.state}")
+            self.stop(run, reasons.StopReason.JOB_ENDED, job.state)
         for step in job.all_steps():
             self._disturbance.forget(step)
 
@@ -117,6 +154,7 @@
                 reason=lost.reason,
                 phase=run.phase.value,
             )
+            self._metrics.count(metrics_module.Counter.RUNS_LOST, lost.reason)
             run.task.step.note_gone(run, self._clock.monotonic_ms())
 
     def take_start(self, event: events.StartReturned) -> None:
@@ -190,7 +228,7 @@
                 worker.avoided_until_ms = now_ms + UNHEALTHY_PAUSE_MS
         if event.tries > 1 or run.is_in_doubt:
             # An earlier sending may still be carried out.
-            self.stop(run, f"refused-{reason}")
+            self.stop(run, reasons.StopReason.START_REFUSED, reason)
         else:
             self._drop(run)
 
@@ -274,6 +312,7 @@
             number=end.number,
             known=run is not None,
         )
+        self._metrics.count(metrics_module.Counter.RUN_ENDS, end.how)
         if run is not None:
             worker.remove(run)
             run.task.step.note_gone(run, self._clock.monotonic_ms())
@@ -303,7 +342,7 @@
             self._learn(worker, run)
         self._jobs.note_done(task)
         for other in list(task.runs):
-            self.stop(other, "done-elsewhere")
+            self.stop(other, reasons.StopReason.DONE_ELSEWHERE)
         if task.step.spec.is_gang:
             for member in task.step.tasks:
                 for other in list(member.runs):
@@ -433,6 +472,10 @@
                     worker=worker.worker_id,
                     phase=run.phase.value,
                 )
+                self._metrics.count(
+                    metrics_module.Counter.RUNS_LOST,
+                    reasons.LossReason.NOT_LISTED,
+                )
                 self._drop(run)
             elif run.is_in_doubt:
                 self._resolve(run)
@@ -444,7 +487,7 @@
             self._send_stop(run)
         else:
             run.is_in_doubt = True
-            self.stop(run, "start-unanswered")
+            self.stop(run, reasons.StopReason.START_UNANSWERED)
 
     def look_after(self, now_ms: int) -> None:
         """Stops runs that stand still, to run their tasks elsewhere."""
@@ -453,22 +496,24 @@
                 continue
             for run in list(worker.runs.values()):
                 reason = self._reason_to_move(run, now_ms)
-                if reason:
+                if reason is not None:
                     self.stop(run, reason)
 
-    def _reason_to_move(self, run: runs_module.Run, now_ms: int) -> str:
-        """Why a run should go on elsewhere; empty when it should not."""
+    def _reason_to_move(
+        self, run: runs_module.Run, now_ms: int
+    ) -> reasons.StopReason | None:
+        """Why a run should go on elsewhere; None when it should not."""
         if run.phase is not runs_module.RunPhase.RUNNING:
-            return ""
+            return None
         if self._is_stalled(run, now_ms):
             run.task.shunned |= {run.worker_id}
-            return "stalled"
+            return reasons.StopReason.STALLED
         is_slow = (
             run.slow_since_ms > 0
             and now_ms - run.slow_since_ms > SLOW_MS
             and run.task.step.spec.has_checkpoints
         )
-        return "slowed-down" if is_slow else ""
+        return reasons.StopReason.SLOWED_DOWN if is_slow else None
 
     def _is_stalled(self, run: runs_module.Run, now_ms: int) -> bool:
         spec = run.task.step.spec
--- a/src/comfreylatch/_process/cell/tenure.py
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -21,9 +21,11 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import owner as owner_module
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import scribe as scribe_module
 from comfreylatch._process.cell import tail as tail_module
@@ -90,27 +92,31 @@
     started_ms: int
 
 
-def reason_to_claim(view: ClaimView, host: HostIdentity) -> str:
-    """Why a host should claim a cell now; empty when it should not."""
+def reason_to_claim(
+    view: ClaimView, host: HostIdentity
+) -> reasons.ClaimReason | None:
+    """Why a host should claim a cell now; None when it should not."""
     if view.view_age_ms > TAKEOVER_MS:
-        return ""
+        return None
     sighting = view.owner
     if sighting is None:
         waited_ms = view.now_ms - view.started_ms
-        return "no-owner" if waited_ms >= host.turn_ms else ""
+        if waited_ms >= host.turn_ms:
+            return reasons.ClaimReason.NO_OWNER
+        return None
     beat = sighting.heartbeat
     silent_ms = view.now_ms - sighting.seen_ms
     if beat.host == host.name and beat.boot != host.boot:
-        return "restarted"
+        return reasons.ClaimReason.RESTARTED
     if beat.is_released:
         is_cut_off = beat.is_isolated and beat.zone == host.zone
         wait_ms = ISOLATED_ZONE_WAIT_MS if is_cut_off else 0
         is_over = silent_ms >= wait_ms + host.turn_ms
-        return "released" if is_over else ""
+        return reasons.ClaimReason.RELEASED if is_over else None
     quiet_ms = min(silent_ms, view.reachable_ms)
     if quiet_ms >= TAKEOVER_MS + host.turn_ms:
-        return "owner-silent"
-    return ""
+        return reasons.ClaimReason.OWNER_SILENT
+    return None
 
 
 @attrs.frozen
@@ -126,6 +132,7 @@
         follow_workers: Makes a tail that reports all workers of the cell
             at each change.
         lease_ms: Length of leases at workers.
+        metrics: Counts claims, tenures and what the owner does.
         clock: For all times.
     """
 
@@ -139,6 +146,7 @@
         tail_module.Tail,
     ]
     lease_ms: int
+    metrics: metrics_module.Metrics
     clock: clock_port.Clock
 
 
@@ -193,7 +201,7 @@
             started_ms=self._started_ms,
         )
         reason = reason_to_claim(view, self._host)
-        if not reason:
+        if reason is None:
             return
         token = self._claim(reason)
         if token is None:
@@ -207,7 +215,7 @@
             parts.book.listen(None)
             self.is_owner = False
 
-    def _claim(self, reason: str) -> int | None:
+    def _claim(self, reason: reasons.ClaimReason) -> int | None:
         """Tries to claim the cell; returns the fencing token."""
         parts = self._parts
         match parts.store.newest(
@@ -238,6 +246,7 @@
             at_offset=claims.end_offset,
             outcome=outcome,
         )
+        parts.metrics.count(metrics_module.Counter.CLAIMS, reason)
         match outcome:
             case result.Ok(offset):
                 return offset + 1
@@ -304,6 +313,7 @@
                 scribe,
                 parts.connect,
                 parts.lease_ms,
+                parts.metrics,
                 parts.clock,
             ) as owner:
                 inbox.append(owner.post)
@@ -330,20 +340,25 @@
             owner.post(events.WorkersListed(entries))
 
         self._isolated_since_ms = 0
-        with self._parts.follow_workers(on_workers):
+        parts = self._parts
+        with parts.follow_workers(on_workers):
             reason = owner.run(lambda: self._reason_to_stop(owner, heartbeat))
         logs.event(
             _logger,
             "tenure-ended",
-            cell=self._parts.cell,
+            cell=parts.cell,
             token=heartbeat.token,
             reason=reason,
         )
-        if reason in ("stopping", "isolated"):
+        parts.metrics.count(metrics_module.Counter.TENURES_ENDED, reason)
+        if reason in (
+            reasons.TenureEnd.STOPPING,
+            reasons.TenureEnd.ISOLATED,
+        ):
             last = attrs.evolve(
                 heartbeat,
                 is_released=True,
-                is_isolated=reason == "isolated",
+                is_isolated=reason is reasons.TenureEnd.ISOLATED,
             )
             scribe.release(last)
 
@@ -351,20 +366,20 @@
         self,
         owner: owner_module.Owner,
         heartbeat: records.HeartbeatRecord,
-    ) -> str:
+    ) -> reasons.TenureEnd | None:
         if self._stopping.is_set():
-            return "stopping"
+            return reasons.TenureEnd.STOPPING
         sighting = self._parts.book.owner
         if sighting and sighting.heartbeat.token > heartbeat.token:
-            return f"superseded by {sighting.heartbeat.host}"
+            return reasons.TenureEnd.SUPERSEDED
         now_ms = self._parts.clock.monotonic_ms()
         if not owner.is_isolated:
             self._isolated_since_ms = 0
         elif self._isolated_since_ms == 0:
             self._isolated_since_ms = now_ms
         elif now_ms - self._isolated_since_ms > ISOLATION_MS:
-            return "isolated"
-        return ""
+            return reasons.TenureEnd.ISOLATED
+        return None
 
     def _take_over(
         self,
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -16,6 +16,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
@@ -34,7 +35,7 @@
     """Runs that are surely over, and why."""
 
     runs: tuple[runs_module.Run, ...]
-    reason: str
+    reason: reasons.LossReason
 
 
 @attrs.define(eq=False)
@@ -131,7 +132,7 @@
             if view.worker_id not in entries and view.is_listed:
                 view.is_listed = False
                 view.unlisted_ms = now_ms
-        return LostRuns(tuple(lost), "reborn")
+        return LostRuns(tuple(lost), reasons.LossReason.REBORN)
 
     def take_hold(self, event: events.HoldReturned) -> bool:
         """Notes what a hold says of the worker; whether it is of this life."""
@@ -201,12 +202,12 @@
             gone_ms = now_ms - view.unlisted_ms
             if view.unlisted_ms and gone_ms > UNLISTED_GRACE_MS:
                 runs = tuple(self._drop(view, "gone"))
-                lost.append(LostRuns(runs, "worker-gone"))
+                lost.append(LostRuns(runs, reasons.LossReason.WORKER_GONE))
             elif view.runs:
                 runs = tuple(view.runs.values())
                 for run in runs:
                     view.remove(run)
-                lost.append(LostRuns(runs, "lease-over"))
+                lost.append(LostRuns(runs, reasons.LossReason.LEASE_OVER))
         return lost
 
     def unanswered(self) -> list[worker_view.WorkerView]:
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -31,6 +31,12 @@
     EVICTIONS = "evictions"
     LOANS = "loans"
     EJECTIONS = "ejections"
+    RUN_STARTS = "run-starts"
+    RUN_ENDS = "run-ends"
+    RUN_STOPS = "run-stops"
+    RUNS_LOST = "runs-lost"
+    CLAIMS = "claims"
+    TENURES_ENDED = "tenures-ended"
 
 
 class Latency(enum.StrEnum):
@@ -42,6 +48,11 @@
     LOG_APPEND = "log-append"
     TICKET = "ticket"
     DECISION = "decision"
+    ACCEPTANCE = "acceptance"
+    FIRST_START = "first-start"
+    STEP_GAP = "step-gap"
+    END_RECORDED = "end-recorded"
+    STORE_APPEND = "store-append"
 
 
 @attrs.frozen
@@ -140,3 +151,23 @@
         max_us=int(found.get_max_value()),
         encoded=found.encode().decode("ascii"),
     )
+
+
+def render_text(page: MetricsPage) -> str:
+    """A page in the usual text exposition format."""
+    lines = []
+    for counter in page.counters:
+        name = "comfreylatch_" + counter.counter.replace("-", "_") + "_total"
+        lines.append(f'{name}{{label="{counter.label}"}} {counter.value}')
+    for latency in page.latencies:
+        name = "comfreylatch_" + latency.latency.replace("-", "_") + "_us"
+        label = f'label="{latency.label}"'
+        for quantile, value in (
+            ("0.5", latency.p50_us),
+            ("0.99", latency.p99_us),
+            ("0.999", latency.p999_us),
+            ("1", latency.max_us),
+        ):
+            lines.append(f'{name}{{{label},quantile="{quantile}"}} {value}')
+        lines.append(f"{name}_count{{{label}}} {latency.count}")
+    return "\n".join(lines) + "\n"
--- a/src/comfreylatch/platform/callers.py
+++ b/src/comfreylatch/platform/callers.py
@@ -11,7 +11,9 @@
 from comfreylatch._connection import http
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import intake as intake_module
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
 from comfreylatch.platform import configuration
@@ -37,27 +39,32 @@
         self,
         configured: Configured,
         intake: intake_module.Intake,
+        metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
         self._configured = configured
         self._intake = intake
+        self._metrics = metrics
         self._clock = clock
 
     def handle(self, request: http.HttpRequest) -> http.HttpReply:
         """Answers a request."""
         configured = self._configured()
         if configured is None:
-            return http.error_reply(
+            return self._refuse(
                 503,
-                "no-configuration",
+                reasons.Refusal.NO_CONFIGURATION,
                 "no configuration has been read yet",
                 NO_CONFIGURATION_RETRY_MS,
             )
         host = request.headers.get("host", "").partition(":")[0]
         queue = configured.queue_of(host, request.path)
         if queue is None:
-            return http.error_reply(
-                404, "unknown-queue", f"no queue at {host}{request.path}"
+            return self._refuse(
+                404,
+                reasons.Refusal.UNKNOWN_QUEUE,
+                f"no queue at {host}{request.path}; configuration version "
+                f"{configured.version}",
             )
         job_id = request.path[len(queue.prefix) :]
         match request.method:
@@ -69,9 +76,9 @@
                 return self._submit(request, queue, job_id)
             case "DELETE":
                 return self._cancel(request, job_id)
-        return http.error_reply(
+        return self._refuse(
             405,
-            "method-not-allowed",
+            reasons.Refusal.METHOD_NOT_ALLOWED,
             f"a queue takes GET, POST and DELETE, not {request.method}",
         )
 
@@ -91,9 +98,9 @@
         job_id: str,
     ) -> http.HttpReply:
         if not _JOB_ID.fullmatch(job_id):
-            return http.error_reply(
+            return self._refuse(
                 400,
-                "bad-job-id",
+                reasons.Refusal.BAD_JOB_ID,
                 f"job id {job_id!r} is not 16 hexadecimal digits",
             )
         try:
@@ -101,19 +108,22 @@
                 job_id, queue, request.body, self._clock.wall_ms()
             )
         except wire.BadMessageError as error:
-            logs.event(_logger, "bad-job", job=job_id, detail=str(error))
-            return http.error_reply(400, "bad-job", str(error))
+            return self._refuse(
+                400, reasons.Refusal.BAD_JOB, f"job {job_id}: {error}"
+            )
         if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
-            return http.error_reply(
+            return self._refuse(
                 400,
-                "payload-too-long",
+                reasons.Refusal.PAYLOAD_TOO_LONG,
                 f"the text of job {job_id} is over {MAX_PAYLOAD_BYTES} bytes",
             )
-        return _outcome_reply(self._intake.submit(spec, self._wait_ms(request)))
+        return self._outcome_reply(
+            job_id, self._intake.submit(spec, self._wait_ms(request))
+        )
 
     def _cancel(self, request: http.HttpRequest, job_id: str) -> http.HttpReply:
-        return _outcome_reply(
-            self._intake.cancel(job_id, self._wait_ms(request))
+        return self._outcome_reply(
+            job_id, self._intake.cancel(job_id, self._wait_ms(request))
         )
 
     def _state(self, job_id: str) -> http.HttpReply:
@@ -121,42 +131,66 @@
             case records.JobState() as state:
                 return http.json_reply(200, {"State": state.value})
             case intake_module.Unknown():
-                return _unknown_reply()
+                return self._unknown(job_id)
             case intake_module.CannotTell(age_ms):
-                return _stale_reply(age_ms)
+                return self._stale(age_ms)
 
     def _waiting(self, queue: specs.QueueSpec) -> http.HttpReply:
         match self._intake.waiting(queue):
             case int() as count:
                 return http.json_reply(200, {"Waiting": count})
             case intake_module.CannotTell(age_ms):
-                return _stale_reply(age_ms)
-
-
-def _unknown_reply() -> http.HttpReply:
-    return http.error_reply(410, "unknown-job", "no such job was accepted")
+                return self._stale(age_ms)
 
+    def _refuse(
+        self,
+        status: int,
+        reason: reasons.Refusal,
+        detail: str,
+        retry_after_ms: int = 0,
+    ) -> http.HttpReply:
+        """An error reply, logged and counted by its reason."""
+        logs.event(
+            _logger, "refused", reason=reason, status=status, detail=detail
+        )
+        self._metrics.count(metrics_module.Counter.REFUSALS, reason)
+        return http.error_reply(status, reason, detail, retry_after_ms)
+
+    def _unknown(self, job_id: str) -> http.HttpReply:
+        return self._refuse(
+            410,
+            reasons.Refusal.UNKNOWN_JOB,
+            f"no job {job_id} was ever accepted",
+        )
 
-def _stale_reply(age_ms: int) -> http.HttpReply:
-    return http.error_reply(
-        503,
-        "view-too-old",
-        f"this host's view of jobs is {age_ms} ms old; ask another one",
-        intake_module.RETRY_AFTER_MS,
-    )
-
+    def _stale(self, age_ms: int) -> http.HttpReply:
+        return self._refuse(
+            503,
+            reasons.Refusal.VIEW_TOO_OLD,
+            f"this host's view of jobs is {age_ms} ms old; ask another one",
+            intake_module.RETRY_AFTER_MS,
+        )
 
-def _outcome_reply(
-    outcome: intake_module.SubmitOutcome | intake_module.Unknown,
-) -> http.HttpReply:
-    match outcome:
-        case intake_module.Accepted():
-            return http.json_reply(200, {})
-        case intake_module.Refused(reason, retry_after_ms):
-            return http.error_reply(
-                503, reason, "the store did not take it", retry_after_ms
-            )
-        case intake_module.Undecided(detail):
-            return http.error_reply(504, "undecided", detail)
-        case intake_module.Unknown():
-            return _unknown_reply()
+    def _outcome_reply(
+        self,
+        job_id: str,
+        outcome: intake_module.SubmitOutcome | intake_module.Unknown,
+    ) -> http.HttpReply:
+        match outcome:
+            case intake_module.Accepted():
+                return http.json_reply(200, {})
+            case intake_module.Refused(reason, retry_after_ms):
+                return self._refuse(
+                    503,
+                    reason,
+                    f"nothing was kept for job {job_id}",
+                    retry_after_ms,
+                )
+            case intake_module.Undecided(detail):
+                return self._refuse(
+                    504,
+                    reasons.Refusal.UNDECIDED,
+                    f"job {job_id} may have been kept: {detail}",
+                )
+            case intake_module.Unknown():
+                return self._unknown(job_id)
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -22,6 +22,7 @@
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import json_logs
 from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import intake as intake_module
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import records
@@ -39,6 +40,8 @@
 WORKERS_TOPIC = "servers"
 MAX_BODY_BYTES = 1 << 20
 CALLER_THREADS = 6
+# Beside the readiness page, on the address that callers do not use.
+METRICS_PATH = "/metrics"
 READINESS_THREADS = 1
 # The configuration changes rarely, and a read that waits costs nothing.
 CONFIGURATION_WAIT_MS = 10_000
@@ -157,11 +160,17 @@
     return 0
 
 
+def _note_reload() -> None:
+    """Logs that settings may have changed; all in use are for a whole life."""
+    logs.event(_logger, "reloaded", changed=False)
+
+
 def _serve(settings: wire.Settings) -> None:
     clock = clock_port.SystemClock()
+    metrics = metrics_module.Metrics()
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(signal.SIGHUP, lambda *_: _note_reload())
     host = tenure_module.HostIdentity(
         name=settings.name,
         boot=uuid.uuid4().hex,
@@ -191,7 +200,7 @@
         keeper = stack.enter_context(
             intake_module.RecordKeeper(client, CELL, clock)
         )
-        intake = intake_module.Intake(book, jobs_tail, keeper, clock)
+        intake = intake_module.Intake(book, jobs_tail, keeper, metrics, clock)
 
         def follow_workers(
             tell: Callable[[dict[str, cell_workers.WorkerEntry]], None],
@@ -208,6 +217,7 @@
                 connect=workers.WorkerClient,
                 follow_workers=follow_workers,
                 lease_ms=min(LEASE_MS, int(settings.bounds.lease_ms)),
+                metrics=metrics,
                 clock=clock,
             ),
             host,
@@ -222,7 +232,9 @@
             )
 
         def readiness(request: http.HttpRequest) -> http.HttpReply:
-            del request
+            if request.path == METRICS_PATH:
+                text = metrics_module.render_text(metrics.page())
+                return http.HttpReply(200, text.encode())
             return http.HttpReply(200 if is_ready() else 503)
 
         stack.enter_context(
@@ -233,7 +245,9 @@
                 MAX_BODY_BYTES,
             )
         )
-        pages = callers.CallerPages(lambda: configured.current, intake, clock)
+        pages = callers.CallerPages(
+            lambda: configured.current, intake, metrics, clock
+        )
         served = stack.enter_context(
             http_server.HttpServer(
                 settings.listen.callers,
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -8,6 +8,7 @@
 import result
 
 from comfreylatch._ports import cell_workers
+from comfreylatch._process import metrics
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations
 from comfreylatch._process.cell import events
@@ -95,7 +96,12 @@
         self.model = disturbance.DisturbanceModel()
         self.ranker = ranking.Ranker(self.durations)
         self.control = run_control.RunControl(
-            self.jobs, self.workers, self.durations, self.model, self.clock
+            self.jobs,
+            self.workers,
+            self.durations,
+            self.model,
+            metrics.Metrics(),
+            self.clock,
         )
         self.planner = planner.Planner(self.workers, self.ranker, self.model)
         entries = {
--- a/tests/process/cell/test_run_control.py
+++ b/tests/process/cell/test_run_control.py
@@ -7,6 +7,7 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs as runs_module
 from tests.process.cell import harness
@@ -78,7 +79,7 @@
         cell = harness.Cell()
         cell.submit(harness.job(harness.step(1, has_checkpoints=True)))
         (run,) = cell.place()
-        cell.control.stop(run, "test")
+        cell.control.stop(run, reasons.StopReason.STALLED)
         stopped = cell_workers.RunEnd.STOPPED
         end = harness.ended(run, stopped, checkpoint="half")
         cell.hold(run.worker_id, ended=(end,))
