--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -118,7 +118,7 @@
         run.confirmed_ms = 0
         logs.event(
             _logger,
-            "run-stopped",
+            "stop-ordered",
             task=run.task.name,
             run=run.number,
             worker=run.worker_id,
@@ -444,7 +444,7 @@
             return
         logs.event(
             _logger,
-            "unknown-run-stopped",
+            "stray-stopped",
             task=listed.task,
             run=listed.run,
             worker=worker.worker_id,
--- a/src/comfreylatch/_process/json_logs.py
+++ b/src/comfreylatch/_process/json_logs.py
@@ -37,7 +37,7 @@
         "bad-worker-entry",
         "pace",
         "start-refused",
-        "unknown-run-stopped",
+        "stray-stopped",
     }
 )
 
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,115 @@
+"""Tests of decoding what operators, executors and callers write."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import testtools
+
+from comfreylatch._process.cell import specs
+from comfreylatch.platform import configuration
+from comfreylatch.platform import wire
+from comfreylatch.platform import workers
+
+ENTRY = {
+    "Service": "skyproc",
+    "Address": "10.1.64.3:8721",
+    "Zone": "bole",
+    "State": "ready",
+    "Capacity": {"CpuMillicores": 32_000, "RequestedMemoryMb": 128_000},
+    "Labels": ["a", "r1-3"],
+    "born": 1_781_570_625_127,
+}
+QUEUE = specs.QueueSpec("q", "a.example", "/q/", "skyproc")
+
+
+class WorkerEntryTest(testtools.TestCase):
+    """Entries in the store, of executors and of other writers."""
+
+    def decode(self, **changes: Any) -> Any:
+        """The entry with some fields changed."""
+        value = json.dumps({**ENTRY, **changes}).encode()
+        return workers.decode_worker("i-1", value, None)
+
+    def test_entry_of_an_executor(self) -> None:
+        entry = self.decode()
+        self.assertEqual(32_000, entry.capacity.cpu_millicores)
+        self.assertEqual(1_781_570_625_127, entry.born_ms)
+        self.assertFalse(entry.is_draining)
+
+    def test_draining_executor(self) -> None:
+        self.assertTrue(self.decode(State="draining").is_draining)
+
+    def test_entries_of_no_use(self) -> None:
+        for changes in (
+            {"State": "sleeping"},
+            {"Address": 7},
+            {"Address": "nowhere"},
+            {"Capacity": None},
+            {"Labels": "a"},
+            {"born": 1.5},
+        ):
+            self.assertRaises(wire.BadMessageError, self.decode, **changes)
+
+    def test_bytes_that_are_no_text(self) -> None:
+        self.assertRaises(
+            wire.BadMessageError,
+            workers.decode_worker,
+            "i-1",
+            b"\xff\x00",
+            None,
+        )
+
+
+class SubmissionTest(testtools.TestCase):
+    """Bodies that callers send."""
+
+    def decode(self, body: Any) -> specs.JobSpec:
+        """A job from a body."""
+        return configuration.decode_submission(
+            "0" * 16, QUEUE, json.dumps(body).encode(), 5
+        )
+
+    def test_left_out_fields_are_zero(self) -> None:
+        job = self.decode({"JobSteps": [{"TaskCount": 2}]})
+        self.assertEqual(specs.StepSpec(2), job.steps[0])
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        job = self.decode({"JobSteps": [{"TaskCount": 1, "New": 1}]})
+        self.assertEqual(1, len(job.steps))
+
+    def test_faulty_bodies_are_refused(self) -> None:
+        for body in (
+            {},
+            [],
+            {"JobSteps": []},
+            {"JobSteps": [{"TaskCount": 0}]},
+            {"JobSteps": [{"TaskCount": "many"}]},
+            {"JobSteps": [{"TaskCount": 1, "DependsOn": [0]}]},
+            {"JobSteps": [{"TaskCount": 1, "DependsOn": [-1]}]},
+        ):
+            self.assertRaises(wire.BadMessageError, self.decode, body)
+
+
+class ConfigurationTest(testtools.TestCase):
+    """The operators' newest configuration."""
+
+    def test_longest_prefix_wins(self) -> None:
+        routes = [
+            {"Name": n, "Host": "a", "PathPrefix": p, "Service": "s"}
+            for n, p in (("r1", "/a/"), ("r2", "/a/b/"))
+        ]
+        value = json.dumps({"Version": 3, "Routes": routes}).encode()
+        found = configuration.decode_configuration(value)
+        queue = found.queue_of("a", "/a/b/0")
+        assert queue is not None
+        self.assertEqual("r2", queue.name)
+        self.assertIs(None, found.queue_of("b", "/a/b/0"))
+
+    def test_faulty_configuration_is_refused(self) -> None:
+        self.assertRaises(
+            wire.BadMessageError,
+            configuration.decode_configuration,
+            b'{"Version": "new"}',
+        )
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -21,6 +21,7 @@
 from testing.fakes import cell_workers as fake_workers
 from testing.fakes import clock as fake_clock
 
+START_MS = 100_000
 QUEUE = specs.QueueSpec(
     "calib", "a.example", "/calib/", "skyproc", max_attempts=3, target_ms=250
 )
@@ -40,7 +41,8 @@
 def job(
     *steps: specs.StepSpec, job_id: str = "0" * 16, **fields: Any
 ) -> specs.JobSpec:
-    """A job of some steps."""
+    """A job of some steps, accepted when the cell's clock starts."""
+    fields.setdefault("accepted_wall_ms", START_MS)
     return specs.JobSpec(job_id, QUEUE, "text", steps or (step(),), **fields)
 
 
@@ -86,7 +88,7 @@
     """An owner's parts, without its threads."""
 
     def __init__(self, workers: int = 2, cpu_millicores: int = 8_000) -> None:
-        self.clock = fake_clock.FakeClock(100_000)
+        self.clock = fake_clock.FakeClock(START_MS)
         self.jobs = job_table.JobTable(1, self.clock)
         self.sent: dict[str, _Sent] = {}
         self.workers = worker_table.WorkerTable(
--- /dev/null
+++ b/tests/process/cell/test_disturbance.py
@@ -0,0 +1,81 @@
+"""Tests of what is learned of disturbance, and of the paces that follow."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+
+from comfreylatch._process.cell import disturbance
+from tests.process.cell import harness
+
+BASE_MS = 4
+TARGET_MS = 18
+
+
+class Beside:
+    """A lasting task and a filling one on one worker of eight cores."""
+
+    def __init__(self, load: float, pressure: float) -> None:
+        self.load = load
+        self.pressure = pressure
+        self.cell = harness.Cell(workers=1)
+        lasting = harness.step(
+            is_lasting=True, image="serve", tail_target_ms=TARGET_MS
+        )
+        fill = harness.step(
+            cpu_millicores=2_000, fills_idle=True, image="press"
+        )
+        self.cell.submit(harness.job(lasting, job_id="a" * 16))
+        (self.serving,) = self.cell.place()
+        self.cell.submit(harness.job(fill, job_id="b" * 16))
+        self.filling: Any = None
+
+    def tail_ms(self) -> int:
+        """The tail that a queue with these loads has."""
+        busy = self.load
+        if self.filling is not None:
+            used = 0.25 * self.filling.pace_percent / 100
+            busy += self.pressure * used
+        return round(BASE_MS / max(1 - busy, 0.01))
+
+    def settle(self, seconds: int) -> None:
+        """Lets readings come twice a second."""
+        for _ in range(2 * seconds):
+            self.cell.clock.advance(500)
+            running = [harness.listed(self.serving, 100.0, self.tail_ms())]
+            if self.filling is not None:
+                used = 2_000 * self.filling.pace_percent // 100
+                running.append(harness.listed(self.filling, 50.0, used))
+            self.cell.hold("w1", running=tuple(running))
+
+
+class DisturbanceTest(testtools.TestCase):
+    """Learning from readings that follow the model."""
+
+    def test_load_is_learned_from_tails(self) -> None:
+        beside = Beside(0.3, 0.0)
+        beside.settle(10)
+        learned = beside.cell.model.load(beside.serving).load
+        self.assertAlmostEqual(0.3, learned, delta=0.06)
+
+    def test_harmful_task_is_slowed_until_the_target_is_kept(self) -> None:
+        beside = Beside(0.45, 2.0)
+        beside.settle(4)
+        (beside.filling,) = beside.cell.place()
+        beside.settle(8)
+        self.assertLess(beside.filling.pace_percent, 100)
+        self.assertLessEqual(beside.tail_ms(), TARGET_MS)
+
+    def test_harmless_task_keeps_its_pace(self) -> None:
+        beside = Beside(0.3, 0.1)
+        beside.settle(4)
+        (beside.filling,) = beside.cell.place()
+        beside.settle(8)
+        self.assertEqual(100, beside.filling.pace_percent)
+
+    def test_rising_load_is_expected_to_go_on(self) -> None:
+        state = disturbance.ServingLoad()
+        for index in range(20):
+            state.update(0.05, 100 * index)
+        self.assertGreater(state.ahead(700), state.load)
--- /dev/null
+++ b/tests/process/cell/test_intake.py
@@ -0,0 +1,102 @@
+"""Tests of what callers are told, under faults of the store."""
+
+from __future__ import annotations
+
+import contextlib
+
+import testtools
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import metrics
+from comfreylatch._process.cell import intake as intake_module
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import tail as tail_module
+from testing.fakes import record_store
+from tests.process.cell import harness
+
+WAIT_MS = 2_000
+ID = "0" * 16
+
+
+class IntakeTest(testtools.TestCase):
+    """An intake with its tail on a store in memory."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        clock = clock_port.SystemClock()
+        self.store = record_store.MemoryStore()
+        self.book = job_book.JobBook(clock)
+        self.tail = stack.enter_context(
+            tail_module.Tail(
+                self.store, records.JOBS_TOPIC, 0, self.book.apply, clock, 50
+            )
+        )
+        keeper = stack.enter_context(
+            intake_module.RecordKeeper(self.store, 0, clock)
+        )
+        self.intake = intake_module.Intake(
+            self.book, self.tail, keeper, metrics.Metrics(), clock
+        )
+        self.assertTrue(self.tail.wait_for(-1, WAIT_MS))
+
+    def submit(self) -> intake_module.SubmitOutcome:
+        return self.intake.submit(harness.job(), WAIT_MS)
+
+    def test_accepted_job_is_shown_as_queued(self) -> None:
+        self.assertEqual(intake_module.Accepted(), self.submit())
+        self.assertTrue(self.tail.wait_for(0, WAIT_MS))
+        self.assertIs(records.JobState.QUEUED, self.intake.state(ID))
+        self.assertEqual(1, self.intake.waiting(harness.QUEUE))
+
+    def test_refused_job_is_not_in_the_store(self) -> None:
+        self.store.is_down = True
+        self.assertIsInstance(self.submit(), intake_module.Refused)
+        self.assertEqual([], self.store.keys(records.JOBS_TOPIC, 0))
+
+    def test_lost_answer_is_never_a_refusal(self) -> None:
+        self.store.lose_answers = 1
+        self.assertEqual(intake_module.Accepted(), self.submit())
+
+    def test_lost_answer_then_outage_stays_undecided(self) -> None:
+        self.store.lose_answers = 10**6
+        outcome = self.intake.submit(harness.job(), 120)
+        self.assertNotIsInstance(outcome, intake_module.Refused)
+
+    def test_repeat_of_a_known_job_writes_nothing(self) -> None:
+        self.submit()
+        self.assertTrue(self.tail.wait_for(0, WAIT_MS))
+        before = self.store.appends
+        self.assertEqual(intake_module.Accepted(), self.submit())
+        self.assertEqual(before, self.store.appends)
+
+    def test_cancelled_job_is_shown_so(self) -> None:
+        self.submit()
+        self.assertTrue(self.tail.wait_for(0, WAIT_MS))
+        self.assertEqual(
+            intake_module.Accepted(), self.intake.cancel(ID, WAIT_MS)
+        )
+        self.assertTrue(self.tail.wait_for(1, WAIT_MS))
+        self.assertIs(records.JobState.CANCELLED, self.intake.state(ID))
+
+    def test_unknown_job_is_denied_from_a_current_view_only(self) -> None:
+        self.assertEqual(intake_module.Unknown(), self.intake.state(ID))
+        self.store.is_down = True
+        old = testtools.matchers.IsInstance(intake_module.CannotTell)
+        deadline = clock_port.SystemClock()
+        until_ms = deadline.monotonic_ms() + 5_000
+        while deadline.monotonic_ms() < until_ms:
+            if old.match(self.intake.state(ID)) is None:
+                return
+        self.fail("an old view still denied a job")
+
+    def test_expired_records_are_read_anew(self) -> None:
+        self.submit()
+        self.assertTrue(self.tail.wait_for(0, WAIT_MS))
+        self.store.expire(records.JOBS_TOPIC, 0)
+        other = harness.job(job_id="1" * 16)
+        self.intake.submit(other, WAIT_MS)
+        self.assertTrue(self.tail.wait_for(1, WAIT_MS))
+        self.assertIs(records.JobState.QUEUED, self.intake.state("1" * 16))
--- /dev/null
+++ b/tests/process/cell/test_planner.py
@@ -0,0 +1,149 @@
+"""Tests of who gets room, by patterns of load."""
+
+from __future__ import annotations
+
+import attrs
+import testtools
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._process.cell import clearing
+from comfreylatch._process.cell import planner
+from tests.process.cell import harness
+
+
+class OrderTest(testtools.TestCase):
+    """Which job goes first when there is not room for all."""
+
+    def test_small_job_goes_before_a_large_one(self) -> None:
+        cell = harness.Cell(workers=1, cpu_millicores=4_000)
+        cell.submit(harness.job(harness.step(20), job_id="a" * 16))
+        cell.submit(harness.job(harness.step(2), job_id="b" * 16))
+        owners = [run.task.step.job.spec.job_id[0] for run in cell.place()]
+        self.assertEqual(["b", "b", "a", "a"], owners)
+
+    def test_job_that_can_be_on_time_goes_before_a_late_one(self) -> None:
+        cell = harness.Cell(workers=1, cpu_millicores=1_000)
+        cell.submit(harness.job(job_id="a" * 16, accepted_wall_ms=95_000))
+        cell.submit(harness.job(job_id="b" * 16, accepted_wall_ms=100_000))
+        (run,) = cell.place()
+        self.assertEqual("b", run.task.step.job.spec.job_id[0])
+
+    def test_no_worker_is_filled_beyond_its_capacity(self) -> None:
+        cell = harness.Cell(workers=2, cpu_millicores=2_500)
+        cell.submit(harness.job(harness.step(9)))
+        self.assertEqual(4, len(cell.place()))
+
+    def test_gang_waits_until_all_of_it_fits(self) -> None:
+        cell = harness.Cell(workers=1, cpu_millicores=3_000)
+        cell.submit(harness.job(harness.step(4, is_gang=True)))
+        self.assertEqual([], cell.place())
+        worker = cell.workers.find("w1")
+        assert worker is not None
+        self.assertEqual(3_000, worker.free_cpu)
+
+    def test_bound_a_worker_is_kept(self) -> None:
+        cell = harness.Cell(workers=2)
+        cell.submit(harness.job(harness.step(5, max_per_worker=2)))
+        self.assertEqual(4, len(cell.place()))
+
+    def test_leaving_worker_gets_nothing_new(self) -> None:
+        cell = harness.Cell(workers=1)
+        worker = cell.workers.find("w1")
+        assert worker is not None
+        worker.entry = attrs.evolve(worker.entry, is_draining=True)
+        cell.submit(harness.job())
+        self.assertEqual([], cell.place())
+
+
+class ShortTasksBesideLastingOnesTest(testtools.TestCase):
+    """Lasting tasks have taken all processors when short jobs come."""
+
+    def full_cell(self) -> harness.Cell:
+        """Two workers, full of lasting tasks."""
+        cell = harness.Cell(workers=2, cpu_millicores=8_000)
+        lasting = harness.step(4, cpu_millicores=4_000, is_lasting=True)
+        cell.submit(harness.job(lasting, job_id="a" * 16))
+        self.assertEqual(4, len(cell.place()))
+        return cell
+
+    def test_one_lasting_run_makes_way_for_tasks_that_fit_there(self) -> None:
+        cell = self.full_cell()
+        cell.submit(harness.job(harness.step(3), job_id="b" * 16))
+        self.assertEqual([], cell.place())
+        cell.clock.advance(planner.PREEMPT_AFTER_MS)
+        steps = cell.jobs.ready_steps()
+        victims = cell.planner.choose_victims(steps, cell.clock.now_ms)
+        self.assertEqual(1, len(victims))
+
+    def test_step_with_a_bound_on_absences_is_left_alone(self) -> None:
+        cell = harness.Cell(workers=1, cpu_millicores=4_000)
+        lasting = harness.step(
+            1, cpu_millicores=4_000, is_lasting=True, max_unavailable=1
+        )
+        cell.submit(harness.job(lasting, job_id="a" * 16))
+        cell.place()
+        cell.submit(harness.job(job_id="b" * 16))
+        cell.clock.advance(planner.PREEMPT_AFTER_MS)
+        steps = cell.jobs.ready_steps()
+        victims = cell.planner.choose_victims(steps, cell.clock.now_ms)
+        self.assertEqual([], victims)
+
+
+class HarmfulFillTest(testtools.TestCase):
+    """Tasks that fill find no place where they do not disturb."""
+
+    def cell_with_lasting(self) -> harness.Cell:
+        """Every worker has a lasting task near its tail target."""
+        cell = harness.Cell(workers=4, cpu_millicores=8_000)
+        lasting = harness.step(
+            4,
+            cpu_millicores=4_500,
+            is_lasting=True,
+            max_per_worker=1,
+            image="serve",
+            tail_target_ms=18,
+        )
+        cell.submit(harness.job(lasting, job_id="a" * 16))
+        runs = cell.place()
+        for _ in range(30):
+            cell.clock.advance(500)
+            for run in runs:
+                answer = harness.listed(run, 100.0, 16)
+                cell.hold(run.worker_id, running=(answer,))
+        cell.submit(
+            harness.job(
+                harness.step(
+                    4, cpu_millicores=4_000, fills_idle=True, image="press"
+                ),
+                job_id="b" * 16,
+            )
+        )
+        return cell
+
+    def test_they_are_not_placed_beside_loaded_tasks(self) -> None:
+        self.assertEqual([], self.cell_with_lasting().place())
+
+    def test_a_worker_is_cleared_for_them(self) -> None:
+        cell = self.cell_with_lasting()
+        cell.place()
+        cell.clock.advance(clearing.WAIT_MS)
+        steps = cell.jobs.ready_steps()
+        now_ms = cell.clock.now_ms
+        (run,) = cell.planner.clear_worker(steps, now_ms)
+        stopped = cell_workers.RunEnd.STOPPED
+        cell.hold(run.worker_id, ended=(harness.ended(run, stopped),))
+        placed = cell.place()
+        self.assertEqual(
+            {(run.worker_id, "b")},
+            {(one.worker_id, one.task.name[0]) for one in placed},
+        )
+
+    def test_lasting_task_returns_before_it_counts_as_lost(self) -> None:
+        cell = self.cell_with_lasting()
+        cell.clock.advance(clearing.WAIT_MS)
+        now_ms = cell.clock.now_ms
+        (run,) = cell.planner.clear_worker(cell.jobs.ready_steps(), now_ms)
+        stopped = cell_workers.RunEnd.STOPPED
+        cell.hold(run.worker_id, ended=(harness.ended(run, stopped),))
+        cell.clock.advance(clearing.OVERDUE_MS + 1)
+        self.assertIn("a", [one.task.name[0] for one in cell.place()])
--- /dev/null
+++ b/tests/process/cell/test_scribe.py
@@ -0,0 +1,78 @@
+"""Tests of the owner's writing under lost answers, outages and fencing."""
+
+from __future__ import annotations
+
+import threading
+
+import testtools
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import scribe as scribe_module
+from testing.fakes import record_store
+
+WAIT_S = 5
+
+
+class ScribeTest(testtools.TestCase):
+    """One scribe on a store in memory."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = record_store.MemoryStore()
+        self.fenced = threading.Event()
+
+    def scribe(self, token: int) -> scribe_module.Scribe:
+        """A scribe that has not begun."""
+        return scribe_module.Scribe(
+            self.store,
+            0,
+            records.HeartbeatRecord("bole-1", "boot", token),
+            lambda _: self.fenced.set(),
+            clock_port.SystemClock(),
+        )
+
+    def write(self, scribe: scribe_module.Scribe, key: str) -> bool:
+        """Writes a record; returns whether it was reported as kept."""
+        kept = threading.Event()
+        scribe.write({key: b"{}"}, {}, [kept.set])
+        return kept.wait(WAIT_S)
+
+    def test_lost_answer_writes_once(self) -> None:
+        with self.scribe(1) as scribe:
+            scribe.fence()
+            self.store.lose_answers = 1
+            self.assertTrue(self.write(scribe, "state/a"))
+        keys = self.store.keys(records.JOBS_TOPIC, 0)
+        self.assertEqual(1, keys.count("state/a"))
+
+    def test_outage_is_waited_out(self) -> None:
+        with self.scribe(1) as scribe:
+            scribe.fence()
+            self.store.is_down = True
+            threading.Timer(
+                0.3, setattr, (self.store, "is_down", False)
+            ).start()
+            self.assertTrue(self.write(scribe, "state/a"))
+
+    def test_higher_epoch_ends_the_writing(self) -> None:
+        with self.scribe(1) as old:
+            old.fence()
+            with self.scribe(2) as new:
+                new.fence()
+                old.write({"state/a": b"{}"}, {}, [])
+                self.assertTrue(self.fenced.wait(WAIT_S))
+                self.assertFalse(old.may_act())
+                self.assertTrue(new.may_act())
+        self.assertNotIn("state/a", self.store.keys(records.JOBS_TOPIC, 0))
+
+    def test_release_is_the_last_heartbeat(self) -> None:
+        with self.scribe(1) as scribe:
+            scribe.fence()
+            last = records.HeartbeatRecord("bole-1", "boot", 1, True)
+            scribe.release(last)
+        newest = self.store.newest(records.JOBS_TOPIC, 0).unwrap()
+        (beat,) = newest.records
+        assert beat.value is not None
+        found = records.decode(records.HeartbeatRecord, beat.value)
+        self.assertTrue(found.is_released)
--- /dev/null
+++ b/tests/process/cell/test_takeover.py
@@ -0,0 +1,200 @@
+"""Tests of a cell's way from one owner to the next, with real threads."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+import time
+from typing import Any
+
+import testtools
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import metrics
+from comfreylatch._process.cell import intake as intake_module
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import tail as tail_module
+from comfreylatch._process.cell import tenure as tenure_module
+from testing.fakes import cell_workers as fake_workers
+from testing.fakes import record_store
+from tests.process.cell import harness
+
+WAIT_S = 15.0
+LEASE_MS = 1_000
+ID = "0" * 16
+
+
+class HostStore:
+    """One host's way to the store; a test can cut it."""
+
+    def __init__(self, store: record_store.MemoryStore) -> None:
+        self.is_cut = False
+        self._store = store
+        self._nothing = record_store.MemoryStore()
+        self._nothing.is_down = True
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._nothing if self.is_cut else self._store, name)
+
+
+class HostWorker:
+    """One host's way to a worker; a test can cut it."""
+
+    def __init__(self, host: Host, worker: fake_workers.FakeWorker) -> None:
+        self._host = host
+        self._worker = worker
+        self._dark = fake_workers.FakeWorker(
+            worker.entry, clock_port.SystemClock()
+        )
+        self._dark.is_dark = True
+
+    def __getattr__(self, name: str) -> Any:
+        is_dark = self._host.is_dark
+        return getattr(self._dark if is_dark else self._worker, name)
+
+
+class Listing:
+    """Tells the workers once."""
+
+    def __init__(
+        self,
+        entries: dict[str, cell_workers.WorkerEntry],
+        tell: Callable[[dict[str, cell_workers.WorkerEntry]], None],
+    ) -> None:
+        self._entries = entries
+        self._tell = tell
+
+    def __enter__(self) -> Listing:
+        self._tell(self._entries)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        return
+
+
+class Host:
+    """A host's book, intake and tenure."""
+
+    def __init__(
+        self,
+        name: str,
+        store: record_store.MemoryStore,
+        workers: dict[str, fake_workers.FakeWorker],
+        stack: contextlib.ExitStack,
+    ) -> None:
+        clock = clock_port.SystemClock()
+        self.is_dark = False
+        self.store = HostStore(store)
+        self.book = job_book.JobBook(clock)
+        self.tail = stack.enter_context(
+            tail_module.Tail(
+                self.store, records.JOBS_TOPIC, 0, self.book.apply, clock, 50
+            )
+        )
+        keeper = stack.enter_context(
+            intake_module.RecordKeeper(self.store, 0, clock)
+        )
+        counted = metrics.Metrics()
+        self.intake = intake_module.Intake(
+            self.book, self.tail, keeper, counted, clock
+        )
+        entries = {name: one.entry for name, one in workers.items()}
+        self.tenure = tenure_module.Tenure(
+            tenure_module.TenureParts(
+                cell=0,
+                store=self.store,
+                book=self.book,
+                jobs_tail=self.tail,
+                connect=lambda entry: HostWorker(
+                    self, workers[entry.worker_id]
+                ),
+                follow_workers=lambda tell: Listing(entries, tell),
+                lease_ms=LEASE_MS,
+                metrics=counted,
+                clock=clock,
+            ),
+            tenure_module.HostIdentity(name, f"boot-{name}", "bole", 1.0),
+        )
+        stack.callback(self.tenure.stop, 2_000)
+
+    def die(self) -> None:
+        """From now on, nothing of this host reaches anything."""
+        self.is_dark = True
+        self.store.is_cut = True
+
+
+class TakeoverTest(testtools.TestCase):
+    """Two hosts, one store and two workers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.store = record_store.MemoryStore()
+        clock = clock_port.SystemClock()
+        self.workers = {
+            name: fake_workers.FakeWorker(fake_workers.entry(name), clock)
+            for name in ("w1", "w2")
+        }
+        self.first = Host("one", self.store, self.workers, self.stack)
+        self.second = Host("two", self.store, self.workers, self.stack)
+        self.first.tenure.start()
+        self.wait_for(lambda: self.first.tenure.is_owner)
+        self.second.tenure.start()
+
+    def wait_for(self, condition: Callable[[], bool]) -> None:
+        """Waits until something holds."""
+        until_s = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), until_s, "not in time")
+            time.sleep(0.01)
+
+    def running(self) -> dict[str, int]:
+        """What runs on all workers."""
+        found: dict[str, int] = {}
+        for worker in self.workers.values():
+            found.update(worker.running)
+        return found
+
+    def test_work_of_a_dead_owner_goes_on_and_is_not_run_again(self) -> None:
+        self.first.intake.submit(harness.job(harness.step(3)), 2_000)
+        self.wait_for(lambda: len(self.running()) == 3)
+        self.first.die()
+        self.wait_for(lambda: self.second.tenure.is_owner)
+        for worker in self.workers.values():
+            worker.end_all(cell_workers.RunEnd.DONE)
+        completed = records.JobState.COMPLETED
+        self.wait_for(lambda: self.second.intake.state(ID) is completed)
+        starts = [one for w in self.workers.values() for one in w.starts]
+        self.assertEqual(3, len(starts))
+
+    def test_owner_that_stops_hands_over_at_once(self) -> None:
+        started_s = time.monotonic()
+        self.first.tenure.stop(2_000)
+        self.wait_for(lambda: self.second.tenure.is_owner)
+        elapsed_ms = (time.monotonic() - started_s) * 1_000
+        self.assertLess(elapsed_ms, tenure_module.TAKEOVER_MS)
+
+    def test_job_goes_to_the_owner_through_any_host(self) -> None:
+        self.second.intake.submit(harness.job(), 2_000)
+        self.wait_for(lambda: len(self.running()) == 1)
+        running = records.JobState.RUNNING
+        self.wait_for(lambda: self.second.intake.state(ID) is running)
+
+    def test_owner_cut_from_the_store_starts_nothing_new_at_the_end(
+        self,
+    ) -> None:
+        self.first.store.is_cut = True
+        self.wait_for(lambda: self.second.tenure.is_owner)
+        self.second.intake.submit(harness.job(harness.step(2)), 2_000)
+        self.wait_for(lambda: len(self.running()) == 2)
+        starts = [one for w in self.workers.values() for one in w.starts]
+        self.assertEqual({2}, {one.token for one in starts})
+
+    def test_cancelled_job_stops_running(self) -> None:
+        self.first.intake.submit(harness.job(harness.step(2)), 2_000)
+        self.wait_for(lambda: len(self.running()) == 2)
+        self.second.intake.cancel(ID, 2_000)
+        self.wait_for(lambda: not self.running())
--- /dev/null
+++ b/tests/process/cell/test_tenure.py
@@ -0,0 +1,79 @@
+"""Tests of when a host claims a cell."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import testtools
+
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import tenure
+
+HOST = tenure.HostIdentity("bole-1", "boot-2", "bole", 0.43)
+BEAT = records.HeartbeatRecord("entoto-1", "boot-1", 7, zone="entoto")
+
+
+def view(silent_ms: int, beat: records.HeartbeatRecord, **fields: Any) -> Any:
+    """What a host sees when the owner's heartbeat is so old."""
+    seen = tenure.ClaimView(
+        now_ms=100_000,
+        view_age_ms=50,
+        reachable_ms=60_000,
+        owner=job_book.OwnerSighting(beat, 100_000 - silent_ms),
+        started_ms=0,
+    )
+    return attrs.evolve(seen, **fields)
+
+
+class ReasonToClaimTest(testtools.TestCase):
+    """The decision, on what a host sees."""
+
+    def test_lively_owner_is_left_alone(self) -> None:
+        self.assertIs(None, tenure.reason_to_claim(view(600, BEAT), HOST))
+
+    def test_silent_owner_is_replaced(self) -> None:
+        seen = view(tenure.TAKEOVER_MS + tenure.LONGEST_TURN_MS, BEAT)
+        self.assertIs(
+            reasons.ClaimReason.OWNER_SILENT,
+            tenure.reason_to_claim(seen, HOST),
+        )
+
+    def test_owner_gets_time_after_an_outage_of_the_store(self) -> None:
+        seen = view(9_000, BEAT, reachable_ms=300)
+        self.assertIs(None, tenure.reason_to_claim(seen, HOST))
+
+    def test_old_view_claims_nothing(self) -> None:
+        seen = view(9_000, BEAT, view_age_ms=2_000)
+        self.assertIs(None, tenure.reason_to_claim(seen, HOST))
+
+    def test_restarted_owner_claims_at_once(self) -> None:
+        seen = view(0, attrs.evolve(BEAT, host="bole-1"))
+        self.assertIs(
+            reasons.ClaimReason.RESTARTED, tenure.reason_to_claim(seen, HOST)
+        )
+
+    def test_released_cell_is_taken_in_turn(self) -> None:
+        released = attrs.evolve(BEAT, is_released=True)
+        self.assertIs(
+            reasons.ClaimReason.RELEASED,
+            tenure.reason_to_claim(view(HOST.turn_ms, released), HOST),
+        )
+
+    def test_isolated_zone_leaves_the_cell_to_others(self) -> None:
+        released = attrs.evolve(
+            BEAT, is_released=True, is_isolated=True, zone="bole"
+        )
+        self.assertIs(
+            None, tenure.reason_to_claim(view(HOST.turn_ms, released), HOST)
+        )
+        later = view(HOST.turn_ms + tenure.ISOLATED_ZONE_WAIT_MS, released)
+        self.assertIs(
+            reasons.ClaimReason.RELEASED, tenure.reason_to_claim(later, HOST)
+        )
+
+    def test_hosts_with_more_processors_come_first(self) -> None:
+        strong = attrs.evolve(HOST, core_share=2.15)
+        self.assertLess(strong.turn_ms, HOST.turn_ms)
