Move work off leaving workers; run copies of stragglers where allowed

Cause: runs on a worker that leaves were ended with it, and a task on a slow or still worker held its step up although the step allows a second run.

--- /dev/null
+++ b/src/comfreylatch/_process/cell/evacuation.py
@@ -0,0 +1,48 @@
+"""Which runs are moved off a worker that leaves, and when."""
+
+from __future__ import annotations
+
+from typing import final
+
+from comfreylatch._process.cell import durations as durations_module
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_view
+
+# A worker that drains goes on for two seconds at least; what is expected to
+# end within this time is left to end there.
+LEFT_TO_END_MS = 1_500
+
+
+@final
+class Evacuation:
+    """Chooses runs to be stopped on leaving workers."""
+
+    def __init__(self, durations: durations_module.Durations) -> None:
+        self._durations = durations
+
+    def to_move(self, worker: worker_view.WorkerView) -> list[runs_module.Run]:
+        """Runs that have to go on elsewhere.
+
+        Lasting tasks go at once: off a worker that drains, any number of them
+        may be away. Others go if they have checkpoints and would not end in
+        time; without checkpoints they may as well run on.
+        """
+        if not worker.entry.is_draining:
+            return []
+        return [
+            run
+            for run in worker.runs.values()
+            if run.phase is runs_module.RunPhase.RUNNING
+            and self._must_move(run)
+        ]
+
+    def _must_move(self, run: runs_module.Run) -> bool:
+        spec = run.task.step.spec
+        if spec.is_lasting:
+            return True
+        if not spec.has_checkpoints or spec.is_gang:
+            return False
+        queue = run.task.step.job.spec.queue.name
+        expected_ms = self._durations.estimate_ms(queue, spec)
+        left_ms = expected_ms * (100 - run.percent) / 100
+        return left_ms > LEFT_TO_END_MS
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -230,6 +230,9 @@
         for lost in self._workers.expire():
             self._control.take_lost(lost)
         self._control.look_after(now_ms)
+        if self._is_settled and self._scribe.may_act():
+            for copy in self._planner.place_copies(self._jobs, now_ms):
+                self._control.send_start(copy.run)
         if now_ms - self._reported_ms >= REPORT_MS:
             self._reported_ms = now_ms
             self._report()
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import final
 
 import attrs
 
 from comfreylatch._process.cell import clearing
+from comfreylatch._process.cell import copies
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import preemption
@@ -65,12 +67,7 @@
         ]
         if not taking or not steps:
             return []
-        this_pass = _Pass(
-            taking,
-            self._workers.racks(),
-            now_ms,
-            placement.FillRooms(self._disturbance),
-        )
+        this_pass = self._new_pass(taking, now_ms)
         ranked = sorted(steps, key=lambda step: self._ranker.rank(step, now_ms))
         placements: list[Placement] = []
         for step in ranked:
@@ -80,6 +77,40 @@
                 placements.extend(self._place_step(step, this_pass))
         return placements
 
+    def place_copies(
+        self, jobs: Iterable[runs_module.JobRun], now_ms: int
+    ) -> list[Placement]:
+        """Places second runs of tasks that take much longer than the rest."""
+        stragglers = [
+            task
+            for job in jobs
+            for step in job.all_steps()
+            if step.spec.is_speculative and step.undone
+            for task in step.tasks
+            if copies.is_straggling(task, now_ms)
+        ]
+        if not stragglers:
+            return []
+        taking = [
+            worker for worker in self._workers if worker.takes_work(now_ms)
+        ]
+        this_pass = self._new_pass(taking, now_ms)
+        placed = (
+            self._place_task(task, this_pass, task.last_run + 1)
+            for task in stragglers
+        )
+        return [one for one in placed if one is not None]
+
+    def _new_pass(
+        self, workers: list[worker_view.WorkerView], now_ms: int
+    ) -> _Pass:
+        return _Pass(
+            workers,
+            self._workers.racks(),
+            now_ms,
+            placement.FillRooms(self._disturbance),
+        )
+
     def clear_worker(
         self, steps: list[runs_module.StepRun], now_ms: int
     ) -> list[runs_module.Run]:
@@ -193,6 +224,10 @@
         if step.spec.needs_one_rack and not rack:
             rack = placement.roomiest_rack(workers, step.spec)
         service = step.job.spec.queue.service
+        # A copy is of use only where the first run is not.
+        taken = {run.worker_id for run in task.runs}
+        if taken:
+            workers = [one for one in workers if one.worker_id not in taken]
         if step.spec.fills_idle:
             worker = this_pass.fill_rooms.choose(task, workers, service)
         else:
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -14,6 +14,7 @@
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
+from comfreylatch._process.cell import evacuation
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_table as job_table_module
 from comfreylatch._process.cell import reasons
@@ -63,6 +64,7 @@
         self._durations = durations
         self._disturbance = model
         self._metrics = metrics
+        self._evacuation = evacuation.Evacuation(durations)
         self._clock = clock
 
     def send_start(self, run: runs_module.Run) -> None:
@@ -490,10 +492,12 @@
             self.stop(run, reasons.StopReason.START_UNANSWERED)
 
     def look_after(self, now_ms: int) -> None:
-        """Stops runs that stand still, to run their tasks elsewhere."""
+        """Stops runs that should go on elsewhere."""
         for worker in self._workers:
             if not worker.is_answering:
                 continue
+            for run in self._evacuation.to_move(worker):
+                self.stop(run, reasons.StopReason.WORKER_LEAVES)
             for run in list(worker.runs.values()):
                 reason = self._reason_to_move(run, now_ms)
                 if reason is not None:
--- /dev/null
+++ b/tests/process/cell/test_moving.py
@@ -0,0 +1,80 @@
+"""Tests of runs that go on elsewhere: leaving workers, and stragglers."""
+
+from __future__ import annotations
+
+import attrs
+import testtools
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._process.cell import records
+from tests.process.cell import harness
+
+DONE = cell_workers.RunEnd.DONE
+
+
+class LeavingWorkerTest(testtools.TestCase):
+    """A worker that drains while it has work."""
+
+    def drain(self, cell: harness.Cell, worker_id: str) -> None:
+        """The worker says that it leaves."""
+        worker = cell.workers.find(worker_id)
+        assert worker is not None
+        worker.entry = attrs.evolve(worker.entry, is_draining=True)
+        cell.control.look_after(cell.clock.now_ms)
+
+    def stops(self, step: object, percent: float = 10.0) -> int:
+        """How many runs of a step are stopped when their worker leaves."""
+        cell = harness.Cell(workers=1)
+        cell.submit(harness.job(step))  # type: ignore[arg-type]
+        (run,) = cell.place()
+        cell.hold("w1", running=(harness.listed(run, percent),))
+        self.drain(cell, "w1")
+        return len(cell.sent["w1"].stops)
+
+    def test_lasting_task_moves(self) -> None:
+        self.assertEqual(1, self.stops(harness.step(is_lasting=True)))
+
+    def test_long_task_with_checkpoints_moves(self) -> None:
+        step = harness.step(estimated_ms=9_000, has_checkpoints=True)
+        self.assertEqual(1, self.stops(step))
+
+    def test_task_that_will_end_in_time_stays(self) -> None:
+        step = harness.step(estimated_ms=9_000, has_checkpoints=True)
+        self.assertEqual(0, self.stops(step, percent=90.0))
+
+    def test_task_without_checkpoints_runs_on(self) -> None:
+        self.assertEqual(0, self.stops(harness.step(estimated_ms=9_000)))
+
+
+class StragglerTest(testtools.TestCase):
+    """One task of a step takes much longer than its siblings."""
+
+    def straggle(self, is_speculative: bool) -> harness.Cell:
+        """Two of three tasks are done in half a second, one is not."""
+        cell = harness.Cell(workers=3, cpu_millicores=1_000)
+        cell.submit(harness.job(harness.step(3, is_speculative=is_speculative)))
+        first, second, _ = cell.place()
+        cell.clock.advance(500)
+        for run in (first, second):
+            cell.hold(run.worker_id, ended=(harness.ended(run, DONE),))
+        cell.clock.advance(1_000)
+        return cell
+
+    def test_copy_runs_on_another_worker_and_the_first_end_counts(
+        self,
+    ) -> None:
+        cell = self.straggle(True)
+        jobs = list(cell.jobs)
+        (copy,) = cell.planner.place_copies(jobs, cell.clock.now_ms)
+        (slow,) = [run for run in copy.run.task.runs if run is not copy.run]
+        self.assertNotEqual(slow.worker_id, copy.run.worker_id)
+        end = harness.ended(copy.run, DONE, 2)
+        cell.hold(copy.run.worker_id, ended=(end,))
+        self.assertIs(records.JobState.COMPLETED, jobs[0].state)
+        self.assertEqual(
+            [(slow.task.name, slow.number)], cell.sent[slow.worker_id].stops
+        )
+
+    def test_step_that_forbids_it_gets_no_copy(self) -> None:
+        cell = self.straggle(False)
+        self.assertEqual([], cell.planner.place_copies(list(cell.jobs), 10**9))
