--- a/src/comfreylatch/_process/cell/intake.py
+++ b/src/comfreylatch/_process/cell/intake.py
@@ -244,7 +244,7 @@
             queue=spec.queue.name,
             steps=len(spec.steps),
             tasks=sum(step.task_count for step in spec.steps),
-            outcome=outcome,
+            outcome=type(outcome).__name__,
             took_ms=took_ms,
             view_age_ms=self._tail.age_ms,
         )
@@ -312,7 +312,12 @@
         )
         deadline_ms = self._clock.monotonic_ms() + wait_ms
         outcome = self._keeper.keep(record, deadline_ms)
-        logs.event(_logger, "job-cancelled", job=job_id, outcome=outcome)
+        logs.event(
+            _logger,
+            "job-cancelled",
+            job=job_id,
+            outcome=type(outcome).__name__,
+        )
         match outcome:
             case Kept():
                 return Accepted()
--- /dev/null
+++ b/tests/process/test_json_logs.py
@@ -0,0 +1,88 @@
+"""Tests of logs that must not hold up the program."""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+import time
+from typing import Any
+
+import logbook
+import testtools
+
+from comfreylatch._process import json_logs
+from comfreylatch._process import logs
+
+_logger = logbook.Logger("test")
+
+
+class JsonLogsTest(testtools.TestCase):
+    """Lines through a pipe."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def lines(self) -> list[Any]:
+        """What has been written."""
+        text = os.read(self.reader, 1 << 20).decode()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def test_event_is_one_line_with_its_fields(self) -> None:
+        with json_logs.JsonLogOutput("info", self.writer):
+            logs.event(_logger, "job-ended", job="a", age_ms=7)
+        (line,) = self.lines()
+        self.assertEqual(
+            ("job-ended", "a", 7), (line["event"], line["job"], line["age_ms"])
+        )
+
+    def test_repeats_are_folded_and_counted(self) -> None:
+        with json_logs.JsonLogOutput("info", self.writer):
+            # All in one second, but where the second changes in between.
+            for _ in range(200):
+                logs.event(_logger, "pace", task="a")
+        lines = self.lines()
+        folded = sum(
+            line["by_event"]["pace"]
+            for line in lines
+            if line["event"] == "lines-folded"
+        )
+        written = sum(line["event"] == "pace" for line in lines)
+        self.assertEqual(200, folded + written)
+        self.assertLessEqual(written, 2 * json_logs.FOLD_ABOVE)
+
+    def test_stalled_output_blocks_nothing_and_drops_are_counted(
+        self,
+    ) -> None:
+        output = json_logs.JsonLogOutput("info", self.writer)
+        with output:
+            started_s = time.monotonic()
+            for number in range(3 * json_logs.MOST_LINES):
+                logs.event(_logger, "job-ended", job=str(number), pad="x" * 90)
+                if number == json_logs.MOST_LINES // 2:
+                    # The writer is now stuck in a full pipe.
+                    time.sleep(3 * json_logs.WRITE_INTERVAL_S)
+            self.assertLess(time.monotonic() - started_s, 5)
+            found: list[Any] = []
+            reading = threading.Thread(target=self.drain, args=(found,))
+            reading.start()
+            time.sleep(5 * json_logs.WRITE_INTERVAL_S)
+        logs_end = b'{"event":"end"}\n'
+        os.write(self.writer, logs_end)
+        reading.join(5)
+        dropped = [one for one in found if one["event"] == "lines-dropped"]
+        written = sum(one["event"] == "job-ended" for one in found)
+        counted = sum(one["by_event"]["job-ended"] for one in dropped)
+        self.assertEqual(3 * json_logs.MOST_LINES, written + counted)
+        self.assertGreater(counted, 0)
+
+    def drain(self, found: list[Any]) -> None:
+        """Reads lines until the last."""
+        rest = b""
+        while not found or found[-1]["event"] != "end":
+            rest += os.read(self.reader, 1 << 16)
+            *whole, rest = rest.split(b"\n")
+            found.extend(json.loads(line) for line in whole)
