--- a/src/comfreylatch/_process/cell/tail.py
+++ b/src/comfreylatch/_process/cell/tail.py
@@ -42,7 +42,8 @@
             where they are the newest of each key, all that there is.
         clock: For ages.
         read_wait_ms: How long a read waits for a record.
-        pause_ms: Least time between two reads, to read several at once.
+        pause_ms: Time between two reads, so that one brings several records;
+            may be changed at any time.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
         self._apply = apply
         self._clock = clock
         self._read_wait_ms = read_wait_ms
-        self._pause_ms = pause_ms
+        self.pause_ms = pause_ms
         self._next_offset = -1
         self._current_ms = -(10**9)
         self._reachable_since_ms = clock.monotonic_ms()
@@ -113,8 +114,8 @@
         while not self._ended.is_set():
             if self._step():
                 retry_ms = RETRY_FIRST_MS
-                if self._pause_ms:
-                    self._ended.wait(self._pause_ms / 1_000)
+                if self.pause_ms:
+                    self._ended.wait(self.pause_ms / 1_000)
                 continue
             self._ended.wait(retry_ms / 1_000)
             retry_ms = min(2 * retry_ms, RETRY_LONGEST_MS)
--- a/src/comfreylatch/_process/cell/tenure.py
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -43,6 +43,9 @@
 # For how long most workers must be out of reach before the owner gives up.
 ISOLATION_MS = 900
 LOOK_INTERVAL_MS = 40
+# Between two reads of the topic of jobs on a host that doesn't own the cell.
+# Callers may be shown what is two seconds old; each read has its price.
+WATCH_PAUSE_MS = 120
 CLAIM_TIMEOUT_MS = 800
 CATCH_UP_MS = 3_000
 
@@ -175,6 +178,7 @@
 
     def start(self) -> None:
         """Begins to watch the cell."""
+        self._parts.jobs_tail.pause_ms = WATCH_PAUSE_MS
         threading.Thread(
             target=self._watch, name=f"tenure-{self._parts.cell}", daemon=True
         ).start()
@@ -214,6 +218,7 @@
         finally:
             parts.book.listen(None)
             self.is_owner = False
+            parts.jobs_tail.pause_ms = WATCH_PAUSE_MS
 
     def _claim(self, reason: reasons.ClaimReason) -> int | None:
         """Tries to claim the cell; returns the fencing token."""
@@ -326,6 +331,7 @@
                             job_book.JobCancelled(entry.spec.job_id)
                         )
                 self.is_owner = True
+                parts.jobs_tail.pause_ms = 0
                 self._run(owner, scribe, heartbeat)
 
     def _run(
