--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -24,6 +24,8 @@
 WAIT_MS = 400
 # Share of a worker's processors that must be asked for to clear it.
 LEAST_DEMAND_SHARE = 0.4
+# A cleared worker that is used less than this is opened when nothing waits.
+LEAST_USE_SHARE = 0.25
 # Share of all workers that may be cleared at once.
 MOST_CLEARED_SHARE = 0.35
 
@@ -51,6 +53,16 @@
     return [one for one in workers if now_ms >= one.cleared_until_ms]
 
 
+def end_early(workers: Iterable[worker_view.WorkerView], now_ms: int) -> None:
+    """Opens cleared workers that are hardly used; for when nothing waits."""
+    for worker in workers:
+        if now_ms >= worker.cleared_until_ms:
+            continue
+        used = worker.fill_millicores
+        if used < LEAST_USE_SHARE * worker.entry.capacity.cpu_millicores:
+            worker.cleared_until_ms = now_ms
+
+
 def choose_worker(
     workers: list[worker_view.WorkerView], demand: int, now_ms: int
 ) -> worker_view.WorkerView | None:
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -117,6 +117,7 @@
         """Clears a worker where there is cause; returns runs to be stopped."""
         demand = clearing.waiting_millicores(steps, now_ms)
         if not demand:
+            clearing.end_early(self._workers, now_ms)
             return []
         taking = [
             worker for worker in self._workers if worker.takes_work(now_ms)
--- a/tests/process/cell/test_planner.py
+++ b/tests/process/cell/test_planner.py
@@ -147,3 +147,14 @@
         cell.hold(run.worker_id, ended=(harness.ended(run, stopped),))
         cell.clock.advance(clearing.OVERDUE_MS + 1)
         self.assertIn("a", [one.task.name[0] for one in cell.place()])
+
+    def test_cleared_worker_that_nobody_uses_is_opened_early(self) -> None:
+        cell = self.cell_with_lasting()
+        cell.clock.advance(clearing.WAIT_MS)
+        steps = cell.jobs.ready_steps()
+        (run,) = cell.planner.clear_worker(steps, cell.clock.now_ms)
+        stopped = cell_workers.RunEnd.STOPPED
+        cell.hold(run.worker_id, ended=(harness.ended(run, stopped),))
+        cell.jobs.cancel("b" * 16)
+        cell.planner.clear_worker(cell.jobs.ready_steps(), cell.clock.now_ms)
+        self.assertEqual(["a"], [one.task.name[0] for one in cell.place()])
