--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -26,6 +26,7 @@
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import run_control as run_control_module
+from comfreylatch._process.cell import run_orders
 from comfreylatch._process.cell import scribe as scribe_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
@@ -106,7 +107,11 @@
             inheritance.release_after_ms,
         )
         model = disturbance.DisturbanceModel()
+        self._orders = run_orders.RunOrders(
+            self._jobs, self._workers, model, metrics, clock
+        )
         self._control = run_control_module.RunControl(
+            self._orders,
             self._jobs,
             self._workers,
             self._durations,
@@ -199,20 +204,20 @@
             case events.BookChanged(job_book.JobCancelled(job_id)):
                 self._cancel(job_id)
             case events.WorkersListed(entries):
-                self._control.take_lost(self._workers.list_workers(entries))
+                self._orders.take_lost(self._workers.list_workers(entries))
             case events.HoldReturned():
                 self._handle_hold(event)
             case events.StartReturned():
-                self._control.take_start(event)
+                self._orders.take_start(event)
             case events.StopReturned():
-                self._control.take_stop(event)
+                self._orders.take_stop(event)
             case events.Fenced():
                 self._stop_reason = reasons.TenureEnd.FENCED
 
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.cancel(job_id)
         if job is not None:
-            self._control.stop_all(job)
+            self._orders.stop_all(job)
 
     def _handle_hold(self, event: events.HoldReturned) -> None:
         if not self._workers.take_hold(event):
@@ -228,11 +233,11 @@
     def _tick(self, now_ms: int) -> None:
         self._jobs.open_due()
         for lost in self._workers.expire():
-            self._control.take_lost(lost)
+            self._orders.take_lost(lost)
         self._control.look_after(now_ms)
         if self._is_settled and self._scribe.may_act():
             for copy in self._planner.place_copies(self._jobs, now_ms):
-                self._control.send_start(copy.run)
+                self._orders.send_start(copy.run)
         if now_ms - self._reported_ms >= REPORT_MS:
             self._reported_ms = now_ms
             self._report()
@@ -299,12 +304,12 @@
             return
         self._placed_ms = now_ms
         for placement in self._planner.place(steps, now_ms):
-            self._control.send_start(placement.run)
+            self._orders.send_start(placement.run)
         left = [step for step in steps if step.open_tasks]
         for victim in self._planner.choose_victims(left, now_ms):
-            self._control.stop(victim, reasons.StopReason.SHORT_TASK)
+            self._orders.stop(victim, reasons.StopReason.SHORT_TASK)
         for run in self._planner.clear_worker(left, now_ms):
-            self._control.stop(run, reasons.StopReason.WORKER_CLEARED)
+            self._orders.stop(run, reasons.StopReason.WORKER_CLEARED)
 
     def _record_timer(self) -> Callable[[], None]:
         """What measures the time until ends seen now are recorded."""
--- a/src/comfreylatch/_process/cell/run_control.py
+++ b/src/comfreylatch/_process/cell/run_control.py
@@ -1,4 +1,4 @@
-"""Follows each run from its start order to its recorded end."""
+"""Follows each run by what its worker reports, to its recorded end."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 from typing import final
 
 import logbook
-import result
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
@@ -18,14 +17,11 @@
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_table as job_table_module
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import run_orders
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
 
-# A worker that refuses for want of room that we think it has gets a pause to
-# report the ends that we don't know of.
-NO_ROOM_PAUSE_MS = 300
-UNHEALTHY_PAUSE_MS = 1_000
 # Failures in a row, of different jobs' tasks, after which a worker is taken
 # to be at fault; by chance this happens once in ten thousand.
 FAILING_WORKER_RUNS = 3
@@ -33,9 +29,6 @@
 # An image's tasks vary by half; one that has made no progress for this long
 # while its worker reports others stands still.
 STALLED_MS = 2_500
-# A task that fills and has worked at this pace or less for so long is moved,
-# if it can go on from a checkpoint.
-SLOW_PACE = 20
 SLOW_MS = 1_200
 # Smoothing of a worker's slowness over its tasks.
 SLOWNESS_SMOOTHING = 0.3
@@ -52,6 +45,7 @@
 
     def __init__(
         self,
+        orders: run_orders.RunOrders,
         jobs: job_table_module.JobTable,
         workers: worker_table_module.WorkerTable,
         durations: durations_module.Durations,
@@ -59,6 +53,7 @@
         metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
+        self._orders = orders
         self._jobs = jobs
         self._workers = workers
         self._durations = durations
@@ -67,194 +62,6 @@
         self._evacuation = evacuation.Evacuation(durations)
         self._clock = clock
 
-    def send_start(self, run: runs_module.Run) -> None:
-        """Orders a worker to start a run."""
-        step = run.task.step
-        session = self._workers.session(run.worker_id)
-        if session is None:
-            self._drop(run)
-            return
-        job = step.job
-        now_ms = self._clock.monotonic_ms()
-        waited_ms = now_ms - max(run.task.open_since_ms, step.ready_ms)
-        if job.first_start_ms == 0:
-            job.first_start_ms = now_ms
-            self._observe(
-                metrics_module.Latency.FIRST_START, now_ms - job.accepted_ms
-            )
-        elif run.number == 1:
-            self._observe(metrics_module.Latency.STEP_GAP, waited_ms)
-        ticket = (step.tickets or {}).get(run.worker_id, "")
-        session.start(run, job.spec.payload, run.task.checkpoint, ticket)
-        worker = self._workers.find(run.worker_id)
-        if worker is None:
-            return
-        logs.event(
-            _logger,
-            "run-placed",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker_id,
-            waited_ms=waited_ms,
-            free_cpu_after=worker.free_cpu,
-            worker_seen_ago_ms=now_ms - worker.answered_ms,
-            has_checkpoint=bool(run.task.checkpoint),
-        )
-        self._metrics.count(metrics_module.Counter.RUN_STARTS)
-        if step.spec.fills_idle:
-            self._set_paces(worker)
-
-    def _observe(self, latency: metrics_module.Latency, took_ms: int) -> None:
-        self._metrics.observe(latency, took_ms * 1_000)
-
-    def stop(
-        self,
-        run: runs_module.Run,
-        reason: reasons.StopReason,
-        detail: str = "",
-    ) -> None:
-        """Orders a worker to stop a run."""
-        if run.phase is runs_module.RunPhase.STOPPING:
-            return
-        run.phase = runs_module.RunPhase.STOPPING
-        run.confirmed_ms = 0
-        logs.event(
-            _logger,
-            "stop-ordered",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker_id,
-            reason=reason,
-            detail=detail,
-            percent=run.percent,
-            pace_percent=run.pace_percent,
-        )
-        self._metrics.count(metrics_module.Counter.RUN_STOPS, reason)
-        self._send_stop(run)
-
-    def _send_stop(self, run: runs_module.Run) -> None:
-        session = self._workers.session(run.worker_id)
-        if session is not None:
-            session.stop(run, run.task.name, run.number)
-
-    def stop_all(self, job: runs_module.JobRun) -> None:
-        """Stops every run of a job that has ended."""
-        for run in list(job.all_runs()):
-            self.stop(run, reasons.StopReason.JOB_ENDED, job.state)
-        for step in job.all_steps():
-            self._disturbance.forget(step)
-
-    def take_lost(self, lost: worker_table_module.LostRuns) -> None:
-        """Takes in runs that are surely over, without an end."""
-        for run in lost.runs:
-            logs.event(
-                _logger,
-                "run-lost",
-                task=run.task.name,
-                run=run.number,
-                worker=run.worker_id,
-                reason=lost.reason,
-                phase=run.phase.value,
-            )
-            self._metrics.count(metrics_module.Counter.RUNS_LOST, lost.reason)
-            run.task.step.note_gone(run, self._clock.monotonic_ms())
-
-    def take_start(self, event: events.StartReturned) -> None:
-        """Takes in what came of a start order."""
-        run = event.run
-        worker = self._workers.find(run.worker_id)
-        if worker is None or run not in run.task.runs:
-            return
-        now_ms = self._clock.monotonic_ms()
-        match event.outcome:
-            case result.Ok(_):
-                self._confirm(run, now_ms)
-            case result.Err(cell_workers.OrderRefused(reason)):
-                self._take_refusal(run, worker, reason, event)
-            case result.Err(cell_workers.OrderNotSent(detail)):
-                if event.tries <= 1 and not run.is_in_doubt:
-                    self._drop(run)
-                else:
-                    run.is_in_doubt = True
-                if event.tries:
-                    self._workers.note_failing(worker, detail)
-            case result.Err(cell_workers.OrderUnanswered(detail)):
-                run.is_in_doubt = True
-                run.unanswered += event.tries
-                logs.event(
-                    _logger,
-                    "start-unanswered",
-                    task=run.task.name,
-                    run=run.number,
-                    worker=run.worker_id,
-                    tries=event.tries,
-                    detail=detail,
-                )
-
-    def _confirm(self, run: runs_module.Run, now_ms: int) -> None:
-        run.is_in_doubt = False
-        run.confirmed_ms = now_ms
-        run.moved_ms = now_ms
-        if run.phase is runs_module.RunPhase.STARTING:
-            run.phase = runs_module.RunPhase.RUNNING
-        self._jobs.note_started(run.task.step.job)
-
-    def _take_refusal(
-        self,
-        run: runs_module.Run,
-        worker: worker_view.WorkerView,
-        reason: cell_workers.Refusal,
-        event: events.StartReturned,
-    ) -> None:
-        now_ms = self._clock.monotonic_ms()
-        logs.event(
-            _logger,
-            "start-refused",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker_id,
-            reason=reason,
-            free_cpu=worker.free_cpu,
-            answered_ago_ms=now_ms - worker.answered_ms,
-        )
-        match reason:
-            case cell_workers.Refusal.OLD_RUN:
-                # It has run and ended there, or was stopped; the worker's
-                # next answer tells, and lists the end if there is one.
-                run.is_in_doubt = False
-                run.confirmed_ms = now_ms
-                return
-            case cell_workers.Refusal.NO_ROOM:
-                worker.avoided_until_ms = now_ms + NO_ROOM_PAUSE_MS
-            case cell_workers.Refusal.UNHEALTHY:
-                worker.avoided_until_ms = now_ms + UNHEALTHY_PAUSE_MS
-        if event.tries > 1 or run.is_in_doubt:
-            # An earlier sending may still be carried out.
-            self.stop(run, reasons.StopReason.START_REFUSED, reason)
-        else:
-            self._drop(run)
-
-    def _drop(self, run: runs_module.Run) -> None:
-        """Forgets a run that is surely over, or never was."""
-        worker = self._workers.find(run.worker_id)
-        if worker is not None:
-            worker.remove(run)
-        run.task.step.note_gone(run, self._clock.monotonic_ms())
-
-    def take_stop(self, event: events.StopReturned) -> None:
-        """Takes in what came of a stop order."""
-        run = event.run
-        if run is None or run not in run.task.runs:
-            return
-        match event.outcome:
-            case result.Ok(_):
-                run.confirmed_ms = self._clock.monotonic_ms()
-                run.is_in_doubt = False
-            case result.Err(cell_workers.OrderRefused(_)):
-                run.confirmed_ms = self._clock.monotonic_ms()
-            case result.Err(_):
-                run.is_in_doubt = True
-
     def take_hold(
         self, event: events.HoldReturned, answer: cell_workers.HoldAnswer
     ) -> bool:
@@ -271,34 +78,9 @@
         if len(answer.ended) < FULL_ENDS_LIST:
             self._take_missing(worker, listed, event.sent_ms)
         self._disturbance.learn(worker, event.received_ms)
-        self._set_paces(worker)
+        self._orders.set_paces(worker)
         return bool(ended)
 
-    def _set_paces(self, worker: worker_view.WorkerView) -> None:
-        """Slows tasks that fill where they disturb lasting ones too much."""
-        session = self._workers.session(worker.worker_id)
-        if session is None:
-            return
-        for change in self._disturbance.pace_changes(worker):
-            run = change.run
-            if run.phase is runs_module.RunPhase.STOPPING:
-                continue
-            logs.event(
-                _logger,
-                "pace",
-                task=run.task.name,
-                run=run.number,
-                worker=worker.worker_id,
-                before=run.pace_percent,
-                percent=change.percent,
-            )
-            run.pace_percent = change.percent
-            if change.percent > SLOW_PACE:
-                run.slow_since_ms = 0
-            elif run.slow_since_ms == 0:
-                run.slow_since_ms = self._clock.monotonic_ms()
-            session.pace(run.task.name, run.number, change.percent)
-
     def _take_end(
         self, worker: worker_view.WorkerView, end: cell_workers.EndedRun
     ) -> None:
@@ -344,11 +126,11 @@
             self._learn(worker, run)
         self._jobs.note_done(task)
         for other in list(task.runs):
-            self.stop(other, reasons.StopReason.DONE_ELSEWHERE)
+            self._orders.stop(other, reasons.StopReason.DONE_ELSEWHERE)
         if task.step.spec.is_gang:
             for member in task.step.tasks:
                 for other in list(member.runs):
-                    self._drop(other)
+                    self._orders.drop(other)
 
     def _learn(
         self, worker: worker_view.WorkerView, run: runs_module.Run
@@ -390,7 +172,7 @@
         job = task.step.job
         self._jobs.note_failed(task, end.run)
         if job.state.is_final:
-            self.stop_all(job)
+            self._orders.stop_all(job)
 
     def _take_running(
         self,
@@ -404,7 +186,7 @@
             self._take_unknown(worker, listed, now_ms)
             return
         if run.phase is runs_module.RunPhase.STARTING:
-            self._confirm(run, now_ms)
+            self._orders.confirm(run, now_ms)
         if listed.percent > run.percent or run.moved_ms == 0:
             run.percent = listed.percent
             run.moved_ms = now_ms
@@ -413,7 +195,7 @@
             run.task.checkpoint = listed.checkpoint
         if run.phase is runs_module.RunPhase.STOPPING and run.is_in_doubt:
             run.is_in_doubt = False
-            self._send_stop(run)
+            self._orders.send_stop(run)
 
     def _take_unknown(
         self,
@@ -478,18 +260,9 @@
                     metrics_module.Counter.RUNS_LOST,
                     reasons.LossReason.NOT_LISTED,
                 )
-                self._drop(run)
+                self._orders.drop(run)
             elif run.is_in_doubt:
-                self._resolve(run)
-
-    def _resolve(self, run: runs_module.Run) -> None:
-        """Sends the order again whose answer did not come."""
-        run.is_in_doubt = False
-        if run.phase is runs_module.RunPhase.STOPPING:
-            self._send_stop(run)
-        else:
-            run.is_in_doubt = True
-            self.stop(run, reasons.StopReason.START_UNANSWERED)
+                self._orders.resolve(run)
 
     def look_after(self, now_ms: int) -> None:
         """Stops runs that should go on elsewhere."""
@@ -497,11 +270,11 @@
             if not worker.is_answering:
                 continue
             for run in self._evacuation.to_move(worker):
-                self.stop(run, reasons.StopReason.WORKER_LEAVES)
+                self._orders.stop(run, reasons.StopReason.WORKER_LEAVES)
             for run in list(worker.runs.values()):
                 reason = self._reason_to_move(run, now_ms)
                 if reason is not None:
-                    self.stop(run, reason)
+                    self._orders.stop(run, reason)
 
     def _reason_to_move(
         self, run: runs_module.Run, now_ms: int
--- /dev/null
+++ b/src/comfreylatch/_process/cell/run_orders.py
@@ -0,0 +1,273 @@
+"""Orders to workers about runs, and what comes of them."""
+
+from __future__ import annotations
+
+from typing import final
+
+import logbook
+import result
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import disturbance
+from comfreylatch._process.cell import events
+from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_table as worker_table_module
+from comfreylatch._process.cell import worker_view
+
+# A worker that refuses for want of room that we think it has gets a pause to
+# report the ends that we don't know of.
+NO_ROOM_PAUSE_MS = 300
+UNHEALTHY_PAUSE_MS = 1_000
+# A task that fills and has worked at this pace or less for so long is moved,
+# if it can go on from a checkpoint.
+SLOW_PACE = 20
+
+_logger = logbook.Logger(__name__)
+
+
+@final
+class RunOrders:
+    """Starts, stops and paces runs. Only the owner's thread uses it."""
+
+    def __init__(
+        self,
+        jobs: job_table_module.JobTable,
+        workers: worker_table_module.WorkerTable,
+        model: disturbance.DisturbanceModel,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._jobs = jobs
+        self._workers = workers
+        self._disturbance = model
+        self._metrics = metrics
+        self._clock = clock
+
+    def send_start(self, run: runs_module.Run) -> None:
+        """Orders a worker to start a run."""
+        step = run.task.step
+        session = self._workers.session(run.worker_id)
+        if session is None:
+            self.drop(run)
+            return
+        job = step.job
+        now_ms = self._clock.monotonic_ms()
+        waited_ms = now_ms - max(run.task.open_since_ms, step.ready_ms)
+        if job.first_start_ms == 0:
+            job.first_start_ms = now_ms
+            self._observe(
+                metrics_module.Latency.FIRST_START, now_ms - job.accepted_ms
+            )
+        elif run.number == 1:
+            self._observe(metrics_module.Latency.STEP_GAP, waited_ms)
+        ticket = (step.tickets or {}).get(run.worker_id, "")
+        session.start(run, job.spec.payload, run.task.checkpoint, ticket)
+        worker = self._workers.find(run.worker_id)
+        if worker is None:
+            return
+        logs.event(
+            _logger,
+            "run-placed",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            waited_ms=waited_ms,
+            free_cpu_after=worker.free_cpu,
+            worker_seen_ago_ms=now_ms - worker.answered_ms,
+            has_checkpoint=bool(run.task.checkpoint),
+        )
+        self._metrics.count(metrics_module.Counter.RUN_STARTS)
+        if step.spec.fills_idle:
+            self.set_paces(worker)
+
+    def _observe(self, latency: metrics_module.Latency, took_ms: int) -> None:
+        self._metrics.observe(latency, took_ms * 1_000)
+
+    def stop(
+        self,
+        run: runs_module.Run,
+        reason: reasons.StopReason,
+        detail: str = "",
+    ) -> None:
+        """Orders a worker to stop a run."""
+        if run.phase is runs_module.RunPhase.STOPPING:
+            return
+        run.phase = runs_module.RunPhase.STOPPING
+        run.confirmed_ms = 0
+        logs.event(
+            _logger,
+            "stop-ordered",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+            detail=detail,
+            percent=run.percent,
+            pace_percent=run.pace_percent,
+        )
+        self._metrics.count(metrics_module.Counter.RUN_STOPS, reason)
+        self.send_stop(run)
+
+    def send_stop(self, run: runs_module.Run) -> None:
+        """Sends the stop of a run, again if need be."""
+        session = self._workers.session(run.worker_id)
+        if session is not None:
+            session.stop(run, run.task.name, run.number)
+
+    def stop_all(self, job: runs_module.JobRun) -> None:
+        """Stops every run of a job that has ended."""
+        for run in list(job.all_runs()):
+            self.stop(run, reasons.StopReason.JOB_ENDED, job.state)
+        for step in job.all_steps():
+            self._disturbance.forget(step)
+
+    def take_lost(self, lost: worker_table_module.LostRuns) -> None:
+        """Takes in runs that are surely over, without an end."""
+        for run in lost.runs:
+            logs.event(
+                _logger,
+                "run-lost",
+                task=run.task.name,
+                run=run.number,
+                worker=run.worker_id,
+                reason=lost.reason,
+                phase=run.phase.value,
+            )
+            self._metrics.count(metrics_module.Counter.RUNS_LOST, lost.reason)
+            run.task.step.note_gone(run, self._clock.monotonic_ms())
+
+    def take_start(self, event: events.StartReturned) -> None:
+        """Takes in what came of a start order."""
+        run = event.run
+        worker = self._workers.find(run.worker_id)
+        if worker is None or run not in run.task.runs:
+            return
+        now_ms = self._clock.monotonic_ms()
+        match event.outcome:
+            case result.Ok(_):
+                self.confirm(run, now_ms)
+            case result.Err(cell_workers.OrderRefused(reason)):
+                self._take_refusal(run, worker, reason, event)
+            case result.Err(cell_workers.OrderNotSent(detail)):
+                if event.tries <= 1 and not run.is_in_doubt:
+                    self.drop(run)
+                else:
+                    run.is_in_doubt = True
+                if event.tries:
+                    self._workers.note_failing(worker, detail)
+            case result.Err(cell_workers.OrderUnanswered(detail)):
+                run.is_in_doubt = True
+                run.unanswered += event.tries
+                logs.event(
+                    _logger,
+                    "start-unanswered",
+                    task=run.task.name,
+                    run=run.number,
+                    worker=run.worker_id,
+                    tries=event.tries,
+                    detail=detail,
+                )
+
+    def confirm(self, run: runs_module.Run, now_ms: int) -> None:
+        """The worker says that a run is there."""
+        run.is_in_doubt = False
+        run.confirmed_ms = now_ms
+        run.moved_ms = now_ms
+        if run.phase is runs_module.RunPhase.STARTING:
+            run.phase = runs_module.RunPhase.RUNNING
+        self._jobs.note_started(run.task.step.job)
+
+    def _take_refusal(
+        self,
+        run: runs_module.Run,
+        worker: worker_view.WorkerView,
+        reason: cell_workers.Refusal,
+        event: events.StartReturned,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        logs.event(
+            _logger,
+            "start-refused",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+            free_cpu=worker.free_cpu,
+            answered_ago_ms=now_ms - worker.answered_ms,
+        )
+        match reason:
+            case cell_workers.Refusal.OLD_RUN:
+                # It has run and ended there, or was stopped; the worker's
+                # next answer tells, and lists the end if there is one.
+                run.is_in_doubt = False
+                run.confirmed_ms = now_ms
+                return
+            case cell_workers.Refusal.NO_ROOM:
+                worker.avoided_until_ms = now_ms + NO_ROOM_PAUSE_MS
+            case cell_workers.Refusal.UNHEALTHY:
+                worker.avoided_until_ms = now_ms + UNHEALTHY_PAUSE_MS
+        if event.tries > 1 or run.is_in_doubt:
+            # An earlier sending may still be carried out.
+            self.stop(run, reasons.StopReason.START_REFUSED, reason)
+        else:
+            self.drop(run)
+
+    def drop(self, run: runs_module.Run) -> None:
+        """Forgets a run that is surely over, or never was."""
+        worker = self._workers.find(run.worker_id)
+        if worker is not None:
+            worker.remove(run)
+        run.task.step.note_gone(run, self._clock.monotonic_ms())
+
+    def take_stop(self, event: events.StopReturned) -> None:
+        """Takes in what came of a stop order."""
+        run = event.run
+        if run is None or run not in run.task.runs:
+            return
+        match event.outcome:
+            case result.Ok(_):
+                run.confirmed_ms = self._clock.monotonic_ms()
+                run.is_in_doubt = False
+            case result.Err(cell_workers.OrderRefused(_)):
+                run.confirmed_ms = self._clock.monotonic_ms()
+            case result.Err(_):
+                run.is_in_doubt = True
+
+    def set_paces(self, worker: worker_view.WorkerView) -> None:
+        """Slows tasks that fill where they disturb lasting ones too much."""
+        session = self._workers.session(worker.worker_id)
+        if session is None:
+            return
+        for change in self._disturbance.pace_changes(worker):
+            run = change.run
+            if run.phase is runs_module.RunPhase.STOPPING:
+                continue
+            logs.event(
+                _logger,
+                "pace",
+                task=run.task.name,
+                run=run.number,
+                worker=worker.worker_id,
+                before=run.pace_percent,
+                percent=change.percent,
+            )
+            run.pace_percent = change.percent
+            if change.percent > SLOW_PACE:
+                run.slow_since_ms = 0
+            elif run.slow_since_ms == 0:
+                run.slow_since_ms = self._clock.monotonic_ms()
+            session.pace(run.task.name, run.number, change.percent)
+
+    def resolve(self, run: runs_module.Run) -> None:
+        """Sends the order again whose answer did not come."""
+        run.is_in_doubt = False
+        if run.phase is runs_module.RunPhase.STOPPING:
+            self.send_stop(run)
+        else:
+            run.is_in_doubt = True
+            self.stop(run, reasons.StopReason.START_UNANSWERED)
--- /dev/null
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -0,0 +1,97 @@
+"""Takes a cell over: fences the owner before and reads what it recorded."""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+import result
+
+from comfreylatch._process import logs
+from comfreylatch._process.cell import claiming
+from comfreylatch._process.cell import owner as owner_module
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import scribe as scribe_module
+from comfreylatch._process.cell import tenure_parts
+from comfreylatch._process.cell import worker_view
+
+CATCH_UP_MS = 3_000
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.define(eq=False)
+class _Work:
+    """What the owner before has recorded."""
+
+    progress: dict[str, records.ProgressRecord] = attrs.field(factory=dict)
+    workers: records.WorkersRecord = records.WorkersRecord()
+
+
+def take_over(
+    parts: tenure_parts.TenureParts,
+    host: claiming.HostIdentity,
+    token: int,
+    scribe: scribe_module.Scribe,
+    predecessor: records.HeartbeatRecord | None,
+) -> owner_module.Inheritance | None:
+    """Fences the owner before and reads what it has recorded."""
+    started_ms = parts.clock.monotonic_ms()
+    first_offset = scribe.fence()
+    if first_offset is None:
+        return None
+    # The book then has all that the owner before may have started.
+    if not parts.jobs_tail.wait_for(first_offset, CATCH_UP_MS):
+        return None
+    work = _read_work(parts)
+    if work is None:
+        return None
+    lease_ms = int(parts.lease_ms / (1 - worker_view.CLOCK_DRIFT))
+    release_after_ms = started_ms + lease_ms
+    if predecessor is None:
+        release_after_ms = started_ms
+    elif not (predecessor.is_released or predecessor.host == host.name):
+        release_after_ms += scribe_module.AUTONOMY_MS
+    jobs = parts.book.listen(None)
+    logs.event(
+        _logger,
+        "takeover",
+        cell=parts.cell,
+        token=token,
+        predecessor=predecessor,
+        jobs=len(jobs),
+        took_ms=parts.clock.monotonic_ms() - started_ms,
+    )
+    return owner_module.Inheritance(
+        token,
+        tuple(jobs),
+        work.progress,
+        release_after_ms,
+        work.workers.born_ms,
+    )
+
+
+def _read_work(parts: tenure_parts.TenureParts) -> _Work | None:
+    """Reads what the owner before has recorded; None while it can't be."""
+    match parts.store.newest(records.WORK_TOPIC, parts.cell):
+        case result.Ok(batch):
+            pass
+        case result.Err(_):
+            return None
+    work = _Work()
+    for record in batch.records:
+        if record.value is None:
+            continue
+        try:
+            if record.key == records.WORKERS_KEY:
+                work.workers = records.decode(
+                    records.WorkersRecord, record.value
+                )
+            else:
+                work.progress[record.key] = records.decode(
+                    records.ProgressRecord, record.value
+                )
+        except records.BadRecordError as error:
+            logs.warning(
+                _logger, "bad-record", key=record.key, detail=str(error)
+            )
+    return work
--- a/src/comfreylatch/_process/cell/tenure.py
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -15,31 +15,21 @@
 import attrs
 import logbook
 import result
-import xxhash
 
 from comfreylatch._ports import cell_workers
-from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import owner as owner_module
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import scribe as scribe_module
-from comfreylatch._process.cell import tail as tail_module
-from comfreylatch._process.cell import worker_session
-from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell import takeover
+from comfreylatch._process.cell import tenure_parts
 
-# Three heartbeats. Shorter, and a slow append of the owner would cost it its
-# cell; longer, and the work of a dead owner waits.
-TAKEOVER_MS = 1_500
-# Hosts come forward one after the other, so that few claims collide.
-LONGEST_TURN_MS = 240
-# Hosts of the zone of an owner that gave up as it reached few workers wait
-# this much longer than others.
-ISOLATED_ZONE_WAIT_MS = 2_000
 # For how long most workers must be out of reach before the owner gives up.
 ISOLATION_MS = 900
 LOOK_INTERVAL_MS = 40
@@ -47,130 +37,17 @@
 # Callers may be shown what is two seconds old; each read has its price.
 WATCH_PAUSE_MS = 120
 CLAIM_TIMEOUT_MS = 800
-CATCH_UP_MS = 3_000
 
 _logger = logbook.Logger(__name__)
 
 
-@attrs.frozen
-class HostIdentity:
-    """This host and this life of its process.
-
-    Attributes:
-        name: The host's name; a restarted process has the same.
-        boot: Differs with each life.
-        zone: Availability zone.
-        core_share: Processors it may use; hosts with more come first.
-    """
-
-    name: str
-    boot: str
-    zone: str
-    core_share: float
-
-    @property
-    def turn_ms(self) -> int:
-        """How long it lets others go first."""
-        spread = xxhash.xxh32_intdigest(self.name.encode()) % 100 / 100
-        weakness = 1 / (1 + self.core_share)
-        return int(LONGEST_TURN_MS * (0.5 * spread + 0.5 * weakness))
-
-
-@attrs.frozen
-class ClaimView:
-    """What the decision to claim a cell rests on.
-
-    Attributes:
-        now_ms: Monotonic time.
-        view_age_ms: How long ago the topic of jobs was known to be current.
-        reachable_ms: For how long all reads have been answered.
-        owner: Newest heartbeat and when it was seen.
-        started_ms: When this process began to look.
-    """
-
-    now_ms: int
-    view_age_ms: int
-    reachable_ms: int
-    owner: job_book.OwnerSighting | None
-    started_ms: int
-
-
-def reason_to_claim(
-    view: ClaimView, host: HostIdentity
-) -> reasons.ClaimReason | None:
-    """Why a host should claim a cell now; None when it should not."""
-    if view.view_age_ms > TAKEOVER_MS:
-        return None
-    sighting = view.owner
-    if sighting is None:
-        waited_ms = view.now_ms - view.started_ms
-        if waited_ms >= host.turn_ms:
-            return reasons.ClaimReason.NO_OWNER
-        return None
-    beat = sighting.heartbeat
-    silent_ms = view.now_ms - sighting.seen_ms
-    if beat.host == host.name and beat.boot != host.boot:
-        return reasons.ClaimReason.RESTARTED
-    if beat.is_released:
-        is_cut_off = beat.is_isolated and beat.zone == host.zone
-        wait_ms = ISOLATED_ZONE_WAIT_MS if is_cut_off else 0
-        is_over = silent_ms >= wait_ms + host.turn_ms
-        return reasons.ClaimReason.RELEASED if is_over else None
-    quiet_ms = min(silent_ms, view.reachable_ms)
-    if quiet_ms >= TAKEOVER_MS + host.turn_ms:
-        return reasons.ClaimReason.OWNER_SILENT
-    return None
-
-
-def is_outdated(view: ClaimView, owner: job_book.OwnerSighting | None) -> bool:
-    """Whether a heartbeat has come since a view was taken."""
-    return owner != view.owner
-
-
-@attrs.frozen
-class TenureParts:
-    """What a tenure needs of its host.
-
-    Attributes:
-        cell: Number of the cell.
-        store: The platform's store.
-        book: View of the cell's jobs.
-        jobs_tail: Feeds the book.
-        connect: Opens the orders to a worker.
-        follow_workers: Makes a tail that reports all workers of the cell
-            at each change.
-        lease_ms: Length of leases at workers.
-        metrics: Counts claims, tenures and what the owner does.
-        clock: For all times.
-    """
-
-    cell: int
-    store: store_port.RecordStore
-    book: job_book.JobBook
-    jobs_tail: tail_module.Tail
-    connect: worker_session.Connect
-    follow_workers: Callable[
-        [Callable[[dict[str, cell_workers.WorkerEntry]], None]],
-        tail_module.Tail,
-    ]
-    lease_ms: int
-    metrics: metrics_module.Metrics
-    clock: clock_port.Clock
-
-
-@attrs.define(eq=False)
-class _Work:
-    """What the owner before has recorded."""
-
-    progress: dict[str, records.ProgressRecord] = attrs.field(factory=dict)
-    workers: records.WorkersRecord = records.WorkersRecord()
-
-
 @final
 class Tenure:
     """Watches a cell and owns it when it has to. Runs in its own thread."""
 
-    def __init__(self, parts: TenureParts, host: HostIdentity) -> None:
+    def __init__(
+        self, parts: tenure_parts.TenureParts, host: claiming.HostIdentity
+    ) -> None:
         self._parts = parts
         self._host = host
         self._stopping = threading.Event()
@@ -202,14 +79,14 @@
 
     def _look(self) -> None:
         parts = self._parts
-        view = ClaimView(
+        view = claiming.ClaimView(
             now_ms=parts.clock.monotonic_ms(),
             view_age_ms=parts.jobs_tail.age_ms,
             reachable_ms=parts.jobs_tail.reachable_ms,
             owner=parts.book.owner,
             started_ms=self._started_ms,
         )
-        reason = reason_to_claim(view, self._host)
+        reason = claiming.reason_to_claim(view, self._host)
         if reason is None:
             return
         token = self._claim(reason, view)
@@ -226,7 +103,7 @@
             parts.jobs_tail.pause_ms = WATCH_PAUSE_MS
 
     def _claim(
-        self, reason: reasons.ClaimReason, view: ClaimView
+        self, reason: reasons.ClaimReason, view: claiming.ClaimView
     ) -> int | None:
         """Tries to claim the cell; returns the fencing token."""
         parts = self._parts
@@ -242,7 +119,7 @@
             return None
         # The claims were read after the view was taken; a heartbeat that came
         # in between may be the one of their newest.
-        if is_outdated(view, parts.book.owner):
+        if claiming.is_outdated(view, parts.book.owner):
             return None
         claim = records.ClaimRecord(
             parts.cell, self._host.name, self._host.boot, self._host.zone
@@ -288,7 +165,10 @@
             # The claimant gets as long to show itself as a silent owner.
             claim = records.decode(records.ClaimRecord, record.value)
             is_mine = claim.host == self._host.name
-            return not is_mine and now_ms - self._disputed_ms < TAKEOVER_MS
+            return (
+                not is_mine
+                and now_ms - self._disputed_ms < claiming.TAKEOVER_MS
+            )
         return False
 
     def _own_claim(self, key: str) -> int | None:
@@ -321,7 +201,9 @@
         with scribe_module.Scribe(
             parts.store, parts.cell, heartbeat, on_fenced, parts.clock
         ) as scribe:
-            inheritance = self._take_over(token, scribe, predecessor)
+            inheritance = takeover.take_over(
+                parts, self._host, token, scribe, predecessor
+            )
             if inheritance is None:
                 return
             with owner_module.Owner(
@@ -397,72 +279,3 @@
         elif now_ms - self._isolated_since_ms > ISOLATION_MS:
             return reasons.TenureEnd.ISOLATED
         return None
-
-    def _take_over(
-        self,
-        token: int,
-        scribe: scribe_module.Scribe,
-        predecessor: records.HeartbeatRecord | None,
-    ) -> owner_module.Inheritance | None:
-        """Fences the owner before and reads what it has recorded."""
-        parts = self._parts
-        started_ms = parts.clock.monotonic_ms()
-        first_offset = scribe.fence()
-        if first_offset is None:
-            return None
-        # The book then has all that the owner before may have started.
-        if not parts.jobs_tail.wait_for(first_offset, CATCH_UP_MS):
-            return None
-        work = self._read_work()
-        if work is None:
-            return None
-        lease_ms = int(parts.lease_ms / (1 - worker_view.CLOCK_DRIFT))
-        release_after_ms = started_ms + lease_ms
-        if predecessor is None:
-            release_after_ms = started_ms
-        elif not (
-            predecessor.is_released or predecessor.host == self._host.name
-        ):
-            release_after_ms += scribe_module.AUTONOMY_MS
-        jobs = parts.book.listen(None)
-        logs.event(
-            _logger,
-            "takeover",
-            cell=parts.cell,
-            token=token,
-            predecessor=predecessor,
-            jobs=len(jobs),
-            took_ms=parts.clock.monotonic_ms() - started_ms,
-        )
-        return owner_module.Inheritance(
-            token,
-            tuple(jobs),
-            work.progress,
-            release_after_ms,
-            work.workers.born_ms,
-        )
-
-    def _read_work(self) -> _Work | None:
-        match self._parts.store.newest(records.WORK_TOPIC, self._parts.cell):
-            case result.Ok(batch):
-                pass
-            case result.Err(_):
-                return None
-        work = _Work()
-        for record in batch.records:
-            if record.value is None:
-                continue
-            try:
-                if record.key == records.WORKERS_KEY:
-                    work.workers = records.decode(
-                        records.WorkersRecord, record.value
-                    )
-                else:
-                    work.progress[record.key] = records.decode(
-                        records.ProgressRecord, record.value
-                    )
-            except records.BadRecordError as error:
-                logs.warning(
-                    _logger, "bad-record", key=record.key, detail=str(error)
-                )
-        return work
--- /dev/null
+++ b/src/comfreylatch/_process/cell/tenure_parts.py
@@ -0,0 +1,46 @@
+"""What a tenure over a cell needs of its host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import tail as tail_module
+from comfreylatch._process.cell import worker_session
+
+
+@attrs.frozen
+class TenureParts:
+    """What a tenure needs of its host.
+
+    Attributes:
+        cell: Number of the cell.
+        store: The platform's store.
+        book: View of the cell's jobs.
+        jobs_tail: Feeds the book.
+        connect: Opens the orders to a worker.
+        follow_workers: Makes a tail that reports all workers of the cell
+            at each change.
+        lease_ms: Length of leases at workers.
+        metrics: Counts claims, tenures and what the owner does.
+        clock: For all times.
+    """
+
+    cell: int
+    store: store_port.RecordStore
+    book: job_book.JobBook
+    jobs_tail: tail_module.Tail
+    connect: worker_session.Connect
+    follow_workers: Callable[
+        [Callable[[dict[str, cell_workers.WorkerEntry]], None]],
+        tail_module.Tail,
+    ]
+    lease_ms: int
+    metrics: metrics_module.Metrics
+    clock: clock_port.Clock
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -151,23 +151,3 @@
         max_us=int(found.get_max_value()),
         encoded=found.encode().decode("ascii"),
     )
-
-
-def render_text(page: MetricsPage) -> str:
-    """A page in the usual text exposition format."""
-    lines = []
-    for counter in page.counters:
-        name = "comfreylatch_" + counter.counter.replace("-", "_") + "_total"
-        lines.append(f'{name}{{label="{counter.label}"}} {counter.value}')
-    for latency in page.latencies:
-        name = "comfreylatch_" + latency.latency.replace("-", "_") + "_us"
-        label = f'label="{latency.label}"'
-        for quantile, value in (
-            ("0.5", latency.p50_us),
-            ("0.99", latency.p99_us),
-            ("0.999", latency.p999_us),
-            ("1", latency.max_us),
-        ):
-            lines.append(f'{name}{{{label},quantile="{quantile}"}} {value}')
-        lines.append(f"{name}_count{{{label}}} {latency.count}")
-    return "\n".join(lines) + "\n"
--- a/src/comfreylatch/_process/operator_pages.py
+++ b/src/comfreylatch/_process/operator_pages.py
@@ -19,6 +19,7 @@
 from comfreylatch._process import logs
 from comfreylatch._process import memory
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import metrics_text
 from comfreylatch._process import reasons
 
 StatusSource = Callable[[], Any]
@@ -137,7 +138,7 @@
         if request.query.get("format") != "text":
             return http.json_reply(200, page)
         headers = {"Content-Type": "text/plain; charset=utf-8"}
-        return http.HttpReply(200, metrics_text(page).encode(), headers)
+        return http.HttpReply(200, metrics_text.render(page).encode(), headers)
 
     def status(self, request: http.HttpRequest) -> http.HttpReply:
         """Every part's own status, by its name."""
@@ -164,36 +165,6 @@
         return http.json_reply(200, self._explainer.explain(subject, name))
 
 
-def metrics_text(page: metrics_module.MetricsPage) -> str:
-    """A metrics page as text, one line a metric."""
-    lines = []
-    for counter in page.counters:
-        lines.append(
-            _metric_line(counter.counter, counter.label, counter.value)
-        )
-    for latency in page.latencies:
-        values = {
-            "count": latency.count,
-            "p50_us": latency.p50_us,
-            "p99_us": latency.p99_us,
-            "p999_us": latency.p999_us,
-            "max_us": latency.max_us,
-        }
-        for suffix, value in values.items():
-            name = f"{latency.latency}_latency_{suffix}"
-            lines.append(_metric_line(name, latency.label, value))
-    return "".join(line + "\n" for line in lines)
-
-
-def _metric_line(name: str, label: str, value: int) -> str:
-    plain_name = name.replace("-", "_")
-    if not label:
-        return f"{plain_name} {value}"
-    escaped = label.replace("\\", "\\\\").replace('"', '\\"')
-    escaped = escaped.replace("\n", "\\n")
-    return f'{plain_name}{{label="{escaped}"}} {value}'
-
-
 def _status_of(name: str, source: StatusSource) -> Any:
     try:
         return source()
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -23,12 +23,15 @@
 from comfreylatch._process import json_logs
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process import metrics_text
+from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import intake as intake_module
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import tail as tail_module
 from comfreylatch._process.cell import tenure as tenure_module
+from comfreylatch._process.cell import tenure_parts
 from comfreylatch.platform import callers
 from comfreylatch.platform import configuration
 from comfreylatch.platform import store
@@ -172,7 +175,7 @@
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
     signal.signal(signal.SIGHUP, lambda *_: _note_reload())
-    host = tenure_module.HostIdentity(
+    host = claiming.HostIdentity(
         name=settings.name,
         boot=uuid.uuid4().hex,
         zone=settings.zone,
@@ -210,7 +213,7 @@
             return tail_module.Tail(client, WORKERS_TOPIC, 0, view.apply, clock)
 
         tenure = tenure_module.Tenure(
-            tenure_module.TenureParts(
+            tenure_parts.TenureParts(
                 cell=CELL,
                 store=client,
                 book=book,
@@ -234,7 +237,7 @@
 
         def readiness(request: http.HttpRequest) -> http.HttpReply:
             if request.path == METRICS_PATH:
-                text = metrics_module.render_text(metrics.page())
+                text = metrics_text.render(metrics.page())
                 return http.HttpReply(200, text.encode())
             return http.HttpReply(200 if is_ready() else 503)
 
