--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -26,7 +26,8 @@
 MAX_ARRIVAL_MS = 2_000
 POLL_INTERVAL_S = 0.05
 ACCEPT_WAIT_S = 0.2
-EXPIRE_AT_ONCE_S = -1.0
+# Not negative: connections accepted meanwhile get it as their timeout.
+EXPIRE_AT_ONCE_S = 0.001
 
 
 _log = logbook.Logger("comfreylatch.http-server")
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
+import unittest.mock
 
+import logbook
 import testtools
 
 from comfreylatch._connection import http
@@ -204,6 +207,36 @@
         self.assertIn(b" 503 ", reply)
         self.assertIn(b"X-Request-Id: q-1\r\n", reply)
 
+    def test_connections_that_come_late_in_a_drain_break_nothing(
+        self,
+    ) -> None:
+        # Found by an incident: idle connections were closed by a negative
+        # timeout, which a connection accepted after that could not take.
+        stopped = threading.Event()
+
+        def keep_connecting() -> None:
+            ip, _, port = self.server.address.partition(":")
+            while not stopped.is_set():
+                with contextlib.suppress(OSError):
+                    socket.create_connection((ip, int(port)), 0.2).close()
+
+        listener_stays = unittest.mock.patch.object(
+            http_server.listener, "stop_new_connections", lambda _: True
+        )
+        logged = logbook.TestHandler()
+        with logged.applicationbound(), listener_stays:
+            late = threading.Thread(target=keep_connecting)
+            late.start()
+            self.server.drain(1_000)
+            stopped.set()
+            late.join()
+        errors = [
+            record.message
+            for record in logged.records
+            if "http-server-error" in record.message
+        ]
+        self.assertEqual([], errors)
+
     def test_taken_port_is_a_clear_error(self) -> None:
         second = http_server.HttpServer(
             self.server.address, self.handle, 1, MAX_BODY_BYTES
