Drop ended jobs from the store; compose the host in one class; dead code out

Cause: records of ended jobs were kept for good, so that the store and every host's book would fill up; the host's composition was one function of a hundred lines, and parts of the records and messages were not used. Ended jobs are dropped 1.5 times status_s after their end was seen; a test sees the last record of a job go. Logging from a signal's handler can't block any more.

--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -64,14 +64,6 @@
     outcome: result.Result[int, cell_workers.OrderError]
 
 
-@attrs.frozen
-class AdviceReturned:
-    """Workers that may run a step, with their tickets; None on failure."""
-
-    step: runs_module.StepRun
-    tickets: dict[str, str] | None
-
-
 @attrs.frozen
 class Fenced:
     """Another host owns the cell."""
@@ -85,6 +77,5 @@
     | HoldReturned
     | StartReturned
     | StopReturned
-    | AdviceReturned
     | Fenced
 )
--- /dev/null
+++ b/src/comfreylatch/_process/cell/forgetting.py
@@ -0,0 +1,59 @@
+"""Drops jobs from the store some time after they have ended."""
+
+from __future__ import annotations
+
+from typing import final
+
+import logbook
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import scribe as scribe_module
+
+# Between two looks for jobs to be dropped.
+LOOK_INTERVAL_MS = 5_000
+
+_logger = logbook.Logger(__name__)
+
+
+@final
+class Forgetter:
+    """Drops the records of ended jobs, so that store and hosts don't fill up.
+
+    Only the owner's thread uses it.
+    """
+
+    def __init__(
+        self,
+        book: job_book.JobBook,
+        scribe: scribe_module.Scribe,
+        keep_ms: int,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._book = book
+        self._scribe = scribe
+        self._keep_ms = keep_ms
+        self._clock = clock
+        self._looked_ms = clock.monotonic_ms()
+
+    def forget(self) -> None:
+        """Drops what is due; may be called at any time."""
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._looked_ms < LOOK_INTERVAL_MS:
+            return
+        self._looked_ms = now_ms
+        ended = self._book.ended_before(now_ms - self._keep_ms)
+        if not ended:
+            return
+        drops: dict[str, bytes | None] = {}
+        for job_id in ended:
+            for prefix in (
+                records.STATE_PREFIX,
+                records.CANCEL_PREFIX,
+                records.JOB_PREFIX,
+            ):
+                drops[prefix + job_id] = None
+        self._scribe.write(drops, {}, ())
+        logs.event(_logger, "jobs-forgotten", count=len(ended))
--- a/src/comfreylatch/_process/cell/job_book.py
+++ b/src/comfreylatch/_process/cell/job_book.py
@@ -22,12 +22,18 @@
 class JobEntry:
     """What is known of a job.
 
-    `spec` is None for a job of which only a later record was seen.
+    Attributes:
+        spec: None for a job that has ended, and for one of which only a later
+            record was seen.
+        state: State as the owner recorded it.
+        is_cancelled: A caller has cancelled it.
+        ended_ms: Monotonic time at which its end was seen here.
     """
 
     spec: specs.JobSpec | None = None
     state: records.JobState = records.JobState.QUEUED
     is_cancelled: bool = False
+    ended_ms: int = 0
 
     @property
     def shown_state(self) -> records.JobState:
@@ -96,6 +102,15 @@
             entry = self._jobs.get(job_id)
             return None if entry is None else attrs.evolve(entry)
 
+    def ended_before(self, before_ms: int) -> list[str]:
+        """Jobs whose end was seen before a monotonic time."""
+        with self._lock:
+            return [
+                job_id
+                for job_id, entry in self._jobs.items()
+                if entry.state.is_final and entry.ended_ms < before_ms
+            ]
+
     def waiting(self, queue_prefix: str, queue_host: str) -> int:
         """Accepted jobs of a queue for which no task has started."""
         with self._lock:
@@ -179,3 +194,4 @@
             entry.state = state
             if state.is_final:
                 entry.spec = None
+                entry.ended_ms = self._clock.monotonic_ms()
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -68,23 +68,28 @@
         cell: Number of the cell.
         host: Name of the host.
         boot: Identifies the life of the host's process.
-        is_release: The host gives the cell up; anyone may take it at once.
         zone: Zone of the host.
-        is_isolated: Released as most workers are out of the host's reach, so
-            hosts of the same zone should leave it to others.
     """
 
     cell: int
     host: str
     boot: str
     zone: str = ""
-    is_release: bool = False
-    is_isolated: bool = False
 
 
 @attrs.frozen
 class HeartbeatRecord:
-    """The owner of a cell is alive and can write."""
+    """The owner of a cell is alive and can write.
+
+    Attributes:
+        host: Name of the host.
+        boot: Identifies the life of the host's process.
+        token: The owner's fencing token.
+        is_released: The host gives the cell up; anyone may take it at once.
+        zone: Zone of the host.
+        is_isolated: Released as most workers are out of the host's reach, so
+            hosts of the same zone should leave it to others.
+    """
 
     host: str
     boot: str
@@ -118,7 +123,6 @@
     """All that must be known of a job's ended runs."""
 
     steps: tuple[StepProgress, ...]
-    has_started: bool = False
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -115,7 +115,6 @@
         per_worker: Runs by worker.
         tickets: Advised workers and their tickets; None before advice.
         ready_ms: Monotonic time since which it may run.
-        advice_asked_ms: When advice was last asked for.
         durations_ms: Durations of its undisturbed runs.
     """
 
@@ -129,7 +128,6 @@
     per_worker: dict[str, int] = attrs.field(factory=dict)
     tickets: dict[str, str] | None = None
     ready_ms: int = 0
-    advice_asked_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
 
     @property
@@ -293,9 +291,7 @@
                         checkpoints,
                     )
                 )
-        return records.ProgressRecord(
-            tuple(steps), self.state is not records.JobState.QUEUED
-        )
+        return records.ProgressRecord(tuple(steps))
 
     def restore(self, progress: records.ProgressRecord) -> None:
         """Takes over what an earlier owner recorded."""
--- a/src/comfreylatch/_process/cell/tenure.py
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -22,6 +22,7 @@
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import forgetting
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import owner as owner_module
 from comfreylatch._process.cell import reasons
@@ -224,24 +225,32 @@
                             job_book.JobCancelled(entry.spec.job_id)
                         )
                 self.is_owner = True
+                forgetter = forgetting.Forgetter(
+                    parts.book, scribe, parts.keep_ended_ms, parts.clock
+                )
                 parts.jobs_tail.pause_ms = 0
-                self._run(owner, scribe, heartbeat)
+                self._run(owner, scribe, heartbeat, forgetter)
 
     def _run(
         self,
         owner: owner_module.Owner,
         scribe: scribe_module.Scribe,
         heartbeat: records.HeartbeatRecord,
+        forgetter: forgetting.Forgetter,
     ) -> None:
         def on_workers(
             entries: dict[str, cell_workers.WorkerEntry],
         ) -> None:
             owner.post(events.WorkersListed(entries))
 
+        def must_stop() -> reasons.TenureEnd | None:
+            forgetter.forget()
+            return self._reason_to_stop(owner, heartbeat)
+
         self._isolated_since_ms = 0
         parts = self._parts
         with parts.follow_workers(on_workers):
-            reason = owner.run(lambda: self._reason_to_stop(owner, heartbeat))
+            reason = owner.run(must_stop)
         logs.event(
             _logger,
             "tenure-ended",
--- a/src/comfreylatch/_process/cell/tenure_parts.py
+++ b/src/comfreylatch/_process/cell/tenure_parts.py
@@ -28,6 +28,7 @@
         follow_workers: Makes a tail that reports all workers of the cell
             at each change.
         lease_ms: Length of leases at workers.
+        keep_ended_ms: How long the state of an ended job is kept.
         metrics: Counts claims, tenures and what the owner does.
         clock: For all times.
     """
@@ -42,5 +43,6 @@
         tail_module.Tail,
     ]
     lease_ms: int
+    keep_ended_ms: int
     metrics: metrics_module.Metrics
     clock: clock_port.Clock
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -129,10 +129,6 @@
         elif spec.is_lasting:
             self.lasting_millicores += sign * spec.cpu_millicores
 
-    def estimated_clock_ms(self, now_ms: int) -> int:
-        """Its clock now, if it runs as ours does."""
-        return self.clock_ms + now_ms - self.clock_read_ms
-
     def lease_over_ms(self) -> int:
         """Monotonic time after which nothing of what we sent runs there."""
         if self.clock_read_ms == 0:
--- a/src/comfreylatch/_process/json_logs.py
+++ b/src/comfreylatch/_process/json_logs.py
@@ -56,7 +56,8 @@
     def __init__(self, level: str, descriptor: int = 1) -> None:
         super().__init__(level=logbook.lookup_level(level.upper()))
         self._descriptor = descriptor
-        self._lock = threading.Lock()
+        # A signal's handler may log while its thread is logging.
+        self._lock = threading.RLock()
         self._lines: collections.deque[bytes] = collections.deque()
         self._dropped: collections.Counter[str] = collections.Counter()
         self._folded: collections.Counter[str] = collections.Counter()
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import contextlib
 import os
 import pathlib
@@ -10,16 +9,16 @@
 import sys
 import threading
 import time
+import types
 from typing import final
+from typing import Self
 import uuid
 
 import logbook
 
 from comfreylatch._connection import http
 from comfreylatch._connection import http_server
-from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
-from comfreylatch._ports import store as store_port
 from comfreylatch._process import json_logs
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
@@ -28,17 +27,18 @@
 from comfreylatch._process.cell import intake as intake_module
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import records
-from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import tail as tail_module
 from comfreylatch._process.cell import tenure as tenure_module
 from comfreylatch._process.cell import tenure_parts
 from comfreylatch.platform import callers
 from comfreylatch.platform import configuration
 from comfreylatch.platform import store
+from comfreylatch.platform import views
 from comfreylatch.platform import wire
 from comfreylatch.platform import workers
 
 SETTINGS_VARIABLE = "COMFREYLATCH_CONFIG"
+# The one cell, and the only partition of what the platform publishes.
 CELL = 0
 WORKERS_TOPIC = "servers"
 MAX_BODY_BYTES = 1 << 20
@@ -59,92 +59,15 @@
 RELEASE_MS = 1_500
 # A host that has not reached the store for this long can accept nothing.
 OLDEST_READY_VIEW_MS = 1_500
+# Ended jobs are kept this many times as long as callers must be told of them:
+# the end is seen later than it is shown, and clocks differ.
+KEEP_FACTOR = 1.5
 THREAD_STACK_BYTES = 256 * 1024
 FAULTY_SETTINGS_EXIT_CODE = 2
 
 _logger = logbook.Logger(__name__)
 
 
-@final
-class ConfigurationView:
-    """The newest configuration; versions never fall within a life."""
-
-    def __init__(self) -> None:
-        self.current: specs.FleetConfiguration | None = None
-
-    def apply(
-        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
-    ) -> None:
-        """Takes in records of the operators' topic."""
-        del is_whole  # A version that is gone was replaced by a higher one.
-        for record in batch:
-            if record.key != configuration.CONFIGURATION_KEY:
-                continue
-            if record.value is None:
-                continue
-            try:
-                found = configuration.decode_configuration(record.value)
-            except wire.BadMessageError as error:
-                logs.warning(
-                    _logger,
-                    "bad-configuration",
-                    offset=record.offset,
-                    detail=str(error),
-                )
-                continue
-            current = self.current
-            if current is None or found.version > current.version:
-                self.current = found
-                logs.event(
-                    _logger,
-                    "configured",
-                    version=found.version,
-                    queues=len(found.queues),
-                    offset=record.offset,
-                )
-
-
-@final
-class WorkersView:
-    """The listed workers, told whole at each change."""
-
-    def __init__(
-        self,
-        tell: Callable[[dict[str, cell_workers.WorkerEntry]], None],
-    ) -> None:
-        self._tell = tell
-        self._entries: dict[str, cell_workers.WorkerEntry] = {}
-
-    def apply(
-        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
-    ) -> None:
-        """Takes in records of the executors' topic."""
-        before = dict(self._entries)
-        if is_whole:
-            self._entries = {}
-        for record in batch:
-            entry = None
-            if record.value is not None:
-                entry = self._decode(record.key, record.value)
-            if entry is None:
-                self._entries.pop(record.key, None)
-            else:
-                self._entries[record.key] = entry
-        if self._entries != before or is_whole:
-            self._tell(dict(self._entries))
-
-    def _decode(
-        self, key: str, value: bytes
-    ) -> cell_workers.WorkerEntry | None:
-        try:
-            return workers.decode_worker(key, value, None)
-        except wire.BadMessageError as error:
-            logs.warning(
-                _logger, "bad-worker-entry", worker=key, detail=str(error)
-            )
-            return None
-
-
 def run() -> int:
     """Runs a host until it is told to stop; returns its exit code."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
@@ -165,106 +88,152 @@
 
 
 def _note_reload() -> None:
-    """Logs that settings may have changed; all in use are for a whole life."""
-    logs.event(_logger, "reloaded", changed=False)
+    """Logs that the settings file changed; its values hold for a life."""
+    logs.event(_logger, "settings-changed", in_force="at the next start")
 
 
 def _serve(settings: wire.Settings) -> None:
-    clock = clock_port.SystemClock()
-    metrics = metrics_module.Metrics()
+    """Serves until told to stop, then stops in order."""
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
     signal.signal(signal.SIGHUP, lambda *_: _note_reload())
-    host = claiming.HostIdentity(
-        name=settings.name,
-        boot=uuid.uuid4().hex,
-        zone=settings.zone,
-        core_share=settings.limits.cpu_share * settings.limits.cores,
-    )
-    logs.event(_logger, "starting", host=host.name, boot=host.boot)
-    with contextlib.ExitStack() as stack:
-        client = stack.enter_context(store.StoreClient(settings.store.address))
-        configured = ConfigurationView()
-        stack.enter_context(
-            tail_module.Tail(
-                client,
+    with _Host(settings, stopping) as host:
+        logs.event(_logger, "started", host=settings.name)
+        stopping.wait()
+        logs.event(_logger, "stopping", host=settings.name)
+        host.stop()
+        logs.event(_logger, "stopped", host=settings.name)
+
+
+@final
+class _Host:
+    """The composition root: wires the parts of a host and owns them."""
+
+    def __init__(
+        self, settings: wire.Settings, stopping: threading.Event
+    ) -> None:
+        self._settings = settings
+        self._stopping = stopping
+        self._stack = contextlib.ExitStack()
+        self._clock = clock_port.SystemClock()
+        self._metrics = metrics_module.Metrics()
+        self._store = store.StoreClient(settings.store.address)
+        self._configured = views.ConfigurationView()
+        self._book = job_book.JobBook(self._clock)
+        self._jobs_tail = self._tail(records.JOBS_TOPIC, self._book.apply)
+        self._keeper = intake_module.RecordKeeper(
+            self._store, CELL, self._clock
+        )
+        self._tenure = self._make_tenure()
+        self._callers = self._make_callers()
+        self._readiness = http_server.HttpServer(
+            settings.listen.readiness,
+            self._answer_readiness,
+            READINESS_THREADS,
+            MAX_BODY_BYTES,
+        )
+
+    def __enter__(self) -> Self:
+        enter = self._stack.enter_context
+        enter(self._store)
+        enter(
+            self._tail(
                 configuration.TOPIC,
-                0,
-                configured.apply,
-                clock,
+                self._configured.apply,
                 CONFIGURATION_WAIT_MS,
             )
         )
-        book = job_book.JobBook(clock)
-        jobs_tail = stack.enter_context(
-            tail_module.Tail(
-                client, records.JOBS_TOPIC, CELL, book.apply, clock
-            )
-        )
-        keeper = stack.enter_context(
-            intake_module.RecordKeeper(client, CELL, clock)
-        )
-        intake = intake_module.Intake(book, jobs_tail, keeper, metrics, clock)
+        enter(self._jobs_tail)
+        enter(self._keeper)
+        self._tenure.start()
+        enter(self._readiness)
+        enter(self._callers)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._stack.__exit__(exc_type, exc, traceback)
 
-        def follow_workers(
-            tell: Callable[[dict[str, cell_workers.WorkerEntry]], None],
-        ) -> tail_module.Tail:
-            view = WorkersView(tell)
-            return tail_module.Tail(client, WORKERS_TOPIC, 0, view.apply, clock)
+    def _tail(
+        self,
+        topic: str,
+        apply: tail_module.Apply,
+        wait_ms: int = tail_module.READ_WAIT_MS,
+    ) -> tail_module.Tail:
+        return tail_module.Tail(
+            self._store, topic, CELL, apply, self._clock, wait_ms
+        )
 
-        tenure = tenure_module.Tenure(
+    def _make_tenure(self) -> tenure_module.Tenure:
+        settings = self._settings
+        host = claiming.HostIdentity(
+            name=settings.name,
+            boot=uuid.uuid4().hex,
+            zone=settings.zone,
+            core_share=settings.limits.cpu_share * settings.limits.cores,
+        )
+        logs.event(_logger, "starting", host=host.name, boot=host.boot)
+        keep_ended_s = settings.bounds.status_s * KEEP_FACTOR
+        return tenure_module.Tenure(
             tenure_parts.TenureParts(
                 cell=CELL,
-                store=client,
-                book=book,
-                jobs_tail=jobs_tail,
+                store=self._store,
+                book=self._book,
+                jobs_tail=self._jobs_tail,
                 connect=workers.WorkerClient,
-                follow_workers=follow_workers,
+                follow_workers=lambda tell: self._tail(
+                    WORKERS_TOPIC, views.WorkersView(tell).apply
+                ),
                 lease_ms=min(LEASE_MS, int(settings.bounds.lease_ms)),
-                metrics=metrics,
-                clock=clock,
+                keep_ended_ms=int(keep_ended_s * 1_000),
+                metrics=self._metrics,
+                clock=self._clock,
             ),
             host,
         )
-        tenure.start()
-
-        def is_ready() -> bool:
-            return (
-                not stopping.is_set()
-                and configured.current is not None
-                and jobs_tail.age_ms < OLDEST_READY_VIEW_MS
-            )
 
-        def readiness(request: http.HttpRequest) -> http.HttpReply:
-            if request.path == METRICS_PATH:
-                text = metrics_text.render(metrics.page())
-                return http.HttpReply(200, text.encode())
-            return http.HttpReply(200 if is_ready() else 503)
-
-        stack.enter_context(
-            http_server.HttpServer(
-                settings.listen.readiness,
-                readiness,
-                READINESS_THREADS,
-                MAX_BODY_BYTES,
-            )
+    def _make_callers(self) -> http_server.HttpServer:
+        intake = intake_module.Intake(
+            self._book,
+            self._jobs_tail,
+            self._keeper,
+            self._metrics,
+            self._clock,
         )
         pages = callers.CallerPages(
-            lambda: configured.current, intake, metrics, clock
+            lambda: self._configured.current,
+            intake,
+            self._metrics,
+            self._clock,
         )
-        served = stack.enter_context(
-            http_server.HttpServer(
-                settings.listen.callers,
-                pages.handle,
-                CALLER_THREADS,
-                MAX_BODY_BYTES,
-            )
+        return http_server.HttpServer(
+            self._settings.listen.callers,
+            pages.handle,
+            CALLER_THREADS,
+            MAX_BODY_BYTES,
         )
-        logs.event(_logger, "started", host=host.name)
-        stopping.wait()
-        logs.event(_logger, "stopping", host=host.name)
-        served.close_after_replies()
-        tenure.stop(RELEASE_MS)
+
+    def _is_ready(self) -> bool:
+        """Whether callers are better served here than elsewhere."""
+        return (
+            not self._stopping.is_set()
+            and self._configured.current is not None
+            and self._jobs_tail.age_ms < OLDEST_READY_VIEW_MS
+        )
+
+    def _answer_readiness(self, request: http.HttpRequest) -> http.HttpReply:
+        if request.path == METRICS_PATH:
+            text = metrics_text.render(self._metrics.page())
+            return http.HttpReply(200, text.encode())
+        return http.HttpReply(200 if self._is_ready() else 503)
+
+    def stop(self) -> None:
+        """Gives the cell up, leaves the rotation and answers what has come."""
+        self._callers.close_after_replies()
+        self._tenure.stop(RELEASE_MS)
         time.sleep(LEAVE_ROTATION_MS / 1_000)
-        served.drain(DRAIN_MS)
-        logs.event(_logger, "stopped", host=host.name)
+        self._callers.drain(DRAIN_MS)
--- /dev/null
+++ b/src/comfreylatch/platform/views.py
@@ -0,0 +1,100 @@
+"""What operators and executors publish in the store, as the host sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+import logbook
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import store as store_port
+from comfreylatch._process import logs
+from comfreylatch._process.cell import specs
+from comfreylatch.platform import configuration
+from comfreylatch.platform import wire
+from comfreylatch.platform import workers
+
+Tell = Callable[[dict[str, cell_workers.WorkerEntry]], None]
+
+_logger = logbook.Logger(__name__)
+
+
+@final
+class ConfigurationView:
+    """The newest configuration; versions never fall within a life."""
+
+    def __init__(self) -> None:
+        self.current: specs.FleetConfiguration | None = None
+
+    def apply(
+        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
+    ) -> None:
+        """Takes in records of the operators' topic."""
+        del is_whole  # A version that is gone was replaced by a higher one.
+        for record in batch:
+            if record.key != configuration.CONFIGURATION_KEY:
+                continue
+            if record.value is None:
+                continue
+            try:
+                found = configuration.decode_configuration(record.value)
+            except wire.BadMessageError as error:
+                logs.warning(
+                    _logger,
+                    "bad-configuration",
+                    offset=record.offset,
+                    detail=str(error),
+                )
+                continue
+            current = self.current
+            if current is None or found.version > current.version:
+                self.current = found
+                logs.event(
+                    _logger,
+                    "configured",
+                    version=found.version,
+                    queues=len(found.queues),
+                    offset=record.offset,
+                )
+
+
+@final
+class WorkersView:
+    """The listed workers, told whole at each change."""
+
+    def __init__(
+        self,
+        tell: Tell,
+    ) -> None:
+        self._tell = tell
+        self._entries: dict[str, cell_workers.WorkerEntry] = {}
+
+    def apply(
+        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
+    ) -> None:
+        """Takes in records of the executors' topic."""
+        before = dict(self._entries)
+        if is_whole:
+            self._entries = {}
+        for record in batch:
+            entry = None
+            if record.value is not None:
+                entry = self._decode(record.key, record.value)
+            if entry is None:
+                self._entries.pop(record.key, None)
+            else:
+                self._entries[record.key] = entry
+        if self._entries != before or is_whole:
+            self._tell(dict(self._entries))
+
+    def _decode(
+        self, key: str, value: bytes
+    ) -> cell_workers.WorkerEntry | None:
+        try:
+            return workers.decode_worker(key, value, None)
+        except wire.BadMessageError as error:
+            logs.warning(
+                _logger, "bad-worker-entry", worker=key, detail=str(error)
+            )
+            return None
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -154,7 +154,6 @@
         "name": "Name",
         "guards_capacity": "EnforcesCapacity",
         "is_standby": "Standby",
-        "health_path": "HealthCheckPath",
     },
 ):
     """A pool of workers."""
@@ -162,7 +161,6 @@
     name: str
     guards_capacity: bool = False
     is_standby: bool = False
-    health_path: str = ""
 
 
 class Configuration(
@@ -291,14 +289,6 @@
     partitions: int = 1
 
 
-class MachinesSettings(
-    msgspec.Struct, frozen=True, rename={"address": "Address"}
-):
-    """Where the machines' API is."""
-
-    address: str = ""
-
-
 class Limits(
     msgspec.Struct,
     frozen=True,
@@ -326,16 +316,16 @@
     frozen=True,
     rename={
         "lease_ms": "MaxHoldMs",
-        "grace_s": "GracePeriodS",
-        "drain_ms": "DrainTimeoutMs",
         "status_s": "status_s",
     },
 ):
-    """Bounds that the platform sets; `MaxHoldMs` is the longest lease."""
+    """Bounds that the platform sets.
+
+    `MaxHoldMs` is the longest lease; `status_s` is for how long the state of
+    an ended job is to be had.
+    """
 
     lease_ms: float = 6_000
-    grace_s: float = 6
-    drain_ms: float = 2_000
     status_s: float = 120
 
 
@@ -347,13 +337,9 @@
         "address": "IpAddress",
         "zone": "Zone",
         "listen": "ListenAddresses",
-        "internal_ports": "InternalPortRange",
         "limits": "Limits",
-        "advice_address": "Recommendation",
         "store": "platform",
-        "machines": "CloudApi",
         "bounds": "Bounds",
-        "contracts": "Contracts",
     },
 ):
     """The settings file of a process, as far as it is used."""
@@ -363,12 +349,8 @@
     zone: str
     listen: ListenAddresses
     store: StoreSettings
-    internal_ports: tuple[int, int] = (0, 0)
     limits: Limits = Limits()
-    advice_address: str | None = None
-    machines: MachinesSettings | None = None
     bounds: Bounds = Bounds()
-    contracts: tuple[str, ...] = ()
 
 
 def decode(kind: type[_Message], body: bytes) -> _Message:
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -25,6 +25,7 @@
 
 WAIT_S = 15.0
 LEASE_MS = 1_000
+KEEP_ENDED_MS = 200
 ID = "0" * 16
 
 
@@ -114,6 +115,7 @@
                 ),
                 follow_workers=lambda tell: Listing(entries, tell),
                 lease_ms=LEASE_MS,
+                keep_ended_ms=KEEP_ENDED_MS,
                 metrics=counted,
                 clock=clock,
             ),
@@ -195,6 +197,16 @@
         starts = [one for w in self.workers.values() for one in w.starts]
         self.assertEqual({2}, {one.token for one in starts})
 
+    def test_ended_job_is_dropped_from_the_store_after_a_while(self) -> None:
+        self.first.intake.submit(harness.job(), 2_000)
+        self.wait_for(lambda: len(self.running()) == 1)
+        for worker in self.workers.values():
+            worker.end_all(cell_workers.RunEnd.DONE)
+        gone = intake_module.Unknown()
+        self.wait_for(lambda: self.second.intake.state(ID) == gone)
+        newest = self.store.newest(records.JOBS_TOPIC, 0).unwrap()
+        self.assertEqual(["owner"], [one.key for one in newest.records])
+
     def test_cancelled_job_stops_running(self) -> None:
         self.first.intake.submit(harness.job(harness.step(2)), 2_000)
         self.wait_for(lambda: len(self.running()) == 2)
