Learn pressures within a step, and keep cleared workers for harmful images

A trial that logged every reading gave three reasons. The online estimate took swings of the load for pressure: harmless images were held at 0.2 to 0.7, where least squares on differences between tasks of a step gives 0.0 to 0.15, and 2.0 and 2.2 for the two harmful ones. Tasks that fill alternate between a heavy and a light phase, with two thirds of the use and a third of the pressure.

Change: coefficients are fitted by least squares with a prior to differences between readings of a step; a filter with slope follows its load; intensity is read from use. Harmless images go beside lasting tasks, harmful ones to workers without, and only these count for clearing. Tasks that fill are slowed where all ask for more than the processors, and placed where 0.7 of their pace fits.

test_rising_load_is_expected_to_go_on fed the same error again and again, which is an accelerating load to a filter with slope; it now feeds readings of a load that rises, and also bounds the estimate.

--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Iterable
 
+from comfreylatch._process.cell import disturbance
+from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
 
@@ -31,13 +33,21 @@
 
 
 def waiting_millicores(
-    steps: Iterable[runs_module.StepRun], now_ms: int
+    steps: Iterable[runs_module.StepRun],
+    model: disturbance.DisturbanceModel,
+    now_ms: int,
 ) -> int:
-    """Processors asked for by filling tasks that have waited in vain."""
+    """Processors asked for by harmful tasks that have waited in vain.
+
+    Harmless ones wait for idle processors, of which a lasting task that is
+    away leaves hardly more than it takes in worth.
+    """
     return sum(
         len(step.open_tasks) * step.spec.cpu_millicores
         for step in steps
-        if step.spec.fills_idle and now_ms - step.ready_ms >= WAIT_MS
+        if step.spec.fills_idle
+        and now_ms - step.ready_ms >= WAIT_MS
+        and model.harm(step.spec.image) >= placement.HARMLESS
     )
 
 
--- a/src/comfreylatch/_process/cell/disturbance.py
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -4,98 +4,63 @@
 where `x` is the sum of the task's own load and of the pressure of each task
 that fills beside it. A filling task's pressure is its use of the worker's
 processors times a coefficient, which depends on both images and is learned
-from the tails and uses that workers report.
+from the tails and uses that workers report. Its use is weighted by its
+intensity: in a light phase it uses less, and each share of it presses less.
+
+Where all demands together exceed a worker's processors, tails grow without
+bound, so that tasks that fill are slowed there, however harmless they are.
 """
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Iterable
 from typing import final
 
 import attrs
 
+from comfreylatch._process.cell import pressures
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import serving_load
 from comfreylatch._process.cell import worker_view
 
-# Coefficient of a pair of images of which nothing is known: between those of
-# harmless images (about 0.2) and of harmful ones (about 1.8).
-UNKNOWN_PRESSURE = 0.7
-HIGHEST_PRESSURE = 6.0
-# Share of an error that a step's load takes from each reading; a step of
-# seven tasks gives some fifteen readings a second, and load changes in
-# seconds.
-LOAD_RATE = 0.15
-# Share of an error that goes to the coefficients.
-PRESSURE_RATE = 0.08
 # Error above which a reading is so far off the model's range that it only
 # says that there is too much pressure.
 SATURATED = 0.93
-# Uses below this share of a worker say nothing of a coefficient.
-LEAST_USE = 0.01
-# The trend of a load is taken over this time, and followed this far: for
-# paces until readings show what they did, for placing into a task's run.
-TREND_MS = 1_000
+# Scatter of a coefficient beside what was learned of it.
+PRESSURE_SD = 0.15
+ROUNDING_SD_MS = 0.3
+# The trend of a load is followed this far: for paces until readings show what
+# they did, for placing into a task's run.
 PACE_AHEAD_MS = 700
 PLACE_AHEAD_MS = 1_200
 # A task that fills is placed where it can work at this pace at least.
-LEAST_FIRST_PACE = 30
+LEAST_FIRST_PACE = 70
 # A task that was slowed down wants its pace back: where more are placed, it
 # counts with this pace at least.
 LEAST_COUNTED_PACE = 60
-# Until a task has shown its load; the middle of what loads have been seen.
-UNKNOWN_LOAD = 0.45
+# Square of the intensity of a task that fills, on average.
+USUAL_WEIGHT = 0.8
+# Readings after a start or a change of pace are averages with what was before.
+READING_MS = 700
+LEAST_INTENSITY = 0.3
+# At this pace or less a reading says little of the intensity.
+LEAST_READ_PACE = 20
+# Share of a worker's processors that all tasks together may ask for; demands
+# change within a worker's report.
+CROWDED_SHARE = 1.0
 # Part of a tail target that is planned for; the rest is for what the model
 # does not know.
 TARGET_SHARE = 0.78
 # A task that has just started serves slowly whatever is beside it.
 SETTLING_MS = 1_500
 # Base of an image's tail relative to its target, until lower tails are seen.
-BASE_SHARE = 0.25
+BASE_SHARE = 0.22
 FULL_PACE = 100
 PACE_STEP = 10
 # Head room that a pace is raised into, so that it isn't lowered at once.
 RAISE_MARGIN = 0.04
 
 
-@attrs.define(eq=False)
-class ServingLoad:
-    """Own load of a step's lasting tasks, as a share of their capacity.
-
-    Attributes:
-        load: Newest estimate.
-        readings: How many readings it rests on.
-        recent: Estimates of the last `TREND_MS`, with their times.
-    """
-
-    load: float = UNKNOWN_LOAD
-    readings: int = 0
-    recent: collections.deque[tuple[int, float]] = attrs.field(
-        factory=collections.deque
-    )
-
-    def update(self, error: float, now_ms: int) -> None:
-        """Moves the estimate towards a reading."""
-        # The first few readings say more than the guess before them.
-        rate = max(LOAD_RATE, 1 / (1 + self.readings))
-        self.readings += 1
-        self.load = min(max(self.load + rate * error, 0.0), 1.0)
-        self.recent.append((now_ms, self.load))
-        while now_ms - self.recent[0][0] > TREND_MS:
-            self.recent.popleft()
-
-    def ahead(self, ahead_ms: int) -> float:
-        """The load expected soon; never below what it is now."""
-        if len(self.recent) < 2:
-            return self.load
-        before_ms, before = self.recent[0]
-        elapsed_ms = self.recent[-1][0] - before_ms
-        if elapsed_ms < TREND_MS / 3:
-            return self.load
-        rise = (self.load - before) * ahead_ms / elapsed_ms
-        return min(self.load + max(rise, 0.0), 1.0)
-
-
 @attrs.frozen
 class Slack:
     """How far the lasting tasks of an image are from their limit."""
@@ -117,15 +82,13 @@
     """Learns pressures and plans with them. Not thread-safe."""
 
     def __init__(self) -> None:
-        self._by_image: dict[str, float] = {}
-        self._by_pair: dict[tuple[str, str], float] = {}
+        self.pressures = pressures.Pressures()
         self._base_ms: dict[str, float] = {}
-        self._loads: dict[runs_module.StepRun, ServingLoad] = {}
+        self._loads: dict[runs_module.StepRun, serving_load.ServingLoad] = {}
 
     def pressure(self, serving: str, filling: str) -> float:
         """Coefficient of a filling image on a serving image."""
-        common = self._by_image.get(filling, UNKNOWN_PRESSURE)
-        return max(common + self._by_pair.get((serving, filling), 0.0), 0.0)
+        return self.pressures.of(serving, filling)
 
     def _base(self, run: runs_module.Run) -> float:
         spec = run.task.step.spec
@@ -137,55 +100,54 @@
         target_ms = run.task.step.spec.tail_target_ms
         return 1 - self._base(run) / (TARGET_SHARE * target_ms)
 
-    def load(self, run: runs_module.Run) -> ServingLoad:
+    def load(self, run: runs_module.Run) -> serving_load.ServingLoad:
         """What is known of the load of a lasting task's step."""
-        return self._loads.setdefault(run.task.step, ServingLoad())
+        return self._loads.setdefault(run.task.step, serving_load.ServingLoad())
 
     def forget(self, step: runs_module.StepRun) -> None:
         """Drops what is known of a step that has ended."""
         self._loads.pop(step, None)
+        self.pressures.forget(step)
 
     def learn(self, worker: worker_view.WorkerView, now_ms: int) -> None:
         """Takes in a worker's newest readings."""
-        fills = list(_fills(worker))
         cpu = max(worker.entry.capacity.cpu_millicores, 1)
-        uses = [(run, run.reading / cpu) for run in fills]
+        uses: dict[str, float] = {}
+        for fill in _fills(worker):
+            _note_intensity(fill, now_ms)
+            image = _image(fill)
+            use = fill.reading * fill.intensity / cpu
+            uses[image] = uses.get(image, 0.0) + use
         for run in serving(worker):
             settled = now_ms - run.confirmed_ms > SETTLING_MS
             if run.reading > 0 and run.confirmed_ms and settled:
                 self._learn_one(run, uses, now_ms)
 
     def _learn_one(
-        self,
-        run: runs_module.Run,
-        uses: list[tuple[runs_module.Run, float]],
-        now_ms: int,
+        self, run: runs_module.Run, uses: dict[str, float], now_ms: int
     ) -> None:
         image = run.task.step.spec.image
         base_ms = min(self._base(run), run.reading)
         self._base_ms[image] = base_ms
         seen = 1 - base_ms / run.reading
         state = self.load(run)
+        state.advance(now_ms)
         pressed = sum(
-            self.pressure(image, _image(fill)) * use for fill, use in uses
+            self.pressure(image, filling) * use for filling, use in uses.items()
         )
         error = seen - state.load - pressed
-        if seen > SATURATED and error < 0:
+        if seen > SATURATED:
+            if error > 0:
+                state.update(error, now_ms)
             return
-        norm = sum(use * use for _, use in uses) + LEAST_USE
-        for fill, use in uses:
-            self._adjust(
-                image, _image(fill), PRESSURE_RATE * error * use / norm
-            )
-        state.update(error, now_ms)
-
-    def _adjust(self, serving_image: str, filling: str, change: float) -> None:
-        common = self._by_image.get(filling, UNKNOWN_PRESSURE)
-        common = min(max(common + change / 2, 0.0), HIGHEST_PRESSURE)
-        self._by_image[filling] = common
-        pair = serving_image, filling
-        own = self._by_pair.get(pair, 0.0) + change / 2
-        self._by_pair[pair] = min(max(own, -HIGHEST_PRESSURE), HIGHEST_PRESSURE)
+        self.pressures.note(
+            run.task.step, image, run.worker_id, seen, uses, now_ms
+        )
+        variance = serving_load.READING_SD**2
+        # Readings are whole milliseconds.
+        variance += (ROUNDING_SD_MS * base_ms / run.reading**2) ** 2
+        variance += sum((PRESSURE_SD * use) ** 2 for use in uses.values())
+        state.update(error, now_ms, variance)
 
     def slacks(self, worker: worker_view.WorkerView) -> tuple[Slack, ...]:
         """What each lasting step on a worker has left to its limit soon."""
@@ -195,6 +157,7 @@
             pace = max(fill.pace_percent, LEAST_COUNTED_PACE) / FULL_PACE
             image = _image(fill)
             used = fill.task.step.spec.cpu_millicores * pace / cpu
+            used *= (fill.intensity**2 + USUAL_WEIGHT) / 2
             wanted[image] = wanted.get(image, 0.0) + used
         steps = {run.task.step: run for run in serving(worker)}
         slacks = []
@@ -206,6 +169,10 @@
             slacks.append(Slack(image, left))
         return tuple(slacks)
 
+    def harm(self, image: str) -> float:
+        """Coefficient of a filling image on serving images in general."""
+        return self.pressures.common(image)
+
     def head_room(
         self, slacks: tuple[Slack, ...], image: str, use: float
     ) -> float:
@@ -215,7 +182,7 @@
         it is taken at the least pace that it may begin with. Negative where
         some lasting task would come over its limit.
         """
-        use *= LEAST_FIRST_PACE / FULL_PACE
+        use *= USUAL_WEIGHT * LEAST_FIRST_PACE / FULL_PACE
         return min(
             (
                 slack.left - self.pressure(slack.image, image) * use
@@ -231,7 +198,7 @@
         if not fills:
             return []
         cpu = max(worker.entry.capacity.cpu_millicores, 1)
-        paces = dict.fromkeys(fills, FULL_PACE)
+        paces = dict.fromkeys(fills, self._uncrowded_pace(worker))
         for run in lasting:
             self._fit(run, paces, cpu)
         return [
@@ -245,6 +212,26 @@
             )
         ]
 
+    def _uncrowded_pace(self, worker: worker_view.WorkerView) -> int:
+        """Pace at which tasks that fill leave the others their processors."""
+        lasting_use = 0.0
+        for run in serving(worker):
+            load = self.load(run).ahead(PACE_AHEAD_MS)
+            lasting_use += load * run.task.step.spec.cpu_millicores
+        if not lasting_use:
+            return FULL_PACE
+        cpu = worker.entry.capacity.cpu_millicores
+        short = cpu - worker.free_cpu - worker.lasting_millicores
+        left = CROWDED_SHARE * cpu - short - lasting_use
+        asked = sum(
+            fill.task.step.spec.cpu_millicores * fill.intensity
+            for fill in _fills(worker)
+        )
+        if asked <= left:
+            return FULL_PACE
+        steps = int(max(left, 0.0) / asked * FULL_PACE) // PACE_STEP
+        return steps * PACE_STEP
+
     def _fit(
         self,
         run: runs_module.Run,
@@ -257,6 +244,7 @@
         full = {
             fill: self.pressure(image, _image(fill))
             * fill.task.step.spec.cpu_millicores
+            * fill.intensity**2
             / cpu
             for fill in paces
         }
@@ -281,6 +269,17 @@
     )
 
 
+def _note_intensity(fill: runs_module.Run, now_ms: int) -> None:
+    """Takes in how much of what it asks for a task that fills uses."""
+    since_ms = max(fill.confirmed_ms, fill.paced_ms)
+    if not fill.confirmed_ms or now_ms - since_ms < READING_MS:
+        return
+    if fill.pace_percent <= LEAST_READ_PACE or fill.reading <= 0:
+        return
+    asked = fill.task.step.spec.cpu_millicores * fill.pace_percent / FULL_PACE
+    fill.intensity = min(max(fill.reading / asked, LEAST_INTENSITY), 1.0)
+
+
 def _fills(worker: worker_view.WorkerView) -> Iterable[runs_module.Run]:
     return (
         run for run in worker.runs.values() if run.task.step.spec.fills_idle
--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/placement.py
@@ -15,12 +15,17 @@
 # does so by its slowness.
 OFF_RACK_COST = 60_000.0
 SLOWNESS_COST = 40_000.0
+# For each millicore that tasks which fill would lose, or lasting ones lack.
+CROWDING_COST = 2.0
 # Worth of each task of the same step on a worker, for lasting ones.
 TOGETHER_WORTH = 20_000.0
 # The same for a task that fills, in room to the targets of lasting tasks.
 FILL_SLOWNESS_COST = 0.5
 # The same where a run of the task has failed or stood still.
 SHUNNED_COST = 0.1
+# An image with a higher coefficient counts as harmful: a few of its tasks bring
+# the lasting ones beside them to their targets.
+HARMLESS = 0.5
 # A task that fills idle processors is placed only where it would get at least
 # this share of what it asks for.
 FILL_SHARE = 0.7
@@ -55,6 +60,10 @@
     if wanted_rack and worker.rack != wanted_rack:
         cost += OFF_RACK_COST
     cost += worker.free_cpu - spec.cpu_millicores
+    taken = spec.cpu_millicores * (
+        worker_view.LASTING_USE_SHARE if spec.is_lasting else 1
+    )
+    cost += CROWDING_COST * max(taken - worker.idle_millicores, 0)
     if spec.is_lasting:
         cost -= TOGETHER_WORTH * _fitting_together(worker, task.step)
     if worker.worker_id in task.shunned:
@@ -148,15 +157,41 @@
     def _room(
         self, worker: worker_view.WorkerView, spec: specs.StepSpec
     ) -> float:
+        """Least slack that a task would leave; negative for none."""
+        slacks = self._slacks_of(worker)
+        cpu = max(worker.entry.capacity.cpu_millicores, 1)
+        return self._model.head_room(
+            slacks, spec.image, spec.cpu_millicores / cpu
+        )
+
+    def _slacks_of(
+        self, worker: worker_view.WorkerView
+    ) -> tuple[disturbance.Slack, ...]:
         slacks = self._slacks.get(worker.worker_id)
         if slacks is None:
             slacks = self._model.slacks(worker)
             self._slacks[worker.worker_id] = slacks
-        cpu = max(worker.entry.capacity.cpu_millicores, 1)
-        room = self._model.head_room(
-            slacks, spec.image, spec.cpu_millicores / cpu
-        )
-        return room - FILL_SLOWNESS_COST * max(worker.slowness - 1.0, 0.0)
+        return slacks
+
+    def _worth(
+        self, worker: worker_view.WorkerView, task: runs_module.Task
+    ) -> float | None:
+        """How well a worker suits a task; None where it does harm.
+
+        A worker without lasting tasks is left to the images that can work
+        nowhere else.
+        """
+        spec = task.step.spec
+        room = self._room(worker, spec)
+        if room < 0:
+            return None
+        worth = room
+        if not self._slacks_of(worker):
+            worth = self._model.harm(spec.image) - HARMLESS
+        worth -= FILL_SLOWNESS_COST * max(worker.slowness - 1.0, 0.0)
+        if worker.worker_id in task.shunned:
+            worth -= SHUNNED_COST
+        return worth
 
     def choose(
         self,
@@ -166,22 +201,22 @@
     ) -> worker_view.WorkerView | None:
         """The worker whose idle processors a task should fill.
 
-        It is the one whose lasting tasks are left with the most room to their
-        targets; none is taken where one would come over its target.
+        Beside lasting tasks it is the one where these are left with the most
+        room to their targets; none where one would come over its target.
         """
         spec = task.step.spec
         need = spec.need
         least = int(spec.cpu_millicores * FILL_SHARE)
         best: worker_view.WorkerView | None = None
-        best_room = 0.0
+        best_worth = 0.0
         for worker in workers:
             if worker.idle_millicores < least or not worker.fits(need):
                 continue
             if not is_allowed(worker, task, service):
                 continue
-            room = self._room(worker, spec)
-            if worker.worker_id in task.shunned:
-                room -= SHUNNED_COST
-            if room >= best_room:
-                best, best_room = worker, room
+            worth = self._worth(worker, task)
+            if worth is None:
+                continue
+            if best is None or worth >= best_worth:
+                best, best_worth = worker, worth
         return best
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -115,7 +115,7 @@
         self, steps: list[runs_module.StepRun], now_ms: int
     ) -> list[runs_module.Run]:
         """Clears a worker where there is cause; returns runs to be stopped."""
-        demand = clearing.waiting_millicores(steps, now_ms)
+        demand = clearing.waiting_millicores(steps, self._disturbance, now_ms)
         if not demand:
             clearing.end_early(self._workers, now_ms)
             return []
--- /dev/null
+++ b/src/comfreylatch/_process/cell/pressures.py
@@ -0,0 +1,231 @@
+"""Learns how hard each image of filling tasks presses on lasting ones.
+
+Tasks of a lasting step have the same load at the same time, so that the
+differences between their tails on different workers are due to what fills
+beside them. The coefficients are fitted to these differences, by least
+squares with a prior, which leaves the load itself out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import math
+from typing import final
+
+import attrs
+
+# Coefficient of an image of which nothing is known: between those of
+# harmless images (about 0.1) and of harmful ones (about 2).
+UNKNOWN_PRESSURE = 0.5
+# Weight of that guess: scatter of a reading over scatter of coefficients.
+PRIOR_WEIGHT = (0.06 / 0.5) ** 2
+# The same for what a pair of images has over its filling image.
+PAIR_PRIOR_WEIGHT = (0.06 / 0.3) ** 2
+HIGHEST_PRESSURE = 6.0
+# Readings of a step within this time are compared with each other; figures of
+# workers are averages over half a second.
+COMPARED_MS = 500
+# Longest wait for readings of a second worker. Those of one worker are then
+# compared among themselves, though its load may have changed meanwhile.
+LONGEST_COMPARED_MS = 1_600
+FIT_INTERVAL_MS = 500
+# What was learned counts half after 40 s.
+MEMORY_MS = 60_000
+# An image whose sums have faded below this is forgotten.
+LEAST_SUM = 1e-6
+
+
+@attrs.frozen
+class _Reading:
+    worker_id: str
+    busy: float
+    uses: Mapping[str, float]
+
+
+@attrs.define(eq=False)
+class _Comparison:
+    """Readings of one step that are compared with each other."""
+
+    serving: str
+    began_ms: int
+    readings: list[_Reading] = attrs.field(factory=list)
+
+    def is_over(self, now_ms: int) -> bool:
+        """Whether no more readings should be added."""
+        age_ms = now_ms - self.began_ms
+        if age_ms < COMPARED_MS:
+            return False
+        first = self.readings[0].worker_id
+        is_across = any(one.worker_id != first for one in self.readings)
+        return is_across or age_ms >= LONGEST_COMPARED_MS
+
+
+@attrs.define(eq=False)
+class _PairSums:
+    squares: float = 0.0
+    products: float = 0.0
+
+
+@final
+class Pressures:
+    """Coefficients of filling images on serving images. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._open: dict[object, _Comparison] = {}
+        self._squares: dict[str, dict[str, float]] = {}
+        self._products: dict[str, float] = {}
+        self._pairs: dict[tuple[str, str], _PairSums] = {}
+        self._by_image: dict[str, float] = {}
+        self._by_pair: dict[tuple[str, str], float] = {}
+        self._fitted_ms = 0
+
+    def common(self, filling: str) -> float:
+        """Coefficient of a filling image whatever it presses on."""
+        return self._by_image.get(filling, UNKNOWN_PRESSURE)
+
+    def of(self, serving: str, filling: str) -> float:
+        """Coefficient of a filling image on a serving image."""
+        own = self._by_pair.get((serving, filling), 0.0)
+        return min(max(self.common(filling) + own, 0.0), HIGHEST_PRESSURE)
+
+    def forget(self, step: object) -> None:
+        """Drops the comparison of a step that has ended."""
+        self._open.pop(step, None)
+
+    def note(
+        self,
+        step: object,
+        serving: str,
+        worker_id: str,
+        busy: float,
+        uses: Mapping[str, float],
+        now_ms: int,
+    ) -> None:
+        """Takes in one reading of a lasting task.
+
+        Args:
+            step: Its step.
+            serving: Its image.
+            worker_id: Where it runs.
+            busy: Load and pressures together, as its tail shows them.
+            uses: Shares of the worker that filling images use, by image.
+            now_ms: Monotonic time of the reading.
+        """
+        comparison = self._open.get(step)
+        if comparison is not None and comparison.is_over(now_ms):
+            self._close(comparison)
+            comparison = None
+        if comparison is None:
+            comparison = _Comparison(serving, now_ms)
+            self._open[step] = comparison
+        comparison.readings.append(_Reading(worker_id, busy, uses))
+        if now_ms - self._fitted_ms >= FIT_INTERVAL_MS:
+            self._fit(now_ms)
+
+    def _close(self, comparison: _Comparison) -> None:
+        """Adds a comparison's differences to the sums."""
+        readings = comparison.readings
+        count = len(readings)
+        fills = sorted({name for one in readings for name in one.uses})
+        if count < 2 or not fills:
+            return
+        mean_busy = sum(one.busy for one in readings) / count
+        means = {
+            name: sum(one.uses.get(name, 0.0) for one in readings) / count
+            for name in fills
+        }
+        for one in readings:
+            differences = {
+                name: one.uses.get(name, 0.0) - means[name] for name in fills
+            }
+            self._add(comparison.serving, one.busy - mean_busy, differences)
+
+    def _add(
+        self, serving: str, busy: float, differences: Mapping[str, float]
+    ) -> None:
+        """Adds one difference in tails and those in uses that caused it."""
+        left = busy - sum(
+            self.of(serving, name) * use for name, use in differences.items()
+        )
+        for name, use in differences.items():
+            row = self._squares.setdefault(name, {})
+            for other, other_use in differences.items():
+                row[other] = row.get(other, 0.0) + use * other_use
+            self._products[name] = self._products.get(name, 0.0) + use * busy
+            own = self._by_pair.get((serving, name), 0.0)
+            sums = self._pairs.setdefault((serving, name), _PairSums())
+            sums.squares += use * use
+            sums.products += use * (left + own * use)
+
+    def _fit(self, now_ms: int) -> None:
+        """Works out the coefficients from the sums, and lets these fade."""
+        elapsed_ms = now_ms - self._fitted_ms if self._fitted_ms else 0
+        self._fitted_ms = now_ms
+        self._fade(math.exp(-elapsed_ms / MEMORY_MS))
+        names = list(self._squares)
+        matrix = [
+            [self._squares[name].get(other, 0.0) for other in names]
+            for name in names
+        ]
+        values = []
+        for index, name in enumerate(names):
+            matrix[index][index] += PRIOR_WEIGHT
+            values.append(
+                self._products[name] + PRIOR_WEIGHT * UNKNOWN_PRESSURE
+            )
+        solution = solve(matrix, values)
+        self._by_image = {
+            name: min(max(value, 0.0), HIGHEST_PRESSURE)
+            for name, value in zip(names, solution, strict=True)
+        }
+        self._by_pair = {
+            pair: sums.products / (sums.squares + PAIR_PRIOR_WEIGHT)
+            for pair, sums in self._pairs.items()
+        }
+
+    def _fade(self, factor: float) -> None:
+        for name, row in list(self._squares.items()):
+            if row[name] < LEAST_SUM:
+                self._drop(name)
+                continue
+            for other in row:
+                row[other] *= factor
+            self._products[name] *= factor
+        for sums in self._pairs.values():
+            sums.squares *= factor
+            sums.products *= factor
+
+    def _drop(self, name: str) -> None:
+        del self._squares[name]
+        del self._products[name]
+        for row in self._squares.values():
+            row.pop(name, None)
+        for pair in [one for one in self._pairs if one[1] == name]:
+            del self._pairs[pair]
+
+
+def solve(matrix: list[list[float]], values: list[float]) -> list[float]:
+    """Solves linear equations with a positive definite matrix.
+
+    By elimination without pivots, which such a matrix does not need; the
+    arguments are used up.
+    """
+    size = len(values)
+    for index in range(size):
+        row = matrix[index]
+        for below in range(index + 1, size):
+            factor = matrix[below][index] / row[index]
+            if factor == 0.0:
+                continue
+            target = matrix[below]
+            for column in range(index, size):
+                target[column] -= factor * row[column]
+            values[below] -= factor * values[index]
+    solution = [0.0] * size
+    for index in range(size - 1, -1, -1):
+        known = sum(
+            matrix[index][column] * solution[column]
+            for column in range(index + 1, size)
+        )
+        solution[index] = (values[index] - known) / matrix[index][index]
+    return solution
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -13,6 +13,10 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
 
+# Of tasks that fill, before they have shown theirs; what a day of readings gave
+# on average: three fifths of them near 1, the others near two thirds.
+USUAL_INTENSITY = 0.88
+
 
 class RunPhase(enum.Enum):
     """Where a run of a task stands."""
@@ -39,6 +43,9 @@
         pace_percent: Pace it was last told.
         slow_since_ms: Since when its pace is so low that it hardly works; 0
             while it isn't.
+        intensity: Share of what it asks for that a task that fills uses at
+            full pace; tasks change between heavy and light phases.
+        paced_ms: When it was last told another pace; 0 before.
         unanswered: Orders in a row that got no answer.
         is_in_doubt: An order may be carried out without our knowledge.
     """
@@ -54,6 +61,8 @@
     reading: int = 0
     pace_percent: int = 100
     slow_since_ms: int = 0
+    intensity: float = USUAL_INTENSITY
+    paced_ms: int = 0
     unanswered: int = 0
     is_in_doubt: bool = False
 
--- a/tests/process/cell/test_disturbance.py
+++ b/tests/process/cell/test_disturbance.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from comfreylatch._process.cell import disturbance
+from comfreylatch._process.cell import serving_load
 from tests.process.cell import harness
 
 BASE_MS = 4
@@ -75,7 +75,10 @@
         self.assertEqual(100, beside.filling.pace_percent)
 
     def test_rising_load_is_expected_to_go_on(self) -> None:
-        state = disturbance.ServingLoad()
+        state = serving_load.ServingLoad()
         for index in range(20):
-            state.update(0.05, 100 * index)
-        self.assertGreater(state.ahead(700), state.load)
+            now_ms = 1_000 + 100 * index
+            state.advance(now_ms)
+            state.update(0.3 + 0.01 * index - state.load, now_ms)
+        self.assertAlmostEqual(0.49, state.load, delta=0.03)
+        self.assertGreater(state.ahead(700), state.load + 0.03)
--- /dev/null
+++ b/tests/process/cell/test_placement_of_fills.py
@@ -0,0 +1,75 @@
+"""Where tasks that fill idle processors go, by how much they disturb."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+
+from comfreylatch._process.cell import clearing
+from tests.process.cell import harness
+
+CLEARED_FOR_MS = 10_000
+
+
+class FillsTest(testtools.TestCase):
+    """One worker with a lasting task, one cleared of them."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=2)
+        now_ms = self.cell.clock.monotonic_ms()
+        self.cleared = self.cell.workers.find("w2")
+        self.cleared.cleared_until_ms = now_ms + CLEARED_FOR_MS
+        lasting = harness.step(
+            is_lasting=True, image="serve", tail_target_ms=18
+        )
+        self.cell.submit(harness.job(lasting, job_id="a" * 16))
+        (self.serving,) = self.cell.place()
+        self._learn()
+
+    def _learn(self) -> None:
+        """Teaches the model one harmful and one harmless image."""
+        learned = self.cell.model.pressures
+        for tick in range(60):
+            for worker, use in enumerate((0.0, 0.1, 0.2)):
+                uses = {"press": use, "idle": use * ((tick % 2) * 2 - 1)}
+                busy = 0.4 + 2.0 * use
+                learned.note(
+                    "other", "serve", f"x{worker}", busy, uses, 500 * tick
+                )
+
+    def _fill(self, image: str, job_id: str, count: int = 1) -> list[Any]:
+        fill = harness.step(
+            count, cpu_millicores=1_000, fills_idle=True, image=image
+        )
+        self.cell.submit(harness.job(fill, job_id=job_id))
+        return [run.worker_id for run in self.cell.place()]
+
+    def test_harmless_image_leaves_the_cleared_worker_alone(self) -> None:
+        self.assertEqual([self.serving.worker_id], self._fill("idle", "b" * 16))
+
+    def test_harmful_image_goes_to_the_cleared_worker(self) -> None:
+        self.assertEqual(["w2"], self._fill("press", "b" * 16))
+
+    def test_no_worker_is_cleared_for_harmless_images(self) -> None:
+        self._fill("idle", "b" * 16, count=40)
+        self.cell.clock.advance(2 * clearing.WAIT_MS)
+        steps = self.cell.jobs.ready_steps()
+        now_ms = self.cell.clock.monotonic_ms()
+        self.assertEqual(
+            0, clearing.waiting_millicores(steps, self.cell.model, now_ms)
+        )
+
+    def test_tasks_that_fill_are_slowed_where_all_ask_for_too_much(
+        self,
+    ) -> None:
+        self._fill("idle", "b" * 16, count=3)
+        short = harness.step(cpu_millicores=6_500)
+        self.cell.submit(harness.job(short, job_id="c" * 16))
+        self.cell.workers.find("w2").avoided_until_ms = 10**9
+        self.cell.place()
+        worker = self.cell.workers.find(self.serving.worker_id)
+        changes = self.cell.model.pace_changes(worker)
+        self.assertEqual(3, len(changes))
+        self.assertTrue(all(change.percent < 100 for change in changes))
--- /dev/null
+++ b/tests/process/cell/test_pressures.py
@@ -0,0 +1,73 @@
+"""Tests of the coefficients of filling images."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import testtools
+
+from comfreylatch._process.cell import pressures
+
+HARMFUL = 2.0
+HARMLESS = 0.05
+SEED = 7
+
+
+class PressuresTest(testtools.TestCase):
+    """A step on several workers whose load swings by a half."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.learned = pressures.Pressures()
+        self.random = random.Random(SEED)
+
+    def _read(self, seconds: int, images: dict[str, float]) -> None:
+        """Takes in two readings a second of each of six workers."""
+        names = sorted(images)
+        for tick in range(2 * seconds):
+            load = 0.42 + 0.2 * math.sin(2 * math.pi * tick / 20)
+            for worker in range(6):
+                uses = {
+                    name: self.random.choice((0.0, 0.1, 0.2)) for name in names
+                }
+                pressed = sum(images[name] * uses[name] for name in names)
+                noise = self.random.gauss(0, 0.05)
+                self.learned.note(
+                    "step",
+                    "serve",
+                    f"w{worker}",
+                    load + pressed + noise,
+                    uses,
+                    500 * tick + 10 * worker,
+                )
+
+    def test_harmful_and_harmless_are_told_apart_in_seconds(self) -> None:
+        images = {"press": HARMFUL, "idle": HARMLESS}
+        self._read(8, images)
+        self.assertAlmostEqual(
+            HARMFUL, self.learned.of("serve", "press"), delta=0.3
+        )
+        self.assertAlmostEqual(
+            HARMLESS, self.learned.of("serve", "idle"), delta=0.3
+        )
+
+    def test_swing_of_the_load_is_not_taken_for_pressure(self) -> None:
+        self._read(20, {"idle": 0.0})
+        self.assertLess(self.learned.of("serve", "idle"), 0.15)
+
+    def test_image_of_which_nothing_is_known_has_the_prior(self) -> None:
+        self.assertEqual(
+            pressures.UNKNOWN_PRESSURE, self.learned.of("serve", "new")
+        )
+
+
+class SolveTest(testtools.TestCase):
+    """Linear equations."""
+
+    def test_solution_fulfils_the_equations(self) -> None:
+        matrix = [[4.0, 1.0, 0.5], [1.0, 3.0, 0.0], [0.5, 0.0, 2.0]]
+        solution = pressures.solve([row[:] for row in matrix], [1.0, 2.0, 3.0])
+        for row, value in zip(matrix, [1.0, 2.0, 3.0], strict=True):
+            total = sum(a * b for a, b in zip(row, solution, strict=True))
+            self.assertAlmostEqual(value, total)
