Give long pages of the store the time that a narrow link needs

After all hosts had lost power, 25 of 29 logged "answer too long or too slow" for the first page of jobs and never had a view again: a page of up to 1 MB takes a second on 10 Mbit/s, and the whole call was bounded by 900 ms.

Change: reads are bounded by the time without a byte, 900 ms as before, and by 8 s as a whole.

Ruled out: hosts too busy (0.04 cores on average); the store (others read it).

The test with a page that takes 1.2 s failed before with the same words.

--- a/src/comfreylatch/_connection/json_call.py
+++ b/src/comfreylatch/_connection/json_call.py
@@ -80,9 +80,14 @@
     body: bytes | None,
     timeout_ms: int,
     headers: Mapping[str, str] = JSON_HEADERS,
+    silence_ms: int | None = None,
 ) -> result.Result[Answer, CallError]:
     """Makes a call and reads its answer whole within `timeout_ms`.
 
+    With `silence_ms` it is given up sooner, when nothing has come for so long;
+    a long answer over a narrow link then gets its time without a dead peer
+    getting as much.
+
     Only a failed connection is `NotSent`. A kept connection that turns out to
     be broken is `AnswerLost`, as the other side may have read the call.
     """
@@ -96,6 +101,7 @@
             timeout=urllib3.Timeout(
                 total=timeout_ms / 1_000,
                 connect=min(timeout_ms, CONNECT_TIMEOUT_MS) / 1_000,
+                read=None if silence_ms is None else silence_ms / 1_000,
             ),
             preload_content=False,
             redirect=False,
--- a/src/comfreylatch/platform/store.py
+++ b/src/comfreylatch/platform/store.py
@@ -19,6 +19,9 @@
 CONNECTIONS = 6
 # The store answers in 4 ms; sixty times slower, as on some days, in 240.
 CALL_TIMEOUT_MS = 900
+# A page of the newest records has up to 1 MB, which takes a second on a link of
+# 10 Mbit/s, and several while all hosts read after a restart.
+PAGE_TIMEOUT_MS = 8_000
 KEYED_PREFIX = "keyed."
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
@@ -92,7 +95,12 @@
             "From": from_offset,
             "WaitMs": wait_ms,
         }
-        match self._get("/v1/log-read", query, wait_ms + CALL_TIMEOUT_MS):
+        match self._get(
+            "/v1/log-read",
+            query,
+            wait_ms + PAGE_TIMEOUT_MS,
+            wait_ms + CALL_TIMEOUT_MS,
+        ):
             case result.Ok(answer) if answer.status == 200:
                 return _decode_batch(answer.body, from_offset)
             case result.Ok(answer) if answer.status == 410:
@@ -113,7 +121,7 @@
             "part": partition,
         }
         while True:
-            match self._get("/v1/log-newest", query, CALL_TIMEOUT_MS):
+            match self._get("/v1/log-newest", query, PAGE_TIMEOUT_MS):
                 case result.Ok(answer) if answer.status == 200:
                     pass
                 case result.Ok(answer):
@@ -143,10 +151,21 @@
         )
 
     def _get(
-        self, path: str, query: dict[str, object], timeout_ms: int
+        self,
+        path: str,
+        query: dict[str, object],
+        timeout_ms: int,
+        silence_ms: int = CALL_TIMEOUT_MS,
     ) -> result.Result[json_call.Answer, json_call.CallError]:
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        return json_call.call(self._pool, "GET", target, None, timeout_ms)
+        return json_call.call(
+            self._pool,
+            "GET",
+            target,
+            None,
+            timeout_ms,
+            silence_ms=silence_ms,
+        )
 
 
 def _encode_record(record: store_port.NewRecord) -> bytes:
--- a/tests/connection/test_json_call.py
+++ b/tests/connection/test_json_call.py
@@ -8,8 +8,10 @@
 import testtools
 
 from comfreylatch._connection import json_call
+from testing.fakes import http_server
 
 LONG_TIMEOUT_MS = 4_000
+SILENCE_MS = 300
 
 
 class ConnectTest(testtools.TestCase):
@@ -28,6 +30,46 @@
         self.assertLess(elapsed_ms, 2 * json_call.CONNECT_TIMEOUT_MS)
 
 
+class SilenceTest(testtools.TestCase):
+    """Answers that come slowly, or not at all."""
+
+    def _call(self, answer: http_server.Answer) -> object:
+        with http_server.RawServer(answer) as server:
+            return json_call.call(
+                json_call.open_pool(server.address),
+                "GET",
+                "/",
+                None,
+                LONG_TIMEOUT_MS,
+                silence_ms=SILENCE_MS,
+            )
+
+    def test_slow_answer_is_read_whole_while_it_comes(self) -> None:
+        # Found by a day: a page of 1 MB over 10 Mbit/s took longer than a call
+        # may, so that hosts started anew never had a view.
+        outcome = self._call(_drip(parts=8, pause_ms=SILENCE_MS // 2))
+        self.assertEqual(b"x" * 8, outcome.ok().body)
+
+    def test_silent_peer_is_given_up_long_before_the_whole_time(self) -> None:
+        started_s = time.monotonic()
+        outcome = self._call(_drip(parts=2, pause_ms=3 * SILENCE_MS))
+        self.assertIsInstance(outcome.err(), json_call.AnswerLost)
+        self.assertLess((time.monotonic() - started_s) * 1_000, 2_000)
+
+
+def _drip(parts: int, pause_ms: int) -> http_server.Answer:
+    """Answers a byte at a time."""
+
+    def answer(connection: socket.socket) -> None:
+        head = f"HTTP/1.1 200 X\r\nContent-Length: {parts}\r\n\r\n"
+        connection.sendall(head.encode())
+        for _ in range(parts):
+            time.sleep(pause_ms / 1_000)
+            connection.sendall(b"x")
+
+    return answer
+
+
 class FullListener:
     """A listening socket whose queue of new connections is full."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import socket
+import time
+
 import testtools
 
 from comfreylatch._ports import store as store_port
@@ -107,6 +110,25 @@
                 outcome = client.append("jobs", 0, (new("a"),), timeout_ms=500)
         self.assertIsInstance(outcome.err(), store_port.StoreAnswerLost)
 
+    def test_page_over_a_narrow_link_is_read_whole(self) -> None:
+        # Found by a day: after all hosts had lost power, those with narrow
+        # links gave up each page after a second and never had a view.
+        body = b'{"items": [], "EndOffset": 7}'
+        pause_s = 1.3 * store_module.CALL_TIMEOUT_MS / 1_000 / len(body)
+
+        def drip(connection: socket.socket) -> None:
+            connection.sendall(
+                b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body)
+            )
+            for index in range(len(body)):
+                time.sleep(pause_s)
+                connection.sendall(body[index : index + 1])
+
+        with raw_server.RawServer(drip) as server:
+            with store_module.StoreClient(server.address) as client:
+                batch = client.newest("jobs", 0).unwrap()
+        self.assertEqual(7, batch.next_offset)
+
     def test_cut_read_is_no_batch(self) -> None:
         answer = raw_server.reply(200, b"\x00" * 7)
         with raw_server.RawServer(answer) as server:
