Hand on to the next owner what was learned of images

Change: coefficients, pairs, bases and duration ratios are recorded each 2 s and read at a takeover; inherited coefficients count at most like 0.2 of own sums. Placing adds one standard deviation to a coefficient, so that few tasks of an image are tried until it is known.

Ruled out: reading loads over as well, which settle within a second.

--- a/src/comfreylatch/_process/cell/disturbance.py
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -19,6 +19,7 @@
 import attrs
 
 from comfreylatch._process.cell import pressures
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import serving_load
 from comfreylatch._process.cell import worker_view
@@ -38,6 +39,9 @@
 # A task that was slowed down wants its pace back: where more are placed, it
 # counts with this pace at least.
 LEAST_COUNTED_PACE = 60
+# Standard deviations of a coefficient that placing adds to it, so that few
+# tasks of an image are tried until it is known.
+PLANNED_SDS = 1.0
 # Square of the intensity of a task that fills, on average.
 USUAL_WEIGHT = 0.8
 # Readings after a start or a change of pace are averages with what was before.
@@ -86,6 +90,22 @@
         self._base_ms: dict[str, float] = {}
         self._loads: dict[runs_module.StepRun, serving_load.ServingLoad] = {}
 
+    def restore(self, learned: records.LearnedRecord) -> None:
+        """Begins with what an owner before has learned."""
+        self.pressures.restore(learned)
+        self._base_ms.update(learned.base_ms)
+
+    def export(
+        self, duration_ratios: dict[str, float]
+    ) -> records.LearnedRecord:
+        """What the next owner need not learn again."""
+        return records.LearnedRecord(
+            self.pressures.export(),
+            self.pressures.export_pairs(),
+            dict(self._base_ms),
+            duration_ratios,
+        )
+
     def pressure(self, serving: str, filling: str) -> float:
         """Coefficient of a filling image on a serving image."""
         return self.pressures.of(serving, filling)
@@ -165,10 +185,15 @@
             image = _image(run)
             left = self.limit(run) - self.load(run).ahead(PLACE_AHEAD_MS)
             for filling, use in wanted.items():
-                left -= self.pressure(image, filling) * use
+                left -= self._planned(image, filling) * use
             slacks.append(Slack(image, left))
         return tuple(slacks)
 
+    def _planned(self, serving_image: str, filling: str) -> float:
+        """Coefficient that placing reckons with: higher while uncertain."""
+        margin = PLANNED_SDS * self.pressures.uncertainty(filling)
+        return self.pressure(serving_image, filling) + margin
+
     def harm(self, image: str) -> float:
         """Coefficient of a filling image on serving images in general."""
         return self.pressures.common(image)
@@ -185,7 +210,7 @@
         use *= USUAL_WEIGHT * LEAST_FIRST_PACE / FULL_PACE
         return min(
             (
-                slack.left - self.pressure(slack.image, image) * use
+                slack.left - self._planned(slack.image, image) * use
                 for slack in slacks
             ),
             default=1.0,
--- a/src/comfreylatch/_process/cell/durations.py
+++ b/src/comfreylatch/_process/cell/durations.py
@@ -30,6 +30,14 @@
             known = self._ratios.get(key, ratio)
             self._ratios[key] = known + SMOOTHING * (ratio - known)
 
+    def export(self) -> dict[str, float]:
+        """The ratios, for the next owner."""
+        return dict(self._ratios)
+
+    def restore(self, ratios: dict[str, float]) -> None:
+        """Begins with the ratios of an owner before."""
+        self._ratios.update(ratios)
+
     def estimate_ms(self, queue: str, spec: specs.StepSpec) -> float:
         """Expected duration of one task."""
         declared_ms = spec.estimated_ms or DEFAULT_ESTIMATE_MS
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -39,6 +39,9 @@
 CROWDED_STEPS = 24
 # Between two log lines on how full the cell is.
 REPORT_MS = 1_000
+# Between two records of what was learned. An owner that is lost takes so much
+# learning with it at most; a record has about 2 KB.
+LEARNED_INTERVAL_MS = 2_000
 # Run numbers of a task rise by this much with each owner, so that one whose
 # predecessor's starts it can't know never uses a number twice.
 RUNS_PER_OWNER = 1_000
@@ -57,6 +60,7 @@
         release_after_ms: Monotonic time after which nothing that the owner
             before started can run where this one reaches no worker.
         known_workers: Birth times of the workers of the owner before.
+        learned: What it has learned.
     """
 
     token: int
@@ -64,6 +68,7 @@
     progress: dict[str, records.ProgressRecord]
     release_after_ms: int
     known_workers: dict[str, int]
+    learned: records.LearnedRecord = records.LearnedRecord()
 
 
 @final
@@ -107,6 +112,9 @@
             inheritance.release_after_ms,
         )
         model = disturbance.DisturbanceModel()
+        model.restore(inheritance.learned)
+        self._durations.restore(inheritance.learned.duration_ratios)
+        self._model = model
         self._orders = run_orders.RunOrders(
             self._jobs, self._workers, model, metrics, clock
         )
@@ -130,6 +138,8 @@
         self._stop_reason: reasons.TenureEnd | None = None
         self._must_acknowledge: set[str] = set()
         self._recorded_lives: dict[str, int] = {}
+        self._learned_recorded_ms = clock.monotonic_ms()
+        self._recorded_learned = inheritance.learned
 
     def __enter__(self) -> Self:
         self._workers.__enter__()
@@ -323,6 +333,17 @@
 
         return observe
 
+    def _record_learned(self, work: dict[str, bytes | None]) -> None:
+        """Adds what was learned to the records of a round, now and then."""
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._learned_recorded_ms < LEARNED_INTERVAL_MS:
+            return
+        self._learned_recorded_ms = now_ms
+        learned = self._model.export(self._durations.export())
+        if learned != self._recorded_learned:
+            self._recorded_learned = learned
+            work[records.LEARNED_KEY] = records.encode(learned)
+
     def _record(self) -> None:
         writes = self._jobs.drain_writes()
         born_ms = self._workers.lives()
@@ -331,6 +352,7 @@
             writes.work[records.WORKERS_KEY] = records.encode(
                 records.WorkersRecord(born_ms)
             )
+        self._record_learned(writes.work)
         recorded = []
         if self._must_acknowledge:
             recorded.append(self._record_timer())
--- a/src/comfreylatch/_process/cell/pressures.py
+++ b/src/comfreylatch/_process/cell/pressures.py
@@ -14,13 +14,19 @@
 
 import attrs
 
+from comfreylatch._process.cell import records
+
 # Coefficient of an image of which nothing is known: between those of
 # harmless images (about 0.1) and of harmful ones (about 2).
 UNKNOWN_PRESSURE = 0.5
+# Scatter of the readings that are compared.
+COMPARED_SD = 0.06
 # Weight of that guess: scatter of a reading over scatter of coefficients.
-PRIOR_WEIGHT = (0.06 / 0.5) ** 2
+PRIOR_WEIGHT = (COMPARED_SD / 0.5) ** 2
 # The same for what a pair of images has over its filling image.
-PAIR_PRIOR_WEIGHT = (0.06 / 0.3) ** 2
+PAIR_PRIOR_WEIGHT = (COMPARED_SD / 0.3) ** 2
+# What an owner before has learned counts at most like so much of one's own.
+MOST_INHERITED_WEIGHT = 0.2
 HIGHEST_PRESSURE = 6.0
 # Readings of a step within this time are compared with each other; figures of
 # workers are averages over half a second.
@@ -66,6 +72,14 @@
     products: float = 0.0
 
 
+@attrs.frozen
+class _Prior:
+    """What is believed of a coefficient before any reading."""
+
+    coefficient: float = UNKNOWN_PRESSURE
+    weight: float = PRIOR_WEIGHT
+
+
 @final
 class Pressures:
     """Coefficients of filling images on serving images. Not thread-safe."""
@@ -75,13 +89,60 @@
         self._squares: dict[str, dict[str, float]] = {}
         self._products: dict[str, float] = {}
         self._pairs: dict[tuple[str, str], _PairSums] = {}
+        self._priors: dict[str, _Prior] = {}
         self._by_image: dict[str, float] = {}
         self._by_pair: dict[tuple[str, str], float] = {}
         self._fitted_ms = 0
 
+    def restore(self, learned: records.LearnedRecord) -> None:
+        """Begins with what an owner before has learned."""
+        for one in learned.pressures:
+            weight = min(one.weight, MOST_INHERITED_WEIGHT)
+            self._priors[one.filling] = _Prior(one.coefficient, weight)
+        for pair in learned.pairs:
+            weight = min(pair.weight, MOST_INHERITED_WEIGHT)
+            key = pair.serving, pair.filling
+            self._pairs[key] = _PairSums(weight, weight * pair.excess)
+            self._by_pair[key] = pair.excess
+
+    def export(self) -> tuple[records.LearnedPressure, ...]:
+        """Coefficients of all images, for the next owner."""
+        return tuple(
+            records.LearnedPressure(
+                name, round(self.common(name), 3), round(self._weight(name), 4)
+            )
+            for name in sorted(self._priors.keys() | self._by_image.keys())
+        )
+
+    def export_pairs(self) -> tuple[records.LearnedPair, ...]:
+        """Excesses of the pairs of which enough is known."""
+        return tuple(
+            records.LearnedPair(
+                serving,
+                filling,
+                round(self._by_pair.get((serving, filling), 0.0), 3),
+                round(sums.squares, 4),
+            )
+            for (serving, filling), sums in self._pairs.items()
+            if sums.squares >= PAIR_PRIOR_WEIGHT
+        )
+
+    def _prior(self, filling: str) -> _Prior:
+        return self._priors.get(filling, _Prior())
+
+    def _weight(self, filling: str) -> float:
+        """What a coefficient rests on."""
+        own = self._squares.get(filling, {}).get(filling, 0.0)
+        return own + self._prior(filling).weight
+
+    def uncertainty(self, filling: str) -> float:
+        """Standard deviation of an image's coefficient."""
+        return COMPARED_SD / math.sqrt(self._weight(filling))
+
     def common(self, filling: str) -> float:
         """Coefficient of a filling image whatever it presses on."""
-        return self._by_image.get(filling, UNKNOWN_PRESSURE)
+        learned = self._by_image.get(filling)
+        return self._prior(filling).coefficient if learned is None else learned
 
     def of(self, serving: str, filling: str) -> float:
         """Coefficient of a filling image on a serving image."""
@@ -169,9 +230,10 @@
         ]
         values = []
         for index, name in enumerate(names):
-            matrix[index][index] += PRIOR_WEIGHT
+            prior = self._prior(name)
+            matrix[index][index] += prior.weight
             values.append(
-                self._products[name] + PRIOR_WEIGHT * UNKNOWN_PRESSURE
+                self._products[name] + prior.weight * prior.coefficient
             )
         solution = solve(matrix, values)
         self._by_image = {
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -28,6 +28,7 @@
 STATE_PREFIX = "state/"
 HEARTBEAT_KEY = "owner"
 WORKERS_KEY = "workers"
+LEARNED_KEY = "learned"
 
 
 class JobState(enum.StrEnum):
@@ -136,6 +137,42 @@
     born_ms: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class LearnedPressure:
+    """Coefficient of a filling image, and the weight of what it rests on."""
+
+    filling: str
+    coefficient: float
+    weight: float
+
+
+@attrs.frozen
+class LearnedPair:
+    """What a pair of images has over the filling image's coefficient."""
+
+    serving: str
+    filling: str
+    excess: float
+    weight: float
+
+
+@attrs.frozen
+class LearnedRecord:
+    """What an owner has learned that the next one need not learn again.
+
+    Attributes:
+        pressures: Coefficients of filling images.
+        pairs: Their excesses on single serving images.
+        base_ms: Tails of serving images without load.
+        duration_ratios: Real to declared durations, by queue and image.
+    """
+
+    pressures: tuple[LearnedPressure, ...] = ()
+    pairs: tuple[LearnedPair, ...] = ()
+    base_ms: dict[str, float] = attrs.field(factory=dict)
+    duration_ratios: dict[str, float] = attrs.field(factory=dict)
+
+
 class BadRecordError(ValueError):
     """A record does not have the form that its topic demands."""
 
@@ -159,6 +196,7 @@
         HeartbeatRecord,
         ProgressRecord,
         WorkersRecord,
+        LearnedRecord,
     )
 }
 
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -25,6 +25,7 @@
 
     progress: dict[str, records.ProgressRecord] = attrs.field(factory=dict)
     workers: records.WorkersRecord = records.WorkersRecord()
+    learned: records.LearnedRecord = records.LearnedRecord()
 
 
 def take_over(
@@ -67,6 +68,7 @@
         work.progress,
         release_after_ms,
         work.workers.born_ms,
+        work.learned,
     )
 
 
@@ -86,6 +88,10 @@
                 work.workers = records.decode(
                     records.WorkersRecord, record.value
                 )
+            elif record.key == records.LEARNED_KEY:
+                work.learned = records.decode(
+                    records.LearnedRecord, record.value
+                )
             else:
                 work.progress[record.key] = records.decode(
                     records.ProgressRecord, record.value
--- a/tests/process/cell/test_pressures.py
+++ b/tests/process/cell/test_pressures.py
@@ -8,6 +8,7 @@
 import testtools
 
 from comfreylatch._process.cell import pressures
+from comfreylatch._process.cell import records
 
 HARMFUL = 2.0
 HARMLESS = 0.05
@@ -56,6 +57,36 @@
         self._read(20, {"idle": 0.0})
         self.assertLess(self.learned.of("serve", "idle"), 0.15)
 
+    def test_next_owner_begins_with_what_was_learned(self) -> None:
+        # Found by a day: after all hosts had lost power, lasting tasks were
+        # over their targets until each image had shown again how it presses.
+        self._read(20, {"press": HARMFUL, "idle": HARMLESS})
+        learned = records.LearnedRecord(
+            self.learned.export(), self.learned.export_pairs()
+        )
+        successor = pressures.Pressures()
+        successor.restore(
+            records.decode(records.LearnedRecord, records.encode(learned))
+        )
+        for image in ("press", "idle"):
+            self.assertAlmostEqual(
+                self.learned.of("serve", image),
+                successor.of("serve", image),
+                delta=0.02,
+            )
+        self.assertLess(
+            successor.uncertainty("press"), successor.uncertainty("new")
+        )
+
+    def test_inherited_coefficient_gives_way_to_readings(self) -> None:
+        self.learned.restore(
+            records.LearnedRecord(
+                (records.LearnedPressure("press", 0.1, 100.0),)
+            )
+        )
+        self._read(40, {"press": HARMFUL})
+        self.assertGreater(self.learned.of("serve", "press"), 1.5)
+
     def test_image_of_which_nothing_is_known_has_the_prior(self) -> None:
         self.assertEqual(
             pressures.UNKNOWN_PRESSURE, self.learned.of("serve", "new")
