Drop the text of a job from the store when it ends

Change: the owner drops the text behind the final state, in the same append. A book forgets a job with its state, not with its text. A job handed in once more to a host that has not yet heard of it changes nothing, as its end is known before.

Ruled out: a topic of its own for states, which would lose the order between a state and the text.

--- a/src/comfreylatch/_process/cell/forgetting.py
+++ b/src/comfreylatch/_process/cell/forgetting.py
@@ -49,10 +49,12 @@
             return
         drops: dict[str, bytes | None] = {}
         for job_id in ended:
+            # Its text was dropped when it ended, but may have been kept once
+            # more for a host that had not yet heard of it.
             for prefix in (
-                records.STATE_PREFIX,
-                records.CANCEL_PREFIX,
                 records.JOB_PREFIX,
+                records.CANCEL_PREFIX,
+                records.STATE_PREFIX,
             ):
                 drops[prefix + job_id] = None
         self._scribe.write(drops, {}, ())
--- a/src/comfreylatch/_process/cell/job_book.py
+++ b/src/comfreylatch/_process/cell/job_book.py
@@ -148,7 +148,8 @@
     def _apply_one(self, record: store_port.StoredRecord) -> None:
         kind, _, job_id = record.key.partition("/")
         if record.value is None:
-            if record.key.startswith(records.JOB_PREFIX):
+            # The text of a job is dropped at its end, its state much later.
+            if record.key.startswith(records.STATE_PREFIX):
                 with self._lock:
                     self._jobs.pop(job_id, None)
             return
--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -125,6 +125,19 @@
         """Steps that may run and have tasks without a run."""
         return [step for step in self._ready.values() if step.open_tasks]
 
+    def soon_ready_steps(self) -> list[runs_module.StepRun]:
+        """Steps that wait only for tasks which are mostly done.
+
+        Looked for where a policy demands advice, which takes its time.
+        """
+        return [
+            step
+            for job in self._jobs.values()
+            if job.spec.queue.advice is not None
+            for step in job.all_steps()
+            if step.undone and not job.is_ready(step) and job.is_soon(step)
+        ]
+
     def note_started(self, job: runs_module.JobRun) -> None:
         """A worker has begun a task of a job."""
         if job.state is records.JobState.QUEUED:
@@ -188,6 +201,9 @@
             self._ready.pop(step.name, None)
         self._dirty.discard(job_id)
         self._record_state(job)
+        # Behind its state in the same append: hosts that start anew then read
+        # the texts of unfinished jobs only.
+        self._state_writes[records.JOB_PREFIX + job_id] = None
         self._work_writes[job_id] = None
         logs.event(
             _logger,
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -26,6 +26,21 @@
     STOPPING = "stopping"
 
 
+@attrs.frozen
+class Ticket:
+    """Lets the tasks of a step start on one life of a worker.
+
+    Attributes:
+        text: What a start has to carry.
+        born_ms: Identifies the life of the worker.
+        until_ms: Monotonic time from which it is not used any more.
+    """
+
+    text: str
+    born_ms: int
+    until_ms: int
+
+
 @attrs.define(eq=False)
 class Run:
     """One run of a task on a worker, until it is known to have ended.
@@ -122,7 +137,7 @@
         open_tasks: Tasks that need a run and have none.
         undone: Tasks that are not done.
         per_worker: Runs by worker.
-        tickets: Advised workers and their tickets; None before advice.
+        tickets: Tickets by worker where a policy demands them; else None.
         ready_ms: Monotonic time since which it may run.
         durations_ms: Durations of its undisturbed runs.
     """
@@ -135,7 +150,7 @@
     open_tasks: dict[int, Task] = attrs.field(factory=dict)
     undone: int = 0
     per_worker: dict[str, int] = attrs.field(factory=dict)
-    tickets: dict[str, str] | None = None
+    tickets: dict[str, Ticket] | None = None
     ready_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
 
@@ -229,6 +244,8 @@
         steps = []
         for number, spec in enumerate(self.spec.steps):
             step = StepRun(self, occurrence, number, spec)
+            if self.spec.queue.advice is not None:
+                step.tickets = {}
             for index in range(spec.task_count):
                 name = f"{step.name}.{index}"
                 task = Task(name, index, step, last_run=self.run_floor)
@@ -275,6 +292,16 @@
             if number < len(siblings)
         )
 
+    def is_soon(self, step: StepRun) -> bool:
+        """Whether all tasks that a step waits for are more than half done."""
+        siblings = self.steps[step.occurrence]
+        return all(
+            task.is_done or any(run.percent >= 50 for run in task.runs)
+            for number in step.spec.depends_on
+            if number < len(siblings)
+            for task in siblings[number].tasks
+        )
+
     def progress(self) -> records.ProgressRecord:
         """What a later owner has to know."""
         steps = []
--- /dev/null
+++ b/tests/process/cell/test_job_book.py
@@ -0,0 +1,81 @@
+"""What hosts know of jobs from the records of a cell."""
+
+from __future__ import annotations
+
+import testtools
+
+from comfreylatch._ports import store as store_port
+from comfreylatch._process.cell import job_book
+from comfreylatch._process.cell import records
+from testing.fakes import clock as fake_clock
+from tests.process.cell import harness
+
+ID = "0" * 16
+JOB = records.JOB_PREFIX + ID
+STATE = records.STATE_PREFIX + ID
+
+
+class JobBookTest(testtools.TestCase):
+    """A book that is told records."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.book = job_book.JobBook(fake_clock.FakeClock(harness.START_MS))
+        self.offset = 0
+
+    def tell(self, key: str, record: object | None) -> None:
+        """One more record."""
+        value = None if record is None else records.encode(record)
+        self.book.apply(
+            (store_port.StoredRecord(self.offset, key, value),), False
+        )
+        self.offset += 1
+
+    def end(self) -> None:
+        """The job is accepted and completed."""
+        self.tell(JOB, harness.job())
+        completed = records.JobState.COMPLETED
+        self.tell(STATE, records.StateRecord(completed, 1))
+
+    def shown(self) -> records.JobState | None:
+        """The state that callers are told."""
+        entry = self.book.find(ID)
+        return None if entry is None else entry.shown_state
+
+    def test_state_outlives_the_text(self) -> None:
+        self.end()
+        self.tell(JOB, None)
+        self.assertIs(records.JobState.COMPLETED, self.shown())
+
+    def test_host_that_starts_anew_knows_the_end_without_the_text(
+        self,
+    ) -> None:
+        completed = records.JobState.COMPLETED
+        self.tell(STATE, records.StateRecord(completed, 1))
+        self.assertIs(completed, self.shown())
+
+    def test_repeat_after_the_end_is_not_run_again(self) -> None:
+        heard: list[object] = []
+        self.end()
+        self.book.listen(heard.append)
+        self.tell(JOB, None)
+        self.tell(JOB, harness.job())
+        self.assertEqual([], heard)
+        self.assertIs(records.JobState.COMPLETED, self.shown())
+
+    def test_job_is_forgotten_with_its_state(self) -> None:
+        self.end()
+        self.tell(STATE, None)
+        self.assertIsNone(self.shown())
+
+
+class JobTableTest(testtools.TestCase):
+    """What the owner records of a job's end."""
+
+    def test_text_is_dropped_behind_the_final_state(self) -> None:
+        cell = harness.Cell()
+        cell.submit(harness.job())
+        cell.jobs.cancel(ID)
+        writes = cell.jobs.drain_writes().jobs
+        self.assertEqual([STATE, JOB], list(writes))
+        self.assertIsNone(writes[JOB])
