Ask for advice where a queue has a policy, and start with its tickets

A queue may allow only some workers for a step, and refuses starts without a ticket: until now its jobs would never have run.

Workers with room are named in one call, ahead of the step's turn; refused ones are not named again, allowed ones alone when tickets expire. Tickets belong to one life of a worker and are dropped before they expire. Calls are made by a thread of their own, one at a time.

Also the pause after a crowded pass, which grows with what the pass took.

--- /dev/null
+++ b/src/comfreylatch/_process/cell/advice_desk.py
@@ -0,0 +1,84 @@
+"""Asks for advice, one call after the other, beside the owner's thread."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import queue
+import threading
+import types
+from typing import final
+from typing import Self
+
+from comfreylatch._ports import advice as advice_port
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process.cell import advice
+from comfreylatch._process.cell import events
+
+# The service takes its time for each worker named, and calls of a host take
+# turns; thirty workers are decided on in well under a second.
+CALL_TIMEOUT_MS = 2_500
+
+
+@final
+class AdviceDesk:
+    """A thread that asks. A context manager.
+
+    Args:
+        adviser: The service.
+        post: Told what came of each call.
+        clock: For the times of calls.
+    """
+
+    def __init__(
+        self,
+        adviser: advice_port.Adviser,
+        post: Callable[[events.Event], None],
+        clock: clock_port.Clock,
+    ) -> None:
+        self._adviser = adviser
+        self._post = post
+        self._clock = clock
+        self._queue: queue.SimpleQueue[advice.AdviceRequest | None] = (
+            queue.SimpleQueue()
+        )
+        self._thread: threading.Thread | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._queue.put(None)
+
+    def ask(self, request: advice.AdviceRequest) -> None:
+        """Queues a call."""
+        if self._thread is None:
+            # Most cells never need one.
+            self._thread = threading.Thread(
+                target=self._run, name="advice", daemon=True
+            )
+            self._thread.start()
+        self._queue.put(request)
+
+    def _run(self) -> None:
+        while True:
+            request = self._queue.get()
+            if request is None:
+                return
+            sent_ms = self._clock.monotonic_ms()
+            outcome = self._adviser.advise(
+                request.step.name, tuple(request.workers), CALL_TIMEOUT_MS
+            )
+            self._post(
+                events.AdviceReturned(
+                    request.step,
+                    request.workers,
+                    sent_ms,
+                    self._clock.monotonic_ms(),
+                    outcome,
+                )
+            )
--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -5,6 +5,7 @@
 import attrs
 import result
 
+from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import runs as runs_module
@@ -64,6 +65,25 @@
     outcome: result.Result[int, cell_workers.OrderError]
 
 
+@attrs.frozen
+class AdviceReturned:
+    """A call for advice was answered, or not.
+
+    Attributes:
+        step: The step that it was about.
+        workers: Birth times of the workers named, by id.
+        sent_ms: Monotonic time before the call.
+        received_ms: Monotonic time after it.
+        outcome: What came of it.
+    """
+
+    step: runs_module.StepRun
+    workers: dict[str, int]
+    sent_ms: int
+    received_ms: int
+    outcome: result.Result[advice_port.Advice, advice_port.AdviceUnavailable]
+
+
 @attrs.frozen
 class Fenced:
     """Another host owns the cell."""
@@ -77,5 +97,6 @@
     | HoldReturned
     | StartReturned
     | StopReturned
+    | AdviceReturned
     | Fenced
 )
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -12,10 +12,13 @@
 import logbook
 import result
 
+from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import advice as advice_module
+from comfreylatch._process.cell import advice_desk
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
 from comfreylatch._process.cell import events
@@ -27,6 +30,7 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import run_control as run_control_module
 from comfreylatch._process.cell import run_orders
+from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import scribe as scribe_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
@@ -37,6 +41,9 @@
 # look; a pass over few is made at once.
 CROWDED_PASS_MS = 25
 CROWDED_STEPS = 24
+# The same as a multiple of what the last pass took, so that answers of workers
+# are taken in for most of the time.
+PASS_PAUSE_FACTOR = 3
 # Between two log lines on how full the cell is.
 REPORT_MS = 1_000
 # Between two records of what was learned. An owner that is lost takes so much
@@ -82,6 +89,7 @@
         lease_ms: Length of leases at workers.
         metrics: Counts and times what it does.
         clock: For all times.
+        adviser: Gives advice on steps; None where there is no such service.
     """
 
     def __init__(
@@ -92,6 +100,7 @@
         lease_ms: int,
         metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
+        adviser: advice_port.Adviser | None = None,
     ) -> None:
         self._inheritance = inheritance
         self._scribe = scribe
@@ -130,11 +139,18 @@
         self._planner = planner_module.Planner(
             self._workers, self._ranker, model
         )
+        self._advice = advice_module.AdvicePlan(metrics)
+        self._advice_desk = None
+        if adviser is not None:
+            self._advice_desk = advice_desk.AdviceDesk(
+                adviser, self._events.put, clock
+            )
         self._started_ms = clock.monotonic_ms()
         self._is_settled = False
         self._ticked_ms = 0
         self._reported_ms = 0
         self._placed_ms = 0
+        self._pass_took_ms = 0
         self._stop_reason: reasons.TenureEnd | None = None
         self._must_acknowledge: set[str] = set()
         self._recorded_lives: dict[str, int] = {}
@@ -161,6 +177,8 @@
         traceback: types.TracebackType | None,
     ) -> None:
         self._workers.__exit__(exc_type, exc, traceback)
+        if self._advice_desk is not None:
+            self._advice_desk.__exit__(exc_type, exc, traceback)
 
     def post(self, event: events.Event) -> None:
         """Tells the owner something; any thread may call it."""
@@ -221,6 +239,8 @@
                 self._orders.take_start(event)
             case events.StopReturned():
                 self._orders.take_stop(event)
+            case events.AdviceReturned():
+                self._advice.take(event, self._clock.monotonic_ms())
             case events.Fenced():
                 self._stop_reason = reasons.TenureEnd.FENCED
 
@@ -310,9 +330,11 @@
         if not steps:
             return
         since_ms = now_ms - self._placed_ms
-        if len(steps) > CROWDED_STEPS and since_ms < CROWDED_PASS_MS:
+        pause_ms = max(CROWDED_PASS_MS, PASS_PAUSE_FACTOR * self._pass_took_ms)
+        if len(steps) > CROWDED_STEPS and since_ms < pause_ms:
             return
         self._placed_ms = now_ms
+        self._ask_advice(steps, now_ms)
         for placement in self._planner.place(steps, now_ms):
             self._orders.send_start(placement.run)
         left = [step for step in steps if step.open_tasks]
@@ -320,6 +342,22 @@
             self._orders.stop(victim, reasons.StopReason.SHORT_TASK)
         for run in self._planner.clear_worker(left, now_ms):
             self._orders.stop(run, reasons.StopReason.WORKER_CLEARED)
+        self._pass_took_ms = self._clock.monotonic_ms() - now_ms
+
+    def _ask_advice(
+        self, steps: list[runs_module.StepRun], now_ms: int
+    ) -> None:
+        """Asks which workers may run steps that a policy is for."""
+        wanted = steps + self._jobs.soon_ready_steps()
+        for request in self._advice.prepare(wanted, self._workers, now_ms):
+            if self._advice_desk is not None:
+                self._advice_desk.ask(request)
+                continue
+            self._advice.note_missing(
+                request.step,
+                reasons.MissingAdvice.NO_SERVICE,
+                "the settings name no service for advice",
+            )
 
     def _record_timer(self) -> Callable[[], None]:
         """What measures the time until ends seen now are recorded."""
--- a/src/comfreylatch/_process/cell/reasons.py
+++ b/src/comfreylatch/_process/cell/reasons.py
@@ -34,6 +34,13 @@
     WORKER_LEAVES = "worker-leaves"
 
 
+class MissingAdvice(enum.StrEnum):
+    """Why it isn't known where a step may run."""
+
+    NO_SERVICE = "no-advice-service"
+    NO_ANSWER = "no-advice"
+
+
 class LossReason(enum.StrEnum):
     """Why a run is known to be over without an end."""
 
--- a/src/comfreylatch/_process/cell/run_orders.py
+++ b/src/comfreylatch/_process/cell/run_orders.py
@@ -65,8 +65,13 @@
             )
         elif run.number == 1:
             self._observe(metrics_module.Latency.STEP_GAP, waited_ms)
-        ticket = (step.tickets or {}).get(run.worker_id, "")
-        session.start(run, job.spec.payload, run.task.checkpoint, ticket)
+        ticket = (step.tickets or {}).get(run.worker_id)
+        session.start(
+            run,
+            job.spec.payload,
+            run.task.checkpoint,
+            "" if ticket is None else ticket.text,
+        )
         worker = self._workers.find(run.worker_id)
         if worker is None:
             return
@@ -207,6 +212,9 @@
                 run.is_in_doubt = False
                 run.confirmed_ms = now_ms
                 return
+            case cell_workers.Refusal.NO_TICKET:
+                # It has expired there; a new one is asked for.
+                (run.task.step.tickets or {}).pop(run.worker_id, None)
             case cell_workers.Refusal.NO_ROOM:
                 worker.avoided_until_ms = now_ms + NO_ROOM_PAUSE_MS
             case cell_workers.Refusal.UNHEALTHY:
--- a/src/comfreylatch/_process/cell/tenure.py
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -214,6 +214,7 @@
                 parts.lease_ms,
                 parts.metrics,
                 parts.clock,
+                parts.adviser,
             ) as owner:
                 inbox.append(owner.post)
                 for entry in parts.book.listen(owner.post_change):
--- a/src/comfreylatch/_process/cell/tenure_parts.py
+++ b/src/comfreylatch/_process/cell/tenure_parts.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
@@ -25,6 +26,7 @@
         book: View of the cell's jobs.
         jobs_tail: Feeds the book.
         connect: Opens the orders to a worker.
+        adviser: Gives advice on steps; None where there is no such service.
         follow_workers: Makes a tail that reports all workers of the cell
             at each change.
         lease_ms: Length of leases at workers.
@@ -46,3 +48,4 @@
     keep_ended_ms: int
     metrics: metrics_module.Metrics
     clock: clock_port.Clock
+    adviser: advice_port.Adviser | None = None
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -37,6 +37,8 @@
     RUNS_LOST = "runs-lost"
     CLAIMS = "claims"
     TENURES_ENDED = "tenures-ended"
+    ADVICE_ANSWERS = "advice-answers"
+    ADVICE_MISSING = "advice-missing"
 
 
 class Latency(enum.StrEnum):
@@ -53,6 +55,7 @@
     STEP_GAP = "step-gap"
     END_RECORDED = "end-recorded"
     STORE_APPEND = "store-append"
+    ADVICE = "advice"
 
 
 @attrs.frozen
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -30,6 +30,7 @@
 from comfreylatch._process.cell import tail as tail_module
 from comfreylatch._process.cell import tenure as tenure_module
 from comfreylatch._process.cell import tenure_parts
+from comfreylatch.platform import advice
 from comfreylatch.platform import callers
 from comfreylatch.platform import configuration
 from comfreylatch.platform import store
@@ -178,6 +179,11 @@
         )
         logs.event(_logger, "starting", host=host.name, boot=host.boot)
         keep_ended_s = settings.bounds.status_s * KEEP_FACTOR
+        adviser = None
+        if settings.advice_address:
+            adviser = self._stack.enter_context(
+                advice.AdviceClient(settings.advice_address)
+            )
         return tenure_module.Tenure(
             tenure_parts.TenureParts(
                 cell=CELL,
@@ -192,6 +198,7 @@
                 keep_ended_ms=int(keep_ended_s * 1_000),
                 metrics=self._metrics,
                 clock=self._clock,
+                adviser=adviser,
             ),
             host,
         )
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -234,6 +234,17 @@
     reason: str = ""
 
 
+class AdviceReply(
+    msgspec.Struct,
+    frozen=True,
+    rename={"allowed": "Allowed", "valid_ms": "ValidityMs"},
+):
+    """The answer to a call for advice: rows of executor and ticket."""
+
+    allowed: tuple[tuple[str, str], ...] = ()
+    valid_ms: float = 0
+
+
 class AppendReply(
     msgspec.Struct,
     frozen=True,
@@ -340,6 +351,7 @@
         "limits": "Limits",
         "store": "platform",
         "bounds": "Bounds",
+        "advice_address": "Recommendation",
     },
 ):
     """The settings file of a process, as far as it is used."""
@@ -351,6 +363,7 @@
     store: StoreSettings
     limits: Limits = Limits()
     bounds: Bounds = Bounds()
+    advice_address: str | None = None
 
 
 def decode(kind: type[_Message], body: bytes) -> _Message:
--- a/testing/fakes/cell_workers.py
+++ b/testing/fakes/cell_workers.py
@@ -20,6 +20,7 @@
     task: str
     run: int
     token: int
+    ticket: str = ""
 
 
 def entry(
@@ -127,6 +128,7 @@
                         order.task,
                         order.run,
                         order.token,
+                        order.ticket,
                     )
                 )
             return result.Ok(self._clock.monotonic_ms())
--- /dev/null
+++ b/tests/process/cell/test_advice.py
@@ -0,0 +1,148 @@
+"""Which workers are named in calls for advice, and what tickets allow."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import result
+import testtools
+
+from comfreylatch._ports import advice as advice_port
+from comfreylatch._ports import cell_workers
+from comfreylatch._process import metrics
+from comfreylatch._process.cell import advice
+from comfreylatch._process.cell import events
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import specs
+from tests.process.cell import harness
+
+VALID_MS = 3_000
+POLICY = attrs.evolve(
+    harness.QUEUE, advice=specs.AdviceSpec(50.0, 5.0, VALID_MS)
+)
+
+
+class AdviceTest(testtools.TestCase):
+    """A step of a queue with a policy, and three workers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=3)
+        self.plan = advice.AdvicePlan(metrics.Metrics())
+        job = attrs.evolve(harness.job(harness.step(2)), queue=POLICY)
+        self.job = self.cell.submit(job)
+        (self.step,) = self.job.steps[0]
+
+    def prepare(self) -> list[Any]:
+        """The calls that are needed now."""
+        return self.plan.prepare(
+            self.cell.jobs.ready_steps(),
+            self.cell.workers,
+            self.cell.clock.monotonic_ms(),
+        )
+
+    def answer(self, request: Any, *allowed: str) -> None:
+        """The service allows some of the workers named."""
+        tickets = {name: f"ticket-{name}" for name in allowed}
+        self.take(request, result.Ok(advice_port.Advice(tickets, VALID_MS)))
+
+    def take(self, request: Any, outcome: Any) -> None:
+        """Something comes of a call."""
+        now_ms = self.cell.clock.monotonic_ms()
+        self.plan.take(
+            events.AdviceReturned(
+                request.step, request.workers, now_ms, now_ms, outcome
+            ),
+            now_ms,
+        )
+
+    def test_nothing_starts_before_advice(self) -> None:
+        self.prepare()
+        self.assertEqual([], self.cell.place())
+
+    def test_step_starts_only_where_it_is_allowed(self) -> None:
+        (request,) = self.prepare()
+        self.assertEqual({"w1", "w2", "w3"}, set(request.workers))
+        self.answer(request, "w2")
+        placed = self.cell.place()
+        self.assertEqual(["w2", "w2"], [run.worker_id for run in placed])
+
+    def test_no_second_call_while_one_is_on_its_way(self) -> None:
+        self.prepare()
+        self.assertEqual([], self.prepare())
+
+    def test_no_call_while_tickets_leave_room(self) -> None:
+        (request,) = self.prepare()
+        self.answer(request, "w2")
+        self.assertEqual([], self.prepare())
+
+    def test_expired_ticket_is_renewed_for_allowed_workers_alone(self) -> None:
+        (request,) = self.prepare()
+        self.answer(request, "w2")
+        self.cell.clock.advance(VALID_MS)
+        (again,) = self.prepare()
+        self.assertEqual({"w2"}, set(again.workers))
+        self.assertEqual([], self.cell.place())
+
+    def test_new_life_of_a_worker_needs_a_new_ticket(self) -> None:
+        (request,) = self.prepare()
+        self.answer(request, "w2")
+        entries = {
+            view.worker_id: attrs.evolve(view.entry, born_ms=2)
+            for view in self.cell.workers
+        }
+        self.cell.workers.list_workers(entries)
+        self.prepare()
+        self.assertEqual({}, self.step.tickets)
+
+    def test_unanswered_call_is_repeated_after_a_pause(self) -> None:
+        (request,) = self.prepare()
+        self.take(request, result.Err(advice_port.AdviceUnavailable("429")))
+        self.assertEqual([], self.prepare())
+        self.cell.clock.advance(advice.RETRY_PAUSE_MS)
+        self.assertEqual(1, len(self.prepare()))
+
+    def test_refused_ticket_is_not_used_again(self) -> None:
+        (request,) = self.prepare()
+        self.answer(request, "w2")
+        now_ms = self.cell.clock.monotonic_ms()
+        placed = self.cell.planner.place(self.cell.jobs.ready_steps(), now_ms)
+        refused = cell_workers.OrderRefused(cell_workers.Refusal.NO_TICKET)
+        self.cell.orders.take_start(
+            events.StartReturned(placed[0].run, now_ms, 1, result.Err(refused))
+        )
+        self.assertNotIn("w2", self.step.tickets)
+        self.assertEqual(1, len(self.step.open_tasks))
+
+    def test_next_step_is_asked_about_before_its_turn(self) -> None:
+        job = attrs.evolve(
+            harness.job(
+                harness.step(), harness.step(depends_on=(0,)), job_id="b" * 16
+            ),
+            queue=POLICY,
+        )
+        first, second = self.cell.submit(job).steps[0]
+        self.assertEqual([], self.cell.jobs.soon_ready_steps())
+        first.tickets = dict.fromkeys(
+            ("w1", "w2"),
+            self.ticket(),
+        )
+        (run,) = self.cell.place()
+        self.cell.hold(
+            run.worker_id, running=(harness.listed(run, percent=60.0),)
+        )
+        self.assertEqual([second], self.cell.jobs.soon_ready_steps())
+
+    def ticket(self) -> Any:
+        """A ticket that holds."""
+        return runs_module.Ticket("t", 1, 10**9)
+
+    def test_what_ended_is_forgotten(self) -> None:
+        (request,) = self.prepare()
+        self.cell.jobs.cancel(self.job.spec.job_id)
+        other = attrs.evolve(harness.job(job_id="c" * 16), queue=POLICY)
+        self.cell.submit(other)
+        self.prepare()
+        self.answer(request, "w1")
+        self.assertEqual({}, self.step.tickets)
--- a/tests/process/cell/test_reasons_documented.py
+++ b/tests/process/cell/test_reasons_documented.py
@@ -26,6 +26,7 @@
     def test_every_reason_has_one_row(self) -> None:
         self.assert_rows("Refusals", reasons.Refusal)
         self.assert_rows("Stops", reasons.StopReason)
+        self.assert_rows("Missing advice", reasons.MissingAdvice)
         self.assert_rows("Losses", reasons.LossReason)
         self.assert_rows("Claims", reasons.ClaimReason)
         self.assert_rows("Ends of a tenure", reasons.TenureEnd)
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -3,20 +3,28 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import time
 from typing import Any
 
+import attrs
+import result
 import testtools
 
+from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
 from comfreylatch._process import metrics
 from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import intake as intake_module
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import scribe as scribe_module
+from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import tail as tail_module
+from comfreylatch._process.cell import takeover
 from comfreylatch._process.cell import tenure as tenure_module
 from comfreylatch._process.cell import tenure_parts
 from testing.fakes import cell_workers as fake_workers
@@ -27,6 +35,7 @@
 LEASE_MS = 1_000
 KEEP_ENDED_MS = 200
 ID = "0" * 16
+ALLOWED = "w2"
 
 
 class HostStore:
@@ -77,6 +86,21 @@
         return
 
 
+class OneAllowed:
+    """Implements `Adviser`: the policy allows one worker."""
+
+    def advise(
+        self, step: str, worker_ids: Sequence[str], timeout_ms: int
+    ) -> result.Result[advice_port.Advice, advice_port.AdviceUnavailable]:
+        """See `Adviser.advise`."""
+        del timeout_ms
+        tickets = {ALLOWED: f"{step}/{ALLOWED}"}
+        allowed = {
+            name: tickets[name] for name in worker_ids if name in tickets
+        }
+        return result.Ok(advice_port.Advice(allowed, 3_000))
+
+
 class Host:
     """A host's book, intake and tenure."""
 
@@ -87,7 +111,7 @@
         workers: dict[str, fake_workers.FakeWorker],
         stack: contextlib.ExitStack,
     ) -> None:
-        clock = clock_port.SystemClock()
+        self.clock = clock = clock_port.SystemClock()
         self.is_dark = False
         self.store = HostStore(store)
         self.book = job_book.JobBook(clock)
@@ -104,23 +128,21 @@
             self.book, self.tail, keeper, counted, clock
         )
         entries = {name: one.entry for name, one in workers.items()}
-        self.tenure = tenure_module.Tenure(
-            tenure_parts.TenureParts(
-                cell=0,
-                store=self.store,
-                book=self.book,
-                jobs_tail=self.tail,
-                connect=lambda entry: HostWorker(
-                    self, workers[entry.worker_id]
-                ),
-                follow_workers=lambda tell: Listing(entries, tell),
-                lease_ms=LEASE_MS,
-                keep_ended_ms=KEEP_ENDED_MS,
-                metrics=counted,
-                clock=clock,
-            ),
-            claiming.HostIdentity(name, f"boot-{name}", "bole", 1.0),
+        self.parts = tenure_parts.TenureParts(
+            cell=0,
+            store=self.store,
+            book=self.book,
+            jobs_tail=self.tail,
+            connect=lambda entry: HostWorker(self, workers[entry.worker_id]),
+            follow_workers=lambda tell: Listing(entries, tell),
+            lease_ms=LEASE_MS,
+            keep_ended_ms=KEEP_ENDED_MS,
+            metrics=counted,
+            clock=clock,
+            adviser=OneAllowed(),
         )
+        self.identity = claiming.HostIdentity(name, f"boot-{name}", "bole", 1.0)
+        self.tenure = tenure_module.Tenure(self.parts, self.identity)
         stack.callback(self.tenure.stop, 2_000)
 
     def die(self) -> None:
@@ -212,3 +234,34 @@
         self.wait_for(lambda: len(self.running()) == 2)
         self.second.intake.cancel(ID, 2_000)
         self.wait_for(lambda: not self.running())
+
+    def test_steps_that_a_policy_is_for_start_with_their_tickets(self) -> None:
+        queue = attrs.evolve(
+            harness.QUEUE, advice=specs.AdviceSpec(50.0, 5.0, 3_000.0)
+        )
+        job = attrs.evolve(harness.job(harness.step(3)), queue=queue)
+        self.first.intake.submit(job, 2_000)
+        self.wait_for(lambda: len(self.running()) == 3)
+        starts = [one for w in self.workers.values() for one in w.starts]
+        self.assertEqual({ALLOWED}, {one.worker_id for one in starts})
+        self.assertEqual(
+            {f"{ID}.0.0/{ALLOWED}"}, {one.ticket for one in starts}
+        )
+
+    def test_new_owner_takes_over_what_was_learned(self) -> None:
+        learned = records.LearnedRecord(
+            (records.LearnedPressure("press", 2.0, 0.5),),
+            base_ms={"serve": 4.0},
+        )
+        record = store_port.NewRecord(
+            records.LEARNED_KEY, records.encode(learned)
+        )
+        self.store.append(records.WORK_TOPIC, 0, (record,))
+        heartbeat = records.HeartbeatRecord("two", "boot-two", 9)
+        with scribe_module.Scribe(
+            self.second.store, 0, heartbeat, lambda _: None, self.second.clock
+        ) as scribe:
+            inheritance = takeover.take_over(
+                self.second.parts, self.second.identity, 9, scribe, None
+            )
+        self.assertEqual(learned, inheritance.learned)
