Do not send a start that was given up while it was queued

The copies were placed before the ends came; their starts stood in the queues of their workers while the owner was busy with placing (177 ms a pass), and went out although the tasks were done by then and the copies' stops stood behind them.

Change: a queued start is sent, and sent again, only while its run is wanted.

Ruled out: a second owner (one tenure from 44 s on); a run given up too soon. The new test failed before: both starts were sent.

--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -81,6 +81,11 @@
     unanswered: int = 0
     is_in_doubt: bool = False
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether it should be started, if it hasn't been; any thread asks."""
+        return self.phase is not RunPhase.STOPPING and not self.task.is_done
+
 
 @attrs.define(eq=False)
 class Task:
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -252,11 +252,12 @@
         tries = 0
         sent_ms = self._clock.monotonic_ms()
         outcome: result.Result[int, cell_workers.OrderError] = result.Err(
-            cell_workers.OrderNotSent("the owner may not start tasks now")
+            cell_workers.OrderNotSent("given up before it was sent")
         )
         while tries < START_TRIES:
             deadline_ms = self._deadline_ms()
-            if deadline_ms == 0:
+            # The run may have been given up while its start was queued.
+            if deadline_ms == 0 or not order.run.is_wanted:
                 break
             tries += 1
             outcome = self._orders.start(
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import threading
 import time
 from typing import Any
 
@@ -76,6 +77,35 @@
         )
         self.assertEqual({}, self.worker.running)
 
+    def test_start_given_up_while_queued_is_not_sent(self) -> None:
+        # Found by a day: copies of tasks were started over a second after
+        # their ends had been recorded, as their starts had waited for others.
+        self.wait_for(lambda: self.worker.deadlines_ms)
+        release = threading.Event()
+        first = self.worker.start
+
+        def slow_start(order: Any, timeout_ms: int) -> Any:
+            release.wait(WAIT_S)
+            return first(order, timeout_ms)
+
+        self.worker.start = slow_start
+        ahead, copy = _Run("a.0.0.0"), _Run("b.0.0.0")
+        self.session.start(ahead, "text", "", "")
+        self.session.start(copy, "text", "", "")
+        copy.is_wanted = False
+        release.set()
+        self.wait_for(lambda: len(self.returned()) == 2)
+        self.assertEqual({"a.0.0.0": 1}, self.worker.running)
+        self.assertEqual([1, 0], [event.tries for event in self.returned()])
+
+    def returned(self) -> list[Any]:
+        """What came of starts."""
+        return [
+            event
+            for event in list(self.events)
+            if isinstance(event, events.StartReturned)
+        ]
+
 
 class _Run:
     """As much of a run as a session uses."""
@@ -84,3 +114,4 @@
         self.task = self
         self.name = task
         self.number = 1
+        self.is_wanted = True
