Take machines through waves of maintenance

The plan (`maintenance.py`) is decided without threads: as few machines at once as end in time, never more than the wave allows; the worker of each is emptied within its steps' bounds on absences, ordered when nothing runs there, and counts as away until a list taken later shows it up. Progress is recorded, so that a new owner neither repeats nor forgets, and it waits for the platform's lease before its first order. A thread of its own calls the machines' API.

Not built: moves between pools, which no service here has.

The cell's log line now gives the coefficients of filling images, which decide where these go.

--- a/src/comfreylatch/_process/cell/disturbance.py
+++ b/src/comfreylatch/_process/cell/disturbance.py
@@ -194,6 +194,13 @@
         margin = PLANNED_SDS * self.pressures.uncertainty(filling)
         return self.pressure(serving_image, filling) + margin
 
+    def summary(self) -> dict[str, float]:
+        """Coefficients by filling image, for logs."""
+        return {
+            one.filling: round(one.coefficient, 2)
+            for one in self.pressures.export()
+        }
+
     def harm(self, image: str) -> float:
         """Coefficient of a filling image on serving images in general."""
         return self.pressures.common(image)
--- a/src/comfreylatch/_process/cell/evacuation.py
+++ b/src/comfreylatch/_process/cell/evacuation.py
@@ -23,18 +23,20 @@
     def to_move(self, worker: worker_view.WorkerView) -> list[runs_module.Run]:
         """Runs that have to go on elsewhere.
 
-        Lasting tasks go at once: off a worker that drains, any number of them
-        may be away. Others go if they have checkpoints and would not end in
-        time; without checkpoints they may as well run on.
+        Lasting tasks go at once off a worker that drains, any number of them;
+        off one that is emptied, as many as their step's bound allows. Others
+        go if they have checkpoints and would not end in time; without
+        checkpoints they may as well run on.
         """
-        if not worker.entry.is_draining:
+        if not (worker.entry.is_draining or worker.is_emptied):
             return []
-        return [
+        moving = [
             run
             for run in worker.runs.values()
             if run.phase is runs_module.RunPhase.RUNNING
             and self._must_move(run)
         ]
+        return moving if worker.entry.is_draining else _within_bounds(moving)
 
     def _must_move(self, run: runs_module.Run) -> bool:
         spec = run.task.step.spec
@@ -46,3 +48,19 @@
         expected_ms = self._durations.estimate_ms(queue, spec)
         left_ms = expected_ms * (100 - run.percent) / 100
         return left_ms > LEFT_TO_END_MS
+
+
+def _within_bounds(moving: list[runs_module.Run]) -> list[runs_module.Run]:
+    """Those of some runs that may be away now by their steps' bounds."""
+    allowed = []
+    stopped: dict[runs_module.StepRun, int] = {}
+    for run in moving:
+        step = run.task.step
+        most = step.spec.max_unavailable
+        if most:
+            away = step.away_count + stopped.get(step, 0)
+            if away >= most:
+                continue
+            stopped[step] = stopped.get(step, 0) + 1
+        allowed.append(run)
+    return allowed
--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -7,6 +7,7 @@
 
 from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
+from comfreylatch._ports import machines as machines_port
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import runs as runs_module
 
@@ -84,6 +85,32 @@
     outcome: result.Result[advice_port.Advice, advice_port.AdviceUnavailable]
 
 
+@attrs.frozen
+class MachinesListed:
+    """Machines were listed, or not. `sent_ms` is from before the call."""
+
+    sent_ms: int
+    outcome: result.Result[
+        tuple[machines_port.Machine, ...], machines_port.MachinesUnavailable
+    ]
+
+
+@attrs.frozen
+class MaintenanceReturned:
+    """The order for a machine's maintenance was answered, or not."""
+
+    machine_id: str
+    wave: int
+    outcome: result.Result[None, machines_port.MaintenanceError]
+
+
+@attrs.frozen
+class ReportFailed:
+    """The operators could not be told of a wave."""
+
+    wave: int
+
+
 @attrs.frozen
 class Fenced:
     """Another host owns the cell."""
@@ -98,5 +125,8 @@
     | StartReturned
     | StopReturned
     | AdviceReturned
+    | MachinesListed
+    | MaintenanceReturned
+    | ReportFailed
     | Fenced
 )
--- /dev/null
+++ b/src/comfreylatch/_process/cell/machine_desk.py
@@ -0,0 +1,108 @@
+"""Calls the machines' API beside the owner's thread, one call at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import queue
+import threading
+import types
+from typing import final
+from typing import Self
+
+import result
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import machines as machines_port
+from comfreylatch._process.cell import events
+from comfreylatch._process.cell import maintenance
+
+# The API may be fifty times slower than usual.
+CALL_TIMEOUT_MS = 2_000
+
+
+@final
+class MachineDesk:
+    """A thread that lists and orders. A context manager.
+
+    Args:
+        machines: The API.
+        holder: Name of this host.
+        token: Its fencing token.
+        may_act: Whether the owner may still act as such.
+        post: Told what came of each call.
+        clock: For the times of calls.
+    """
+
+    def __init__(
+        self,
+        machines: machines_port.Machines,
+        holder: str,
+        token: int,
+        may_act: Callable[[], bool],
+        post: Callable[[events.Event], None],
+        clock: clock_port.Clock,
+    ) -> None:
+        self._machines = machines
+        self._holder = holder
+        self._token = token
+        self._may_act = may_act
+        self._post = post
+        self._clock = clock
+        self._queue: queue.SimpleQueue[maintenance.Action | None] = (
+            queue.SimpleQueue()
+        )
+        self._thread: threading.Thread | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._queue.put(None)
+
+    def do(self, action: maintenance.Action) -> None:
+        """Queues a call."""
+        if self._thread is None:
+            # Most tenures see no wave.
+            self._thread = threading.Thread(
+                target=self._run, name="machines", daemon=True
+            )
+            self._thread.start()
+        self._queue.put(action)
+
+    def _run(self) -> None:
+        while True:
+            action = self._queue.get()
+            if action is None:
+                return
+            match action:
+                case maintenance.ListMachines():
+                    sent_ms = self._clock.monotonic_ms()
+                    listed = self._machines.machines(CALL_TIMEOUT_MS)
+                    self._post(events.MachinesListed(sent_ms, listed))
+                case maintenance.Maintain(machine_id, wave):
+                    self._maintain(machine_id, wave)
+                case maintenance.Report(wave, is_completed):
+                    outcome = self._machines.report(
+                        wave, is_completed, CALL_TIMEOUT_MS
+                    )
+                    if outcome.is_err():
+                        self._post(events.ReportFailed(wave))
+
+    def _maintain(self, machine_id: str, wave: int) -> None:
+        outcome: result.Result[None, machines_port.MaintenanceError]
+        outcome = result.Err(
+            machines_port.MaintenanceRefused(machines_port.Refusal.FENCED)
+        )
+        if self._may_act():
+            outcome = self._machines.maintain(
+                machines_port.MaintenanceOrder(
+                    machine_id, wave, self._holder, self._token
+                ),
+                CALL_TIMEOUT_MS,
+            )
+        self._post(events.MaintenanceReturned(machine_id, wave, outcome))
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -12,9 +12,7 @@
 import logbook
 import result
 
-from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
-from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import advice as advice_module
@@ -24,6 +22,8 @@
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import machine_desk
+from comfreylatch._process.cell import maintenance
 from comfreylatch._process.cell import planner as planner_module
 from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import reasons
@@ -32,6 +32,7 @@
 from comfreylatch._process.cell import run_orders
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import scribe as scribe_module
+from comfreylatch._process.cell import tenure_parts
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
 
@@ -68,6 +69,7 @@
             before started can run where this one reaches no worker.
         known_workers: Birth times of the workers of the owner before.
         learned: What it has learned.
+        waves: Waves of maintenance that it has seen, by number.
     """
 
     token: int
@@ -76,6 +78,7 @@
     release_after_ms: int
     known_workers: dict[str, int]
     learned: records.LearnedRecord = records.LearnedRecord()
+    waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
 
 
 @final
@@ -85,23 +88,18 @@
     Args:
         inheritance: What it starts from.
         scribe: Writes its records.
-        connect: Opens the orders to a worker.
-        lease_ms: Length of leases at workers.
-        metrics: Counts and times what it does.
-        clock: For all times.
-        adviser: Gives advice on steps; None where there is no such service.
+        parts: What the host gives it.
+        host_name: Name of the host.
     """
 
     def __init__(
         self,
         inheritance: Inheritance,
         scribe: scribe_module.Scribe,
-        connect: worker_session.Connect,
-        lease_ms: int,
-        metrics: metrics_module.Metrics,
-        clock: clock_port.Clock,
-        adviser: advice_port.Adviser | None = None,
+        parts: tenure_parts.TenureParts,
+        host_name: str,
     ) -> None:
+        clock, metrics = parts.clock, parts.metrics
         self._inheritance = inheritance
         self._scribe = scribe
         self._metrics = metrics
@@ -111,11 +109,11 @@
         self._durations = durations_module.Durations()
         self._ranker = ranking_module.Ranker(self._durations)
         terms = worker_session.LeaseTerms(
-            inheritance.token, lease_ms, scribe.may_act
+            inheritance.token, parts.lease_ms, scribe.may_act
         )
         self._workers = worker_table_module.WorkerTable(
             lambda entry: worker_session.WorkerSession(
-                entry, connect(entry), terms, self._events.put, clock
+                entry, parts.connect(entry), terms, self._events.put, clock
             ),
             clock,
             inheritance.release_after_ms,
@@ -141,9 +139,25 @@
         )
         self._advice = advice_module.AdvicePlan(metrics)
         self._advice_desk = None
-        if adviser is not None:
+        if parts.adviser is not None:
             self._advice_desk = advice_desk.AdviceDesk(
-                adviser, self._events.put, clock
+                parts.adviser, self._events.put, clock
+            )
+        self._waves = parts.waves
+        self._maintenance = maintenance.MaintenancePlan(
+            inheritance.waves,
+            clock.monotonic_ms() + parts.handover_ms,
+            metrics,
+        )
+        self._machine_desk = None
+        if parts.machines is not None:
+            self._machine_desk = machine_desk.MachineDesk(
+                parts.machines,
+                host_name,
+                inheritance.token,
+                scribe.may_act,
+                self._events.put,
+                clock,
             )
         self._started_ms = clock.monotonic_ms()
         self._is_settled = False
@@ -179,6 +193,8 @@
         self._workers.__exit__(exc_type, exc, traceback)
         if self._advice_desk is not None:
             self._advice_desk.__exit__(exc_type, exc, traceback)
+        if self._machine_desk is not None:
+            self._machine_desk.__exit__(exc_type, exc, traceback)
 
     def post(self, event: events.Event) -> None:
         """Tells the owner something; any thread may call it."""
@@ -225,12 +241,8 @@
 
     def _handle(self, event: events.Event) -> None:
         match event:
-            case events.BookChanged(job_book.JobAdded(spec)):
-                job = self._jobs.add(spec)
-                if job is not None:
-                    self._ranker.note_job(job)
-            case events.BookChanged(job_book.JobCancelled(job_id)):
-                self._cancel(job_id)
+            case events.BookChanged(change):
+                self._handle_change(change)
             case events.WorkersListed(entries):
                 self._orders.take_lost(self._workers.list_workers(entries))
             case events.HoldReturned():
@@ -241,9 +253,41 @@
                 self._orders.take_stop(event)
             case events.AdviceReturned():
                 self._advice.take(event, self._clock.monotonic_ms())
+            case (
+                events.MachinesListed()
+                | events.MaintenanceReturned()
+                | events.ReportFailed()
+            ):
+                self._handle_maintenance(event)
             case events.Fenced():
                 self._stop_reason = reasons.TenureEnd.FENCED
 
+    def _handle_change(self, change: job_book.BookChange) -> None:
+        match change:
+            case job_book.JobAdded(spec):
+                job = self._jobs.add(spec)
+                if job is not None:
+                    self._ranker.note_job(job)
+            case job_book.JobCancelled(job_id):
+                self._cancel(job_id)
+
+    def _handle_maintenance(
+        self,
+        event: events.MachinesListed
+        | events.MaintenanceReturned
+        | events.ReportFailed,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        match event:
+            case events.MachinesListed():
+                self._maintenance.take_machines(event, now_ms)
+            case events.MaintenanceReturned():
+                self._maintenance.take_order(
+                    event, self._workers.by_id(), now_ms
+                )
+            case events.ReportFailed(wave):
+                self._maintenance.report_failed(wave)
+
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.cancel(job_id)
         if job is not None:
@@ -264,6 +308,7 @@
         self._jobs.open_due()
         for lost in self._workers.expire():
             self._orders.take_lost(lost)
+        self._maintain(now_ms)
         self._control.look_after(now_ms)
         if self._is_settled and self._scribe.may_act():
             for copy in self._planner.place_copies(self._jobs, now_ms):
@@ -300,6 +345,7 @@
             waiting_steps=len(steps),
             waiting_tasks=sum(len(step.open_tasks) for step in steps),
             append_age_ms=self._scribe.append_age_ms,
+            pressures=self._model.summary(),
         )
 
     def _settle(self, now_ms: int) -> None:
@@ -359,6 +405,16 @@
                 "the settings name no service for advice",
             )
 
+    def _maintain(self, now_ms: int) -> None:
+        """Takes the machines of waves through their maintenance."""
+        waves = self._waves()
+        if not waves or self._machine_desk is None:
+            return
+        for action in self._maintenance.plan(
+            waves, self._workers.by_id(), now_ms, self._clock.wall_ms()
+        ):
+            self._machine_desk.do(action)
+
     def _record_timer(self) -> Callable[[], None]:
         """What measures the time until ends seen now are recorded."""
         seen_ms = self._clock.monotonic_ms()
@@ -391,6 +447,7 @@
                 records.WorkersRecord(born_ms)
             )
         self._record_learned(writes.work)
+        writes.work.update(self._maintenance.drain_writes())
         recorded = []
         if self._must_acknowledge:
             recorded.append(self._record_timer())
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -29,6 +29,7 @@
 HEARTBEAT_KEY = "owner"
 WORKERS_KEY = "workers"
 LEARNED_KEY = "learned"
+WAVE_PREFIX = "wave/"
 
 
 class JobState(enum.StrEnum):
@@ -173,6 +174,21 @@
     duration_ratios: dict[str, float] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class WaveRecord:
+    """How far a wave of maintenance has come.
+
+    Attributes:
+        began_wall_ms: When it was first seen.
+        finished: Machines that have had their maintenance, or have left.
+        is_completed: All have.
+    """
+
+    began_wall_ms: int
+    finished: tuple[str, ...] = ()
+    is_completed: bool = False
+
+
 class BadRecordError(ValueError):
     """A record does not have the form that its topic demands."""
 
@@ -197,6 +213,7 @@
         ProgressRecord,
         WorkersRecord,
         LearnedRecord,
+        WaveRecord,
     )
 }
 
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -17,6 +17,9 @@
 # on average: three fifths of them near 1, the others near two thirds.
 USUAL_INTENSITY = 0.88
 
+# A lasting task is at work when it reports so much.
+FULL_PERCENT = 100.0
+
 
 class RunPhase(enum.Enum):
     """Where a run of a task stands."""
@@ -159,6 +162,17 @@
     ready_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
 
+    @property
+    def away_count(self) -> int:
+        """How many of its tasks are not at work, for whatever cause."""
+        return sum(
+            not any(
+                run.phase is RunPhase.RUNNING and run.percent >= FULL_PERCENT
+                for run in task.runs
+            )
+            for task in self.tasks
+        )
+
     @property
     def oldest_open_ms(self) -> int:
         """Since when its longest waiting task has needed a run."""
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -26,6 +26,7 @@
     progress: dict[str, records.ProgressRecord] = attrs.field(factory=dict)
     workers: records.WorkersRecord = records.WorkersRecord()
     learned: records.LearnedRecord = records.LearnedRecord()
+    waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
 
 
 def take_over(
@@ -69,6 +70,7 @@
         release_after_ms,
         work.workers.born_ms,
         work.learned,
+        work.waves,
     )
 
 
@@ -92,6 +94,11 @@
                 work.learned = records.decode(
                     records.LearnedRecord, record.value
                 )
+            elif record.key.startswith(records.WAVE_PREFIX):
+                number = int(record.key.removeprefix(records.WAVE_PREFIX))
+                work.waves[number] = records.decode(
+                    records.WaveRecord, record.value
+                )
             else:
                 work.progress[record.key] = records.decode(
                     records.ProgressRecord, record.value
--- a/src/comfreylatch/_process/cell/tenure.py
+++ b/src/comfreylatch/_process/cell/tenure.py
@@ -208,13 +208,7 @@
             if inheritance is None:
                 return
             with owner_module.Owner(
-                inheritance,
-                scribe,
-                parts.connect,
-                parts.lease_ms,
-                parts.metrics,
-                parts.clock,
-                parts.adviser,
+                inheritance, scribe, parts, self._host.name
             ) as owner:
                 inbox.append(owner.post)
                 for entry in parts.book.listen(owner.post_change):
--- a/src/comfreylatch/_process/cell/tenure_parts.py
+++ b/src/comfreylatch/_process/cell/tenure_parts.py
@@ -9,6 +9,7 @@
 from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import machines as machines_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import job_book
@@ -27,6 +28,10 @@
         jobs_tail: Feeds the book.
         connect: Opens the orders to a worker.
         adviser: Gives advice on steps; None where there is no such service.
+        machines: The machines under the workers; None where they can't be had.
+        waves: Waves of maintenance that operators want.
+        handover_ms: Time in which two hosts must not both order something of
+            one machine.
         follow_workers: Makes a tail that reports all workers of the cell
             at each change.
         lease_ms: Length of leases at workers.
@@ -49,3 +54,6 @@
     metrics: metrics_module.Metrics
     clock: clock_port.Clock
     adviser: advice_port.Adviser | None = None
+    machines: machines_port.Machines | None = None
+    waves: Callable[[], tuple[machines_port.Wave, ...]] = tuple
+    handover_ms: int = 0
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -93,6 +93,10 @@
         """A worker by its name."""
         return self._views.get(worker_id)
 
+    def by_id(self) -> dict[str, worker_view.WorkerView]:
+        """All workers by their names; not to be changed."""
+        return self._views
+
     def session(self, worker_id: str) -> worker_session.WorkerSession | None:
         """The session of a worker."""
         return self._sessions.get(worker_id)
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -39,6 +39,8 @@
     TENURES_ENDED = "tenures-ended"
     ADVICE_ANSWERS = "advice-answers"
     ADVICE_MISSING = "advice-missing"
+    MAINTENANCES = "maintenances"
+    MAINTENANCE_REFUSALS = "maintenance-refusals"
 
 
 class Latency(enum.StrEnum):
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -19,6 +19,7 @@
 from comfreylatch._connection import http
 from comfreylatch._connection import http_server
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
 from comfreylatch._process import json_logs
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
@@ -33,6 +34,7 @@
 from comfreylatch.platform import advice
 from comfreylatch.platform import callers
 from comfreylatch.platform import configuration
+from comfreylatch.platform import machines
 from comfreylatch.platform import store
 from comfreylatch.platform import views
 from comfreylatch.platform import wire
@@ -120,6 +122,7 @@
         self._metrics = metrics_module.Metrics()
         self._store = store.StoreClient(settings.store.address)
         self._configured = views.ConfigurationView()
+        self._waves = views.WavesView()
         self._book = job_book.JobBook(self._clock)
         self._jobs_tail = self._tail(records.JOBS_TOPIC, self._book.apply)
         self._keeper = intake_module.RecordKeeper(
@@ -140,7 +143,7 @@
         enter(
             self._tail(
                 configuration.TOPIC,
-                self._configured.apply,
+                self._apply_operators_records,
                 CONFIGURATION_WAIT_MS,
             )
         )
@@ -159,6 +162,12 @@
     ) -> None:
         self._stack.__exit__(exc_type, exc, traceback)
 
+    def _apply_operators_records(
+        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
+    ) -> None:
+        self._configured.apply(batch, is_whole)
+        self._waves.apply(batch, is_whole)
+
     def _tail(
         self,
         topic: str,
@@ -184,6 +193,13 @@
             adviser = self._stack.enter_context(
                 advice.AdviceClient(settings.advice_address)
             )
+        api = None
+        if settings.machine_api is not None and settings.machine_api.address:
+            api = self._stack.enter_context(
+                machines.MachineClient(
+                    settings.machine_api.address, self._store
+                )
+            )
         return tenure_module.Tenure(
             tenure_parts.TenureParts(
                 cell=CELL,
@@ -199,6 +215,9 @@
                 metrics=self._metrics,
                 clock=self._clock,
                 adviser=adviser,
+                machines=api,
+                waves=self._waves.current,
+                handover_ms=int(settings.bounds.handover_ms),
             ),
             host,
         )
--- a/src/comfreylatch/platform/views.py
+++ b/src/comfreylatch/platform/views.py
@@ -8,10 +8,12 @@
 import logbook
 
 from comfreylatch._ports import cell_workers
+from comfreylatch._ports import machines as machines_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
 from comfreylatch._process.cell import specs
 from comfreylatch.platform import configuration
+from comfreylatch.platform import machines
 from comfreylatch.platform import wire
 from comfreylatch.platform import workers
 
@@ -59,6 +61,38 @@
                 )
 
 
+@final
+class WavesView:
+    """Waves of maintenance that operators want; they are never taken back."""
+
+    def __init__(self) -> None:
+        self._waves: dict[int, machines_port.Wave] = {}
+
+    def current(self) -> tuple[machines_port.Wave, ...]:
+        """All waves, the oldest first; any thread may ask."""
+        waves = self._waves
+        return tuple(waves[number] for number in sorted(waves))
+
+    def apply(
+        self, batch: tuple[store_port.StoredRecord, ...], is_whole: bool
+    ) -> None:
+        """Takes in records of the operators' topic."""
+        del is_whole  # What is gone was cleaned up after it was completed.
+        for record in batch:
+            if not record.key.startswith(machines.WAVE_PREFIX):
+                continue
+            if record.value is None:
+                continue
+            try:
+                wave = machines.decode_wave(record.value)
+            except wire.BadMessageError as error:
+                logs.warning(
+                    _logger, "bad-wave", key=record.key, detail=str(error)
+                )
+                continue
+            self._waves = {**self._waves, wave.number: wave}
+
+
 @final
 class WorkersView:
     """The listed workers, told whole at each change."""
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -245,6 +245,57 @@
     valid_ms: float = 0
 
 
+class WaveRecord(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "number": "Wave",
+        "machines": "Machines",
+        "duration_s": "DurationS",
+        "most_at_once": "Cap",
+    },
+):
+    """A wave of upkeep that the operators want."""
+
+    number: int
+    machines: tuple[str, ...]
+    duration_s: float = 0
+    most_at_once: int = 1
+
+
+class MachineEntry(
+    msgspec.Struct,
+    frozen=True,
+    rename={"machine_id": "Machine", "state": "State", "worker_id": "Id"},
+):
+    """A machine; `Id` is the one of the executor that it runs."""
+
+    machine_id: str
+    state: str = ""
+    worker_id: str | None = None
+
+
+class MachinesReply(
+    msgspec.Struct,
+    frozen=True,
+    rename={"machines": "Machines", "next_page": "NextPageToken"},
+):
+    """A page of the machines."""
+
+    machines: tuple[MachineEntry, ...] = ()
+    next_page: str | None = None
+
+
+class MachineApiSettings(
+    msgspec.Struct,
+    frozen=True,
+    rename={"address": "Address"},
+):
+    """Where the machines' API is."""
+
+    address: str | None = None
+
+
 class AppendReply(
     msgspec.Struct,
     frozen=True,
@@ -328,16 +379,19 @@
     rename={
         "lease_ms": "MaxHoldMs",
         "status_s": "status_s",
+        "handover_ms": "LeaseDurationMs",
     },
 ):
     """Bounds that the platform sets.
 
     `MaxHoldMs` is the longest lease; `status_s` is for how long the state of
-    an ended job is to be had.
+    an ended job is to be had; `LeaseDurationMs` is the time in which two hosts
+    must not both order something of one machine.
     """
 
     lease_ms: float = 6_000
     status_s: float = 120
+    handover_ms: float = 3_000
 
 
 class Settings(
@@ -352,6 +406,7 @@
         "store": "platform",
         "bounds": "Bounds",
         "advice_address": "Recommendation",
+        "machine_api": "CloudApi",
     },
 ):
     """The settings file of a process, as far as it is used."""
@@ -364,6 +419,7 @@
     limits: Limits = Limits()
     bounds: Bounds = Bounds()
     advice_address: str | None = None
+    machine_api: MachineApiSettings | None = None
 
 
 def decode(kind: type[_Message], body: bytes) -> _Message:
--- a/tests/process/cell/test_moving.py
+++ b/tests/process/cell/test_moving.py
@@ -46,6 +46,30 @@
         self.assertEqual(0, self.stops(harness.step(estimated_ms=9_000)))
 
 
+class EmptiedWorkerTest(testtools.TestCase):
+    """A worker whose machine is to have its maintenance."""
+
+    def stops(self, **fields: object) -> int:
+        """How many of three lasting tasks there are stopped at once."""
+        cell = harness.Cell(workers=1)
+        step = harness.step(3, is_lasting=True, **fields)
+        cell.submit(harness.job(step))
+        runs = cell.place()
+        cell.hold("w1", running=tuple(harness.listed(r, 100.0) for r in runs))
+        worker = cell.workers.find("w1")
+        assert worker is not None
+        worker.is_emptied = True
+        cell.control.look_after(cell.clock.now_ms)
+        cell.control.look_after(cell.clock.now_ms)
+        return len(cell.sent["w1"].stops)
+
+    def test_lasting_tasks_move_at_once(self) -> None:
+        self.assertEqual(3, self.stops())
+
+    def test_bound_on_absences_is_kept(self) -> None:
+        self.assertEqual(1, self.stops(max_unavailable=1))
+
+
 class StragglerTest(testtools.TestCase):
     """One task of a step takes much longer than its siblings."""
 
--- a/tests/process/cell/test_reasons_documented.py
+++ b/tests/process/cell/test_reasons_documented.py
@@ -8,6 +8,7 @@
 
 import testtools
 
+from comfreylatch._ports import machines
 from comfreylatch._process.cell import reasons
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
@@ -27,6 +28,7 @@
         self.assert_rows("Refusals", reasons.Refusal)
         self.assert_rows("Stops", reasons.StopReason)
         self.assert_rows("Missing advice", reasons.MissingAdvice)
+        self.assert_rows("Refused maintenance", machines.Refusal)
         self.assert_rows("Losses", reasons.LossReason)
         self.assert_rows("Claims", reasons.ClaimReason)
         self.assert_rows("Ends of a tenure", reasons.TenureEnd)
