Wait at a takeover only for lives that the store knows of

Five entries of workers whose machines were down for maintenance were still listed, and a new owner waited for every listed worker until leases must have ended. The same holds for workers that have crashed.

Change: tasks are started only on lives of workers that the store is known to have as such, and a new owner waits for the recorded lives that have not answered, and for no others. Until it has settled, it keeps the lives of the owner before in its record.

Begun maintenances are recorded at once, and a worker takes work again when its machine is finished.

--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -111,6 +111,17 @@
     wave: int
 
 
+@attrs.frozen
+class LivesRecorded:
+    """The store knows of the workers on which something may run.
+
+    Attributes:
+        born_ms: Their lives, by worker.
+    """
+
+    born_ms: dict[str, int]
+
+
 @attrs.frozen
 class Fenced:
     """Another host owns the cell."""
@@ -128,5 +139,6 @@
     | MachinesListed
     | MaintenanceReturned
     | ReportFailed
+    | LivesRecorded
     | Fenced
 )
--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -72,6 +72,12 @@
     is_completed: bool = False
     reported: bool | None = None
 
+    def in_phase(self, phase: Phase) -> tuple[str, ...]:
+        """Names of the machines that are in a phase."""
+        return tuple(
+            name for name, one in self.machines.items() if one.phase is phase
+        )
+
 
 @attrs.frozen
 class ListMachines:
@@ -159,9 +165,10 @@
         )
         if before is not None:
             work.is_completed = before.is_completed
-            for name in before.finished:
-                if name in work.machines:
-                    work.machines[name].phase = Phase.FINISHED
+            for name in work.machines.keys() & set(before.begun):
+                work.machines[name].phase = Phase.AWAY
+            for name in work.machines.keys() & set(before.finished):
+                work.machines[name].phase = Phase.FINISHED
         self._waves[wave.number] = work
         self._dirty.add(wave.number)
         logs.event(
@@ -260,7 +267,12 @@
             phase=phase.value,
         )
 
-    def take_machines(self, event: events.MachinesListed, now_ms: int) -> None:
+    def take_machines(
+        self,
+        event: events.MachinesListed,
+        workers: dict[str, worker_view.WorkerView],
+        now_ms: int,
+    ) -> None:
         """Takes in a list of machines, or that there was none."""
         self._is_listing = False
         match event.outcome:
@@ -271,25 +283,37 @@
                 self._machines = {one.machine_id: one for one in found}
         for work in self._waves.values():
             for one in work.machines.values():
-                self._take_machine(work, one, event.sent_ms, now_ms)
+                if self._is_finished(one, event.sent_ms):
+                    self._finish(work, one, workers, now_ms)
 
-    def _take_machine(
-        self, work: _WaveWork, one: MachineWork, listed_ms: int, now_ms: int
-    ) -> None:
+    def _is_finished(self, one: MachineWork, listed_ms: int) -> bool:
+        """Whether a list shows a machine back, or gone."""
         assert self._machines is not None
         machine = self._machines.get(one.machine_id)
         if machine is None:
-            if one.phase is not Phase.FINISHED:
-                # It has left, and needs nothing any more.
-                self._finish(work, one, now_ms)
-            return
+            # It has left, and needs nothing any more.
+            return one.phase is not Phase.FINISHED
         is_up = machine.state is machines_port.MachineState.UP
-        if one.phase is Phase.AWAY and is_up and listed_ms > one.since_ms:
-            self._finish(work, one, now_ms)
+        return one.phase is Phase.AWAY and is_up and listed_ms > one.since_ms
 
-    def _finish(self, work: _WaveWork, one: MachineWork, now_ms: int) -> None:
+    def _finish(
+        self,
+        work: _WaveWork,
+        one: MachineWork,
+        workers: dict[str, worker_view.WorkerView],
+        now_ms: int,
+    ) -> None:
         self._enter(one, Phase.FINISHED, now_ms)
         self._dirty.add(work.wave.number)
+        self._reopen(one, workers)
+
+    def _reopen(
+        self, one: MachineWork, workers: dict[str, worker_view.WorkerView]
+    ) -> None:
+        """Lets a machine's worker take work, if it is still the same one."""
+        view = workers.get(one.worker_id)
+        if view is not None:
+            view.is_emptied = False
 
     def take_order(
         self,
@@ -306,6 +330,7 @@
             case result.Ok(_):
                 self._metrics.count(metrics_module.Counter.MAINTENANCES)
                 self._enter(one, Phase.AWAY, now_ms)
+                self._dirty.add(event.wave)
             case result.Err(machines_port.MaintenanceUnanswered(detail)):
                 # The same order again changes nothing if it was carried out.
                 one.not_before_ms = now_ms + RETRY_PAUSE_MS
@@ -341,27 +366,23 @@
                 machines_port.Refusal.OTHER_WAVE
                 | machines_port.Refusal.NO_SUCH_MACHINE
             ):
-                self._finish(work, one, now_ms)
+                self._finish(work, one, workers, now_ms)
             case _:
                 one.not_before_ms = now_ms + RETRY_PAUSE_MS
                 self._enter(one, Phase.WAITING, now_ms)
-        view = workers.get(one.worker_id)
-        if view is not None:
-            view.is_emptied = False
+                self._reopen(one, workers)
 
     def drain_writes(self) -> dict[str, bytes]:
         """Records of the waves that have changed, by key."""
         writes = {}
         for number in self._dirty:
             work = self._waves[number]
-            finished = tuple(
-                name
-                for name, one in work.machines.items()
-                if one.phase is Phase.FINISHED
-            )
             writes[f"{records.WAVE_PREFIX}{number}"] = records.encode(
                 records.WaveRecord(
-                    work.began_wall_ms, finished, work.is_completed
+                    work.began_wall_ms,
+                    work.in_phase(Phase.AWAY),
+                    work.in_phase(Phase.FINISHED),
+                    work.is_completed,
                 )
             )
         self._dirty.clear()
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -168,6 +168,7 @@
         self._stop_reason: reasons.TenureEnd | None = None
         self._must_acknowledge: set[str] = set()
         self._recorded_lives: dict[str, int] = {}
+        self._known_lives: dict[str, int] = {}
         self._learned_recorded_ms = clock.monotonic_ms()
         self._recorded_learned = inheritance.learned
 
@@ -247,10 +248,10 @@
                 self._orders.take_lost(self._workers.list_workers(entries))
             case events.HoldReturned():
                 self._handle_hold(event)
-            case events.StartReturned():
-                self._orders.take_start(event)
-            case events.StopReturned():
-                self._orders.take_stop(event)
+            case events.StartReturned() | events.StopReturned():
+                self._handle_order(event)
+            case events.LivesRecorded(born_ms):
+                self._known_lives = born_ms
             case events.AdviceReturned():
                 self._advice.take(event, self._clock.monotonic_ms())
             case (
@@ -262,6 +263,15 @@
             case events.Fenced():
                 self._stop_reason = reasons.TenureEnd.FENCED
 
+    def _handle_order(
+        self, event: events.StartReturned | events.StopReturned
+    ) -> None:
+        match event:
+            case events.StartReturned():
+                self._orders.take_start(event)
+            case events.StopReturned():
+                self._orders.take_stop(event)
+
     def _handle_change(self, change: job_book.BookChange) -> None:
         match change:
             case job_book.JobAdded(spec):
@@ -280,7 +290,9 @@
         now_ms = self._clock.monotonic_ms()
         match event:
             case events.MachinesListed():
-                self._maintenance.take_machines(event, now_ms)
+                self._maintenance.take_machines(
+                    event, self._workers.by_id(), now_ms
+                )
             case events.MaintenanceReturned():
                 self._maintenance.take_order(
                     event, self._workers.by_id(), now_ms
@@ -351,12 +363,10 @@
     def _settle(self, now_ms: int) -> None:
         """Sees whether all that the owner before started is known."""
         waited_ms = now_ms - self._started_ms
-        if now_ms <= self._inheritance.release_after_ms:
-            if not len(self._workers) or self._workers.unanswered():
-                return
-            known = self._inheritance.known_workers
-            if any(self._workers.find(name) is None for name in known):
-                return
+        known = self._inheritance.known_workers
+        is_over = now_ms > self._inheritance.release_after_ms
+        if not is_over and self._workers.has_unknown(known):
+            return
         self._is_settled = True
         logs.event(
             _logger,
@@ -427,6 +437,32 @@
 
         return observe
 
+    def _record_lives(
+        self,
+        work: dict[str, bytes | None],
+        recorded: list[Callable[[], None]],
+    ) -> None:
+        """Adds the lives on which something may run, if they have changed.
+
+        Until all is known that the owner before started, its lives stay among
+        them, so that an owner after this one asks there, too.
+        """
+        born_ms = self._workers.lives()
+        if not self._is_settled:
+            born_ms = {**self._inheritance.known_workers, **born_ms}
+        if born_ms == self._recorded_lives:
+            # An older record says nothing once a newer one is queued.
+            if self._known_lives is self._recorded_lives:
+                self._workers.allow_starts(born_ms)
+            return
+        self._recorded_lives = born_ms
+        # Either record may be the last one now.
+        self._workers.forbid_starts(born_ms)
+        work[records.WORKERS_KEY] = records.encode(
+            records.WorkersRecord(born_ms)
+        )
+        recorded.append(lambda: self._events.put(events.LivesRecorded(born_ms)))
+
     def _record_learned(self, work: dict[str, bytes | None]) -> None:
         """Adds what was learned to the records of a round, now and then."""
         now_ms = self._clock.monotonic_ms()
@@ -440,15 +476,10 @@
 
     def _record(self) -> None:
         writes = self._jobs.drain_writes()
-        born_ms = self._workers.lives()
-        if born_ms != self._recorded_lives:
-            self._recorded_lives = born_ms
-            writes.work[records.WORKERS_KEY] = records.encode(
-                records.WorkersRecord(born_ms)
-            )
+        recorded: list[Callable[[], None]] = []
+        self._record_lives(writes.work, recorded)
         self._record_learned(writes.work)
         writes.work.update(self._maintenance.drain_writes())
-        recorded = []
         if self._must_acknowledge:
             recorded.append(self._record_timer())
         for worker_id in self._must_acknowledge:
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -180,11 +180,13 @@
 
     Attributes:
         began_wall_ms: When it was first seen.
+        begun: Machines whose maintenance has begun.
         finished: Machines that have had their maintenance, or have left.
         is_completed: All have.
     """
 
     began_wall_ms: int
+    begun: tuple[str, ...] = ()
     finished: tuple[str, ...] = ()
     is_completed: bool = False
 
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -214,14 +214,30 @@
                 lost.append(LostRuns(runs, reasons.LossReason.LEASE_OVER))
         return lost
 
-    def unanswered(self) -> list[worker_view.WorkerView]:
-        """Workers that have never answered, while work may run there."""
-        now_ms = self._clock.monotonic_ms()
-        return [
-            view
-            for view in self
-            if view.answered_ms == 0 and now_ms <= view.release_after_ms
-        ]
+    def has_unknown(self, lives: dict[str, int]) -> bool:
+        """Whether one of some lives may run something that isn't known here.
+
+        A life is known once it has answered, or when a later one has begun.
+        """
+        for worker_id, born_ms in lives.items():
+            view = self._views.get(worker_id)
+            if view is None or view.entry.born_ms < born_ms:
+                return True
+            if view.entry.born_ms == born_ms and view.answered_ms == 0:
+                return True
+        return False
+
+    def forbid_starts(self, recorded: dict[str, int]) -> None:
+        """Lets nothing be started on lives that a record will not have."""
+        for view in self:
+            if recorded.get(view.worker_id) != view.entry.born_ms:
+                view.is_recorded = False
+
+    def allow_starts(self, recorded: dict[str, int]) -> None:
+        """Lets tasks be started on the lives that the store knows of."""
+        for view in self:
+            born_ms = recorded.get(view.worker_id)
+            view.is_recorded = born_ms == view.entry.born_ms
 
     def _add(self, entry: cell_workers.WorkerEntry) -> None:
         view = worker_view.WorkerView(
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -38,6 +38,8 @@
         recent_failures: Runs that failed in a row, across jobs.
         slowness: Smoothed duration of its tasks against their peers'.
         revision: Rises with all that changes what may be placed there.
+        is_recorded: The store knows of this life, so that the next owner will
+            ask it what it runs.
         is_emptied: Its machine is to have its maintenance.
         cleared_until_ms: No lasting tasks before this time.
         release_after_ms: For a worker that has never answered this owner:
@@ -62,6 +64,7 @@
     recent_failures: int = 0
     slowness: float = 1.0
     revision: int = 0
+    is_recorded: bool = False
     is_emptied: bool = False
     cleared_until_ms: int = -(10**9)
     release_after_ms: int = 0
@@ -100,6 +103,7 @@
         return (
             self.is_listed
             and self.is_answering
+            and self.is_recorded
             and not self.entry.is_draining
             and not self.is_emptied
             and now_ms >= self.avoided_until_ms
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -69,7 +69,9 @@
             for name, state in self.states.items()
         )
         self.plan.take_machines(
-            events.MachinesListed(now_ms, result.Ok(found)), now_ms
+            events.MachinesListed(now_ms, result.Ok(found)),
+            self.cell.workers.by_id(),
+            now_ms,
         )
         return [one for one in actions if one != maintenance.ListMachines()]
 
@@ -170,10 +172,32 @@
 
     def test_next_owner_does_not_begin_anew(self) -> None:
         self.plan = self.new_plan(
-            recorded=records.WaveRecord(self.cell.clock.wall_ms(), ("m1", "m2"))
+            recorded=records.WaveRecord(
+                self.cell.clock.wall_ms(), ("m1",), ("m2",)
+            )
         )
         self.assertEqual(["m3"], self.orders())
 
+    def test_begun_maintenance_is_recorded_before_it_is_finished(self) -> None:
+        # Found by a day: a new owner emptied workers anew of which the
+        # machines had just come back.
+        (first,) = self.orders()
+        self.answer(first, result.Ok(None))
+        record = self.plan.drain_writes()[records.WAVE_PREFIX + "1"]
+        begun = records.decode(records.WaveRecord, record).begun
+        self.assertEqual((first,), begun)
+
+    def test_worker_works_on_where_the_maintenance_was_over_already(
+        self,
+    ) -> None:
+        # Found by a day: workers emptied for machines that an owner before had
+        # ordered took no work any more.
+        (first,) = self.orders()
+        self.answer(first, result.Ok(None))
+        self.orders()
+        worker = self.cell.workers.find(first.replace("m", "w"))
+        self.assertFalse(worker.is_emptied)
+
     def test_next_owner_waits_before_its_first_order(self) -> None:
         self.plan = self.new_plan(handover_ms=3_000)
         self.assertEqual([], self.orders())
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -265,3 +265,26 @@
                 self.second.parts, self.second.identity, 9, scribe, None
             )
         self.assertEqual(learned, inheritance.learned)
+
+    def test_worker_on_which_nothing_can_run_is_not_waited_for(self) -> None:
+        # Found by a day: machines down for their maintenance kept the tasks
+        # of a new owner waiting for as long as leases may last.
+        self.workers["w2"].is_dark = True
+        self.first.intake.submit(harness.job(harness.step(3)), 2_000)
+        self.wait_for(lambda: len(self.workers["w1"].running) == 3)
+        self.wait_for(lambda: self.recorded_workers() == {"w1"})
+        self.first.die()
+        self.wait_for(lambda: self.second.tenure.is_owner)
+        started_s = time.monotonic()
+        self.workers["w1"].end_all(cell_workers.RunEnd.STOPPED)
+        self.wait_for(lambda: len(self.workers["w1"].running) == 3)
+        self.assertLess(time.monotonic() - started_s, 2.5)
+
+    def recorded_workers(self) -> set[str]:
+        """Workers on which something may run, by the store."""
+        batch = self.store.newest(records.WORK_TOPIC, 0).unwrap()
+        for record in batch.records:
+            if record.key == records.WORKERS_KEY and record.value is not None:
+                lives = records.decode(records.WorkersRecord, record.value)
+                return set(lives.born_ms)
+        return set()
