Split the owner's record of lives, its learning, its report and its calls

What an owner inherits, the lives that it records, what it has learned, its log line, the state of waves and the thread for slow calls are modules of their own now; the two desks share the thread. Nothing is decided otherwise.

--- a/src/comfreylatch/_process/cell/advice_desk.py
+++ b/src/comfreylatch/_process/cell/advice_desk.py
@@ -1,10 +1,8 @@
-"""Asks for advice, one call after the other, beside the owner's thread."""
+"""Asks for advice beside the owner's thread."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-import queue
-import threading
 import types
 from typing import final
 from typing import Self
@@ -12,6 +10,7 @@
 from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process.cell import advice
+from comfreylatch._process.cell import call_desk
 from comfreylatch._process.cell import events
 
 # The service takes its time for each worker named, and calls of a host take
@@ -21,7 +20,7 @@
 
 @final
 class AdviceDesk:
-    """A thread that asks. A context manager.
+    """Asks, one call at a time. A context manager.
 
     Args:
         adviser: The service.
@@ -38,10 +37,7 @@
         self._adviser = adviser
         self._post = post
         self._clock = clock
-        self._queue: queue.SimpleQueue[advice.AdviceRequest | None] = (
-            queue.SimpleQueue()
-        )
-        self._thread: threading.Thread | None = None
+        self._desk = call_desk.CallDesk("advice")
 
     def __enter__(self) -> Self:
         return self
@@ -52,33 +48,23 @@
         exc: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
-        self._queue.put(None)
+        self._desk.__exit__(exc_type, exc, traceback)
 
     def ask(self, request: advice.AdviceRequest) -> None:
         """Queues a call."""
-        if self._thread is None:
-            # Most cells never need one.
-            self._thread = threading.Thread(
-                target=self._run, name="advice", daemon=True
-            )
-            self._thread.start()
-        self._queue.put(request)
+        self._desk.do(lambda: self._ask(request))
 
-    def _run(self) -> None:
-        while True:
-            request = self._queue.get()
-            if request is None:
-                return
-            sent_ms = self._clock.monotonic_ms()
-            outcome = self._adviser.advise(
-                request.step.name, tuple(request.workers), CALL_TIMEOUT_MS
-            )
-            self._post(
-                events.AdviceReturned(
-                    request.step,
-                    request.workers,
-                    sent_ms,
-                    self._clock.monotonic_ms(),
-                    outcome,
-                )
+    def _ask(self, request: advice.AdviceRequest) -> None:
+        sent_ms = self._clock.monotonic_ms()
+        outcome = self._adviser.advise(
+            request.step.name, tuple(request.workers), CALL_TIMEOUT_MS
+        )
+        self._post(
+            events.AdviceReturned(
+                request.step,
+                request.workers,
+                sent_ms,
+                self._clock.monotonic_ms(),
+                outcome,
             )
+        )
--- /dev/null
+++ b/src/comfreylatch/_process/cell/call_desk.py
@@ -0,0 +1,52 @@
+"""Makes slow calls beside the owner's thread, one after the other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import queue
+import threading
+import types
+from typing import final
+from typing import Self
+
+Call = Callable[[], None]
+
+
+@final
+class CallDesk:
+    """A thread that makes calls in their order. A context manager.
+
+    The thread begins with the first call, as most tenures make none.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._queue: queue.SimpleQueue[Call | None] = queue.SimpleQueue()
+        self._thread: threading.Thread | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._queue.put(None)
+
+    def do(self, call: Call) -> None:
+        """Queues a call; only the owner's thread may."""
+        if self._thread is None:
+            self._thread = threading.Thread(
+                target=self._run, name=self._name, daemon=True
+            )
+            self._thread.start()
+        self._queue.put(call)
+
+    def _run(self) -> None:
+        while True:
+            call = self._queue.get()
+            if call is None:
+                return
+            call()
--- /dev/null
+++ b/src/comfreylatch/_process/cell/cell_report.py
@@ -0,0 +1,53 @@
+"""The log line that says how full a cell is."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import logbook
+
+from comfreylatch._process import logs
+from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import worker_view
+
+_logger = logbook.Logger(__name__)
+
+
+def write(
+    token: int,
+    workers: Iterable[worker_view.WorkerView],
+    jobs: job_table_module.JobTable,
+    pressures: dict[str, float],
+    append_age_ms: int,
+) -> None:
+    """Logs what is used, what is free, and what waits.
+
+    Args:
+        token: The owner's fencing token.
+        workers: All workers.
+        jobs: All unfinished jobs.
+        pressures: Coefficients of filling images.
+        append_age_ms: How long ago the last recorded append was sent.
+    """
+    views = list(workers)
+    answering = [view for view in views if view.is_answering]
+    steps = jobs.ready_steps()
+    logs.event(
+        _logger,
+        "cell",
+        token=token,
+        workers=len(views),
+        answering=len(answering),
+        cpu_millicores=sum(
+            view.entry.capacity.cpu_millicores for view in answering
+        ),
+        free_millicores=sum(view.free_cpu for view in answering),
+        lasting_millicores=sum(view.lasting_millicores for view in answering),
+        lasting_workers=sum(view.lasting_millicores > 0 for view in answering),
+        fill_millicores=sum(view.fill_millicores for view in answering),
+        jobs=len(jobs),
+        waiting_steps=len(steps),
+        waiting_tasks=sum(len(step.open_tasks) for step in steps),
+        append_age_ms=append_age_ms,
+        pressures=pressures,
+    )
--- a/src/comfreylatch/_process/cell/machine_desk.py
+++ b/src/comfreylatch/_process/cell/machine_desk.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import queue
-import threading
 import types
 from typing import final
 from typing import Self
@@ -13,8 +11,9 @@
 
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import machines as machines_port
+from comfreylatch._process.cell import call_desk
 from comfreylatch._process.cell import events
-from comfreylatch._process.cell import maintenance
+from comfreylatch._process.cell import wave_work
 
 # The API may be fifty times slower than usual.
 CALL_TIMEOUT_MS = 2_000
@@ -22,7 +21,7 @@
 
 @final
 class MachineDesk:
-    """A thread that lists and orders. A context manager.
+    """Lists and orders, one call at a time. A context manager.
 
     Args:
         machines: The API.
@@ -48,10 +47,7 @@
         self._may_act = may_act
         self._post = post
         self._clock = clock
-        self._queue: queue.SimpleQueue[maintenance.Action | None] = (
-            queue.SimpleQueue()
-        )
-        self._thread: threading.Thread | None = None
+        self._desk = call_desk.CallDesk("machines")
 
     def __enter__(self) -> Self:
         return self
@@ -62,36 +58,26 @@
         exc: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> None:
-        self._queue.put(None)
+        self._desk.__exit__(exc_type, exc, traceback)
 
-    def do(self, action: maintenance.Action) -> None:
+    def do(self, action: wave_work.Action) -> None:
         """Queues a call."""
-        if self._thread is None:
-            # Most tenures see no wave.
-            self._thread = threading.Thread(
-                target=self._run, name="machines", daemon=True
-            )
-            self._thread.start()
-        self._queue.put(action)
+        self._desk.do(lambda: self._do(action))
 
-    def _run(self) -> None:
-        while True:
-            action = self._queue.get()
-            if action is None:
-                return
-            match action:
-                case maintenance.ListMachines():
-                    sent_ms = self._clock.monotonic_ms()
-                    listed = self._machines.machines(CALL_TIMEOUT_MS)
-                    self._post(events.MachinesListed(sent_ms, listed))
-                case maintenance.Maintain(machine_id, wave):
-                    self._maintain(machine_id, wave)
-                case maintenance.Report(wave, is_completed):
-                    outcome = self._machines.report(
-                        wave, is_completed, CALL_TIMEOUT_MS
-                    )
-                    if outcome.is_err():
-                        self._post(events.ReportFailed(wave))
+    def _do(self, action: wave_work.Action) -> None:
+        match action:
+            case wave_work.ListMachines():
+                sent_ms = self._clock.monotonic_ms()
+                listed = self._machines.machines(CALL_TIMEOUT_MS)
+                self._post(events.MachinesListed(sent_ms, listed))
+            case wave_work.Maintain(machine_id, wave):
+                self._maintain(machine_id, wave)
+            case wave_work.Report(wave, is_completed):
+                outcome = self._machines.report(
+                    wave, is_completed, CALL_TIMEOUT_MS
+                )
+                if outcome.is_err():
+                    self._post(events.ReportFailed(wave))
 
     def _maintain(self, machine_id: str, wave: int) -> None:
         outcome: result.Result[None, machines_port.MaintenanceError]
--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -8,10 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-import enum
 from typing import final
 
-import attrs
 import logbook
 import result
 
@@ -20,6 +18,7 @@
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import wave_work
 from comfreylatch._process.cell import worker_view
 
 LIST_INTERVAL_MS = 700
@@ -35,74 +34,6 @@
 _logger = logbook.Logger(__name__)
 
 
-class Phase(enum.Enum):
-    """Where a machine of a wave stands."""
-
-    WAITING = "waiting"
-    EMPTYING = "emptying"
-    ORDERED = "ordered"
-    AWAY = "away"
-    FINISHED = "finished"
-
-
-@attrs.define(eq=False)
-class MachineWork:
-    """One machine of a wave.
-
-    Attributes:
-        machine_id: Its name.
-        phase: Where it stands.
-        worker_id: Its worker when its turn came.
-        since_ms: When it entered the phase.
-        not_before_ms: No order before this monotonic time.
-    """
-
-    machine_id: str
-    phase: Phase = Phase.WAITING
-    worker_id: str = ""
-    since_ms: int = 0
-    not_before_ms: int = 0
-
-
-@attrs.define(eq=False)
-class _WaveWork:
-    wave: machines_port.Wave
-    began_wall_ms: int
-    machines: dict[str, MachineWork]
-    is_completed: bool = False
-    reported: bool | None = None
-
-    def in_phase(self, phase: Phase) -> tuple[str, ...]:
-        """Names of the machines that are in a phase."""
-        return tuple(
-            name for name, one in self.machines.items() if one.phase is phase
-        )
-
-
-@attrs.frozen
-class ListMachines:
-    """Machines have to be listed."""
-
-
-@attrs.frozen
-class Maintain:
-    """A machine's maintenance has to be ordered."""
-
-    machine_id: str
-    wave: int
-
-
-@attrs.frozen
-class Report:
-    """The operators have to be told of a wave."""
-
-    wave: int
-    is_completed: bool
-
-
-Action = ListMachines | Maintain | Report
-
-
 @final
 class MaintenancePlan:
     """Decides what to do about waves. Only the owner's thread uses it.
@@ -123,7 +54,7 @@
         self._recorded = recorded
         self._not_before_ms = not_before_ms
         self._metrics = metrics
-        self._waves: dict[int, _WaveWork] = {}
+        self._waves: dict[int, wave_work.WaveWork] = {}
         self._machines: dict[str, machines_port.Machine] | None = None
         self._listed_ms = -(10**9)
         self._is_listing = False
@@ -135,9 +66,9 @@
         workers: dict[str, worker_view.WorkerView],
         now_ms: int,
         wall_ms: int,
-    ) -> list[Action]:
+    ) -> list[wave_work.Action]:
         """What has to be done now; marks workers that have to be emptied."""
-        actions: list[Action] = []
+        actions: list[wave_work.Action] = []
         for wave in waves:
             if wave.number not in self._waves:
                 self._open(wave, wall_ms)
@@ -147,28 +78,30 @@
         for work in self._waves.values():
             if work.reported is not work.is_completed:
                 work.reported = work.is_completed
-                actions.append(Report(work.wave.number, work.is_completed))
+                actions.append(
+                    wave_work.Report(work.wave.number, work.is_completed)
+                )
         is_due = now_ms - self._listed_ms >= LIST_INTERVAL_MS
         if running and is_due and not self._is_listing:
             self._is_listing = True
             self._listed_ms = now_ms
-            actions.append(ListMachines())
+            actions.append(wave_work.ListMachines())
         return actions
 
     def _open(self, wave: machines_port.Wave, wall_ms: int) -> None:
         before = self._recorded.get(wave.number)
         began_wall_ms = wall_ms if before is None else before.began_wall_ms
-        work = _WaveWork(
+        work = wave_work.WaveWork(
             wave,
             began_wall_ms,
-            {name: MachineWork(name) for name in wave.machines},
+            {name: wave_work.MachineWork(name) for name in wave.machines},
         )
         if before is not None:
             work.is_completed = before.is_completed
             for name in work.machines.keys() & set(before.begun):
-                work.machines[name].phase = Phase.AWAY
+                work.machines[name].phase = wave_work.Phase.AWAY
             for name in work.machines.keys() & set(before.finished):
-                work.machines[name].phase = Phase.FINISHED
+                work.machines[name].phase = wave_work.Phase.FINISHED
         self._waves[wave.number] = work
         self._dirty.add(wave.number)
         logs.event(
@@ -183,33 +116,43 @@
 
     def _advance(
         self,
-        work: _WaveWork,
+        work: wave_work.WaveWork,
         workers: dict[str, worker_view.WorkerView],
         now_ms: int,
         wall_ms: int,
-        actions: list[Action],
+        actions: list[wave_work.Action],
     ) -> None:
         if self._machines is None:
             return
         for one in work.machines.values():
-            if one.phase is Phase.EMPTYING and self._is_empty(
+            if one.phase is wave_work.Phase.EMPTYING and self._is_empty(
                 one, workers, now_ms
             ):
-                self._enter(one, Phase.ORDERED, now_ms)
-                actions.append(Maintain(one.machine_id, work.wave.number))
-            elif one.phase is Phase.ORDERED and now_ms >= one.not_before_ms > 0:
+                self._enter(one, wave_work.Phase.ORDERED, now_ms)
+                actions.append(
+                    wave_work.Maintain(one.machine_id, work.wave.number)
+                )
+            elif (
+                one.phase is wave_work.Phase.ORDERED
+                and now_ms >= one.not_before_ms > 0
+            ):
                 one.not_before_ms = 0
-                actions.append(Maintain(one.machine_id, work.wave.number))
+                actions.append(
+                    wave_work.Maintain(one.machine_id, work.wave.number)
+                )
         if now_ms >= self._not_before_ms:
             self._begin_more(work, workers, now_ms, wall_ms)
-        if all(one.phase is Phase.FINISHED for one in work.machines.values()):
+        if all(
+            one.phase is wave_work.Phase.FINISHED
+            for one in work.machines.values()
+        ):
             work.is_completed = True
             self._dirty.add(work.wave.number)
             logs.event(_logger, "wave-completed", wave=work.wave.number)
 
     def _begin_more(
         self,
-        work: _WaveWork,
+        work: wave_work.WaveWork,
         workers: dict[str, worker_view.WorkerView],
         now_ms: int,
         wall_ms: int,
@@ -218,10 +161,16 @@
         waiting = [
             one
             for one in work.machines.values()
-            if one.phase is Phase.WAITING and now_ms >= one.not_before_ms
+            if one.phase is wave_work.Phase.WAITING
+            and now_ms >= one.not_before_ms
         ]
         busy = sum(
-            one.phase in (Phase.EMPTYING, Phase.ORDERED, Phase.AWAY)
+            one.phase
+            in (
+                wave_work.Phase.EMPTYING,
+                wave_work.Phase.ORDERED,
+                wave_work.Phase.AWAY,
+            )
             for one in work.machines.values()
         )
         room = at_once(
@@ -240,11 +189,11 @@
             view = workers.get(worker_id)
             if view is not None:
                 view.is_emptied = True
-            self._enter(one, Phase.EMPTYING, now_ms)
+            self._enter(one, wave_work.Phase.EMPTYING, now_ms)
 
     def _is_empty(
         self,
-        one: MachineWork,
+        one: wave_work.MachineWork,
         workers: dict[str, worker_view.WorkerView],
         now_ms: int,
     ) -> bool:
@@ -256,7 +205,9 @@
         view.is_emptied = True
         return not view.runs or now_ms - one.since_ms > MOST_EVACUATION_MS
 
-    def _enter(self, one: MachineWork, phase: Phase, now_ms: int) -> None:
+    def _enter(
+        self, one: wave_work.MachineWork, phase: wave_work.Phase, now_ms: int
+    ) -> None:
         one.phase = phase
         one.since_ms = now_ms
         logs.event(
@@ -286,29 +237,35 @@
                 if self._is_finished(one, event.sent_ms):
                     self._finish(work, one, workers, now_ms)
 
-    def _is_finished(self, one: MachineWork, listed_ms: int) -> bool:
+    def _is_finished(self, one: wave_work.MachineWork, listed_ms: int) -> bool:
         """Whether a list shows a machine back, or gone."""
         assert self._machines is not None
         machine = self._machines.get(one.machine_id)
         if machine is None:
             # It has left, and needs nothing any more.
-            return one.phase is not Phase.FINISHED
+            return one.phase is not wave_work.Phase.FINISHED
         is_up = machine.state is machines_port.MachineState.UP
-        return one.phase is Phase.AWAY and is_up and listed_ms > one.since_ms
+        return (
+            one.phase is wave_work.Phase.AWAY
+            and is_up
+            and listed_ms > one.since_ms
+        )
 
     def _finish(
         self,
-        work: _WaveWork,
-        one: MachineWork,
+        work: wave_work.WaveWork,
+        one: wave_work.MachineWork,
         workers: dict[str, worker_view.WorkerView],
         now_ms: int,
     ) -> None:
-        self._enter(one, Phase.FINISHED, now_ms)
+        self._enter(one, wave_work.Phase.FINISHED, now_ms)
         self._dirty.add(work.wave.number)
         self._reopen(one, workers)
 
     def _reopen(
-        self, one: MachineWork, workers: dict[str, worker_view.WorkerView]
+        self,
+        one: wave_work.MachineWork,
+        workers: dict[str, worker_view.WorkerView],
     ) -> None:
         """Lets a machine's worker take work, if it is still the same one."""
         view = workers.get(one.worker_id)
@@ -324,12 +281,16 @@
         """Takes in what came of an order."""
         work = self._waves.get(event.wave)
         one = work.machines.get(event.machine_id) if work else None
-        if work is None or one is None or one.phase is not Phase.ORDERED:
+        if (
+            work is None
+            or one is None
+            or one.phase is not wave_work.Phase.ORDERED
+        ):
             return
         match event.outcome:
             case result.Ok(_):
                 self._metrics.count(metrics_module.Counter.MAINTENANCES)
-                self._enter(one, Phase.AWAY, now_ms)
+                self._enter(one, wave_work.Phase.AWAY, now_ms)
                 self._dirty.add(event.wave)
             case result.Err(machines_port.MaintenanceUnanswered(detail)):
                 # The same order again changes nothing if it was carried out.
@@ -345,8 +306,8 @@
 
     def _take_refusal(
         self,
-        work: _WaveWork,
-        one: MachineWork,
+        work: wave_work.WaveWork,
+        one: wave_work.MachineWork,
         reason: machines_port.Refusal,
         workers: dict[str, worker_view.WorkerView],
         now_ms: int,
@@ -369,7 +330,7 @@
                 self._finish(work, one, workers, now_ms)
             case _:
                 one.not_before_ms = now_ms + RETRY_PAUSE_MS
-                self._enter(one, Phase.WAITING, now_ms)
+                self._enter(one, wave_work.Phase.WAITING, now_ms)
                 self._reopen(one, workers)
 
     def drain_writes(self) -> dict[str, bytes]:
@@ -380,8 +341,8 @@
             writes[f"{records.WAVE_PREFIX}{number}"] = records.encode(
                 records.WaveRecord(
                     work.began_wall_ms,
-                    work.in_phase(Phase.AWAY),
-                    work.in_phase(Phase.FINISHED),
+                    work.in_phase(wave_work.Phase.AWAY),
+                    work.in_phase(wave_work.Phase.FINISHED),
                     work.is_completed,
                 )
             )
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -8,7 +8,6 @@
 from typing import final
 from typing import Self
 
-import attrs
 import logbook
 import result
 
@@ -17,17 +16,20 @@
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import advice as advice_module
 from comfreylatch._process.cell import advice_desk
+from comfreylatch._process.cell import cell_report
 from comfreylatch._process.cell import disturbance
 from comfreylatch._process.cell import durations as durations_module
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import inheritance as inheritance_module
 from comfreylatch._process.cell import job_book
 from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import learning
 from comfreylatch._process.cell import machine_desk
 from comfreylatch._process.cell import maintenance
 from comfreylatch._process.cell import planner as planner_module
 from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import reasons
-from comfreylatch._process.cell import records
+from comfreylatch._process.cell import recorded_lives
 from comfreylatch._process.cell import run_control as run_control_module
 from comfreylatch._process.cell import run_orders
 from comfreylatch._process.cell import runs as runs_module
@@ -47,9 +49,6 @@
 PASS_PAUSE_FACTOR = 3
 # Between two log lines on how full the cell is.
 REPORT_MS = 1_000
-# Between two records of what was learned. An owner that is lost takes so much
-# learning with it at most; a record has about 2 KB.
-LEARNED_INTERVAL_MS = 2_000
 # Run numbers of a task rise by this much with each owner, so that one whose
 # predecessor's starts it can't know never uses a number twice.
 RUNS_PER_OWNER = 1_000
@@ -57,30 +56,6 @@
 _logger = logbook.Logger(__name__)
 
 
-@attrs.frozen
-class Inheritance:
-    """What a new owner takes over.
-
-    Attributes:
-        token: Its fencing token.
-        jobs: Unfinished jobs as the book has them.
-        progress: Recorded progress by job.
-        release_after_ms: Monotonic time after which nothing that the owner
-            before started can run where this one reaches no worker.
-        known_workers: Birth times of the workers of the owner before.
-        learned: What it has learned.
-        waves: Waves of maintenance that it has seen, by number.
-    """
-
-    token: int
-    jobs: tuple[job_book.JobEntry, ...]
-    progress: dict[str, records.ProgressRecord]
-    release_after_ms: int
-    known_workers: dict[str, int]
-    learned: records.LearnedRecord = records.LearnedRecord()
-    waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
-
-
 @final
 class Owner:
     """One host's tenure over a cell. A context manager.
@@ -94,7 +69,7 @@
 
     def __init__(
         self,
-        inheritance: Inheritance,
+        inheritance: inheritance_module.Inheritance,
         scribe: scribe_module.Scribe,
         parts: tenure_parts.TenureParts,
         host_name: str,
@@ -119,8 +94,6 @@
             inheritance.release_after_ms,
         )
         model = disturbance.DisturbanceModel()
-        model.restore(inheritance.learned)
-        self._durations.restore(inheritance.learned.duration_ratios)
         self._model = model
         self._orders = run_orders.RunOrders(
             self._jobs, self._workers, model, metrics, clock
@@ -138,27 +111,13 @@
             self._workers, self._ranker, model
         )
         self._advice = advice_module.AdvicePlan(metrics)
-        self._advice_desk = None
-        if parts.adviser is not None:
-            self._advice_desk = advice_desk.AdviceDesk(
-                parts.adviser, self._events.put, clock
-            )
         self._waves = parts.waves
         self._maintenance = maintenance.MaintenancePlan(
             inheritance.waves,
             clock.monotonic_ms() + parts.handover_ms,
             metrics,
         )
-        self._machine_desk = None
-        if parts.machines is not None:
-            self._machine_desk = machine_desk.MachineDesk(
-                parts.machines,
-                host_name,
-                inheritance.token,
-                scribe.may_act,
-                self._events.put,
-                clock,
-            )
+        self._open_desks(parts, host_name)
         self._started_ms = clock.monotonic_ms()
         self._is_settled = False
         self._ticked_ms = 0
@@ -167,10 +126,32 @@
         self._pass_took_ms = 0
         self._stop_reason: reasons.TenureEnd | None = None
         self._must_acknowledge: set[str] = set()
-        self._recorded_lives: dict[str, int] = {}
-        self._known_lives: dict[str, int] = {}
-        self._learned_recorded_ms = clock.monotonic_ms()
-        self._recorded_learned = inheritance.learned
+        self._lives = recorded_lives.RecordedLives(
+            self._workers, inheritance.known_workers, self._events.put
+        )
+        self._learning = learning.Learning(
+            model, self._durations, inheritance.learned, clock
+        )
+
+    def _open_desks(
+        self, parts: tenure_parts.TenureParts, host_name: str
+    ) -> None:
+        """Opens those services of the platform that there are."""
+        self._advice_desk = None
+        if parts.adviser is not None:
+            self._advice_desk = advice_desk.AdviceDesk(
+                parts.adviser, self._events.put, parts.clock
+            )
+        self._machine_desk = None
+        if parts.machines is not None:
+            self._machine_desk = machine_desk.MachineDesk(
+                parts.machines,
+                host_name,
+                self._inheritance.token,
+                self._scribe.may_act,
+                self._events.put,
+                parts.clock,
+            )
 
     def __enter__(self) -> Self:
         self._workers.__enter__()
@@ -251,7 +232,7 @@
             case events.StartReturned() | events.StopReturned():
                 self._handle_order(event)
             case events.LivesRecorded(born_ms):
-                self._known_lives = born_ms
+                self._lives.note_kept(born_ms)
             case events.AdviceReturned():
                 self._advice.take(event, self._clock.monotonic_ms())
             case (
@@ -332,32 +313,12 @@
             self._settle(now_ms)
 
     def _report(self) -> None:
-        """Logs how full the cell is."""
-        views = list(self._workers)
-        answering = [view for view in views if view.is_answering]
-        steps = self._jobs.ready_steps()
-        logs.event(
-            _logger,
-            "cell",
-            token=self._inheritance.token,
-            workers=len(views),
-            answering=len(answering),
-            cpu_millicores=sum(
-                view.entry.capacity.cpu_millicores for view in answering
-            ),
-            free_millicores=sum(view.free_cpu for view in answering),
-            lasting_millicores=sum(
-                view.lasting_millicores for view in answering
-            ),
-            lasting_workers=sum(
-                view.lasting_millicores > 0 for view in answering
-            ),
-            fill_millicores=sum(view.fill_millicores for view in answering),
-            jobs=len(self._jobs),
-            waiting_steps=len(steps),
-            waiting_tasks=sum(len(step.open_tasks) for step in steps),
-            append_age_ms=self._scribe.append_age_ms,
-            pressures=self._model.summary(),
+        cell_report.write(
+            self._inheritance.token,
+            self._workers,
+            self._jobs,
+            self._model.summary(),
+            self._scribe.append_age_ms,
         )
 
     def _settle(self, now_ms: int) -> None:
@@ -437,48 +398,11 @@
 
         return observe
 
-    def _record_lives(
-        self,
-        work: dict[str, bytes | None],
-        recorded: list[Callable[[], None]],
-    ) -> None:
-        """Adds the lives on which something may run, if they have changed.
-
-        Until all is known that the owner before started, its lives stay among
-        them, so that an owner after this one asks there, too.
-        """
-        born_ms = self._workers.lives()
-        if not self._is_settled:
-            born_ms = {**self._inheritance.known_workers, **born_ms}
-        if born_ms == self._recorded_lives:
-            # An older record says nothing once a newer one is queued.
-            if self._known_lives is self._recorded_lives:
-                self._workers.allow_starts(born_ms)
-            return
-        self._recorded_lives = born_ms
-        # Either record may be the last one now.
-        self._workers.forbid_starts(born_ms)
-        work[records.WORKERS_KEY] = records.encode(
-            records.WorkersRecord(born_ms)
-        )
-        recorded.append(lambda: self._events.put(events.LivesRecorded(born_ms)))
-
-    def _record_learned(self, work: dict[str, bytes | None]) -> None:
-        """Adds what was learned to the records of a round, now and then."""
-        now_ms = self._clock.monotonic_ms()
-        if now_ms - self._learned_recorded_ms < LEARNED_INTERVAL_MS:
-            return
-        self._learned_recorded_ms = now_ms
-        learned = self._model.export(self._durations.export())
-        if learned != self._recorded_learned:
-            self._recorded_learned = learned
-            work[records.LEARNED_KEY] = records.encode(learned)
-
     def _record(self) -> None:
         writes = self._jobs.drain_writes()
         recorded: list[Callable[[], None]] = []
-        self._record_lives(writes.work, recorded)
-        self._record_learned(writes.work)
+        self._lives.add_writes(writes.work, recorded, self._is_settled)
+        self._learning.add_writes(writes.work)
         writes.work.update(self._maintenance.drain_writes())
         if self._must_acknowledge:
             recorded.append(self._record_timer())
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -8,7 +8,7 @@
 
 from comfreylatch._process import logs
 from comfreylatch._process.cell import claiming
-from comfreylatch._process.cell import owner as owner_module
+from comfreylatch._process.cell import inheritance
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import scribe as scribe_module
 from comfreylatch._process.cell import tenure_parts
@@ -35,7 +35,7 @@
     token: int,
     scribe: scribe_module.Scribe,
     predecessor: records.HeartbeatRecord | None,
-) -> owner_module.Inheritance | None:
+) -> inheritance.Inheritance | None:
     """Fences the owner before and reads what it has recorded."""
     started_ms = parts.clock.monotonic_ms()
     first_offset = scribe.fence()
@@ -63,7 +63,7 @@
         jobs=len(jobs),
         took_ms=parts.clock.monotonic_ms() - started_ms,
     )
-    return owner_module.Inheritance(
+    return inheritance.Inheritance(
         token,
         tuple(jobs),
         work.progress,
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -13,6 +13,7 @@
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import maintenance
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import wave_work
 from tests.process.cell import harness
 
 DONE = cell_workers.RunEnd.DONE
@@ -40,7 +41,7 @@
         super().setUp()
         self.cell = harness.Cell(workers=3)
         self.plan = self.new_plan()
-        self.reports: list[maintenance.Report] = []
+        self.reports: list[wave_work.Report] = []
         self.states = dict.fromkeys(WAVE.machines, UP)
 
     def new_plan(
@@ -60,9 +61,9 @@
         now_ms = self.cell.clock.monotonic_ms()
         actions = self.ask(wave)
         self.reports += [
-            one for one in actions if isinstance(one, maintenance.Report)
+            one for one in actions if isinstance(one, wave_work.Report)
         ]
-        if maintenance.ListMachines() not in actions:
+        if wave_work.ListMachines() not in actions:
             return actions
         found = tuple(
             machines_port.Machine(name, state, name.replace("m", "w"))
@@ -73,7 +74,7 @@
             self.cell.workers.by_id(),
             now_ms,
         )
-        return [one for one in actions if one != maintenance.ListMachines()]
+        return [one for one in actions if one != wave_work.ListMachines()]
 
     def ask(self, wave: machines_port.Wave) -> list[Any]:
         """What has to be done now."""
@@ -93,7 +94,7 @@
             found += [
                 one.machine_id
                 for one in self.step(wave)
-                if isinstance(one, maintenance.Maintain)
+                if isinstance(one, wave_work.Maintain)
             ]
         return found
 
@@ -160,7 +161,7 @@
         for _ in range(6):
             for machine_id in self.orders():
                 self.answer(machine_id, result.Ok(None))
-        self.assertIn(maintenance.Report(1, True), self.reports)
+        self.assertIn(wave_work.Report(1, True), self.reports)
         record = self.plan.drain_writes()[records.WAVE_PREFIX + "1"]
         self.assertTrue(records.decode(records.WaveRecord, record).is_completed)
 
@@ -168,7 +169,7 @@
         for machine_id in self.orders():
             self.answer(machine_id, result.Ok(None))
         self.orders()
-        self.assertNotIn(maintenance.Report(1, True), self.reports)
+        self.assertNotIn(wave_work.Report(1, True), self.reports)
 
     def test_next_owner_does_not_begin_anew(self) -> None:
         self.plan = self.new_plan(
@@ -206,7 +207,7 @@
 
     def test_report_that_failed_is_made_again(self) -> None:
         first = self.ask(WAVE)
-        self.assertIn(maintenance.Report(1, False), first)
-        self.assertNotIn(maintenance.Report(1, False), self.ask(WAVE))
+        self.assertIn(wave_work.Report(1, False), first)
+        self.assertNotIn(wave_work.Report(1, False), self.ask(WAVE))
         self.plan.report_failed(1)
-        self.assertIn(maintenance.Report(1, False), self.ask(WAVE))
+        self.assertIn(wave_work.Report(1, False), self.ask(WAVE))
