Answer requests that cross the close of an idle connection

Cause: a drain lets the server's loop expire idle keep-alive connections. The loop polls them, then closes those that have expired, and a request that arrives in between was closed without a reply. A request still on its way when the connection is closed got none either.

Change: a connection is polled once more right before it is closed, and a request found there is answered. While draining, an idle connection is closed with a refusal (503, not-run, Connection: close) and the end of the stream, and its socket stays open for reading until the caller closes, for up to 500 ms, so that no reset drops the refusal.

Ruled out: polling alone.

--- a/src/comfreylatch/_connection/http_gateway.py
+++ b/src/comfreylatch/_connection/http_gateway.py
@@ -263,6 +263,14 @@
     )
 
 
+def unrequested_refusal() -> bytes:
+    """Encodes the refusal that is sent before an idle connection is closed."""
+    reply = _stopping_reply()
+    headers = {**reply.headers, "Connection": "close"}
+    head = reply_head("HTTP/1.1", reply.status, headers, len(reply.body))
+    return head + reply.body
+
+
 def _body_error_reply(error: _BodyError) -> http.HttpReply:
     reply = http.error_reply(error.status, error.reason, error.detail)
     return attrs.evolve(
--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import select
+import socket
 import threading
 import time
 from types import TracebackType
@@ -29,7 +31,10 @@
 # Must not be negative: connections accepted while it is set use it as their
 # socket timeout.
 IMMEDIATE_EXPIRY_S = 0.001
+# Covers the way of a refusal to the caller and the caller's close back.
+LINGER_MS = 500
 
+_DISCARD_BYTES = 65_536
 
 _logger = logbook.Logger("comfreylatch.http-server")
 
@@ -77,6 +82,7 @@
             server_name="comfreylatch",
         )
         self._server.state = self._state
+        self._server.lingering = []
         self._server.max_request_header_size = max_header_bytes
         self._server.max_request_body_size = max_body_bytes
         self._server.timeout = idle_timeout_ms / 1_000
@@ -145,12 +151,7 @@
             time.sleep(POLL_INTERVAL_S)
 
     def _close_idle_connections(self) -> None:
-        """Lets the server's own loop close keep-alive connections.
-
-        The loop closes a connection only right after a check that no request
-        has arrived on it. Stopping the server closes them up to half a second
-        after the last check and drops requests that arrived in between.
-        """
+        """Lets the server's own loop close keep-alive connections."""
         self._server.timeout = IMMEDIATE_EXPIRY_S
         time.sleep(2 * EXPIRATION_INTERVAL_S)
         self._state.wait_until_idle(IDLE_TIMEOUT_MS)
@@ -176,6 +177,7 @@
         self._wait_until_no_arrivals()
         finished = self._state.wait_until_idle(timeout_ms)
         self._close_idle_connections()
+        self._server.close_lingering(LINGER_MS)
         self._server.shutdown_timeout = 1 if finished else POLL_INTERVAL_S
         stopper = threading.Thread(
             target=self._server.stop, name="http-stop", daemon=True
@@ -185,6 +187,16 @@
         return finished
 
 
+def _discard_until_closed(peer: socket.socket, timeout_ms: int) -> None:
+    """Reads and drops what a peer sends until it closes or goes silent."""
+    peer.settimeout(max(timeout_ms, 1) / 1_000)
+    try:
+        while peer.recv(_DISCARD_BYTES):
+            pass
+    except OSError as error:
+        _logger.debug("peer-not-closed error={!r}", error)
+
+
 class _Request(cheroot_server.HTTPRequest):
     """Cheroot's request, with errors as JSON replies."""
 
@@ -207,11 +219,54 @@
 
 
 class _Connection(cheroot_server.HTTPConnection):
-    """Cheroot's connection with the arrival time of its current request."""
+    """Cheroot's connection with the arrival time of its current request.
+
+    Attributes:
+        arrived_ms: Monotonic time at which its current request arrived; -1
+            before the first.
+        is_polled: Whether the server's loop has polled it for data.
+        is_idle: Whether it waits in the server's loop for its next request.
+    """
 
     RequestHandlerClass = _Request
     arrived_ms = -1
     is_polled = False
+    is_idle = False
+
+    def close(self) -> None:
+        """Closes the connection, unless a request has arrived on it while idle.
+
+        The loop polls its connections some time before it closes those that
+        have expired. A request that arrives in between is answered first.
+        While draining, the connection is closed with a refusal: a request that
+        is on its way gets that as its reply.
+        """
+        if self.is_idle and self._has_data():
+            self.server.process_conn(self)
+            return
+        if self.is_idle and self.server.state.draining and self._refuse():
+            self.linger = True  # Keeps the socket open.
+            self.server.lingering.append(self.socket)
+        super().close()
+
+    def _refuse(self) -> bool:
+        """Sends a refusal and the end of the stream; False if that fails."""
+        try:
+            self.socket.sendall(http_gateway.unrequested_refusal())
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            _logger.debug("refusal-not-sent error={!r}", error)
+            return False
+        return True
+
+    def _has_data(self) -> bool:
+        """Whether a read returns at once: data, or the end of the stream."""
+        poller = select.poll()
+        try:
+            poller.register(self.socket, select.POLLIN)
+            return bool(poller.poll(0))
+        except (OSError, ValueError):
+            return False  # The socket is closed already.
 
 
 class _Server(cheroot_server.HTTPServer):
@@ -222,18 +277,35 @@
     keep_alive_conn_limit = MAX_KEEPALIVE_CONNECTIONS
     expiration_interval = EXPIRATION_INTERVAL_S
     state: http_gateway.ServerState
+    lingering: list[socket.socket]
+
+    def close_lingering(self, timeout_ms: int) -> None:
+        """Closes the sockets of refused callers once these have closed theirs.
+
+        Closing a socket with unread data resets the connection, and the caller
+        may then lose the refusal. After `timeout_ms` they are closed anyway.
+        """
+        deadline_ms = self.state.clock.monotonic_ms() + timeout_ms
+        while self.lingering:
+            closed = self.lingering.pop()
+            with closed:
+                remaining_ms = deadline_ms - self.state.clock.monotonic_ms()
+                _discard_until_closed(closed, remaining_ms)
 
     def process_conn(self, conn: _Connection) -> None:
         """Queues a readable connection; a new one first waits for data."""
         if not conn.is_polled:
             conn.is_polled = True
+            conn.is_idle = True
             self._connections.put(conn)
             return
+        conn.is_idle = False
         conn.arrived_ms = self.state.clock.monotonic_ms()
         super().process_conn(conn)
 
     def put_conn(self, conn: _Connection) -> None:
         """Keeps a connection open for its next request, unless stopping."""
+        conn.is_idle = True
         try:
             super().put_conn(conn)
         except (OSError, ValueError, KeyError) as error:
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import socket
 import threading
 import time
@@ -17,6 +18,9 @@
 
 MAX_BODY_BYTES = 1_000
 MAX_HEADER_BYTES = 4_000
+IDLE_CONNECTIONS = 200
+# Time from the start of a drain without arrivals to the next expiration.
+CLOSE_AFTER_S = 0.15
 
 
 class HttpServerTest(testtools.TestCase):
@@ -271,6 +275,54 @@
         self.assertTrue(sent.is_set())
         self.assertIn(b" 503 ", self.read_all(idle))
 
+    def test_requests_sent_while_idle_connections_are_closed_are_answered(
+        self,
+    ) -> None:
+        # Without a refusal on each closed connection, a request that crosses
+        # the close on its way gets no reply.
+        seed = 1
+        print(f"seed {seed}")
+        chance = random.Random(seed)
+        get = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        idle = [self.connect() for _ in range(IDLE_CONNECTIONS)]
+        for connection in idle:
+            connection.sendall(get)
+            self.assertIn(b" 200 ", connection.recv(65_536))
+        replies: list[bytes] = []
+
+        def send_around_the_close(connection: socket.socket) -> None:
+            time.sleep(CLOSE_AFTER_S + chance.uniform(-0.15, 0.15))
+            connection.sendall(get)
+            replies.append(connection.recv(65_536))
+
+        callers = [
+            threading.Thread(target=send_around_the_close, args=(connection,))
+            for connection in idle
+        ]
+        for caller in callers:
+            caller.start()
+        with unittest.mock.patch.object(
+            http_server.HttpServer, "_wait_until_no_arrivals"
+        ):
+            self.server.drain(1_000)
+        for caller in callers:
+            caller.join()
+        self.assertEqual(IDLE_CONNECTIONS, len(replies))
+        statuses = {reply[9:12] for reply in replies}
+        self.assertEqual(set(), statuses - {b"200", b"503"})
+        self.assertIn(b"503", statuses)
+
+    def test_refusal_before_a_close_says_that_nothing_has_run(self) -> None:
+        idle = self.connect()
+        idle.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertIn(b" 200 ", idle.recv(65_536))
+        self.server.drain(1_000)
+        refusal = self.read_all(idle)
+        self.assertIn(b" 503 ", refusal)
+        self.assertIn(b"X-Outcome: not-run", refusal)
+        self.assertIn(b"Connection: close", refusal)
+        self.assertIn(b"Retry-After: ", refusal)
+
     def test_taken_port_is_a_clear_error(self) -> None:
         second = http_server.HttpServer(
             self.server.address, self.handle, 1, MAX_BODY_BYTES
