Run every due occurrence of a repeating job after a takeover

Cause: creating an occurrence moved the counter of created occurrences past it. A new owner creates the occurrences that have recorded progress first, so that an earlier one without progress was never created, and the job was shown as completed without it.

Change: the counter names the lowest occurrence that has not been created. Progress of an occurrence that the job doesn't have is ignored.

test_occurrence_without_progress_is_restored failed before ([0, 1] != [1]) and passes.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -111,9 +111,6 @@
                 and job.due_wall_ms(job.next_occurrence) <= now_ms
             ):
                 occurrence = job.next_occurrence
-                if occurrence in job.steps:
-                    job.next_occurrence += 1
-                    continue
                 job.create_occurrence(occurrence)
                 self._add_ready_steps(job, occurrence)
             if job.next_occurrence >= job.occurrence_count:
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -239,7 +239,8 @@
         spec: The job as submitted.
         accepted_ms: When it was accepted, on this host's monotonic clock.
         steps: Steps of the occurrences created so far, by occurrence.
-        next_occurrence: The occurrence after the last one created so far.
+        next_occurrence: The lowest occurrence that has not been created. Later
+            ones may exist, as a previous owner may have created them.
         state: State as last recorded.
         is_cancelled: Whether a caller has cancelled it.
         is_dirty: Whether its progress has to be recorded.
@@ -285,7 +286,8 @@
             step.unfinished_count = spec.task_count
             steps.append(step)
         self.steps[occurrence] = steps
-        self.next_occurrence = max(self.next_occurrence, occurrence + 1)
+        while self.next_occurrence in self.steps:
+            self.next_occurrence += 1
         return steps
 
     def all_steps(self) -> Iterator[StepInstance]:
@@ -363,6 +365,8 @@
     def restore(self, progress: records.ProgressRecord) -> None:
         """Restores the progress that a previous owner recorded."""
         for recorded in progress.steps:
+            if not 0 <= recorded.occurrence < self.occurrence_count:
+                continue
             if recorded.occurrence not in self.steps:
                 self.create_occurrence(recorded.occurrence)
             for index in recorded.done:
