Make workers keep an ended attempt until it is to be forgotten

Cause: any command made a worker drop the status of an attempt that had ended. A throttle or checkpoint that crossed an end dropped it, and when the owner could not record what the answer said, the next owner found nothing and ran the work again.

Change: a command of its own, `forget`, drops an ended attempt. An owner sends it once the end stands on the stream, or for an attempt that the stream gives to nobody. All other commands leave the end in place.

Ruled out: sending no command near an expected end; ends can't be predicted.

test_command_that_crosses_an_end_does_not_lose_it fails without the change (2 attempts) and passes with it.

--- a/src/comfreylatch/_connection/worker_client.py
+++ b/src/comfreylatch/_connection/worker_client.py
@@ -25,6 +25,7 @@
     workers.StopTask: "stop",
     workers.CheckpointTask: "checkpoint",
     workers.ThrottleTask: "throttle",
+    workers.ForgetTask: "forget",
 }
 
 _report_decoder = msgspec.json.Decoder(workers.WorkerReport)
--- a/src/comfreylatch/_ports/workers.py
+++ b/src/comfreylatch/_ports/workers.py
@@ -95,7 +95,18 @@
     share_milli: int
 
 
-Command = StartTask | StopTask | CheckpointTask | ThrottleTask
+@attrs.frozen
+class ForgetTask:
+    """Acknowledges the end of an attempt, which is no longer reported then.
+
+    It has no effect on a running attempt.
+    """
+
+    job: str
+    attempt: int
+
+
+Command = StartTask | StopTask | CheckpointTask | ThrottleTask | ForgetTask
 
 
 @attrs.frozen
@@ -127,7 +138,7 @@
         job: Job id.
         attempt: Attempt number.
         state: Running, or how it ended. The worker reports an ended attempt
-            until a later exchange has a command for it, or for some time.
+            until it is told to forget it, or for some time.
         progress_ms: Work done so far, as run time without interference.
         checkpoint_ms: Progress at the last checkpoint.
         share_milli: Current throttle in thousandths; 1000 for none.
--- a/src/comfreylatch/_process/batch/attempt_tracker.py
+++ b/src/comfreylatch/_process/batch/attempt_tracker.py
@@ -109,8 +109,7 @@
             del self._by_worker[worker]
         self._pending.forget(job)
         if attempt.confirmed:
-            # Makes the worker forget the ended attempt.
-            command = attempt.stop_command()
+            command = workers.ForgetTask(job, attempt.state.attempt)
             self._sink.queue_command(worker, command, at_once=False)
         elif attempt.start_queued_ms >= 0:
             self._sink.withdraw_command(worker, attempt.start_command())
@@ -293,9 +292,11 @@
             self._metrics.count(
                 metrics_module.Counter.JOB_EVENTS, "stray-attempt"
             )
-        running = task.state is workers.TaskState.RUNNING
-        command = workers.StopTask(task.job, task.attempt)
-        self._sink.queue_command(worker, command, at_once=running)
+            command = workers.StopTask(task.job, task.attempt)
+            self._sink.queue_command(worker, command)
+            return
+        forget = workers.ForgetTask(task.job, task.attempt)
+        self._sink.queue_command(worker, forget, at_once=False)
 
     def _record_lost(self, attempt: attempt_module.Attempt) -> None:
         self._pending.add_end(attempt, job_records.AttemptEnd.LOST)
@@ -405,8 +406,6 @@
     def throttle(self, job: str, share_milli: int) -> None:
         """Queues a limit of a job's attempt to a share of its processors."""
         attempt = self._attempts.get(job)
-        # A worker forgets an ended attempt when it gets a command for it;
-        # an end that isn't recorded yet would be lost.
         if attempt and attempt.confirmed and not self._pending.has_end(job):
             command = attempt.throttle_command(share_milli)
             self._sink.queue_command(attempt.state.worker, command)
--- a/src/comfreylatch/_process/batch/worker_session.py
+++ b/src/comfreylatch/_process/batch/worker_session.py
@@ -240,11 +240,7 @@
         )
 
     def _dequeue_commands(self, may_start: bool) -> tuple[workers.Command, ...]:
-        """Dequeues commands; none while their outcome can't be recorded.
-
-        A worker forgets an ended attempt once it gets a command for it; the
-        end would be lost if this host could not record it.
-        """
+        """Dequeues commands; none while their outcome can't be recorded."""
         if not may_start:
             return ()
         dequeued: list[workers.Command] = []
--- a/testing/fakes/workers.py
+++ b/testing/fakes/workers.py
@@ -146,7 +146,8 @@
         )
         if refusal is None:
             for command in exchange.commands:
-                self._drop_ended(command)
+                if isinstance(command, workers.ForgetTask):
+                    self._drop_ended(command)
         return report
 
     def used(self) -> workers.Resources:
@@ -170,7 +171,7 @@
             return workers.CommandStatus.REFUSED_STALE
         return None
 
-    def _drop_ended(self, command: workers.Command) -> None:
+    def _drop_ended(self, command: workers.ForgetTask) -> None:
         task = self.tasks.get((command.job, command.attempt))
         if task and task.state is not workers.TaskState.RUNNING:
             del self.tasks[command.job, command.attempt]
--- a/testing/standins/worker_codec.py
+++ b/testing/standins/worker_codec.py
@@ -14,6 +14,7 @@
     "stop": workers.StopTask,
     "checkpoint": workers.CheckpointTask,
     "throttle": workers.ThrottleTask,
+    "forget": workers.ForgetTask,
 }
 
 
--- a/testing/standins/worker_host.py
+++ b/testing/standins/worker_host.py
@@ -126,7 +126,8 @@
         report = self._make_report(now_ms, statuses)
         if refusal is None:
             for command in exchange.commands:
-                self._tasks.drop_ended((command.job, command.attempt))
+                if isinstance(command, workers.ForgetTask):
+                    self._tasks.drop_ended((command.job, command.attempt))
         return report
 
     def _refusal(
--- a/tests/connection/test_worker_client.py
+++ b/tests/connection/test_worker_client.py
@@ -41,7 +41,7 @@
         return worker
 
     def test_every_command_is_executed(self) -> None:
-        """All four kinds reach the worker in their order."""
+        """All kinds reach the worker in their order."""
         address = self._worker().listener.address
         first = exchange_with(address).unwrap()
         size = workers.Resources(1_000, 100)
@@ -51,9 +51,10 @@
             workers.ThrottleTask("job", 1, 500),
             workers.CheckpointTask("job", 1),
             workers.StopTask("job", 1),
+            workers.ForgetTask("job", 1),
             quoted=first.report,
         ).unwrap()
-        self.assertEqual((workers.CommandStatus.DONE,) * 4, answer.statuses)
+        self.assertEqual((workers.CommandStatus.DONE,) * 5, answer.statuses)
         self.assertEqual(workers.TaskState.STOPPED, answer.tasks[0].state)
 
     def test_refused_connection_is_unreachable(self) -> None:
--- a/tests/process/batch/test_zone_owner.py
+++ b/tests/process/batch/test_zone_owner.py
@@ -105,6 +105,27 @@
         self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
         self.assertEqual(1, state.attempt)
 
+    def test_command_that_crosses_an_end_does_not_lose_it(self) -> None:
+        """The owner commands the attempt until it reads of its end."""
+        zone = started_zone()
+        zone.submit("job", HALF_WORKER, 3_000)
+        while not zone.running():
+            zone.run(fake_zone.TICK_MS)
+        worker = zone.fleet[zone.running()["job"]]
+        while worker.running()[0].progress_ms < 2_500:
+            zone.run(fake_zone.TICK_MS)
+        owner = zone.owner()
+        zone.stream.cut.add(owner.name)
+        while worker.running():
+            owner.owner.throttle("job", 1_000)
+            zone.run(fake_zone.TICK_MS)
+        zone.run(fake_zone.TICK_MS)
+        owner.paused = True
+        zone.run(30_000)
+        state = zone.state("job")
+        self.assertEqual(job_state.JobPhase.FINISHED, state.phase)
+        self.assertEqual(1, state.attempt)
+
     def test_cut_off_owner_sends_leases_only(self) -> None:
         """It sends no command whose outcome it could not record."""
         zone = started_zone()
--- a/tests/system/test_worker_stand_in.py
+++ b/tests/system/test_worker_stand_in.py
@@ -105,7 +105,7 @@
         self.assertGreater(status.checkpoint_ms, 0)
         self.assertLessEqual(status.progress_ms, 60)
 
-    def test_ended_task_is_reported_until_a_command_names_it(self) -> None:
+    def test_ended_task_is_reported_until_it_is_to_be_forgotten(self) -> None:
         quoted = self.exchange(
             self.first_report(), start("a", run_time_ms=1)
         ).report
@@ -113,10 +113,21 @@
         report = self.exchange(quoted)
         self.assertEqual(workers.TaskState.FINISHED, report.tasks[0].state)
         stop = {"stop": {"job": "a", "attempt": 1}}
-        report = self.exchange(report.report, stop)
-        self.assertEqual(1, len(report.tasks))
+        throttle = {"throttle": {"job": "a", "attempt": 1, "share_milli": 500}}
+        report = self.exchange(report.report, stop, throttle)
+        report = self.exchange(report.report)
+        self.assertEqual(workers.TaskState.FINISHED, report.tasks[0].state)
+        forget = {"forget": {"job": "a", "attempt": 1}}
+        report = self.exchange(report.report, forget)
         self.assertEqual((), self.exchange(report.report).tasks)
 
+    def test_running_task_is_not_forgotten(self) -> None:
+        forget = {"forget": {"job": "a", "attempt": 1}}
+        quoted = self.exchange(self.first_report(), start("a")).report
+        report = self.exchange(quoted, forget)
+        report = self.exchange(report.report)
+        self.assertEqual(workers.TaskState.RUNNING, report.tasks[0].state)
+
     def test_kill_clears_all_state(self) -> None:
         before = self.exchange(self.first_report(), start("a"))
         self.worker.change({"kill": True})
