Send no queued start of a run that was given up

Cause, by reading: a worker's orders are sent in turn, and each one to a worker that can't be reached takes its timeout. A start may still be queued behind others when the worker's lease has ended and its runs are given up. When the worker is reached again before the queue is empty, the start was sent with a fresh deadline, while the task had a new run elsewhere.

Change: a run that has ended or was given up is marked as over, and its start isn't sent. The end of a lease marks the runs first and then looks for a deadline that a start has noted meanwhile, in which case they stay.

Ruled out: late execution of a start by the worker (its deadline is absolute), clock drift (in the lease's end), starts of two owners (fenced).

Both tests of ExpiredLeaseTest fail without the change.

--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -70,6 +70,9 @@
         unanswered_tries: Tries of its start order that got no answer.
         is_in_doubt: Whether an order is unconfirmed that the worker may have
             carried out or may still carry out.
+        is_over: Whether it is known to have ended or was given up. A start
+            order that is still queued must not be sent then, as its task may
+            have another run.
     """
 
     task: Task
@@ -87,11 +90,16 @@
     pace_changed_ms: int = 0
     unanswered_tries: int = 0
     is_in_doubt: bool = False
+    is_over: bool = False
 
     @property
     def should_start(self) -> bool:
         """Whether it is to be started if it hasn't been. Thread-safe."""
-        return self.phase is not RunPhase.STOPPING and not self.task.is_done
+        return (
+            not self.is_over
+            and self.phase is not RunPhase.STOPPING
+            and not self.task.is_done
+        )
 
 
 @attrs.define(eq=False)
@@ -208,6 +216,7 @@
     def remove_run(self, run: Run, now_ms: int) -> None:
         """Removes a run that has ended; its task may become pending."""
         task = run.task
+        run.is_over = True
         if run not in task.runs:
             return
         task.runs.remove(run)
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -220,7 +220,7 @@
             if view.unlisted_since_ms and missing_ms > UNLISTED_GRACE_MS:
                 runs = tuple(self._drop(view, "gone"))
                 lost.append(LostRuns(runs, reasons.LossReason.WORKER_GONE))
-            elif view.runs:
+            elif view.runs and not _start_was_sent(view, session):
                 runs = tuple(view.runs.values())
                 for run in runs:
                     view.remove(run)
@@ -288,3 +288,22 @@
             runs=len(runs),
         )
         return runs
+
+
+def _start_was_sent(
+    view: worker_view.WorkerView, session: worker_session.WorkerSession
+) -> bool:
+    """Marks a worker's runs as over, unless a start has just been sent to it.
+
+    The session's thread notes the deadline of a start before it checks whether
+    the run is over. So a start whose deadline is not noted after the mark is
+    not sent any more.
+    """
+    runs = tuple(view.runs.values())
+    for run in runs:
+        run.is_over = True
+    if session.latest_deadline_ms <= view.deadline_ms:
+        return False
+    for run in runs:
+        run.is_over = False
+    return True
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import unittest.mock
+
 import attrs
 import testtools
 
@@ -33,6 +35,49 @@
         self.assertFalse(self.cell.workers.has_unknown({"w1": 1}))
 
 
+class ExpiredLeaseTest(testtools.TestCase):
+    """A start is still queued when the lease of its worker ends."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=1)
+        self.cell.submit(harness.job())
+        (placement,) = self.cell.planner.place(
+            self.cell.jobs.ready_steps(), self.cell.clock.now_ms
+        )
+        self.run = placement.run
+        self.cell.dispatcher.send_start(self.run)
+        self.cell.fail_hold("w1")
+        self.cell.clock.advance(10_000)
+
+    def expire(self) -> None:
+        """Ends leases as the owner does."""
+        for lost in self.cell.workers.expire():
+            self.cell.dispatcher.handle_lost(lost)
+
+    def test_queued_start_of_a_lost_run_is_not_sent(self) -> None:
+        # The task may have a new run elsewhere when the worker is reachable
+        # again and its order queue goes on.
+        self.assertTrue(self.run.should_start)
+        self.expire()
+        self.assertEqual([], self.run.task.runs)
+        self.assertFalse(self.run.should_start)
+
+    def test_run_whose_start_is_sent_meanwhile_is_not_lost(self) -> None:
+        # The session notes a deadline after the lease was checked.
+        noted_ms = iter((0, 10**9))
+        session = unittest.mock.Mock()
+        type(session).latest_deadline_ms = unittest.mock.PropertyMock(
+            side_effect=noted_ms
+        )
+        with unittest.mock.patch.dict(
+            self.cell.workers._sessions, {"w1": session}
+        ):
+            self.expire()
+        self.assertEqual([self.run], self.run.task.runs)
+        self.assertTrue(self.run.should_start)
+
+
 class RecordedIncarnationsTest(testtools.TestCase):
     """Tasks start only on incarnations that are recorded."""
 
