Judge stalls by a worker's reports, and repeat stops that were refused

Two faults of the kind that other operators report, found by reading: - A run counted as stalled 2.5 s after its last progress by the owner's clock, also if its worker had not reported since. A worker that was only slow to report had its work stopped and started elsewhere. The time of the worker's last report now takes the place of the owner's clock. - A stop that an unhealthy worker refused (it did nothing) was taken as confirmed, so that a start that had been sent before, and was carried out late, could run beside the task's next run. The run now stays in doubt, and the stop is sent again after the next report.

Each has a test in test_run_reconciler.py that failed before.

--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -243,6 +243,11 @@
             case result.Ok(_):
                 run.confirmed_ms = self._clock.monotonic_ms()
                 run.is_in_doubt = False
+            case result.Err(
+                cell_workers.OrderRefused(cell_workers.Refusal.UNHEALTHY)
+            ):
+                # The worker did nothing, so a late start may still arrive.
+                run.is_in_doubt = True
             case result.Err(cell_workers.OrderRefused(_)):
                 run.confirmed_ms = self._clock.monotonic_ms()
             case result.Err(_):
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -26,8 +26,8 @@
 # faulty and avoided for a while. By chance, this happens once in ten thousand.
 FAILURES_BEFORE_AVOIDANCE = 3
 FAILING_WORKER_AVOIDANCE_MS = 5_000
-# Time without progress after which a run is considered stalled while its worker
-# still answers. The durations of an image's tasks vary by half.
+# Time without progress in a worker's reports after which a run is considered
+# stalled. The durations of an image's tasks vary by half.
 STALL_TIMEOUT_MS = 2_500
 # Time at a low pace after which a run with checkpoints is moved.
 SLOW_TIMEOUT_MS = 1_200
@@ -290,17 +290,20 @@
             for run in self._evacuation.runs_to_move(worker):
                 self._dispatcher.stop(run, reasons.StopReason.WORKER_LEAVES)
             for run in list(worker.runs.values()):
-                reason = self._reason_to_move(run, now_ms)
+                reason = self._reason_to_move(worker, run, now_ms)
                 if reason is not None:
                     self._dispatcher.stop(run, reason)
 
     def _reason_to_move(
-        self, run: runs_module.Run, now_ms: int
+        self,
+        worker: worker_view.WorkerView,
+        run: runs_module.Run,
+        now_ms: int,
     ) -> reasons.StopReason | None:
         """Returns why a run should move to another worker; None if not."""
         if run.phase is not runs_module.RunPhase.RUNNING:
             return None
-        if self._is_stalled(run, now_ms):
+        if self._is_stalled(worker, run):
             run.task.avoided_workers |= {run.worker_id}
             return reasons.StopReason.STALLED
         is_slow = (
@@ -310,12 +313,18 @@
         )
         return reasons.StopReason.SLOWED_DOWN if is_slow else None
 
-    def _is_stalled(self, run: runs_module.Run, now_ms: int) -> bool:
+    def _is_stalled(
+        self, worker: worker_view.WorkerView, run: runs_module.Run
+    ) -> bool:
+        """Whether a worker's reports show no progress of a run.
+
+        A worker that is silent or slow to report says nothing of its progress.
+        """
         spec = run.task.step.spec
         return (
             not spec.is_lasting
             and not spec.fills_idle
             and not spec.is_gang
             and run.progressed_ms > 0
-            and now_ms - run.progressed_ms > STALL_TIMEOUT_MS
+            and worker.answered_ms - run.progressed_ms > STALL_TIMEOUT_MS
         )
--- a/tests/process/cell/test_run_reconciler.py
+++ b/tests/process/cell/test_run_reconciler.py
@@ -169,6 +169,25 @@
         self.assertEqual([7], [run.number for run in task.runs])
         self.assertEqual([], cell.place())
 
+    def test_stop_that_an_unhealthy_worker_refused_is_sent_again(self) -> None:
+        # The worker did nothing, so a start that was sent before may still be
+        # carried out, and the task must not run elsewhere yet.
+        cell = harness.Cell()
+        cell.submit(harness.job())
+        (run,) = cell.place()
+        cell.dispatcher.stop(run, reasons.StopReason.STALLED)
+        refused = result.Err(
+            cell_workers.OrderRefused(cell_workers.Refusal.UNHEALTHY)
+        )
+        cell.dispatcher.handle_stop(
+            events.StopReturned(run.worker_id, run, refused)
+        )
+        cell.clock.advance(10)
+        cell.answer_hold(run.worker_id)
+        stop = (run.task.name, 1)
+        self.assertEqual([stop, stop], cell.sessions[run.worker_id].stops)
+        self.assertEqual([run], run.task.runs)
+
     def test_run_of_an_unknown_job_is_stopped(self) -> None:
         cell = harness.Cell()
         name = "f" * 16 + ".0.0.0"
@@ -177,6 +196,15 @@
         )
         self.assertEqual([(name, 1)], cell.sessions["w1"].stops)
 
+    def test_run_of_a_worker_that_is_slow_to_report_is_not_moved(self) -> None:
+        cell = harness.Cell()
+        cell.submit(harness.job())
+        (run,) = cell.place()
+        cell.answer_hold(run.worker_id, running=(harness.running_task(run),))
+        cell.clock.advance(5_000)
+        cell.reconciler.move_runs(cell.clock.now_ms)
+        self.assertEqual([], cell.sessions[run.worker_id].stops)
+
     def test_stalled_run_is_moved(self) -> None:
         cell = harness.Cell()
         cell.submit(harness.job())
