Keep leases and orders going after unexpected errors

Cause, by reading: a reply to a hold with a row of a wrong type (a progress of null) raised a TypeError in the thread that renews the worker's lease. The thread ended, and with it the lease and all later reports of that worker; the same held for any error in the thread that sends orders.

Change: such a reply counts as unanswered, and both threads log an error that nobody expected and go on. The hold loop is split into one call and its loop. Records with invalid text, or nested too deeply, are malformed records.

--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -232,5 +232,9 @@
     """
     try:
         return _DECODERS[kind].decode(value)
-    except msgspec.MsgspecError as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise BadRecordError(f"{kind.__name__}: {error}") from error
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -15,10 +15,12 @@
 from typing import Self
 
 import attrs
+import logbook
 import result
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import logs
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import runs as runs_module
 
@@ -37,6 +39,8 @@
 # it renews the lease without acknowledging them.
 RECORDING_WAIT_MS = 300
 
+_logger = logbook.Logger(__name__)
+
 PostEvent = Callable[[events.Event], None]
 Connect = Callable[[cell_workers.WorkerEntry], cell_workers.WorkerOrders]
 
@@ -183,49 +187,62 @@
     def _hold_loop(self) -> None:
         wait_ms = 0
         while not self._closing.is_set():
-            sent_ms = self._clock.monotonic_ms()
-            deadline_ms = self._deadline_ms()
-            outcome = self._orders.hold(
-                cell_workers.HoldOrder(
-                    self._lease.token,
-                    self._acknowledged_end,
-                    deadline_ms,
-                    wait_ms,
-                ),
-                wait_ms + HOLD_TIMEOUT_MS,
-            )
-            if self._closing.is_set():
-                return
-            received_ms = self._clock.monotonic_ms()
-            is_first = self._clock_read_ms == 0
-            wait_ms = HOLD_WAIT_MS
-            match outcome:
-                case result.Ok(answer):
-                    self._clock_ms = answer.clock_ms
-                    self._clock_read_ms = received_ms
-                    if self._is_failing or is_first:
-                        # The call sent no deadline; renew the lease at once.
-                        wait_ms = 0
-                    self._is_failing = False
-                case result.Err(_):
-                    self._is_failing = True
-            self._post(
-                events.HoldReturned(
-                    self._entry.worker_id,
-                    self._entry.born_ms,
-                    sent_ms,
-                    received_ms,
-                    deadline_ms,
-                    outcome,
-                )
+            try:
+                wait_ms = self._hold(wait_ms)
+            except Exception:
+                # The lease must go on being renewed.
+                self._log_failure("hold-failed")
+                wait_ms = 0
+                self._closing.wait(FAILED_HOLD_PAUSE_MS / 1_000)
+
+    def _log_failure(self, event: str) -> None:
+        logs.exception(
+            _logger,
+            event,
+            worker=self._entry.worker_id,
+            token=self._lease.token,
+        )
+
+    def _hold(self, wait_ms: int) -> int:
+        """Makes one hold call; returns how long the next one may wait."""
+        sent_ms = self._clock.monotonic_ms()
+        deadline_ms = self._deadline_ms()
+        outcome = self._orders.hold(
+            cell_workers.HoldOrder(
+                self._lease.token, self._acknowledged_end, deadline_ms, wait_ms
+            ),
+            wait_ms + HOLD_TIMEOUT_MS,
+        )
+        if self._closing.is_set():
+            return 0
+        received_ms = self._clock.monotonic_ms()
+        must_renew = self._clock_read_ms == 0 or self._is_failing
+        match outcome:
+            case result.Ok(answer):
+                self._clock_ms = answer.clock_ms
+                self._clock_read_ms = received_ms
+                self._is_failing = False
+            case result.Err(_):
+                self._is_failing = True
+        self._post(
+            events.HoldReturned(
+                self._entry.worker_id,
+                self._entry.born_ms,
+                sent_ms,
+                received_ms,
+                deadline_ms,
+                outcome,
             )
-            match outcome:
-                case result.Ok(answer):
-                    if not self._wait_until_recorded(answer):
-                        wait_ms = 0
-                case result.Err(_):
-                    wait_ms = 0
-                    self._closing.wait(FAILED_HOLD_PAUSE_MS / 1_000)
+        )
+        match outcome:
+            case result.Ok(answer):
+                # A call that sent no deadline is followed by one that does.
+                if not self._wait_until_recorded(answer) or must_renew:
+                    return 0
+                return HOLD_WAIT_MS
+            case result.Err(_):
+                self._closing.wait(FAILED_HOLD_PAUSE_MS / 1_000)
+                return 0
 
     def _wait_until_recorded(self, answer: cell_workers.HoldAnswer) -> bool:
         """Waits until the ends in an answer are recorded; False on timeout."""
@@ -245,21 +262,24 @@
             order = self._queue.get()
             if order is None or self._closing.is_set():
                 return
-            match order:
-                case _Start():
-                    self._send_start(order)
-                case _Stop():
-                    self._send_stop(order)
-                case _Pace():
-                    self._orders.pace(
-                        cell_workers.PaceOrder(
-                            order.task,
-                            order.number,
-                            order.percent,
-                            self._lease.token,
-                        ),
-                        ORDER_TIMEOUT_MS,
-                    )
+            try:
+                self._send(order)
+            except Exception:
+                self._log_failure("order-failed")
+
+    def _send(self, order: _Start | _Stop | _Pace) -> None:
+        match order:
+            case _Start():
+                self._send_start(order)
+            case _Stop():
+                self._send_stop(order)
+            case _Pace(task, number, percent):
+                self._orders.pace(
+                    cell_workers.PaceOrder(
+                        task, number, percent, self._lease.token
+                    ),
+                    ORDER_TIMEOUT_MS,
+                )
 
     def _send_start(self, order: _Start) -> None:
         tries = 0
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -434,7 +434,11 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise BadMessageError(f"{kind.__name__}: {error}") from error
 
 
--- a/src/comfreylatch/platform/workers.py
+++ b/src/comfreylatch/platform/workers.py
@@ -122,7 +122,12 @@
                     tuple(_decode_ended(row) for row in reply.ended),
                 )
             )
-        except (wire.BadMessageError, ValueError, IndexError) as error:
+        except (
+            wire.BadMessageError,
+            ValueError,
+            TypeError,
+            IndexError,
+        ) as error:
             return result.Err(cell_workers.OrderUnanswered(str(error)))
 
     def start(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,9 +4,13 @@
 
 import json
 from typing import Any
+import unittest.mock
 
+import result
 import testtools
 
+from comfreylatch._connection import json_call
+from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import specs
 from comfreylatch.platform import configuration
 from comfreylatch.platform import wire
@@ -24,6 +28,42 @@
 QUEUE = specs.QueueSpec("q", "a.example", "/q/", "skyproc")
 
 
+class HoldReplyTest(testtools.TestCase):
+    """Replies to a hold with rows of a wrong type."""
+
+    def hold(self, **fields: Any) -> Any:
+        """Has an executor reply with these fields; returns the outcome."""
+        reply = json.dumps({"ClockMs": 7, **fields}).encode()
+        entry = workers.decode_worker("i-1", json.dumps(ENTRY).encode(), None)
+        client = workers.WorkerClient(entry)
+        self.addCleanup(client.close)
+        answered = result.Ok(json_call.Answer(200, reply))
+        with unittest.mock.patch.object(
+            json_call, "call", return_value=answered
+        ):
+            return client.hold(cell_workers.HoldOrder(1, 0, 0, 0), 100)
+
+    def test_reply_is_decoded(self) -> None:
+        row = ["a.0.0.0", 1, "", 50, 7]
+        self.assertEqual(50.0, self.hold(Running=[row]).ok().running[0].percent)
+
+    def test_malformed_replies_count_as_unanswered(self) -> None:
+        for fields in (
+            {"Running": [["a.0.0.0", 1, "", None, 7]]},
+            {"Running": [["a.0.0.0", [], "", 50, 7]]},
+            {"Running": [["a.0.0.0", 1]]},
+            {"Running": [["a.0.0.0", 1, "", 50, {}]]},
+            {"Running": 7},
+            {"Ended": [[1, "a.0.0.0", 1, "vanished", ""]]},
+            {"Ended": [[None, "a.0.0.0", 1, "done", ""]]},
+            {"ClockMs": "noon"},
+        ):
+            outcome = self.hold(**fields)
+            self.assertIsInstance(
+                outcome.err(), cell_workers.OrderUnanswered, fields
+            )
+
+
 class WorkerEntryTest(testtools.TestCase):
     """Decoding of executors' entries, including malformed ones."""
 
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from typing import Any
+import unittest.mock
 
 import result
 import testtools
@@ -68,6 +69,21 @@
         )
         self.assertEqual(deadline_ms, self.session.latest_deadline_ms)
 
+    def test_unexpected_errors_end_neither_leases_nor_orders(self) -> None:
+        self.wait_for(lambda: self.worker.deadlines_ms)
+        with unittest.mock.patch.multiple(
+            self.worker,
+            hold=unittest.mock.Mock(side_effect=RuntimeError("hold")),
+            stop=unittest.mock.Mock(side_effect=RuntimeError("stop")),
+        ):
+            self.session.stop(None, "a.0.0.0", 1)
+            self.wait_for(lambda: self.worker.stop.called)
+            self.wait_for(lambda: self.worker.hold.call_count >= 2)
+        renewals = len(self.worker.deadlines_ms)
+        self.session.start(_Run("b.0.0.0"), "text", "", "")
+        self.wait_for(lambda: self.worker.running)
+        self.wait_for(lambda: len(self.worker.deadlines_ms) > renewals)
+
     def test_host_that_lost_ownership_starts_nothing(self) -> None:
         self.wait_for(lambda: self.worker.deadlines_ms)
         self.may_renew = False
