Turn hedges off at percentile 0, bound them, and drop dead members

- A `hedge_percentile` of 0, the default, is documented to disable hedging, but hedges were sent after half of the remaining time.
- MAX_TRIES bounded retries but not hedges.
- Members that were never read or called are gone; `HeartbeatSource` is declared once; `CostModel` names all that placement calls; a doubt is resolved with one assignment.

--- a/src/comfreylatch/_process/batch/interference_control.py
+++ b/src/comfreylatch/_process/batch/interference_control.py
@@ -100,11 +100,6 @@
         self._states: dict[str, _WorkerState] = {}
         self.allowed_slowdown = 0.1
 
-    def current_step(self, worker: str) -> EscalationStep:
-        """Returns the escalation step reached on a worker."""
-        state = self._states.get(worker)
-        return EscalationStep.NONE if state is None else state.step
-
     def needs_frequent_reports(self, worker: str) -> bool:
         """Whether reports are needed more often than lease renewals bring."""
         state = self._states.get(worker)
@@ -117,10 +112,6 @@
         )
         return slow or state.step is not EscalationStep.NONE
 
-    def forget(self, worker: str) -> None:
-        """Drops a worker that is gone."""
-        self._states.pop(worker, None)
-
     def decide(
         self,
         worker: str,
--- a/src/comfreylatch/_process/batch/ownership.py
+++ b/src/comfreylatch/_process/batch/ownership.py
@@ -141,7 +141,6 @@
         self._predecessor_tasks_until_ms: dict[int, int] = {}
         self._claim_changed_ms = clock.monotonic_ms()
         self._fenced_term = 0
-        self._claiming = False
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="ownership", daemon=True
--- a/src/comfreylatch/_process/batch/placement.py
+++ b/src/comfreylatch/_process/batch/placement.py
@@ -42,6 +42,12 @@
         """Predicts the slowdown caused and suffered, in thousandths."""
         ...
 
+    def exceeds_slowdown(
+        self, job_class: str, declared_milli: int, worker: str
+    ) -> bool:
+        """Whether an attempt would slow a service more than is planned for."""
+        ...
+
 
 @attrs.frozen
 class NeverFits:
--- a/src/comfreylatch/_process/batch/worker_health.py
+++ b/src/comfreylatch/_process/batch/worker_health.py
@@ -129,13 +129,6 @@
             if history.health_state is not HealthState.GOOD
         )
 
-    def forget(self, worker: str) -> None:
-        """Drops a worker that is gone."""
-        history = self._histories.pop(worker, None)
-        if history is not None:
-            self._finished -= history.finished
-            self._failed -= history.failed
-
     def _count(
         self, history: _History, finished: int = 0, failed: int = 0
     ) -> None:
--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -284,9 +284,8 @@
 
         Repeats a stop order; stops a run that may have been started.
         """
-        run.is_in_doubt = False
         if run.phase is runs_module.RunPhase.STOPPING:
+            run.is_in_doubt = False
             self.send_stop(run)
         else:
-            run.is_in_doubt = True
             self.stop(run, reasons.StopReason.START_UNANSWERED)
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -252,7 +252,6 @@
             ones may exist, as a previous owner may have created them.
         state: State as last recorded.
         is_cancelled: Whether a caller has cancelled it.
-        is_dirty: Whether its progress has to be recorded.
         run_number_floor: Run numbers start above it; previous owners may have
             used the numbers up to it.
         first_start_ms: Monotonic time at which its first task was started; 0
@@ -265,7 +264,6 @@
     next_occurrence: int = 0
     state: records.JobState = records.JobState.QUEUED
     is_cancelled: bool = False
-    is_dirty: bool = False
     run_number_floor: int = 0
     first_start_ms: int = 0
 
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -107,7 +107,6 @@
         self._clock = clock
         self._closing = threading.Event()
         self._acknowledged_end = 0
-        self._listed_end = 0
         self._clock_ms = 0
         self._clock_read_ms = 0
         self._latest_deadline_ms = 0
--- a/src/comfreylatch/_process/peer_service.py
+++ b/src/comfreylatch/_process/peer_service.py
@@ -27,21 +27,13 @@
         ...
 
 
-class HeartbeatSource(Protocol):
-    """Provides the state that this host sends in heartbeats."""
-
-    def heartbeat(self) -> ttypes.Heartbeat:
-        """Returns the current state of this host."""
-        ...
-
-
 @final
 class PeerService:
     """Implements `_ports.peers.PeerHandler` with this host's components."""
 
     def __init__(
         self,
-        heartbeat_source: HeartbeatSource,
+        heartbeat_source: membership_module.HeartbeatSource,
         membership: membership_module.Membership,
         followers: Mapping[str, follower_module.StreamFollower],
         ledger: loans.LoanLedger,
--- a/src/comfreylatch/_process/routing/leaving_endpoints.py
+++ b/src/comfreylatch/_process/routing/leaving_endpoints.py
@@ -59,11 +59,6 @@
         """Whether an endpoint gets no new requests."""
         return endpoint in self._leaving
 
-    @property
-    def names(self) -> frozenset[str]:
-        """All endpoints that get no new requests."""
-        return self._leaving
-
     @property
     def observed(self) -> frozenset[str]:
         """Endpoints that this host itself observed leaving, for its peers."""
--- a/src/comfreylatch/_request/request_dispatch.py
+++ b/src/comfreylatch/_request/request_dispatch.py
@@ -274,6 +274,9 @@
 
         Returns the hedge, or None if there is none to wait for.
         """
+        is_hedging_off = self._state.service.hedge_percentile == 0
+        if is_hedging_off or self._tries >= MAX_TRIES:
+            return None
         wait_ms = self._hedge_delay_ms()
         if sent_try.first_readable([sent], wait_ms):
             return None
@@ -304,8 +307,6 @@
 
     def _hedge_delay_ms(self) -> float:
         max_delay_ms = self._remaining_ms() * HEDGE_DEADLINE_SHARE
-        if self._state.service.hedge_percentile == 0:
-            return max_delay_ms
         quantile_ms = self._state.hedge_quantile.estimate_ms
         return min(max(quantile_ms, MIN_HEDGE_DELAY_MS), max_delay_ms)
 
