Refresh a host's view when a caller asks, and read less often otherwise

Yet a caller could be shown a state that was 120 ms old.

Change: hosts without a cell pause for 400 ms between reads. A question about a job that has not ended, or is unknown, ends the pause and is answered from a read that was sent after it, or after 60 ms from the view at hand. A host that finds the owner silent makes such a read before it claims the cell. A partition that isn't read to its end is read on without a pause.

Besides, a malformed claim or key of a wave ended every takeover, and a record that raised an error ended the thread that reads its partition; they are logged and skipped now. An error in the thread that watches the owner no longer ends it.

The tests of BadRecordsTest on claims and waves failed before; the tests of refreshes are new, as is what they test.

--- a/src/comfreylatch/_process/cell/job_api.py
+++ b/src/comfreylatch/_process/cell/job_api.py
@@ -37,6 +37,9 @@
 # Greatest age of a replica that callers are answered from, as they may be shown
 # a state that is two seconds old.
 MAX_VIEW_AGE_MS = 1_900
+# How long a caller waits for a current view of a job that has not ended. The
+# store answers in 4 ms; where it is slower, the view at hand is used.
+REFRESH_TIMEOUT_MS = 60
 
 _logger = logbook.Logger(__name__)
 
@@ -282,6 +285,9 @@
 
     def state(self, job_id: str) -> records.JobState | UnknownJob | StaleView:
         """Returns the state of a job that callers are shown."""
+        entry = self._replica.find(job_id)
+        if entry is None or not entry.shown_state.is_final:
+            self._reader.refresh(REFRESH_TIMEOUT_MS)
         if self._is_known(job_id):
             entry = self._replica.find(job_id)
             if entry is not None:
@@ -311,6 +317,8 @@
         entry = self._replica.find(job_id)
         if entry is not None and (entry.is_cancelled or entry.state.is_final):
             return Accepted()
+        if not self._is_known(job_id):
+            self._reader.refresh(REFRESH_TIMEOUT_MS)
         if not self._is_known(job_id):
             if self._reader.age_ms > MAX_VIEW_AGE_MS:
                 return Refused(reasons.Refusal.VIEW_TOO_OLD, RETRY_AFTER_MS)
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -38,9 +38,10 @@
 # Interval between two checks of whether to claim the cell.
 CHECK_INTERVAL_MS = 40
 # Pause between two reads of the topic of jobs on a host that doesn't own the
-# cell. It saves calls to the store; callers may be shown a state that is two
-# seconds old.
-STANDBY_READ_PAUSE_MS = 120
+# cell. It saves calls to the store; a question of a caller ends it.
+STANDBY_READ_PAUSE_MS = 400
+# How long a host waits for a current view before it claims a silent cell.
+CLAIM_REFRESH_TIMEOUT_MS = 300
 CLAIM_TIMEOUT_MS = 800
 
 _logger = logbook.Logger(__name__)
@@ -88,20 +89,25 @@
     def _watch(self) -> None:
         try:
             while not self._stopping.wait(CHECK_INTERVAL_MS / 1_000):
-                self._check_owner()
+                try:
+                    self._check_owner()
+                except Exception:
+                    # This host has to go on watching the cell.
+                    logs.exception(
+                        _logger, "watch-failed", cell=self._deps.cell
+                    )
         finally:
             self._finished.set()
 
     def _check_owner(self) -> None:
         deps = self._deps
-        view = claiming.ClaimView(
-            now_ms=deps.clock.monotonic_ms(),
-            view_age_ms=deps.jobs_reader.age_ms,
-            reachable_ms=deps.jobs_reader.reachable_ms,
-            last_heartbeat=deps.replica.last_heartbeat,
-            started_ms=self._started_ms,
-        )
+        view = self._claim_view()
         reason = claiming.reason_to_claim(view, self._host)
+        if reason is reasons.ClaimReason.OWNER_SILENT:
+            # A heartbeat may have been written since the last read.
+            deps.jobs_reader.refresh(CLAIM_REFRESH_TIMEOUT_MS)
+            view = self._claim_view()
+            reason = claiming.reason_to_claim(view, self._host)
         if reason is None:
             return
         token = self._try_claim(reason, view)
@@ -119,6 +125,16 @@
             self.is_owner = False
             deps.jobs_reader.pause_ms = STANDBY_READ_PAUSE_MS
 
+    def _claim_view(self) -> claiming.ClaimView:
+        deps = self._deps
+        return claiming.ClaimView(
+            now_ms=deps.clock.monotonic_ms(),
+            view_age_ms=deps.jobs_reader.age_ms,
+            reachable_ms=deps.jobs_reader.reachable_ms,
+            last_heartbeat=deps.replica.last_heartbeat,
+            started_ms=self._started_ms,
+        )
+
     def _try_claim(
         self, reason: reasons.ClaimReason, view: claiming.ClaimView
     ) -> int | None:
@@ -178,8 +194,8 @@
                 self._other_claim_offset = record.offset
                 self._other_claim_seen_ms = now_ms
             # The claimant gets OWNER_TIMEOUT_MS to write its first heartbeat.
-            claim = records.decode(records.ClaimRecord, record.value)
-            is_own = claim.host == self._host.name
+            claim = _decode_claim(record)
+            is_own = claim is not None and claim.host == self._host.name
             return (
                 not is_own
                 and now_ms - self._other_claim_seen_ms
@@ -196,8 +212,8 @@
                 for record in claims.records:
                     if record.key != key or record.value is None:
                         continue
-                    claim = records.decode(records.ClaimRecord, record.value)
-                    if claim.boot == self._host.boot:
+                    claim = _decode_claim(record)
+                    if claim is not None and claim.boot == self._host.boot:
                         return record.offset + 1
         return None
 
@@ -298,3 +314,20 @@
         elif now_ms - self._isolated_since_ms > ISOLATION_TIMEOUT_MS:
             return reasons.OwnershipEnd.ISOLATED
         return None
+
+
+def _decode_claim(
+    record: store_port.StoredRecord,
+) -> records.ClaimRecord | None:
+    """Decodes a claim; a malformed one is logged and names no claimant."""
+    try:
+        return records.decode(records.ClaimRecord, record.value or b"")
+    except records.BadRecordError as error:
+        logs.warning(
+            _logger,
+            "bad-record",
+            key=record.key,
+            offset=record.offset,
+            detail=str(error),
+        )
+        return None
--- a/src/comfreylatch/_process/cell/partition_reader.py
+++ b/src/comfreylatch/_process/cell/partition_reader.py
@@ -24,6 +24,8 @@
 MIN_RETRY_PAUSE_MS = 50
 MAX_RETRY_PAUSE_MS = 400
 
+MAX_LOGGED_KEYS = 5
+
 ApplyRecords = Callable[[tuple[store_port.StoredRecord, ...], bool], None]
 
 _logger = logbook.Logger(__name__)
@@ -44,7 +46,7 @@
         clock: Source of monotonic time.
         read_wait_ms: How long a read waits for a record.
         pause_ms: Pause between two reads, so that one read returns several
-            records; may be changed at any time.
+            records; may be changed at any time. `refresh` ends it early.
     """
 
     def __init__(
@@ -69,6 +71,12 @@
         self._reachable_since_ms = clock.monotonic_ms()
         self._is_reachable = True
         self._stopping = threading.Event()
+        self._refresh_requested = threading.Event()
+        self._is_paused = False
+        self._is_at_end = False
+        # Numbers of the last read sent, and of the last that reached the end.
+        self._sent_reads = 0
+        self._current_read = 0
         self._offset_changed = threading.Condition()
         self._thread = threading.Thread(
             target=self._run, name=f"reader-{topic}-{partition}", daemon=True
@@ -85,6 +93,7 @@
         traceback: types.TracebackType | None,
     ) -> None:
         self._stopping.set()
+        self._refresh_requested.set()
 
     @property
     def age_ms(self) -> int:
@@ -110,19 +119,55 @@
                 lambda: self._next_offset > offset, timeout_ms / 1_000
             )
 
+    def refresh(self, timeout_ms: int) -> None:
+        """Makes the view current, or waits for `timeout_ms` at most.
+
+        A read that waits for records keeps the view current; a pause between
+        two reads is ended.
+        """
+        with self._offset_changed:
+            if not self._is_paused:
+                return
+            next_read = self._sent_reads + 1
+            self._refresh_requested.set()
+            self._offset_changed.wait_for(
+                lambda: self._current_read >= next_read, timeout_ms / 1_000
+            )
+
     def _run(self) -> None:
         retry_ms = MIN_RETRY_PAUSE_MS
+        wait_ms = self._read_wait_ms
         while not self._stopping.is_set():
-            if self._read_once():
+            if self._read_once(wait_ms):
                 retry_ms = MIN_RETRY_PAUSE_MS
-                if self.pause_ms:
-                    self._stopping.wait(self.pause_ms / 1_000)
+                # A refresh has to return at once, also without new records.
+                wait_ms = 0 if self._pause() else self._read_wait_ms
                 continue
             self._stopping.wait(retry_ms / 1_000)
             retry_ms = min(2 * retry_ms, MAX_RETRY_PAUSE_MS)
 
-    def _read_once(self) -> bool:
+    def _pause(self) -> bool:
+        """Pauses between two reads; returns whether a refresh ended it.
+
+        A partition that isn't read to its end is read on without a pause. A
+        refresh requested during a read that was sent before it ends the next
+        pause.
+        """
+        if not self.pause_ms or not self._is_at_end:
+            return False
+        with self._offset_changed:
+            self._is_paused = True
+        is_refresh = self._refresh_requested.wait(self.pause_ms / 1_000)
+        self._refresh_requested.clear()
+        if not is_refresh:
+            with self._offset_changed:
+                self._is_paused = False
+        return is_refresh
+
+    def _read_once(self, wait_ms: int) -> bool:
         """Makes one read; returns whether the store answered."""
+        with self._offset_changed:
+            self._sent_reads += 1
         sent_ms = self._clock.monotonic_ms()
         is_complete = self._next_offset < 0
         if is_complete:
@@ -132,7 +177,7 @@
                 self._topic,
                 self._partition,
                 self._next_offset,
-                self._read_wait_ms,
+                wait_ms,
             )
         match answer:
             case result.Ok(batch):
@@ -172,17 +217,45 @@
             self._next_offset = -1
             return
         if batch.records or is_complete:
-            self._apply(batch.records, is_complete)
+            self._apply_records(batch.records, is_complete)
+        self._is_at_end = batch.next_offset >= batch.end_offset
         with self._offset_changed:
             self._next_offset = batch.next_offset
+            # A read without records has waited for new ones until it returned,
+            # so the view was current when it returned.
+            if not batch.records:
+                self._synced_ms = self._clock.monotonic_ms()
+            elif self._is_at_end:
+                self._synced_ms = max(sent_ms, self._synced_ms)
+            if self._is_at_end:
+                self._current_read = self._sent_reads
             self._offset_changed.notify_all()
-        # A read without records has waited for new ones until it returned, so
-        # the view was current when it returned.
-        is_current = batch.next_offset >= batch.end_offset
-        if not batch.records:
-            self._synced_ms = self._clock.monotonic_ms()
-        elif is_current:
-            self._synced_ms = max(sent_ms, self._synced_ms)
+
+    def _apply_records(
+        self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
+    ) -> None:
+        """Applies records; one that raises an error is logged and skipped."""
+        try:
+            self._apply(batch, is_complete)
+            return
+        except Exception:
+            self._log_unapplied(batch)
+        for record in batch:
+            try:
+                self._apply((record,), False)
+            except Exception:
+                self._log_unapplied((record,))
+
+    def _log_unapplied(
+        self, batch: tuple[store_port.StoredRecord, ...]
+    ) -> None:
+        logs.exception(
+            _logger,
+            "records-not-applied",
+            topic=self._topic,
+            partition=self._partition,
+            keys=[record.key for record in batch[:MAX_LOGGED_KEYS]],
+        )
 
     def _mark_unreachable(self, detail: str) -> None:
         if not self._is_reachable:
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -102,7 +102,7 @@
                     records.LearnedRecord, record.value
                 )
             elif record.key.startswith(records.WAVE_PREFIX):
-                number = int(record.key.removeprefix(records.WAVE_PREFIX))
+                number = _wave_number(record.key)
                 work.waves[number] = records.decode(
                     records.WaveRecord, record.value
                 )
@@ -115,3 +115,11 @@
                 _logger, "bad-record", key=record.key, detail=str(error)
             )
     return work
+
+
+def _wave_number(key: str) -> int:
+    """Returns the number in a wave's key; raises BadRecordError if none."""
+    text = key.removeprefix(records.WAVE_PREFIX)
+    if not text.isdecimal():
+        raise records.BadRecordError(f"{key!r} has no number of a wave")
+    return int(text)
--- a/tests/process/cell/test_job_api.py
+++ b/tests/process/cell/test_job_api.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import time
 
 import testtools
 
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
 from comfreylatch._process import metrics
 from comfreylatch._process.cell import job_api as job_api_module
 from comfreylatch._process.cell import job_replica
@@ -84,6 +86,21 @@
         self.assertTrue(self.reader.wait_for(1, WAIT_MS))
         self.assertIs(records.JobState.CANCELLED, self.job_api.state(ID))
 
+    def test_state_that_was_stored_before_the_question_is_shown(self) -> None:
+        self.submit()
+        self.assertTrue(self.reader.wait_for(0, WAIT_MS))
+        self.reader.pause_ms = 60_000
+        self.job_api.state(ID)
+        time.sleep(0.1)
+        completed = store_port.NewRecord(
+            records.STATE_PREFIX + ID,
+            records.encode(
+                records.StateRecord(records.JobState.COMPLETED, token=1)
+            ),
+        )
+        self.store.append(records.JOBS_TOPIC, 0, (completed,))
+        self.assertIs(records.JobState.COMPLETED, self.job_api.state(ID))
+
     def test_job_is_called_unknown_from_a_current_view_only(self) -> None:
         self.assertEqual(job_api_module.UnknownJob(), self.job_api.state(ID))
         self.store.is_down = True
--- /dev/null
+++ b/tests/process/cell/test_partition_reader.py
@@ -0,0 +1,96 @@
+"""Tests of the reads of a partition, of their pauses and refreshes."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+
+import testtools
+
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import store as store_port
+from comfreylatch._process.cell import (
+    partition_reader as partition_reader_module,
+)
+from testing.fakes import record_store
+
+TOPIC = "jobs"
+WAIT_MS = 2_000
+# Longer than any test takes: only a refresh ends this pause.
+LONG_PAUSE_MS = 60_000
+POISON = "poison"
+
+
+class PartitionReaderTest(testtools.TestCase):
+    """A reader of an in-memory store that pauses between two reads."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.store = record_store.MemoryStore()
+        self.keys: list[str] = []
+        self.reader = stack.enter_context(
+            partition_reader_module.PartitionReader(
+                self.store,
+                TOPIC,
+                0,
+                self.apply,
+                clock_port.SystemClock(),
+                pause_ms=LONG_PAUSE_MS,
+            )
+        )
+        self.assertTrue(self.reader.wait_for(-1, WAIT_MS))
+        time.sleep(0.05)
+
+    def apply(
+        self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
+    ) -> None:
+        """Collects the keys of the records read; one of them raises."""
+        del is_complete
+        keys = [record.key for record in batch]
+        if POISON in keys:
+            raise RuntimeError("an error that nobody expects")
+        self.keys.extend(keys)
+
+    def append(self, key: str) -> None:
+        """Appends a record."""
+        record = store_port.NewRecord(key, b"value")
+        self.store.append(TOPIC, 0, (record,))
+
+    def test_pause_delays_the_next_read(self) -> None:
+        self.append("a")
+        time.sleep(0.1)
+        self.assertEqual([], self.keys)
+
+    def test_refresh_reads_what_was_stored_before_it(self) -> None:
+        self.append("a")
+        self.reader.refresh(WAIT_MS)
+        self.assertEqual(["a"], self.keys)
+
+    def test_refresh_without_new_records_returns_at_once(self) -> None:
+        started_ms = time.monotonic() * 1_000
+        self.reader.refresh(WAIT_MS)
+        self.assertLess(time.monotonic() * 1_000 - started_ms, WAIT_MS / 2)
+        self.assertLess(self.reader.age_ms, WAIT_MS / 2)
+
+    def test_refreshes_in_turn_each_make_the_view_current(self) -> None:
+        for key in ("a", "b", "c"):
+            self.append(key)
+            self.reader.refresh(WAIT_MS)
+        self.assertEqual(["a", "b", "c"], self.keys)
+
+    def test_record_that_raises_an_error_is_skipped(self) -> None:
+        # The reader's thread used to end, and the host's view stayed as it was.
+        for key in ("a", POISON, "b"):
+            self.append(key)
+        self.reader.refresh(WAIT_MS)
+        self.append("c")
+        self.reader.refresh(WAIT_MS)
+        self.assertEqual(["a", "b", "c"], self.keys)
+
+    def test_refresh_gives_up_while_the_store_is_away(self) -> None:
+        self.store.is_down = True
+        started_ms = time.monotonic() * 1_000
+        self.reader.refresh(50)
+        self.assertLess(time.monotonic() * 1_000 - started_ms, WAIT_MS / 2)
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -159,6 +159,48 @@
         self.store.is_cut = True
 
 
+class BadRecordsTest(testtools.TestCase):
+    """Malformed records in the topics that a new owner reads."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.store = record_store.MemoryStore()
+        clock = clock_port.SystemClock()
+        worker = fake_workers.FakeWorker(fake_workers.entry("w1"), clock)
+        self.host = Host("one", self.store, {"w1": worker}, stack)
+
+    def store_malformed(self, topic: str, key: str) -> None:
+        """Stores a record that no host can read."""
+        self.store.append(topic, 0, (store_port.NewRecord(key, b"\xff{"),))
+
+    def take_over(self) -> None:
+        """Starts the host and waits until it owns the cell."""
+        self.host.ownership.start()
+        deadline_s = time.monotonic() + 5
+        while not self.host.ownership.is_owner:
+            self.assertLess(time.monotonic(), deadline_s)
+            time.sleep(0.02)
+
+    def test_malformed_claim_keeps_nobody_from_claiming(self) -> None:
+        self.store_malformed(records.CLAIMS_TOPIC, "cell/0")
+        self.take_over()
+
+    def test_malformed_progress_is_skipped(self) -> None:
+        self.store_malformed(records.WORK_TOPIC, "f" * 16)
+        self.take_over()
+
+    def test_wave_without_a_number_is_skipped(self) -> None:
+        self.store_malformed(records.WORK_TOPIC, records.WAVE_PREFIX + "x")
+        self.take_over()
+
+    def test_malformed_job_and_heartbeat_are_skipped(self) -> None:
+        self.store_malformed(records.JOBS_TOPIC, records.JOB_PREFIX + "f" * 16)
+        self.store_malformed(records.JOBS_TOPIC, records.HEARTBEAT_KEY)
+        self.take_over()
+
+
 class TakeoverTest(testtools.TestCase):
     """Two hosts, one store and two workers."""
 
