Pause filling tasks before a lasting task was over its target for too long

Cause: four lasting tasks and five filling ones came to one worker within 0.2 s. Their image counted as harmless from what had been seen, so that no pace was lowered; readings far over a target are taken for the task's own load and teach nothing about the images beside it.

Change: a guard that doesn't depend on the model. When each reading of a lasting task has been over its target for half of the time that the platform allows, the filling tasks on its worker are paused until a reading is within it.

--- a/src/comfreylatch/_process/cell/interference.py
+++ b/src/comfreylatch/_process/cell/interference.py
@@ -21,6 +21,7 @@
 
 import attrs
 
+from comfreylatch._process.cell import harm_guard
 from comfreylatch._process.cell import pressure_model
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs as runs_module
@@ -63,6 +64,7 @@
 SETTLING_MS = 1_500
 # Base tail of an image relative to its target, until lower tails are seen.
 BASE_TAIL_SHARE = 0.22
+DEFAULT_MAX_DISRUPTION_MS = 4_000
 FULL_PACE = 100
 PACE_STEP = 10
 # Headroom that stays free when a pace is raised, so that it isn't lowered
@@ -95,12 +97,19 @@
 class InterferenceModel:
     """Learns interference and plans placements and paces. Not thread-safe.
 
+    Args:
+        max_disruption_ms: How long a lasting task may be over its target while
+            filling tasks work beside it.
+
     Attributes:
         pressures: Learned coefficients of filling images.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, max_disruption_ms: int = DEFAULT_MAX_DISRUPTION_MS
+    ) -> None:
         self.pressures = pressure_model.PressureModel()
+        self._harm_guard = harm_guard.HarmGuard(max_disruption_ms)
         self._base_ms: dict[str, float] = {}
         self._loads: dict[
             runs_module.StepInstance, serving_load.ServingLoad
@@ -155,6 +164,7 @@
             use = filling_run.reading * filling_run.intensity / cpu
             uses[image] = uses.get(image, 0.0) + use
         for run in serving_runs(worker):
+            self._harm_guard.observe(run, now_ms)
             is_settled = now_ms - run.confirmed_ms > SETTLING_MS
             if run.reading > 0 and run.confirmed_ms and is_settled:
                 self._learn_from_reading(run, uses, now_ms)
@@ -271,6 +281,8 @@
         paces = dict.fromkeys(filling_runs, self._cpu_bound_pace(worker))
         for run in lasting_runs:
             self._lower_paces(run, paces, cpu)
+        if self._harm_guard.must_pause(worker):
+            paces = dict.fromkeys(filling_runs, 0)
         return [
             PaceChange(run, percent)
             for run, percent in paces.items()
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -100,7 +100,7 @@
             clock,
             recovered.release_after_ms,
         )
-        model = interference.InterferenceModel()
+        model = interference.InterferenceModel(deps.max_disruption_ms)
         self._interference = model
         self._dispatcher = run_dispatcher.RunDispatcher(
             self._jobs, self._workers, model, metrics, clock
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -12,6 +12,7 @@
 from comfreylatch._ports import machines as machines_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import (
     partition_reader as partition_reader_module,
@@ -40,6 +41,8 @@
         follow_workers: Creates a reader that reports all workers of the cell
             at each change.
         lease_ms: Duration of a lease on a worker's runs.
+        max_disruption_ms: How long a lasting task may be over its tail target
+            while filling tasks work beside it.
         keep_ended_ms: Retention time of the state of an ended job.
         metrics: Counts claims, ownerships and the owner's decisions.
         clock: Source of wall and monotonic time.
@@ -62,3 +65,4 @@
     machines: machines_port.Machines | None = None
     waves: Callable[[], tuple[machines_port.Wave, ...]] = tuple
     handover_ms: int = 0
+    max_disruption_ms: int = interference.DEFAULT_MAX_DISRUPTION_MS
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -67,6 +67,8 @@
         intensity: Share of its request that a filling task uses at full pace;
             tasks alternate between heavy and light phases.
         pace_changed_ms: Monotonic time of the last change of pace; 0 before.
+        over_target_since_ms: Monotonic time since which all its readings have
+            been over its tail target; 0 while they aren't.
         unanswered_tries: Tries of its start order that got no answer.
         is_in_doubt: Whether an order is unconfirmed that the worker may have
             carried out or may still carry out.
@@ -88,6 +90,7 @@
     slow_since_ms: int = 0
     intensity: float = DEFAULT_INTENSITY
     pace_changed_ms: int = 0
+    over_target_since_ms: int = 0
     unanswered_tries: int = 0
     is_in_doubt: bool = False
     is_over: bool = False
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -222,6 +222,7 @@
                 machines=machine_client,
                 waves=self._waves.current,
                 handover_ms=int(settings.bounds.handover_ms),
+                max_disruption_ms=int(settings.bounds.disruption_ms),
             ),
             host,
         )
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -384,18 +384,21 @@
         "lease_ms": "MaxHoldMs",
         "status_s": "status_s",
         "handover_ms": "LeaseDurationMs",
+        "disruption_ms": "DisruptionMs",
     },
 ):
     """Time limits that the platform sets.
 
     `MaxHoldMs` is the maximum lease. `status_s` is how long the state of an
     ended job must be available. Within `LeaseDurationMs` no two hosts may send
-    orders for the same machine.
+    orders for the same machine. For `DisruptionMs` a lasting task may be over
+    its tail target while filling tasks work beside it.
     """
 
     lease_ms: float = 6_000
     status_s: float = 120
     handover_ms: float = 3_000
+    disruption_ms: float = 4_000
 
 
 class Settings(
--- a/tests/process/cell/test_interference.py
+++ b/tests/process/cell/test_interference.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+import unittest.mock
 
 import testtools
 
@@ -89,3 +90,32 @@
             estimate.update(0.3 + 0.01 * index - estimate.load, now_ms)
         self.assertAlmostEqual(0.49, estimate.load, delta=0.03)
         self.assertGreater(estimate.forecast(700), estimate.load + 0.03)
+
+
+class HarmGuardTest(testtools.TestCase):
+    """A filling task that the model takes for harmless keeps tails high."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.worker = SharedWorker(load=0.3, pressure=0.0)
+        self.worker.report(seconds=3)
+        (self.worker.filling,) = self.worker.cell.place()
+        harmless = unittest.mock.patch.object(
+            self.worker.cell.model, "coefficient", lambda *_: 0.0
+        )
+        self.enterContext(harmless)
+        self.worker.load = 0.95
+
+    def test_filling_task_is_paused_in_time(self) -> None:
+        self.worker.report(seconds=3)
+        self.assertEqual(0, self.worker.filling.pace_percent)
+
+    def test_short_excess_pauses_nothing(self) -> None:
+        self.worker.report(seconds=1)
+        self.assertLess(0, self.worker.filling.pace_percent)
+
+    def test_filling_task_goes_on_when_tails_are_within_targets(self) -> None:
+        self.worker.report(seconds=3)
+        self.worker.load = 0.3
+        self.worker.report(seconds=10)
+        self.assertEqual(100, self.worker.filling.pace_percent)
