Start steps that no previous owner can have started at once

Cause: until a new owner has heard from all workers that may have runs, or their leases have ended, it starts no task of an older job, as it may run on a worker that can't be reached.

Change: a step that depends on another one starts at once if a worker told this owner that a task of the other one was still running: the previous owner can't have started it. Copies of a speculative step don't tell that.

The tests of UnknownRunsTest name the cases; the first of them fails without the change.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -121,6 +121,10 @@
     ) -> None:
         for step in job.steps[occurrence]:
             if step.unfinished_count and job.is_ready(step):
+                step.is_first_started_here = any(
+                    dependency.was_seen_running
+                    for dependency in job.dependencies(step)
+                )
                 step.ready_ms = step.ready_ms or self._clock.monotonic_ms()
                 self._ready[step.name] = step
 
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -366,10 +366,8 @@
             return
         steps = self._jobs.ready_steps()
         if not self._is_settled:
-            # Until the previous owner's runs are known, a second run of a task
-            # could be started. Jobs accepted since have a floor of 0 and no
-            # such runs.
-            steps = [step for step in steps if step.job.run_number_floor == 0]
+            # A second run of a task could be started.
+            steps = [step for step in steps if not step.may_have_unknown_runs]
         if not steps:
             return
         since_last_pass_ms = now_ms - self._last_pass_ms
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -240,6 +240,9 @@
                 percent=running_task.percent,
             )
             task.last_run = max(task.last_run, running_task.run)
+            # A copy may run on after another one is done.
+            if not task.step.spec.is_speculative:
+                task.step.was_seen_running = True
             task.step.add_run(run)
             worker.add(run)
             self._jobs.mark_started(task.step.job)
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -166,6 +166,10 @@
             done; 0 before.
         durations_ms: Durations of its runs that ran from start to end without
             an interruption.
+        was_seen_running: Whether a worker reported to this owner that a task of
+            it was still running, so that the step was not done before.
+        is_first_started_here: Whether no previous owner has started it, as a
+            step that it depends on was not done before.
     """
 
     job: ActiveJob
@@ -179,6 +183,13 @@
     tickets: dict[str, Ticket] | None = None
     ready_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
+    was_seen_running: bool = False
+    is_first_started_here: bool = False
+
+    @property
+    def may_have_unknown_runs(self) -> bool:
+        """Whether a previous owner's runs of it may still be unknown."""
+        return self.job.run_number_floor > 0 and not self.is_first_started_here
 
     @property
     def unavailable_count(self) -> int:
@@ -326,23 +337,28 @@
             return False
         return all(step.unfinished_count == 0 for step in self.all_steps())
 
-    def is_ready(self, step: StepInstance) -> bool:
-        """Whether all steps that a step depends on are done."""
+    def dependencies(self, step: StepInstance) -> list[StepInstance]:
+        """Returns the steps of the same occurrence that a step depends on."""
         siblings = self.steps[step.occurrence]
-        return all(
-            siblings[number].unfinished_count == 0
+        return [
+            siblings[number]
             for number in step.spec.depends_on
             if number < len(siblings)
+        ]
+
+    def is_ready(self, step: StepInstance) -> bool:
+        """Whether all steps that a step depends on are done."""
+        return all(
+            dependency.unfinished_count == 0
+            for dependency in self.dependencies(step)
         )
 
     def is_nearly_ready(self, step: StepInstance) -> bool:
         """Whether all tasks that a step depends on are at least half done."""
-        siblings = self.steps[step.occurrence]
         return all(
             task.is_done or any(run.percent >= 50 for run in task.runs)
-            for number in step.spec.depends_on
-            if number < len(siblings)
-            for task in siblings[number].tasks
+            for dependency in self.dependencies(step)
+            for task in dependency.tasks
         )
 
     def progress(self) -> records.ProgressRecord:
--- a/tests/process/cell/test_job_table.py
+++ b/tests/process/cell/test_job_table.py
@@ -2,12 +2,68 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import testtools
 
+from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import records
 from tests.process.cell import harness
 
 
+class UnknownRunsTest(testtools.TestCase):
+    """Steps of a job of a previous owner, some of whose workers are silent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell()
+
+    def restore(self, **first_step: Any) -> Any:
+        """Restores a job of two steps; returns them."""
+        first = harness.step(2, **first_step)
+        second = harness.step(depends_on=(0,))
+        job = self.cell.jobs.add(harness.job(first, second), 1_000)
+        return job.steps[0]
+
+    def end(self, step: Any, was_running: bool) -> None:
+        """Has worker 1 report that all tasks of a step are done.
+
+        With `was_running`, it first reports one of them as running.
+        """
+        names = [task.name for task in step.tasks]
+        if was_running:
+            running = cell_workers.RunningTask(names[0], 3, "", 50.0, 0)
+            self.cell.answer_hold("w1", running=(running,))
+        done = cell_workers.RunEnd.DONE
+        ended = tuple(
+            cell_workers.EndedRun(number, name, 3, done, "")
+            for number, name in enumerate(names, 1)
+        )
+        self.cell.answer_hold("w1", ended=ended)
+
+    def test_step_that_waited_under_this_owner_has_no_other_runs(self) -> None:
+        first, second = self.restore()
+        self.assertTrue(first.may_have_unknown_runs)
+        self.end(first, was_running=True)
+        self.assertIn(second, self.cell.jobs.ready_steps())
+        self.assertFalse(second.may_have_unknown_runs)
+
+    def test_previous_owner_may_have_seen_the_end_of_a_dependency(self) -> None:
+        first, second = self.restore()
+        self.end(first, was_running=False)
+        self.assertIn(second, self.cell.jobs.ready_steps())
+        self.assertTrue(second.may_have_unknown_runs)
+
+    def test_running_copy_does_not_show_that_a_step_is_not_done(self) -> None:
+        first, second = self.restore(is_speculative=True)
+        self.end(first, was_running=True)
+        self.assertTrue(second.may_have_unknown_runs)
+
+    def test_job_accepted_under_this_owner_has_no_unknown_runs(self) -> None:
+        job = self.cell.submit(harness.job())
+        self.assertFalse(job.steps[0][0].may_have_unknown_runs)
+
+
 class RestoredJobTest(testtools.TestCase):
     """A job with two occurrences, both due."""
 
