Leave a cell to strong hosts, and replace weak owners

The delay before a claim was made up in equal parts of the processors and a hash of the name, so that a weak host could be first.

Change: heartbeats name the owner's processors. A host with at most half of the previous owner's waits 500 ms longer before it claims; so does one with less than a core where there was no owner. A host with twice the processors of a live owner claims the cell after 1.5 s, unless it gave up a cell within 10 s as it could not reach most workers.

test_weak_hosts_leave_a_strong_owners_cell_to_strong_ones and test_weak_owner_is_replaced_by_a_strong_host fail without the change.

--- a/src/comfreylatch/_process/cell/claiming.py
+++ b/src/comfreylatch/_process/cell/claiming.py
@@ -7,6 +7,7 @@
 
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import records
 
 # Three heartbeat intervals. With less, an owner would lose its cell to one slow
 # append; with more, the work of a failed owner waits longer.
@@ -17,6 +18,18 @@
 # Additional delay of hosts in the zone of an owner that released the cell as it
 # could not reach most workers; a host of another zone should take over.
 ISOLATED_ZONE_DELAY_MS = 2_000
+# A host is weak beside one that has this many times its processors.
+WEAK_RATIO = 2.0
+# Additional delay of hosts that are weak beside the previous owner. The work of
+# a cell may fill a strong host, and a weak one then falls behind.
+WEAK_HOST_DELAY_MS = 500
+# Hosts with fewer processors get that delay where there is no previous owner.
+STRONG_HOST_CORES = 1.0
+# How long a weak owner keeps its cell before a strong host replaces it.
+WEAK_OWNER_MS = 1_500
+# How long a host that gave up a cell, as it could not reach most workers, will
+# replace no weak owner.
+ISOLATED_HOST_PAUSE_MS = 10_000
 
 
 @attrs.frozen
@@ -28,7 +41,7 @@
         boot: Identifies the incarnation of the process.
         zone: Availability zone.
         cpu_cores: Processors that the process may use; hosts with more claim
-            first.
+            first. 0 if unknown.
     """
 
     name: str
@@ -45,6 +58,23 @@
             MAX_CLAIM_DELAY_MS * (0.5 * name_factor + 0.5 * delay_factor)
         )
 
+    def delay_after_ms(self, owner: records.HeartbeatRecord | None) -> int:
+        """Delay before this host claims the cell of an owner that is gone.
+
+        Args:
+            owner: The owner's last heartbeat; None if there was no owner.
+        """
+        if owner is None:
+            is_weak = self.cpu_cores < STRONG_HOST_CORES
+        else:
+            is_weak = is_weak_beside(self.cpu_cores, owner.cpu_cores)
+        return self.claim_delay_ms + (WEAK_HOST_DELAY_MS if is_weak else 0)
+
+
+def is_weak_beside(cpu_cores: float, other_cpu_cores: float) -> bool:
+    """Whether a host is weak beside another; False if either is unknown."""
+    return cpu_cores > 0 and WEAK_RATIO * cpu_cores <= other_cpu_cores
+
 
 @attrs.frozen
 class ClaimView:
@@ -56,6 +86,8 @@
         reachable_ms: Time for which the store has answered all reads.
         last_heartbeat: Newest heartbeat of the owner; None before the first.
         started_ms: Monotonic time at which this host began to watch the cell.
+        isolated_ms: Monotonic time at which this host last gave up the cell, as
+            it could not reach most workers; None if it never did.
     """
 
     now_ms: int
@@ -63,6 +95,7 @@
     reachable_ms: int
     last_heartbeat: job_replica.ObservedHeartbeat | None
     started_ms: int
+    isolated_ms: int | None = None
 
 
 def reason_to_claim(
@@ -74,7 +107,7 @@
     observed = view.last_heartbeat
     if observed is None:
         waited_ms = view.now_ms - view.started_ms
-        if waited_ms >= host.claim_delay_ms:
+        if waited_ms >= host.delay_after_ms(None):
             return reasons.ClaimReason.NO_OWNER
         return None
     heartbeat = observed.heartbeat
@@ -84,15 +117,35 @@
     if heartbeat.is_released:
         is_isolated_zone = heartbeat.is_isolated and heartbeat.zone == host.zone
         wait_ms = ISOLATED_ZONE_DELAY_MS if is_isolated_zone else 0
-        is_due = heartbeat_age_ms >= wait_ms + host.claim_delay_ms
+        wait_ms += host.delay_after_ms(heartbeat)
+        is_due = heartbeat_age_ms >= wait_ms
         return reasons.ClaimReason.RELEASED if is_due else None
     # Without answers from the store, no heartbeat could have been read.
     silent_ms = min(heartbeat_age_ms, view.reachable_ms)
-    if silent_ms >= OWNER_TIMEOUT_MS + host.claim_delay_ms:
+    if silent_ms >= OWNER_TIMEOUT_MS + host.delay_after_ms(heartbeat):
         return reasons.ClaimReason.OWNER_SILENT
+    if _should_replace(observed, view, host):
+        return reasons.ClaimReason.OWNER_WEAK
     return None
 
 
+def _should_replace(
+    observed: job_replica.ObservedHeartbeat,
+    view: ClaimView,
+    host: HostIdentity,
+) -> bool:
+    """Whether a strong host should take the cell of a live but weak owner."""
+    if not is_weak_beside(observed.heartbeat.cpu_cores, host.cpu_cores):
+        return False
+    if (
+        view.isolated_ms is not None
+        and view.now_ms - view.isolated_ms < ISOLATED_HOST_PAUSE_MS
+    ):
+        return False
+    owned_ms = view.now_ms - observed.owner_since_ms
+    return owned_ms >= WEAK_OWNER_MS + host.claim_delay_ms
+
+
 def is_outdated(
     view: ClaimView, last_heartbeat: job_replica.ObservedHeartbeat | None
 ) -> bool:
--- a/src/comfreylatch/_process/cell/job_replica.py
+++ b/src/comfreylatch/_process/cell/job_replica.py
@@ -45,10 +45,18 @@
 
 @attrs.frozen
 class ObservedHeartbeat:
-    """The owner's newest heartbeat and when this host read it."""
+    """The owner's newest heartbeat and when this host read it.
+
+    Attributes:
+        heartbeat: The heartbeat.
+        seen_ms: Monotonic time at which this host read it.
+        owner_since_ms: Monotonic time at which this host read the owner's first
+            heartbeat with this token.
+    """
 
     heartbeat: records.HeartbeatRecord
     seen_ms: int
+    owner_since_ms: int = 0
 
 
 class JobChange:
@@ -84,6 +92,7 @@
         self._lock = threading.Lock()
         self._jobs: dict[str, JobEntry] = {}
         self._last_heartbeat: ObservedHeartbeat | None = None
+        self._previous_heartbeat: ObservedHeartbeat | None = None
         self._listener: Listener | None = None
 
     def listen(self, listener: Listener | None) -> list[JobEntry]:
@@ -92,7 +101,6 @@
         Both under one lock, so that no change in between is missed.
         """
         with self._lock:
-        self._previous_heartbeat: ObservedHeartbeat | None = None
             self._listener = listener
             return [
                 attrs.evolve(entry)
@@ -132,6 +140,11 @@
         """The owner's newest heartbeat; None before the first."""
         return self._last_heartbeat
 
+    @property
+    def previous_heartbeat(self) -> ObservedHeartbeat | None:
+        """The last heartbeat of the owner before that of `last_heartbeat`."""
+        return self._previous_heartbeat
+
     def apply(
         self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
     ) -> None:
@@ -140,11 +153,6 @@
         for record in batch:
             try:
                 self._apply_one(record)
-    @property
-    def previous_heartbeat(self) -> ObservedHeartbeat | None:
-        """The last heartbeat of the owner before that of `last_heartbeat`."""
-        return self._previous_heartbeat
-
             except records.BadRecordError as error:
                 logs.warning(
                     _logger,
@@ -165,14 +173,6 @@
             return
         if record.key == records.HEARTBEAT_KEY:
             heartbeat = records.decode(records.HeartbeatRecord, record.value)
-            self._last_heartbeat = ObservedHeartbeat(
-                heartbeat, self._clock.monotonic_ms()
-            )
-        elif kind + "/" == records.JOB_PREFIX:
-            self._add(records.decode(specs.JobSpec, record.value))
-        elif kind + "/" == records.CANCEL_PREFIX:
-            self._cancel(job_id)
-        elif kind + "/" == records.STATE_PREFIX:
             now_ms = self._clock.monotonic_ms()
             previous = self._last_heartbeat
             is_same = previous is not None and (
@@ -180,6 +180,16 @@
             )
             if not is_same:
                 self._previous_heartbeat = previous
+            self._last_heartbeat = ObservedHeartbeat(
+                heartbeat,
+                now_ms,
+                previous.owner_since_ms if previous and is_same else now_ms,
+            )
+        elif kind + "/" == records.JOB_PREFIX:
+            self._add(records.decode(specs.JobSpec, record.value))
+        elif kind + "/" == records.CANCEL_PREFIX:
+            self._cancel(job_id)
+        elif kind + "/" == records.STATE_PREFIX:
             state_record = records.decode(records.StateRecord, record.value)
             self._set_state(job_id, state_record.state)
 
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -68,6 +68,7 @@
         self._finished = threading.Event()
         self._started_ms = deps.clock.monotonic_ms()
         self._isolated_since_ms = 0
+        self._isolated_ms: int | None = None
         self._other_claim_offset = -1
         self._other_claim_seen_ms = 0
         self.is_owner = False
@@ -133,6 +134,7 @@
             reachable_ms=deps.jobs_reader.reachable_ms,
             last_heartbeat=deps.replica.last_heartbeat,
             started_ms=self._started_ms,
+            isolated_ms=self._isolated_ms,
         )
 
     def _try_claim(
@@ -222,7 +224,11 @@
     ) -> None:
         deps = self._deps
         heartbeat = records.HeartbeatRecord(
-            self._host.name, self._host.boot, token, zone=self._host.zone
+            self._host.name,
+            self._host.boot,
+            token,
+            zone=self._host.zone,
+            cpu_cores=self._host.cpu_cores,
         )
         post_functions: list[Callable[[events.Event], None]] = []
 
@@ -285,6 +291,8 @@
             reason=reason,
         )
         deps.metrics.count(metrics_module.Counter.OWNERSHIPS_ENDED, reason)
+        if reason is reasons.OwnershipEnd.ISOLATED:
+            self._isolated_ms = deps.clock.monotonic_ms()
         if reason in (
             reasons.OwnershipEnd.STOPPING,
             reasons.OwnershipEnd.ISOLATED,
--- a/src/comfreylatch/_process/cell/reasons.py
+++ b/src/comfreylatch/_process/cell/reasons.py
@@ -57,6 +57,7 @@
     RESTARTED = "restarted"
     RELEASED = "released"
     OWNER_SILENT = "owner-silent"
+    OWNER_WEAK = "owner-weak"
 
 
 class OwnershipEnd(enum.StrEnum):
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -93,6 +93,7 @@
         zone: Zone of the host.
         is_isolated: Whether the host releases the cell as it can't reach most
             workers. Hosts of other zones should then take over.
+        cpu_cores: Processors that the host's process may use; 0 if unknown.
     """
 
     host: str
@@ -101,6 +102,7 @@
     is_released: bool = False
     zone: str = ""
     is_isolated: bool = False
+    cpu_cores: float = 0.0
 
 
 @attrs.frozen
--- a/tests/process/cell/test_ownership.py
+++ b/tests/process/cell/test_ownership.py
@@ -90,6 +90,59 @@
             claiming.reason_to_claim(later_view, HOST),
         )
 
+    def test_weak_hosts_leave_a_strong_owners_cell_to_strong_ones(self) -> None:
+        # A host with 0.3 of a core once took over 270 workers from one with two
+        # cores, as the delay by name outweighed the delay by processors.
+        strong = attrs.evolve(HEARTBEAT, cpu_cores=2.15)
+        weak_hosts = [
+            attrs.evolve(HOST, name=f"bole-{number}", cpu_cores=0.297)
+            for number in range(100)
+        ]
+        strong_hosts = [
+            attrs.evolve(host, cpu_cores=2.15) for host in weak_hosts
+        ]
+        for owner in (strong, None):
+            first_weak_ms = min(h.delay_after_ms(owner) for h in weak_hosts)
+            last_strong_ms = max(h.delay_after_ms(owner) for h in strong_hosts)
+            self.assertGreater(first_weak_ms, last_strong_ms)
+
+    def test_hosts_as_strong_as_the_owner_claim_without_more_delay(
+        self,
+    ) -> None:
+        owner = attrs.evolve(HEARTBEAT, cpu_cores=HOST.cpu_cores)
+        self.assertEqual(HOST.claim_delay_ms, HOST.delay_after_ms(owner))
+
+    def test_weak_owner_is_replaced_by_a_strong_host(self) -> None:
+        strong_host = attrs.evolve(HOST, cpu_cores=2.15)
+        weak_owner = attrs.evolve(HEARTBEAT, cpu_cores=0.297)
+        view = claim_view(100, weak_owner)
+        self.assertIs(
+            reasons.ClaimReason.OWNER_WEAK,
+            claiming.reason_to_claim(view, strong_host),
+        )
+        self.assertIs(None, claiming.reason_to_claim(view, HOST))
+
+    def test_weak_owner_is_left_alone_at_first(self) -> None:
+        strong_host = attrs.evolve(HOST, cpu_cores=2.15)
+        weak_owner = attrs.evolve(HEARTBEAT, cpu_cores=0.297)
+        view = claim_view(100, weak_owner)
+        observed = attrs.evolve(view.last_heartbeat, owner_since_ms=99_000)
+        view = attrs.evolve(view, last_heartbeat=observed)
+        self.assertIs(None, claiming.reason_to_claim(view, strong_host))
+
+    def test_isolated_host_replaces_no_weak_owner(self) -> None:
+        strong_host = attrs.evolve(HOST, cpu_cores=2.15)
+        weak_owner = attrs.evolve(HEARTBEAT, cpu_cores=0.297)
+        view = claim_view(100, weak_owner, isolated_ms=95_000)
+        self.assertIs(None, claiming.reason_to_claim(view, strong_host))
+
+    def test_owner_of_unknown_strength_is_not_replaced(self) -> None:
+        strong_host = attrs.evolve(HOST, cpu_cores=2.15)
+        self.assertIs(
+            None,
+            claiming.reason_to_claim(claim_view(100, HEARTBEAT), strong_host),
+        )
+
     def test_hosts_with_more_processors_claim_first(self) -> None:
         larger_host = attrs.evolve(HOST, cpu_cores=2.15)
         self.assertLess(larger_host.claim_delay_ms, HOST.claim_delay_ms)
