Let timeouts of appends grow, so that a slow store gets fewer repeats

Cause: a partition of the store carries out its appends one at a time. While the store answers 60 to 74 times as slowly, that is four a second, and up to two seconds of appends wait. A host sent a submission again after 700 ms, up to four times before its caller's deadline, and the owner its records after 350 ms; each repeat joined the queue. Callers got 504, as the submission might be stored.

Change: the timeout doubles with each try of a submission, and grows by 1.3 for the owner, whose first three tries still end before another host takes over.

Ruled out: one long timeout. After a lost answer, the next try is answered at once.

--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -17,17 +17,16 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
+from comfreylatch._process.cell import append_timeout
 from comfreylatch._process.cell import records
 
 # A third of the time without a heartbeat after which another host takes over.
 HEARTBEAT_INTERVAL_MS = 500
 # The store answers in 4 ms, and in 240 ms on its slowest days. The first tries
-# time out early, so that a lost answer doesn't delay the heartbeat for long;
-# later ones leave a slow store more time.
-SHORT_APPEND_TIMEOUT_MS = 350
-APPEND_TIMEOUT_MS = 800
-# Number of tries with the short timeout.
-SHORT_TRIES = 3
+# time out early, so that a lost answer doesn't delay the heartbeat for long.
+APPEND_TIMEOUT = append_timeout.GrowingTimeout(first_ms=350, growth=1.3)
+# How long the last append may take when the writer is closed.
+CLOSE_TIMEOUT_MS = 1_600
 RETRY_PAUSE_MS = 60
 # Time since its last stored heartbeat was first sent after which the owner
 # starts no runs and renews no leases. It exceeds most outages of the store. A
@@ -106,7 +105,7 @@
         with self._condition:
             self._is_closing = True
             self._condition.notify_all()
-        self._thread.join(2 * APPEND_TIMEOUT_MS / 1_000)
+        self._thread.join(CLOSE_TIMEOUT_MS / 1_000)
 
     def fence(self) -> int | None:
         """Fences both topics against lower tokens; writes the first heartbeat.
@@ -218,16 +217,13 @@
         first_sent_ms = self._clock.monotonic_ms()
         while not self._is_fenced:
             tries += 1
-            is_short = tries <= SHORT_TRIES
             sent_ms = self._clock.monotonic_ms()
             match self._store.append(
                 topic,
                 self._cell,
                 new_records,
                 producer=producer,
-                timeout_ms=SHORT_APPEND_TIMEOUT_MS
-                if is_short
-                else APPEND_TIMEOUT_MS,
+                timeout_ms=APPEND_TIMEOUT.of_try(tries),
             ):
                 case result.Ok(offset):
                     self._appended_ms = max(sent_ms, self._appended_ms)
@@ -249,7 +245,7 @@
                     logs.debug(
                         _logger, "append-retried", topic=topic, error=error
                     )
-            if self._is_closing and self.append_age_ms > 2 * APPEND_TIMEOUT_MS:
+            if self._is_closing and self.append_age_ms > CLOSE_TIMEOUT_MS:
                 return None
             time.sleep(RETRY_PAUSE_MS / 1_000)
         return None
--- a/src/comfreylatch/_process/cell/job_api.py
+++ b/src/comfreylatch/_process/cell/job_api.py
@@ -18,6 +18,7 @@
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import append_timeout
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import (
     partition_reader as partition_reader_module,
@@ -26,7 +27,7 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
 
-APPEND_TIMEOUT_MS = 700
+APPEND_TIMEOUT = append_timeout.GrowingTimeout(first_ms=700, growth=2.0)
 RETRY_PAUSE_MS = 50
 # Most records in one append; far below the store's limit per call.
 MAX_BATCH_RECORDS = 64
@@ -141,8 +142,10 @@
 
     def _append_batch(self, batch: list[_PendingRecord]) -> None:
         may_be_stored = False
+        tries = 0
         while True:
-            outcome = self._append_once(batch)
+            tries += 1
+            outcome = self._append_once(batch, APPEND_TIMEOUT.of_try(tries))
             match outcome:
                 case Kept():
                     break
@@ -163,12 +166,14 @@
             time.sleep(RETRY_PAUSE_MS / 1_000)
         _complete(batch, outcome)
 
-    def _append_once(self, batch: Sequence[_PendingRecord]) -> AppendOutcome:
+    def _append_once(
+        self, batch: Sequence[_PendingRecord], timeout_ms: int
+    ) -> AppendOutcome:
         match self._store.append(
             records.JOBS_TOPIC,
             self._cell,
             tuple(pending.record for pending in batch),
-            timeout_ms=APPEND_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
         ):
             case result.Ok(_):
                 return Kept()
