Log what a takeover and lasting tasks wait for, and lose no lines

The logs of the incident can't tell its hypotheses apart.

The test on long output fails without the change.

--- a/src/comfreylatch/_process/cell/cell_report.py
+++ b/src/comfreylatch/_process/cell/cell_report.py
@@ -10,6 +10,8 @@
 from comfreylatch._process.cell import job_table as job_table_module
 from comfreylatch._process.cell import worker_view
 
+MAX_LOGGED_WORKERS = 5
+
 _logger = logbook.Logger(__name__)
 
 
@@ -19,6 +21,7 @@
     jobs: job_table_module.JobTable,
     pressures: dict[str, float],
     append_age_ms: int,
+    now_ms: int,
 ) -> None:
     """Logs the used and free capacity and the pending work of a cell.
 
@@ -28,10 +31,17 @@
         jobs: All unfinished jobs.
         pressures: Interference coefficients of filling images.
         append_age_ms: Time since the last successful append was sent.
+        now_ms: Monotonic time.
     """
     views = list(workers)
     answering = [view for view in views if view.is_answering]
     steps = jobs.ready_steps()
+    lasting_waits_ms = [
+        now_ms - task.waiting_since_ms
+        for step in steps
+        if step.spec.is_lasting
+        for task in step.pending_tasks.values()
+    ]
     logs.event(
         _logger,
         "cell",
@@ -48,6 +58,36 @@
         jobs=len(jobs),
         waiting_steps=len(steps),
         waiting_tasks=sum(len(step.pending_tasks) for step in steps),
+        waiting_lasting_tasks=len(lasting_waits_ms),
+        longest_lasting_wait_ms=max(lasting_waits_ms, default=0),
+        cleared_workers=sum(now_ms < view.cleared_until_ms for view in views),
         append_age_ms=append_age_ms,
         pressures=pressures,
     )
+
+
+def log_takeover_wait(
+    token: int,
+    unknown_workers: list[str],
+    jobs: job_table_module.JobTable,
+    remaining_ms: int,
+) -> None:
+    """Logs what a new owner still waits for before it starts older tasks.
+
+    Args:
+        token: The owner's fencing token.
+        unknown_workers: Workers that may have runs of a previous owner.
+        jobs: All unfinished jobs.
+        remaining_ms: Time until those runs have certainly ended.
+    """
+    held_back = [s for s in jobs.ready_steps() if s.may_have_unknown_runs]
+    logs.event(
+        _logger,
+        "takeover-waits",
+        token=token,
+        unknown=len(unknown_workers),
+        workers=unknown_workers[:MAX_LOGGED_WORKERS],
+        steps=len(held_back),
+        tasks=sum(len(step.pending_tasks) for step in held_back),
+        remaining_ms=remaining_ms,
+    )
--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -56,8 +56,7 @@
 
 def is_overdue(task: runs_module.Task, now_ms: int) -> bool:
     """Whether a lasting task may also use a cleared worker."""
-    since_ms = max(task.pending_since_ms, task.step.ready_ms)
-    return now_ms - since_ms > LASTING_OVERDUE_MS
+    return now_ms - task.waiting_since_ms > LASTING_OVERDUE_MS
 
 
 def reopen_unused(
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -326,20 +326,29 @@
                 self._jobs, now_ms
             ):
                 self._dispatcher.send_start(placement.run)
-        if now_ms - self._last_report_ms >= REPORT_INTERVAL_MS:
-            self._last_report_ms = now_ms
-            self._log_load()
         if not self._is_settled:
             self._check_settled(now_ms)
+        if now_ms - self._last_report_ms >= REPORT_INTERVAL_MS:
+            self._last_report_ms = now_ms
+            self._log_load(now_ms)
 
-    def _log_load(self) -> None:
+    def _log_load(self, now_ms: int) -> None:
         cell_report.log_load(
             self._recovered.token,
             self._workers,
             self._jobs,
             self._interference.summary(),
             self._writer.append_age_ms,
+            now_ms,
         )
+        if not self._is_settled:
+            unknown = self._workers.unknown(self._recovered.known_workers)
+            cell_report.log_takeover_wait(
+                self._recovered.token,
+                unknown,
+                self._jobs,
+                self._recovered.release_after_ms - now_ms,
+            )
 
     def _check_settled(self, now_ms: int) -> None:
         """Ends the takeover once all runs of the previous owner are known.
@@ -349,7 +358,7 @@
         waited_ms = now_ms - self._started_ms
         known = self._recovered.known_workers
         is_timed_out = now_ms > self._recovered.release_after_ms
-        if not is_timed_out and self._workers.has_unknown(known):
+        if not is_timed_out and self._workers.unknown(known):
             return
         self._is_settled = True
         logs.event(
--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -59,7 +59,7 @@
             return
         job = step.job
         now_ms = self._clock.monotonic_ms()
-        waited_ms = now_ms - max(run.task.pending_since_ms, step.ready_ms)
+        waited_ms = now_ms - run.task.waiting_since_ms
         if job.first_start_ms == 0:
             job.first_start_ms = now_ms
             self._observe(
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -147,6 +147,11 @@
         """Whether it is not done and has no run."""
         return not self.is_done and not self.runs
 
+    @property
+    def waiting_since_ms(self) -> int:
+        """Monotonic time since which it could run and has had no run."""
+        return max(self.pending_since_ms, self.step.ready_ms)
+
 
 @attrs.define(eq=False)
 class StepInstance:
@@ -207,10 +212,7 @@
     def oldest_pending_ms(self) -> int:
         """Monotonic time since which its oldest pending task has waited."""
         return min(
-            (
-                max(task.pending_since_ms, self.ready_ms)
-                for task in self.pending_tasks.values()
-            ),
+            (task.waiting_since_ms for task in self.pending_tasks.values()),
             default=0,
         )
 
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -227,18 +227,22 @@
                 lost.append(LostRuns(runs, reasons.LossReason.LEASE_OVER))
         return lost
 
-    def has_unknown(self, incarnations: dict[str, int]) -> bool:
-        """Whether an incarnation may have runs that are not known here.
+    def unknown(self, incarnations: dict[str, int]) -> list[str]:
+        """Returns the workers that may have runs that are not known here.
 
         An incarnation is known once it has answered or a later one exists.
         """
-        for worker_id, born_ms in incarnations.items():
-            view = self._views.get(worker_id)
-            if view is None or view.entry.born_ms < born_ms:
-                return True
-            if view.entry.born_ms == born_ms and view.answered_ms == 0:
-                return True
-        return False
+        return [
+            worker_id
+            for worker_id, born_ms in incarnations.items()
+            if self._is_unknown(self._views.get(worker_id), born_ms)
+        ]
+
+    @staticmethod
+    def _is_unknown(view: worker_view.WorkerView | None, born_ms: int) -> bool:
+        if view is None or view.entry.born_ms < born_ms:
+            return True
+        return view.entry.born_ms == born_ms and view.answered_ms == 0
 
     def forbid_starts(self, recorded: dict[str, int]) -> None:
         """Forbids starts on incarnations that a new record leaves out."""
--- a/src/comfreylatch/_process/json_logs.py
+++ b/src/comfreylatch/_process/json_logs.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
 import os
 import threading
 import time
@@ -38,8 +39,12 @@
         "pace",
         "start-refused",
         "stray-stopped",
+        "worker-added",
+        "worker-answers",
     }
 )
+# The platform keeps no more of a single write.
+MAX_WRITE_BYTES = 8_192
 
 
 @final
@@ -143,12 +148,24 @@
         if not lines:
             return
         try:
-            _write_fully(self._descriptor, b"".join(lines))
+            for chunk in _chunks(lines):
+                _write_fully(self._descriptor, chunk)
         except OSError:
             # The reader closed the output, so the failure can't be logged.
             self._stopping.set()
 
 
+def _chunks(lines: list[bytes]) -> Iterator[bytes]:
+    """Joins lines to chunks that can each be written at once."""
+    chunk = b""
+    for line in lines:
+        if chunk and len(chunk) + len(line) > MAX_WRITE_BYTES:
+            yield chunk
+            chunk = b""
+        chunk += line
+    yield chunk
+
+
 def _write_fully(descriptor: int, content: bytes) -> None:
     view = memoryview(content)
     while view:
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -18,21 +18,21 @@
         self.cell = harness.Cell(workers=2)
 
     def test_incarnation_that_has_answered_is_known(self) -> None:
-        self.assertFalse(self.cell.workers.has_unknown({"w1": 1, "w2": 1}))
+        self.assertEqual([], self.cell.workers.unknown({"w1": 1, "w2": 1}))
 
     def test_silent_incarnation_is_not_known(self) -> None:
         self.cell.workers.find("w1").answered_ms = 0
-        self.assertTrue(self.cell.workers.has_unknown({"w1": 1}))
-        self.assertFalse(self.cell.workers.has_unknown({"w2": 1}))
+        self.assertEqual(["w1"], self.cell.workers.unknown({"w1": 1}))
+        self.assertEqual([], self.cell.workers.unknown({"w2": 1}))
 
     def test_incarnation_without_an_entry_is_not_known(self) -> None:
-        self.assertTrue(self.cell.workers.has_unknown({"w3": 1}))
+        self.assertEqual(["w3"], self.cell.workers.unknown({"w3": 1}))
 
     def test_former_incarnation_is_known_to_have_ended(self) -> None:
         view = self.cell.workers.find("w1")
         view.entry = attrs.evolve(view.entry, born_ms=2)
         view.answered_ms = 0
-        self.assertFalse(self.cell.workers.has_unknown({"w1": 1}))
+        self.assertEqual([], self.cell.workers.unknown({"w1": 1}))
 
 
 class ExpiredLeaseTest(testtools.TestCase):
--- a/tests/process/test_json_logs.py
+++ b/tests/process/test_json_logs.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from typing import Any
+from unittest import mock
 
 import logbook
 import testtools
@@ -87,6 +88,30 @@
         )
         self.assertGreater(dropped_count, 0)
 
+    # Guards against losing the rest of a long write: the platform cut off lines
+    # on changes of owner when many workers reported at once.
+    def test_long_output_is_written_in_pieces_of_whole_lines(self) -> None:
+        written: list[bytes] = []
+
+        def write(descriptor: int, content: bytes) -> int:
+            del descriptor
+            written.append(bytes(content))
+            return len(content)
+
+        with mock.patch.object(json_logs.os, "write", write):
+            with json_logs.JsonLogOutput("info", self.writer):
+                for number in range(300):
+                    logs.event(_logger, "job-ended", job=str(number))
+        self.assertGreater(len(written), 1)
+        for piece in written:
+            self.assertLessEqual(len(piece), json_logs.MAX_WRITE_BYTES)
+            self.assertTrue(piece.endswith(b"\n"))
+        lines = b"".join(written).splitlines()
+        self.assertEqual(
+            [str(number) for number in range(300)],
+            [json.loads(line)["job"] for line in lines],
+        )
+
     def read_until_end(self, received: list[Any]) -> None:
         """Reads lines up to the end marker."""
         rest = b""
