Count the wait for silent workers from the owner that held their leases

A new owner starts older tasks once each recorded worker has answered, or the leases there have ended; it counted those from its own start or from its predecessor's last heartbeat. So the wait began anew with each owner, and a series of owners that each stop within a lease started nothing, though the first owner's leases had long ended.

The record of workers now says for each that hasn't answered which owner last held its lease, and an owner renews a lease only once a record without that entry is stored. So the next owner can count from the heartbeats of the owner that did renew it (lease_ends.py), however many came after. A released owner renews nothing from the release on. Workers are allowed one by one as records are stored, so that one that answers late doesn't hold up the others. A new owner also ends the pause between its reads instead of waiting up to 400 ms for its own first heartbeat.

--- a/src/comfreylatch/_process/cell/cell_report.py
+++ b/src/comfreylatch/_process/cell/cell_report.py
@@ -70,7 +70,7 @@
     token: int,
     unknown_workers: list[str],
     jobs: job_table_module.JobTable,
-    remaining_ms: int,
+    now_ms: int,
 ) -> None:
     """Logs what a new owner still waits for before it starts older tasks.
 
@@ -78,7 +78,7 @@
         token: The owner's fencing token.
         unknown_workers: Workers that may have runs of a previous owner.
         jobs: All unfinished jobs.
-        remaining_ms: Time until those runs have certainly ended.
+        now_ms: Monotonic time.
     """
     held_back = [s for s in jobs.ready_steps() if s.may_have_unknown_runs]
     logs.event(
@@ -89,5 +89,7 @@
         workers=unknown_workers[:MAX_LOGGED_WORKERS],
         steps=len(held_back),
         tasks=sum(len(step.pending_tasks) for step in held_back),
-        remaining_ms=remaining_ms,
+        longest_wait_ms=max(
+            (now_ms - step.oldest_pending_ms for step in held_back), default=0
+        ),
     )
--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -85,6 +85,7 @@
         self._pending = _PendingRecords()
         self._is_closing = False
         self._is_fenced = False
+        self._is_released = False
         self._appended_ms = clock.monotonic_ms()
         self._heartbeat_sent_ms = self._appended_ms
         self._last_heartbeat_ms = 0
@@ -125,8 +126,10 @@
 
     def may_act(self) -> bool:
         """Whether the owner may start tasks and renew leases."""
+        if self._is_fenced or self._is_released:
+            return False
         age_ms = self._clock.monotonic_ms() - self._heartbeat_sent_ms
-        return not self._is_fenced and age_ms < AUTONOMY_MS
+        return age_ms < AUTONOMY_MS
 
     @property
     def append_age_ms(self) -> int:
@@ -134,7 +137,12 @@
         return self._clock.monotonic_ms() - self._appended_ms
 
     def release(self, last_heartbeat: records.HeartbeatRecord) -> None:
-        """Queues the heartbeat that releases the cell, as the last record."""
+        """Queues the heartbeat that releases the cell, as the last record.
+
+        The owner must not act any more, as the next one may before it learns
+        that the heartbeat is stored.
+        """
+        self._is_released = True
         with self._condition:
             self._heartbeat = last_heartbeat
             self._last_heartbeat_ms = 0
--- a/src/comfreylatch/_process/cell/job_replica.py
+++ b/src/comfreylatch/_process/cell/job_replica.py
@@ -79,6 +79,9 @@
 
 Listener = Callable[[JobChange], None]
 
+# Number of owners of which the last heartbeat is kept.
+MAX_OBSERVED_OWNERS = 32
+
 
 @final
 class JobReplica:
@@ -92,7 +95,7 @@
         self._lock = threading.Lock()
         self._jobs: dict[str, JobEntry] = {}
         self._last_heartbeat: ObservedHeartbeat | None = None
-        self._previous_heartbeat: ObservedHeartbeat | None = None
+        self._observed_owners: dict[int, ObservedHeartbeat] = {}
         self._listener: Listener | None = None
 
     def listen(self, listener: Listener | None) -> list[JobEntry]:
@@ -141,18 +144,19 @@
         return self._last_heartbeat
 
     @property
-    def previous_heartbeat(self) -> ObservedHeartbeat | None:
-        """The last heartbeat of the owner before that of `last_heartbeat`."""
-        return self._previous_heartbeat
+    def observed_owners(self) -> dict[int, ObservedHeartbeat]:
+        """A copy of the last heartbeat read of each recent owner, by token."""
+        with self._lock:
+            return dict(self._observed_owners)
 
     def apply(
         self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
     ) -> None:
         """Applies records in the order of their offsets."""
-        del is_complete  # A complete read removes no entries.
+        # A complete read removes no entries.
         for record in batch:
             try:
-                self._apply_one(record)
+                self._apply_one(record, is_complete)
             except records.BadRecordError as error:
                 logs.warning(
                     _logger,
@@ -162,7 +166,9 @@
                     detail=str(error),
                 )
 
-    def _apply_one(self, record: store_port.StoredRecord) -> None:
+    def _apply_one(
+        self, record: store_port.StoredRecord, is_complete: bool
+    ) -> None:
         kind, _, job_id = record.key.partition("/")
         if record.value is None:
             # The spec of a job is dropped when the job ends, its state only
@@ -173,18 +179,7 @@
             return
         if record.key == records.HEARTBEAT_KEY:
             heartbeat = records.decode(records.HeartbeatRecord, record.value)
-            now_ms = self._clock.monotonic_ms()
-            previous = self._last_heartbeat
-            is_same = previous is not None and (
-                previous.heartbeat.token == heartbeat.token
-            )
-            if not is_same:
-                self._previous_heartbeat = previous
-            self._last_heartbeat = ObservedHeartbeat(
-                heartbeat,
-                now_ms,
-                previous.owner_since_ms if previous and is_same else now_ms,
-            )
+            self._observe(heartbeat, is_complete)
         elif kind + "/" == records.JOB_PREFIX:
             self._add(records.decode(specs.JobSpec, record.value))
         elif kind + "/" == records.CANCEL_PREFIX:
@@ -193,6 +188,33 @@
             state_record = records.decode(records.StateRecord, record.value)
             self._set_state(job_id, state_record.state)
 
+    def _observe(
+        self, heartbeat: records.HeartbeatRecord, is_complete: bool
+    ) -> None:
+        """Notes a heartbeat of the owner.
+
+        Args:
+            heartbeat: The heartbeat.
+            is_complete: Whether it is from a read of the newest records, which
+                leaves out those that were replaced meanwhile.
+        """
+        now_ms = self._clock.monotonic_ms()
+        previous = self._last_heartbeat
+        since_ms = now_ms
+        if previous is not None and previous.heartbeat.token == heartbeat.token:
+            since_ms = previous.owner_since_ms
+        observed = ObservedHeartbeat(heartbeat, now_ms, since_ms)
+        with self._lock:
+            if previous is not None and is_complete and since_ms == now_ms:
+                # Later heartbeats of the previous owner may have been left out.
+                self._observed_owners.pop(previous.heartbeat.token, None)
+            self._observed_owners.pop(heartbeat.token, None)
+            self._observed_owners[heartbeat.token] = observed
+            while len(self._observed_owners) > MAX_OBSERVED_OWNERS:
+                oldest = next(iter(self._observed_owners))
+                del self._observed_owners[oldest]
+        self._last_heartbeat = observed
+
     def _add(self, spec: specs.JobSpec) -> None:
         with self._lock:
             entry = self._jobs.setdefault(spec.job_id, JobEntry())
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -98,7 +98,7 @@
                 clock,
             ),
             clock,
-            recovered.release_after_ms,
+            recovered.known_workers,
         )
         model = interference.InterferenceModel(deps.max_disruption_ms)
         self._interference = model
@@ -134,7 +134,10 @@
         self._stop_reason: reasons.OwnershipEnd | None = None
         self._unacknowledged_workers: set[str] = set()
         self._recorded_workers = recorded_workers.RecordedWorkers(
-            self._workers, recovered.known_workers, self._events.put
+            self._workers,
+            recovered.token,
+            recovered.known_workers,
+            self._events.put,
         )
         self._model_persistence = model_persistence.ModelPersistence(
             model, self._durations, recovered.learned, clock
@@ -247,8 +250,8 @@
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
                 self._handle_order(event)
-            case events.WorkersRecorded(born_ms):
-                self._recorded_workers.mark_recorded(born_ms)
+            case events.WorkersRecorded(record):
+                self._recorded_workers.mark_stored(record)
             case events.AdviceReturned():
                 self._advice_planner.handle_advice_returned(
                     event, self._clock.monotonic_ms()
@@ -342,23 +345,21 @@
             now_ms,
         )
         if not self._is_settled:
-            unknown = self._workers.unknown(self._recovered.known_workers)
             cell_report.log_takeover_wait(
                 self._recovered.token,
-                unknown,
+                self._workers.unknown(),
                 self._jobs,
-                self._recovered.release_after_ms - now_ms,
+                now_ms,
             )
 
     def _check_settled(self, now_ms: int) -> None:
         """Ends the takeover once all runs of the previous owner are known.
 
-        Runs that aren't known by `release_after_ms` have ended.
+        Runs on a worker that hasn't answered by its `release_after_ms` have
+        ended.
         """
         waited_ms = now_ms - self._started_ms
-        known = self._recovered.known_workers
-        is_timed_out = now_ms > self._recovered.release_after_ms
-        if not is_timed_out and self._workers.unknown(known):
+        if self._workers.unknown():
             return
         self._is_settled = True
         logs.event(
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -229,6 +229,7 @@
             token,
             zone=self._host.zone,
             cpu_cores=self._host.cpu_cores,
+            records_leases=True,
         )
         post_functions: list[Callable[[events.Event], None]] = []
 
--- a/src/comfreylatch/_process/cell/recovered_state.py
+++ b/src/comfreylatch/_process/cell/recovered_state.py
@@ -8,6 +8,22 @@
 from comfreylatch._process.cell import records
 
 
+@attrs.frozen
+class KnownWorker:
+    """A worker that may have runs of a previous owner.
+
+    Attributes:
+        born_ms: Its incarnation.
+        lease_token: Token of the last owner that may have renewed its lease.
+        release_after_ms: Monotonic time after which no such run can remain if
+            the worker can't be reached.
+    """
+
+    born_ms: int
+    lease_token: int
+    release_after_ms: int
+
+
 @attrs.frozen
 class RecoveredState:
     """State that a new owner starts from.
@@ -16,9 +32,7 @@
         token: Its fencing token.
         jobs: Unfinished jobs as the replica has them.
         progress: Recorded progress by job.
-        release_after_ms: Monotonic time after which no run of the previous
-            owner can remain on a worker that this one can't reach.
-        known_workers: Incarnations of the previous owner's workers, by id.
+        known_workers: Workers that may have runs of a previous owner, by id.
         learned: Models that the previous owner has learned.
         waves: Waves of maintenance that it has recorded, by number.
     """
@@ -26,7 +40,6 @@
     token: int
     jobs: tuple[job_replica.JobEntry, ...]
     progress: dict[str, records.ProgressRecord]
-    release_after_ms: int
-    known_workers: dict[str, int]
+    known_workers: dict[str, KnownWorker]
     learned: records.LearnedRecord = records.LearnedRecord()
     waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -9,10 +9,10 @@
 from comfreylatch._process import logs
 from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import fenced_writer as fenced_writer_module
+from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import owner_dependencies
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
-from comfreylatch._process.cell import worker_view
 
 CATCH_UP_TIMEOUT_MS = 3_000
 
@@ -47,12 +47,16 @@
     if first_offset is None:
         return None
     # The replica then has every job that the previous owner may have started.
+    deps.jobs_reader.refresh(CATCH_UP_TIMEOUT_MS)
     if not deps.jobs_reader.wait_for(first_offset, CATCH_UP_TIMEOUT_MS):
         return None
     work = _read_work(deps)
     if work is None:
         return None
-    release_after_ms = _release_after_ms(deps, host, started_ms, predecessor)
+    leases = lease_ends.LeaseEnds(
+        deps.replica.observed_owners, host.name, started_ms, deps.lease_ms
+    )
+    known_workers = _known_workers(work.workers, leases)
     jobs = deps.replica.listen(None)
     logs.event(
         _logger,
@@ -61,36 +65,31 @@
         token=token,
         predecessor=predecessor,
         jobs=len(jobs),
+        workers=len(known_workers),
+        older_leases=len(work.workers.lease_tokens),
         took_ms=deps.clock.monotonic_ms() - started_ms,
     )
     return recovered_state.RecoveredState(
         token,
         tuple(jobs),
         work.progress,
-        release_after_ms,
-        work.workers.born_ms,
+        known_workers,
         work.learned,
         work.waves,
     )
 
 
-def _release_after_ms(
-    deps: owner_dependencies.OwnerDependencies,
-    host: claiming.HostIdentity,
-    started_ms: int,
-    predecessor: records.HeartbeatRecord | None,
-) -> int:
-    """Returns when the leases that a previous owner renewed have ended."""
-    if predecessor is None:
-        return started_ms
-    lease_ms = int(deps.lease_ms / (1 - worker_view.MAX_CLOCK_DRIFT))
-    if predecessor.is_released or predecessor.host == host.name:
-        return started_ms + lease_ms
-    # It renews leases for AUTONOMY_MS from a time before this host read its
-    # last heartbeat. All its heartbeats precede that of this host.
-    last_read = deps.replica.previous_heartbeat
-    last_read_ms = started_ms if last_read is None else last_read.seen_ms
-    return last_read_ms + fenced_writer_module.AUTONOMY_MS + lease_ms
+def _known_workers(
+    record: records.WorkersRecord, leases: lease_ends.LeaseEnds
+) -> dict[str, recovered_state.KnownWorker]:
+    """Returns the recorded workers, and when the leases on them end."""
+    known_workers = {}
+    for worker_id, born_ms in record.born_ms.items():
+        lease_token = record.lease_tokens.get(worker_id, record.token)
+        known_workers[worker_id] = recovered_state.KnownWorker(
+            born_ms, lease_token, leases.end_ms(lease_token)
+        )
+    return known_workers
 
 
 def _read_work(
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import types
 from typing import final
 from typing import Self
@@ -17,6 +18,7 @@
 from comfreylatch._process import logs
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
@@ -54,19 +56,18 @@
     Args:
         open_session: Creates the session for an incarnation of a worker.
         clock: Source of all times.
-        release_after_ms: Monotonic time by which the previous owner's leases
-            have ended at workers that never answer.
+        known_workers: Workers that may have runs of a previous owner, by id.
     """
 
     def __init__(
         self,
         open_session: OpenSession,
         clock: clock_port.Clock,
-        release_after_ms: int,
+        known_workers: Mapping[str, recovered_state.KnownWorker],
     ) -> None:
         self._open_session = open_session
         self._clock = clock
-        self._release_after_ms = release_after_ms
+        self._known_workers = known_workers
         self._views: dict[str, worker_view.WorkerView] = {}
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._end_cursors: dict[str, _EndCursor] = {}
@@ -227,38 +228,43 @@
                 lost.append(LostRuns(runs, reasons.LossReason.LEASE_OVER))
         return lost
 
-    def unknown(self, incarnations: dict[str, int]) -> list[str]:
+    def unknown(self) -> list[str]:
         """Returns the workers that may have runs that are not known here.
 
-        An incarnation is known once it has answered or a later one exists.
+        An incarnation is known once it has answered or a later one exists, or
+        when the leases of previous owners have ended there.
         """
+        now_ms = self._clock.monotonic_ms()
         return [
             worker_id
-            for worker_id, born_ms in incarnations.items()
-            if self._is_unknown(self._views.get(worker_id), born_ms)
+            for worker_id, known in self._known_workers.items()
+            if now_ms <= known.release_after_ms
+            and not self.has_answered(worker_id, known.born_ms)
         ]
 
-    @staticmethod
-    def _is_unknown(view: worker_view.WorkerView | None, born_ms: int) -> bool:
+    def has_answered(self, worker_id: str, born_ms: int) -> bool:
+        """Whether an incarnation has answered this owner or was replaced."""
+        view = self._views.get(worker_id)
         if view is None or view.entry.born_ms < born_ms:
-            return True
-        return view.entry.born_ms == born_ms and view.answered_ms == 0
+            return False
+        return view.entry.born_ms > born_ms or view.answered_ms > 0
 
-    def forbid_starts(self, recorded: dict[str, int]) -> None:
-        """Forbids starts on incarnations that a new record leaves out."""
-        for view in self:
-            if recorded.get(view.worker_id) != view.entry.born_ms:
-                view.is_recorded = False
+    def allow_starts(self, held: dict[str, int]) -> None:
+        """Allows starts on exactly these incarnations, and renews their leases.
 
-    def allow_starts(self, recorded: dict[str, int]) -> None:
-        """Allows starts on exactly the incarnations in the stored record."""
+        Args:
+            held: Born times of the incarnations whose lease the owner has, in
+                each record that may be the newest in the store, by worker id.
+        """
         for view in self:
-            born_ms = recorded.get(view.worker_id)
-            view.is_recorded = born_ms == view.entry.born_ms
+            view.is_recorded = held.get(view.worker_id) == view.entry.born_ms
+            if view.is_recorded:
+                self._sessions[view.worker_id].allow_renewal()
 
     def _add(self, entry: cell_workers.WorkerEntry) -> None:
+        known = self._known_workers.get(entry.worker_id)
         view = worker_view.WorkerView(
-            entry, release_after_ms=self._release_after_ms
+            entry, release_after_ms=known.release_after_ms if known else 0
         )
         session = self._open_session(entry)
         self._views[entry.worker_id] = view
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -15,6 +15,7 @@
 from comfreylatch._process.cell import job_table
 from comfreylatch._process.cell import planner
 from comfreylatch._process.cell import ranking
+from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler
 from comfreylatch._process.cell import specs
@@ -57,6 +58,7 @@
         paces: Task id and percentage of each pace order.
         latest_deadline_ms: Latest lease deadline, on the worker's clock.
         acknowledged: Number of the last end acknowledged.
+        may_renew: Whether leases may be renewed.
     """
 
     starts: list[Any] = attrs.field(factory=list)
@@ -64,6 +66,7 @@
     paces: list[tuple[str, int]] = attrs.field(factory=list)
     latest_deadline_ms: int = 0
     acknowledged: int = 0
+    may_renew: bool = False
 
     def __enter__(self) -> _RecordingSession:
         return self
@@ -88,6 +91,10 @@
         del number
         self.paces.append((task, percent))
 
+    def allow_renewal(self) -> None:
+        """Records that leases may be renewed."""
+        self.may_renew = True
+
     def acknowledge(self, last_end: int) -> None:
         """Records an acknowledgement."""
         self.acknowledged = last_end
@@ -96,12 +103,17 @@
 class Cell:
     """The components of an owner, without its threads."""
 
-    def __init__(self, workers: int = 2, cpu_millicores: int = 8_000) -> None:
+    def __init__(
+        self,
+        workers: int = 2,
+        cpu_millicores: int = 8_000,
+        known_workers: dict[str, recovered_state.KnownWorker] | None = None,
+    ) -> None:
         self.clock = fake_clock.FakeClock(START_MS)
         self.jobs = job_table.JobTable(1, self.clock)
         self.sessions: dict[str, _RecordingSession] = {}
         self.workers = worker_table.WorkerTable(
-            self._session, self.clock, release_after_ms=0
+            self._session, self.clock, known_workers or {}
         )
         self.durations = duration_model.DurationModel()
         self.model = interference.InterferenceModel()
--- a/tests/process/cell/test_job_replica.py
+++ b/tests/process/cell/test_job_replica.py
@@ -81,3 +81,48 @@
         writes = cell.jobs.drain_writes().jobs
         self.assertEqual([STATE, JOB], list(writes))
         self.assertIsNone(writes[JOB])
+
+
+class ObservedOwnersTest(testtools.TestCase):
+    """What a host has read of the owners of a cell."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = fake_clock.FakeClock(harness.START_MS)
+        self.replica = job_replica.JobReplica(self.clock)
+
+    def read(self, token: int, is_complete: bool = False) -> None:
+        """Reads an owner's heartbeat 500 ms after the last one."""
+        self.clock.advance(500)
+        heartbeat = records.HeartbeatRecord("one", "boot-one", token)
+        record = store_port.StoredRecord(
+            token, records.HEARTBEAT_KEY, records.encode(heartbeat)
+        )
+        self.replica.apply((record,), is_complete)
+
+    def seen_ms(self) -> dict[int, int]:
+        """Returns when each owner's last heartbeat was read."""
+        return {
+            token: observed.seen_ms - harness.START_MS
+            for token, observed in self.replica.observed_owners.items()
+        }
+
+    def test_last_heartbeat_of_each_owner_is_kept(self) -> None:
+        for token in (1, 1, 2, 3):
+            self.read(token)
+        self.assertEqual({1: 1_000, 2: 1_500, 3: 2_000}, self.seen_ms())
+
+    # Guards against an end of leases that is too early: the store keeps the
+    # newest heartbeat, so that later ones of the previous owner may be gone.
+    def test_owner_whose_last_heartbeat_may_be_missing_is_dropped(self) -> None:
+        self.read(1)
+        self.read(2, is_complete=True)
+        self.assertEqual({2: 1_000}, self.seen_ms())
+
+    def test_only_recent_owners_are_kept(self) -> None:
+        for token in range(1, job_replica.MAX_OBSERVED_OWNERS + 3):
+            self.read(token)
+        self.assertEqual(
+            job_replica.MAX_OBSERVED_OWNERS, len(self.replica.observed_owners)
+        )
+        self.assertNotIn(1, self.replica.observed_owners)
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -215,10 +215,17 @@
             records.HEARTBEAT_KEY, records.encode(silent)
         )
         store.append(records.JOBS_TOPIC, 0, (record,))
+        workers = records.WorkersRecord({"w1": 1}, token=1)
+        record = store_port.NewRecord(
+            records.WORKERS_KEY, records.encode(workers)
+        )
+        store.append(records.WORK_TOPIC, 0, (record,))
         self.assertTrue(host.reader.wait_for(0, 2_000))
         read_ms = host.replica.last_heartbeat.seen_ms
         time.sleep(0.3)
-        heartbeat = records.HeartbeatRecord("two", "boot-two", 2)
+        heartbeat = records.HeartbeatRecord(
+            "two", "boot-two", 2, records_leases=True
+        )
         with fenced_writer_module.FencedWriter(
             host.store, 0, heartbeat, lambda _: None, host.clock
         ) as writer:
@@ -228,7 +235,7 @@
         lease_ms = int(LEASE_MS / (1 - worker_view.MAX_CLOCK_DRIFT))
         self.assertEqual(
             read_ms + fenced_writer_module.AUTONOMY_MS + lease_ms,
-            recovered.release_after_ms,
+            recovered.known_workers["w1"].release_after_ms,
         )
 
 
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -7,32 +7,48 @@
 import attrs
 import testtools
 
+from comfreylatch._process.cell import recovered_state
 from tests.process.cell import harness
 
+RELEASE_MS = 500
+
 
 class UnknownIncarnationsTest(testtools.TestCase):
     """Incarnations that a previous owner has recorded."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.cell = harness.Cell(workers=2)
+    def cell_with_known(self, worker_id: str, born_ms: int = 1) -> harness.Cell:
+        """Returns a cell of two workers that was taken over."""
+        known = recovered_state.KnownWorker(
+            born_ms, 1, harness.START_MS + RELEASE_MS
+        )
+        return harness.Cell(workers=2, known_workers={worker_id: known})
 
     def test_incarnation_that_has_answered_is_known(self) -> None:
-        self.assertEqual([], self.cell.workers.unknown({"w1": 1, "w2": 1}))
+        cell = self.cell_with_known("w1")
+        self.assertEqual([], cell.workers.unknown())
 
     def test_silent_incarnation_is_not_known(self) -> None:
-        self.cell.workers.find("w1").answered_ms = 0
-        self.assertEqual(["w1"], self.cell.workers.unknown({"w1": 1}))
-        self.assertEqual([], self.cell.workers.unknown({"w2": 1}))
+        cell = self.cell_with_known("w1")
+        cell.workers.find("w1").answered_ms = 0
+        self.assertEqual(["w1"], cell.workers.unknown())
 
     def test_incarnation_without_an_entry_is_not_known(self) -> None:
-        self.assertEqual(["w3"], self.cell.workers.unknown({"w3": 1}))
+        cell = self.cell_with_known("w3")
+        self.assertEqual(["w3"], cell.workers.unknown())
 
     def test_former_incarnation_is_known_to_have_ended(self) -> None:
-        view = self.cell.workers.find("w1")
+        cell = self.cell_with_known("w1")
+        view = cell.workers.find("w1")
         view.entry = attrs.evolve(view.entry, born_ms=2)
         view.answered_ms = 0
-        self.assertEqual([], self.cell.workers.unknown({"w1": 1}))
+        self.assertEqual([], cell.workers.unknown())
+
+    def test_silent_incarnation_is_known_once_its_lease_has_ended(self) -> None:
+        cell = self.cell_with_known("w3")
+        cell.clock.advance(RELEASE_MS)
+        self.assertEqual(["w3"], cell.workers.unknown())
+        cell.clock.advance(1)
+        self.assertEqual([], cell.workers.unknown())
 
 
 class ExpiredLeaseTest(testtools.TestCase):
@@ -89,7 +105,7 @@
     def test_nothing_starts_on_an_incarnation_missing_from_the_record(
         self,
     ) -> None:
-        self.cell.workers.forbid_starts({})
+        self.cell.workers.allow_starts({})
         self.assertEqual([], self.cell.place())
         self.cell.workers.allow_starts({"w1": 1})
         self.assertEqual(1, len(self.cell.place()))
