Don't count the wait of a lasting task anew with each owner

A lasting task keeps off workers that were cleared of lasting tasks until it has waited for 4.5 s; six seconds without a run are too many. A new owner counted from its own start. It doesn't know how long a task has waited, so it now takes the longest time possible, since the job was accepted, and places such tasks first and anywhere.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -125,9 +125,20 @@
                     dependency.was_seen_running
                     for dependency in job.dependencies(step)
                 )
-                step.ready_ms = step.ready_ms or self._clock.monotonic_ms()
+                step.ready_ms = step.ready_ms or self._ready_since_ms(step)
                 self._ready[step.name] = step
 
+    def _ready_since_ms(self, step: runs_module.StepInstance) -> int:
+        """Monotonic time since which a step that is ready may have been so.
+
+        A lasting task of a previous owner's job may have had no run for as long
+        as the job is old. The steps of others are ranked by their job's age.
+        """
+        job = step.job
+        if step.spec.is_lasting and job.run_number_floor > 0:
+            return job.accepted_ms
+        return self._clock.monotonic_ms()
+
     def ready_steps(self) -> list[runs_module.StepInstance]:
         """Returns the steps that may run and have pending tasks."""
         return [step for step in self._ready.values() if step.pending_tasks]
--- a/tests/process/cell/test_job_table.py
+++ b/tests/process/cell/test_job_table.py
@@ -7,6 +7,7 @@
 import testtools
 
 from comfreylatch._ports import cell_workers
+from comfreylatch._process.cell import clearing
 from comfreylatch._process.cell import records
 from tests.process.cell import harness
 
@@ -64,6 +65,30 @@
         self.assertFalse(job.steps[0][0].may_have_unknown_runs)
 
 
+class RestoredLastingTaskTest(testtools.TestCase):
+    """A lasting task whose run the previous owner has stopped."""
+
+    def restore(self, age_ms: int) -> Any:
+        """Restores a job that was accepted `age_ms` ago; returns its task."""
+        cell = harness.Cell()
+        spec = harness.job(
+            harness.step(is_lasting=True),
+            accepted_wall_ms=harness.START_MS - age_ms,
+        )
+        self.now_ms = cell.clock.monotonic_ms()
+        return cell.jobs.add(spec, 1_000).steps[0][0].tasks[0]
+
+    # Guards against counting a task's wait anew with each owner: one that had
+    # to keep off cleared workers before had to do so again.
+    def test_it_may_have_waited_since_its_job_was_accepted(self) -> None:
+        task = self.restore(clearing.LASTING_OVERDUE_MS + 1)
+        self.assertTrue(clearing.is_overdue(task, self.now_ms))
+
+    def test_it_has_not_waited_for_longer(self) -> None:
+        task = self.restore(clearing.LASTING_OVERDUE_MS)
+        self.assertFalse(clearing.is_overdue(task, self.now_ms))
+
+
 class RestoredJobTest(testtools.TestCase):
     """A job with two occurrences, both due."""
 
