Compute a lease's deadline before the check that allows it

A new owner waits for leases that its predecessor renewed up to 4.5 s after its last heartbeat. The predecessor checked that first and computed the deadline after it, by a clock that counts suspended time. A process that was suspended between the two could thus renew a lease for as long again, and a task could run in two places where its successor can't reach the worker.

--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -184,13 +184,14 @@
         """Deadline of a lease renewed now; 0 if it must not be renewed."""
         if self._clock_read_ms == 0 or not self._may_renew:
             return 0
-        if not self._lease.may_renew():
-            return 0
         if self._is_failing:
             # What the worker runs is unknown, so its lease is left to expire.
             return 0
         elapsed_ms = self._clock.monotonic_ms() - self._clock_read_ms
         deadline_ms = self._clock_ms + elapsed_ms + self._lease.lease_ms
+        # Checked last, so that a suspension after it is not in the deadline.
+        if not self._lease.may_renew():
+            return 0
         self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -15,6 +15,7 @@
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import worker_session
 from testing.fakes import cell_workers as fake_workers
+from testing.fakes import clock as fake_clock
 
 WAIT_S = 5.0
 
@@ -79,6 +80,30 @@
         session.allow_renewal()
         self.wait_for(lambda: worker.deadlines_ms)
 
+    # Guards against a lease that outlasts the owner's right to renew it by the
+    # time for which the process was suspended right after it had checked that.
+    def test_pause_after_the_check_does_not_prolong_the_lease(self) -> None:
+        clock = fake_clock.FakeClock(1_000)
+        worker = fake_workers.FakeWorker(
+            fake_workers.entry("w2"), fake_clock.FakeClock(50_000)
+        )
+
+        def may_renew() -> bool:
+            clock.advance(5_000)
+            return True
+
+        session = worker_session.WorkerSession(
+            worker.entry,
+            worker,
+            worker_session.LeaseParameters(1, 4_000, may_renew),
+            self.events.append,
+            clock,
+        )
+        session.allow_renewal()
+        self.stack.enter_context(session)
+        self.wait_for(lambda: worker.deadlines_ms)
+        self.assertEqual(54_000, worker.deadlines_ms[0])
+
     def test_lease_is_not_renewed_while_calls_fail(self) -> None:
         # Each failed call used to extend the lease deadline, so that the runs
         # of a worker that was gone were never counted as lost.
