State in the release of a cell how long leases last, without a gate

- A worker that had answered but whose lease was not renewed yet, as the record was not stored, counted as free 100 ms later.

So renewals wait for no record again. Instead, an owner that stops first ends its renewals and then states in its last heartbeat how long leases last: a whole lease, and what is left of older ones on workers that have not answered it. The next one counts that from its own read. The end of a lease has a margin for the time that a worker takes to stop its runs, and a previous heartbeat that may not have been read no longer counts.

--- a/src/comfreylatch/_process/cell/cell_report.py
+++ b/src/comfreylatch/_process/cell/cell_report.py
@@ -69,16 +69,17 @@
 def log_takeover_wait(
     token: int,
     unknown_workers: list[str],
+    older_leases_ms: dict[str, int],
     jobs: job_table_module.JobTable,
-    now_ms: int,
 ) -> None:
     """Logs what a new owner still waits for before it starts older tasks.
 
     Args:
         token: The owner's fencing token.
         unknown_workers: Workers that may have runs of a previous owner.
+        older_leases_ms: How much longer leases may last on workers that have
+            not answered.
         jobs: All unfinished jobs.
-        now_ms: Monotonic time.
     """
     held_back = [s for s in jobs.ready_steps() if s.may_have_unknown_runs]
     logs.event(
@@ -89,7 +90,5 @@
         workers=unknown_workers[:MAX_LOGGED_WORKERS],
         steps=len(held_back),
         tasks=sum(len(step.pending_tasks) for step in held_back),
-        longest_wait_ms=max(
-            (now_ms - step.oldest_pending_ms for step in held_back), default=0
-        ),
+        older_leases_ms=max(older_leases_ms.values(), default=0),
     )
--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -9,7 +9,6 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import machines as machines_port
 from comfreylatch._process.cell import job_replica
-from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs as runs_module
 
 
@@ -119,9 +118,13 @@
 
 @attrs.frozen
 class WorkersRecorded:
-    """A record of the workers that may have runs is stored."""
+    """The record of the workers that may have runs is stored.
 
-    record: records.WorkersRecord
+    Attributes:
+        born_ms: Recorded incarnations, by worker id.
+    """
+
+    born_ms: dict[str, int]
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -85,7 +85,7 @@
         self._pending = _PendingRecords()
         self._is_closing = False
         self._is_fenced = False
-        self._is_released = False
+        self._has_stopped_acting = False
         self._appended_ms = clock.monotonic_ms()
         self._heartbeat_sent_ms = self._appended_ms
         self._last_heartbeat_ms = 0
@@ -126,23 +126,23 @@
 
     def may_act(self) -> bool:
         """Whether the owner may start tasks and renew leases."""
-        if self._is_fenced or self._is_released:
+        if self._is_fenced or self._has_stopped_acting:
             return False
         age_ms = self._clock.monotonic_ms() - self._heartbeat_sent_ms
         return age_ms < AUTONOMY_MS
 
+    def stop_acting(self) -> None:
+        """Ends the owner's right to start tasks and renew leases for good."""
+        self._has_stopped_acting = True
+
     @property
     def append_age_ms(self) -> int:
         """Time since the last successful append was sent."""
         return self._clock.monotonic_ms() - self._appended_ms
 
     def release(self, last_heartbeat: records.HeartbeatRecord) -> None:
-        """Queues the heartbeat that releases the cell, as the last record.
-
-        The owner must not act any more, as the next one may before it learns
-        that the heartbeat is stored.
-        """
-        self._is_released = True
+        """Queues the heartbeat that releases the cell, as the last record."""
+        self.stop_acting()
         with self._condition:
             self._heartbeat = last_heartbeat
             self._last_heartbeat_ms = 0
--- a/src/comfreylatch/_process/cell/job_replica.py
+++ b/src/comfreylatch/_process/cell/job_replica.py
@@ -79,9 +79,6 @@
 
 Listener = Callable[[JobChange], None]
 
-# Number of owners of which the last heartbeat is kept.
-MAX_OBSERVED_OWNERS = 32
-
 
 @final
 class JobReplica:
@@ -95,7 +92,7 @@
         self._lock = threading.Lock()
         self._jobs: dict[str, JobEntry] = {}
         self._last_heartbeat: ObservedHeartbeat | None = None
-        self._observed_owners: dict[int, ObservedHeartbeat] = {}
+        self._previous_heartbeat: ObservedHeartbeat | None = None
         self._listener: Listener | None = None
 
     def listen(self, listener: Listener | None) -> list[JobEntry]:
@@ -144,10 +141,12 @@
         return self._last_heartbeat
 
     @property
-    def observed_owners(self) -> dict[int, ObservedHeartbeat]:
-        """A copy of the last heartbeat read of each recent owner, by token."""
-        with self._lock:
-            return dict(self._observed_owners)
+    def previous_heartbeat(self) -> ObservedHeartbeat | None:
+        """The last heartbeat of the owner before that of `last_heartbeat`.
+
+        None if there was none or later ones may not have been read.
+        """
+        return self._previous_heartbeat
 
     def apply(
         self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
@@ -200,20 +199,14 @@
         """
         now_ms = self._clock.monotonic_ms()
         previous = self._last_heartbeat
-        since_ms = now_ms
-        if previous is not None and previous.heartbeat.token == heartbeat.token:
-            since_ms = previous.owner_since_ms
-        observed = ObservedHeartbeat(heartbeat, now_ms, since_ms)
-        with self._lock:
-            if previous is not None and is_complete and since_ms == now_ms:
-                # Later heartbeats of the previous owner may have been left out.
-                self._observed_owners.pop(previous.heartbeat.token, None)
-            self._observed_owners.pop(heartbeat.token, None)
-            self._observed_owners[heartbeat.token] = observed
-            while len(self._observed_owners) > MAX_OBSERVED_OWNERS:
-                oldest = next(iter(self._observed_owners))
-                del self._observed_owners[oldest]
-        self._last_heartbeat = observed
+        if previous is None or previous.heartbeat.token != heartbeat.token:
+            self._previous_heartbeat = None if is_complete else previous
+            owner_since_ms = now_ms
+        else:
+            owner_since_ms = previous.owner_since_ms
+        self._last_heartbeat = ObservedHeartbeat(
+            heartbeat, now_ms, owner_since_ms
+        )
 
     def _add(self, spec: specs.JobSpec) -> None:
         with self._lock:
--- a/src/comfreylatch/_process/cell/lease_ends.py
+++ b/src/comfreylatch/_process/cell/lease_ends.py
@@ -1,83 +1,92 @@
 """When the leases that previous owners of a cell renewed have ended.
 
 A new owner asks the workers that it reaches what they run. On the others, the
-runs of a previous owner end with the lease that was renewed last. Each owner
-stores which leases it is about to renew (`records.WorkersRecord`), and renews
-none later than AUTONOMY_MS after its last heartbeat. So such a lease counts
-from the heartbeats of the owner that renewed it, however many owners there have
-been since.
+runs of a previous owner end with the lease that was renewed last. An owner that
+falls silent may have renewed all leases for AUTONOMY_MS after its last
+heartbeat. One that releases the cell states how long the leases last, and has
+renewed none on the workers that it has not reached. So a series of such owners
+doesn't prolong the wait for a silent worker.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import final
 
+import attrs
+
 from comfreylatch._process.cell import fenced_writer
 from comfreylatch._process.cell import job_replica
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import worker_view
 
+# Time that a worker takes to stop its runs, and drift of its clock since the
+# reading from which the deadline of the lease was computed.
+END_MARGIN_MS = 2 * worker_view.LEASE_END_MARGIN_MS
+
+
+def longest_lease_ms(lease_ms: int) -> int:
+    """Returns how long a lease lasts by the slowest clock of a worker."""
+    return int(lease_ms / (1 - worker_view.MAX_CLOCK_DRIFT)) + END_MARGIN_MS
+
 
 @final
+@attrs.frozen
 class LeaseEnds:
-    """Ends of the leases of previous owners, for one new owner.
+    """Monotonic times by which the leases of previous owners have ended.
 
-    Args:
-        observed_owners: Last heartbeat read of each owner, by token, up to the
-            new one.
-        host_name: Name of the new owner's host.
-        started_ms: Monotonic time at which it began to take over.
-        lease_ms: Duration of a lease on the worker's clock.
+    Attributes:
+        default_ms: For workers that are not listed below.
+        older_ms: For workers that the last owner has not reached, by id.
     """
 
-    def __init__(
-        self,
-        observed_owners: Mapping[int, job_replica.ObservedHeartbeat],
-        host_name: str,
-        started_ms: int,
-        lease_ms: int,
-    ) -> None:
-        self._owners = [
-            observed_owners[token] for token in sorted(observed_owners)
-        ]
-        self._host_name = host_name
-        self._started_ms = started_ms
-        self._lease_ms = int(lease_ms / (1 - worker_view.MAX_CLOCK_DRIFT))
-
-    def end_ms(self, lease_token: int) -> int:
-        """Returns the monotonic time by which a lease has ended.
-
-        Args:
-            lease_token: Token of the last owner that has stored that it renews
-                the lease.
-        """
-        renewed_until_ms = self._acted_until_ms(lease_token)
-        for observed in self._owners:
-            heartbeat = observed.heartbeat
-            if heartbeat.token > lease_token and not heartbeat.records_leases:
-                renewed_until_ms = max(
-                    renewed_until_ms, self._acted_until_ms(heartbeat.token)
-                )
-        return renewed_until_ms + self._lease_ms
-
-    def _acted_until_ms(self, token: int) -> int:
-        """Returns the time until which an owner may have renewed leases."""
-        for observed in self._owners:
-            if observed.heartbeat.token > token:
-                # It had been replaced when this host read the first heartbeat.
-                return observed.owner_since_ms + fenced_writer.AUTONOMY_MS
-            if observed.heartbeat.token == token:
-                return self._last_renewal_ms(observed)
-        return self._started_ms + fenced_writer.AUTONOMY_MS
-
-    def _last_renewal_ms(self, observed: job_replica.ObservedHeartbeat) -> int:
-        heartbeat = observed.heartbeat
-        if heartbeat.is_released:
-            # Earlier versions renew leases until their sessions are closed.
-            is_exact = heartbeat.records_leases
-            return observed.seen_ms if is_exact else self._started_ms
-        until_ms = observed.seen_ms + fenced_writer.AUTONOMY_MS
-        if heartbeat.host == self._host_name:
-            # That process has ended, as this host runs another one.
-            until_ms = min(until_ms, self._started_ms)
-        return until_ms
+    default_ms: int
+    older_ms: dict[str, int] = attrs.field(factory=dict)
+
+    def end_ms(self, worker_id: str) -> int:
+        """Returns the time by which the lease on a worker has ended."""
+        return self.older_ms.get(worker_id, self.default_ms)
+
+    def remaining(self, now_ms: int) -> records.RemainingLeases:
+        """Returns what is left of them, to be stored."""
+        return records.RemainingLeases(
+            max(self.default_ms - now_ms, 0),
+            {
+                worker_id: max(end_ms - now_ms, 0)
+                for worker_id, end_ms in self.older_ms.items()
+            },
+        )
+
+
+def after_owner(
+    observed: job_replica.ObservedHeartbeat | None,
+    host_name: str,
+    now_ms: int,
+    lease_ms: int,
+) -> LeaseEnds:
+    """Returns when the leases after an owner end.
+
+    Args:
+        observed: The owner's last heartbeat; None if it may not have been read.
+        host_name: Name of this host.
+        now_ms: Monotonic time, not before this host's claim.
+        lease_ms: Duration of a lease on a worker's clock.
+    """
+    longest_ms = longest_lease_ms(lease_ms)
+    if observed is None:
+        return LeaseEnds(now_ms + fenced_writer.AUTONOMY_MS + longest_ms)
+    heartbeat = observed.heartbeat
+    if heartbeat.is_released and heartbeat.leases is not None:
+        seen_ms, leases = observed.seen_ms, heartbeat.leases
+        return LeaseEnds(
+            seen_ms + leases.default_ms,
+            {
+                worker_id: seen_ms + remaining_ms
+                for worker_id, remaining_ms in leases.older_ms.items()
+            },
+        )
+    if heartbeat.is_released or heartbeat.host == host_name:
+        # An earlier version renews leases until its sessions are closed. The
+        # process of an owner on this host has ended, as this is another one.
+        return LeaseEnds(now_ms + longest_ms)
+    renewed_until_ms = observed.seen_ms + fenced_writer.AUTONOMY_MS
+    return LeaseEnds(renewed_until_ms + longest_ms)
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -23,6 +23,7 @@
 from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import machine_caller
 from comfreylatch._process.cell import maintenance
 from comfreylatch._process.cell import model_persistence
@@ -31,6 +32,7 @@
 from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import recorded_workers
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state as recovered_state_module
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler as run_reconciler_module
@@ -79,6 +81,7 @@
     ) -> None:
         clock, metrics = deps.clock, deps.metrics
         self._recovered = recovered
+        self._lease_ms = deps.lease_ms
         self._writer = writer
         self._metrics = metrics
         self._clock = clock
@@ -134,10 +137,7 @@
         self._stop_reason: reasons.OwnershipEnd | None = None
         self._unacknowledged_workers: set[str] = set()
         self._recorded_workers = recorded_workers.RecordedWorkers(
-            self._workers,
-            recovered.token,
-            recovered.known_workers,
-            self._events.put,
+            self._workers, recovered.known_workers, self._events.put
         )
         self._model_persistence = model_persistence.ModelPersistence(
             model, self._durations, recovered.learned, clock
@@ -198,6 +198,13 @@
         """Queues the event that a job was accepted or cancelled."""
         self._events.put(events.JobChanged(change))
 
+    def remaining_leases(self) -> records.RemainingLeases:
+        """How long leases last; only once this host renews none any more."""
+        return records.RemainingLeases(
+            lease_ends.longest_lease_ms(self._lease_ms),
+            self._workers.older_leases(),
+        )
+
     @property
     def is_isolated(self) -> bool:
         """Whether this host can't reach most of the listed workers."""
@@ -250,8 +257,8 @@
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
                 self._handle_order(event)
-            case events.WorkersRecorded(record):
-                self._recorded_workers.mark_stored(record)
+            case events.WorkersRecorded(born_ms):
+                self._recorded_workers.mark_recorded(born_ms)
             case events.AdviceReturned():
                 self._advice_planner.handle_advice_returned(
                     event, self._clock.monotonic_ms()
@@ -348,8 +355,8 @@
             cell_report.log_takeover_wait(
                 self._recovered.token,
                 self._workers.unknown(),
+                self._workers.older_leases(),
                 self._jobs,
-                now_ms,
             )
 
     def _check_settled(self, now_ms: int) -> None:
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -229,7 +229,6 @@
             token,
             zone=self._host.zone,
             cpu_cores=self._host.cpu_cores,
-            records_leases=True,
         )
         post_functions: list[Callable[[events.Event], None]] = []
 
@@ -298,10 +297,13 @@
             reasons.OwnershipEnd.STOPPING,
             reasons.OwnershipEnd.ISOLATED,
         ):
+            # Renewals have to end before what is left of the leases is stated.
+            writer.stop_acting()
             last_heartbeat = attrs.evolve(
                 heartbeat,
                 is_released=True,
                 is_isolated=reason is reasons.OwnershipEnd.ISOLATED,
+                leases=owner.remaining_leases(),
             )
             writer.release(last_heartbeat)
 
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -80,6 +80,20 @@
     zone: str = ""
 
 
+@attrs.frozen
+class RemainingLeases:
+    """How long leases on workers may last after a cell was released.
+
+    Attributes:
+        default_ms: Longest time for a worker that is not listed below.
+        older_ms: Time for workers on which the host has renewed no lease, by
+            worker id; those leases are of previous owners.
+    """
+
+    default_ms: int
+    older_ms: dict[str, int] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class HeartbeatRecord:
     """Heartbeat of a cell's owner, which shows that it can write.
@@ -94,8 +108,8 @@
         is_isolated: Whether the host releases the cell as it can't reach most
             workers. Hosts of other zones should then take over.
         cpu_cores: Processors that the host's process may use; 0 if unknown.
-        records_leases: Whether the host renews a worker's lease only once a
-            `WorkersRecord` says so; earlier versions don't.
+        leases: How long the leases on workers last from a release on. None in
+            heartbeats that release nothing, and of earlier versions.
     """
 
     host: str
@@ -105,7 +119,7 @@
     zone: str = ""
     is_isolated: bool = False
     cpu_cores: float = 0.0
-    records_leases: bool = False
+    leases: RemainingLeases | None = None
 
 
 @attrs.frozen
@@ -136,28 +150,13 @@
 
 @attrs.frozen
 class WorkersRecord:
-    """Workers that may have runs of the owner or of a previous one.
+    """Workers that may have runs of the owner.
 
     Attributes:
         born_ms: Their current incarnations, by worker id.
-        token: The owner's fencing token. It renews a worker's lease only once
-            this record is stored. 0 in records of versions that renew it
-            before.
-        lease_tokens: For workers whose lease the owner has not renewed: the
-            token of the last owner that may have.
     """
 
     born_ms: dict[str, int] = attrs.field(factory=dict)
-    token: int = 0
-    lease_tokens: dict[str, int] = attrs.field(factory=dict)
-
-    def held(self) -> dict[str, int]:
-        """Returns the incarnations whose lease the owner may renew."""
-        return {
-            worker_id: born_ms
-            for worker_id, born_ms in self.born_ms.items()
-            if worker_id not in self.lease_tokens
-        }
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/recovered_state.py
+++ b/src/comfreylatch/_process/cell/recovered_state.py
@@ -14,13 +14,11 @@
 
     Attributes:
         born_ms: Its incarnation.
-        lease_token: Token of the last owner that may have renewed its lease.
         release_after_ms: Monotonic time after which no such run can remain if
             the worker can't be reached.
     """
 
     born_ms: int
-    lease_token: int
     release_after_ms: int
 
 
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -53,8 +53,8 @@
     work = _read_work(deps)
     if work is None:
         return None
-    leases = lease_ends.LeaseEnds(
-        deps.replica.observed_owners, host.name, started_ms, deps.lease_ms
+    leases = lease_ends.after_owner(
+        deps.replica.previous_heartbeat, host.name, started_ms, deps.lease_ms
     )
     known_workers = _known_workers(work.workers, leases)
     jobs = deps.replica.listen(None)
@@ -66,7 +66,7 @@
         predecessor=predecessor,
         jobs=len(jobs),
         workers=len(known_workers),
-        older_leases=len(work.workers.lease_tokens),
+        older_leases=len(leases.older_ms),
         took_ms=deps.clock.monotonic_ms() - started_ms,
     )
     return recovered_state.RecoveredState(
@@ -83,13 +83,12 @@
     record: records.WorkersRecord, leases: lease_ends.LeaseEnds
 ) -> dict[str, recovered_state.KnownWorker]:
     """Returns the recorded workers, and when the leases on them end."""
-    known_workers = {}
-    for worker_id, born_ms in record.born_ms.items():
-        lease_token = record.lease_tokens.get(worker_id, record.token)
-        known_workers[worker_id] = recovered_state.KnownWorker(
-            born_ms, lease_token, leases.end_ms(lease_token)
+    return {
+        worker_id: recovered_state.KnownWorker(
+            born_ms, leases.end_ms(worker_id)
         )
-    return known_workers
+        for worker_id, born_ms in record.born_ms.items()
+    }
 
 
 def _read_work(
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -111,7 +111,6 @@
         self._clock_read_ms = 0
         self._latest_deadline_ms = 0
         self._is_failing = False
-        self._may_renew = False
         self._acknowledged = threading.Condition()
         self._queue: queue.SimpleQueue[_Start | _Stop | _Pace | None] = (
             queue.SimpleQueue()
@@ -148,6 +147,11 @@
         """Latest lease deadline sent, on the worker's clock."""
         return self._latest_deadline_ms
 
+    @property
+    def has_answer(self) -> bool:
+        """Whether the worker has answered; no lease is renewed before."""
+        return self._clock_read_ms != 0
+
     def start(
         self,
         run: runs_module.Run,
@@ -172,17 +176,9 @@
             self._acknowledged_end = max(self._acknowledged_end, last_end)
             self._acknowledged.notify_all()
 
-    def allow_renewal(self) -> None:
-        """Lets leases be renewed, as the store has recorded the worker."""
-        if self._may_renew:
-            return
-        with self._acknowledged:
-            self._may_renew = True
-            self._acknowledged.notify_all()
-
     def _deadline_ms(self) -> int:
         """Deadline of a lease renewed now; 0 if it must not be renewed."""
-        if self._clock_read_ms == 0 or not self._may_renew:
+        if self._clock_read_ms == 0:
             return 0
         if self._is_failing:
             # What the worker runs is unknown, so its lease is left to expire.
@@ -248,8 +244,7 @@
         match outcome:
             case result.Ok(answer):
                 # A call that sent no deadline is followed by one that does.
-                is_recorded = self._wait_until_recorded(answer)
-                if self._may_renew and (must_renew or not is_recorded):
+                if not self._wait_until_recorded(answer) or must_renew:
                     return 0
                 return HOLD_WAIT_MS
             case result.Err(_):
@@ -257,17 +252,14 @@
                 return 0
 
     def _wait_until_recorded(self, answer: cell_workers.HoldAnswer) -> bool:
-        """Waits until the worker and the ends in its answer are recorded.
-
-        Returns:
-            False on timeout.
-        """
-        last_end = answer.ended[-1].number if answer.ended else 0
+        """Waits until the ends in an answer are recorded; False on timeout."""
+        if not answer.ended:
+            return True
+        last_end = answer.ended[-1].number
         with self._acknowledged:
             return self._acknowledged.wait_for(
                 lambda: (
-                    (self._may_renew and self._acknowledged_end >= last_end)
-                    or self._closing.is_set()
+                    self._acknowledged_end >= last_end or self._closing.is_set()
                 ),
                 RECORDING_WAIT_MS / 1_000,
             )
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -249,17 +249,36 @@
             return False
         return view.entry.born_ms > born_ms or view.answered_ms > 0
 
-    def allow_starts(self, held: dict[str, int]) -> None:
-        """Allows starts on exactly these incarnations, and renews their leases.
+    def forbid_starts(self, recorded: dict[str, int]) -> None:
+        """Forbids starts on incarnations that a new record leaves out."""
+        for view in self:
+            if recorded.get(view.worker_id) != view.entry.born_ms:
+                view.is_recorded = False
 
-        Args:
-            held: Born times of the incarnations whose lease the owner has, in
-                each record that may be the newest in the store, by worker id.
-        """
+    def allow_starts(self, recorded: dict[str, int]) -> None:
+        """Allows starts on exactly the incarnations in the stored record."""
         for view in self:
-            view.is_recorded = held.get(view.worker_id) == view.entry.born_ms
-            if view.is_recorded:
-                self._sessions[view.worker_id].allow_renewal()
+            born_ms = recorded.get(view.worker_id)
+            view.is_recorded = born_ms == view.entry.born_ms
+
+    def older_leases(self) -> dict[str, int]:
+        """Returns how much longer older leases last on silent workers.
+
+        Returns:
+            Milliseconds until no lease of a previous owner is left on a worker
+            whose lease this one has not renewed, by worker id.
+        """
+        now_ms = self._clock.monotonic_ms()
+        return {
+            worker_id: max(known.release_after_ms - now_ms, 0)
+            for worker_id, known in self._known_workers.items()
+            if not self._may_have_renewed(worker_id)
+        }
+
+    def _may_have_renewed(self, worker_id: str) -> bool:
+        # The session may have had an answer that the owner has not handled.
+        session = self._sessions.get(worker_id)
+        return session is not None and session.has_answer
 
     def _add(self, entry: cell_workers.WorkerEntry) -> None:
         known = self._known_workers.get(entry.worker_id)
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -51,8 +51,8 @@
             maintenance.
         cleared_until_ms: No lasting tasks before this time, except overdue
             ones, so that it can take filling tasks that would disturb them.
-        release_after_ms: For a worker that has never answered this owner: the
-            time by which the previous owner's leases have certainly ended.
+        release_after_ms: Monotonic time by which the leases of previous owners
+            have ended.
     """
 
     entry: cell_workers.WorkerEntry
@@ -150,8 +150,11 @@
             self.lasting_millicores += sign * spec.cpu_millicores
 
     def lease_expiry_ms(self) -> int:
-        """Monotonic time after which no run of an owner is left on it."""
-        if self.clock_read_ms == 0:
+        """Monotonic time after which no run of an owner is left on it.
+
+        While this owner has renewed no lease, that of a previous one may last.
+        """
+        if self.clock_read_ms == 0 or self.deadline_ms == 0:
             return self.release_after_ms
         remaining_ms = max(self.deadline_ms - self.clock_ms, 0)
         expiry_ms = self.clock_read_ms + int(
