Order the pace of filling tasks that were adopted

A new owner took adopted filling tasks to be at full pace. One that its predecessor had paused got no order as long as its pace was to be the full one, and stayed paused; neither a stall nor a slow pace was noticed, as filling tasks are exempt. The first pace is now ordered whatever it is.

--- a/src/comfreylatch/_process/cell/interference.py
+++ b/src/comfreylatch/_process/cell/interference.py
@@ -286,12 +286,7 @@
         return [
             PaceChange(run, percent)
             for run, percent in paces.items()
-            if run.pace_percent != percent
-            and (
-                percent < run.pace_percent
-                or percent == FULL_PACE
-                or percent >= run.pace_percent + 2 * PACE_STEP
-            )
+            if not run.is_pace_known or _is_worth_ordering(run, percent)
         ]
 
     def _cpu_bound_pace(self, worker: worker_view.WorkerView) -> int:
@@ -395,3 +390,13 @@
 
 def _image(run: runs_module.Run) -> str:
     return run.task.step.spec.image
+
+
+def _is_worth_ordering(run: runs_module.Run, percent: int) -> bool:
+    if percent == run.pace_percent:
+        return False
+    return (
+        percent < run.pace_percent
+        or percent == FULL_PACE
+        or percent >= run.pace_percent + 2 * PACE_STEP
+    )
--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -272,6 +272,7 @@
                 percent=change.percent,
             )
             run.pace_percent = change.percent
+            run.is_pace_known = True
             run.pace_changed_ms = self._clock.monotonic_ms()
             if change.percent > SLOW_PACE_PERCENT:
                 run.slow_since_ms = 0
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -238,6 +238,7 @@
                 confirmed_ms=now_ms,
                 progressed_ms=now_ms,
                 percent=running_task.percent,
+                is_pace_known=not task.step.spec.fills_idle,
             )
             task.last_run = max(task.last_run, running_task.run)
             # A copy may run on after another one is done.
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -61,7 +61,9 @@
         progressed_ms: Monotonic time at which the progress last rose.
         reading: Tail latency in milliseconds of a task with a tail target, else
             the millicores in use, as last reported.
-        pace_percent: Pace that was last ordered.
+        pace_percent: Pace that was last ordered, by this owner.
+        is_pace_known: Whether that is its pace; a previous owner may have
+            ordered another.
         slow_since_ms: Monotonic time since which its pace has been too low for
             useful progress; 0 while it isn't.
         intensity: Share of its request that a filling task uses at full pace;
@@ -87,6 +89,7 @@
     progressed_ms: int = 0
     reading: int = 0
     pace_percent: int = 100
+    is_pace_known: bool = True
     slow_since_ms: int = 0
     intensity: float = DEFAULT_INTENSITY
     pace_changed_ms: int = 0
--- a/tests/process/cell/test_run_reconciler.py
+++ b/tests/process/cell/test_run_reconciler.py
@@ -169,6 +169,17 @@
         self.assertEqual([7], [run.number for run in task.runs])
         self.assertEqual([], cell.place())
 
+    # Guards against tasks that stay at a pace that a previous owner ordered:
+    # the next one took them to be at full pace, and never ordered it.
+    def test_adopted_filling_run_gets_its_pace_ordered(self) -> None:
+        cell = harness.Cell(workers=1)
+        job = cell.submit(harness.job(harness.step(fills_idle=True)))
+        (task,) = job.steps[0][0].tasks
+        running = (cell_workers.RunningTask(task.name, 7, "", 0.0, 0),)
+        for _ in range(2):
+            cell.answer_hold("w1", running=running)
+        self.assertEqual([(task.name, 100)], cell.sessions["w1"].paces)
+
     def test_stop_that_an_unhealthy_worker_refused_is_sent_again(self) -> None:
         # The worker did nothing, so a start that was sent before may still be
         # carried out, and the task must not run elsewhere yet.
