Don't take a worker that hasn't answered for empty

After a change of owner, a worker that has not answered has no known runs. Maintenance took it for empty, chose its machine first and ordered its upkeep, with whatever still ran there. It now counts as loaded until it answers or the leases of previous owners have ended.

--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -211,10 +211,13 @@
             if machine and machine.state is machines_port.MachineState.UP:
                 view = workers.get(machine.worker_id)
                 load = 0 if view is None else len(view.runs)
-                ready.append(
-                    (load, progress.machine_id, progress, machine.worker_id)
+                is_unknown = view is not None and view.may_have_unknown_runs(
+                    now_ms
                 )
-        for _, _, progress, worker_id in sorted(ready)[
+                order = (is_unknown, load, progress.machine_id)
+                ready.append((order, progress, machine.worker_id))
+        ready.sort(key=lambda candidate: candidate[0])
+        for _, progress, worker_id in ready[
             : max(limit - in_progress_count, 0)
         ]:
             progress.worker_id = worker_id
@@ -237,7 +240,8 @@
             return True
         # The view may be a new one, of a worker that was listed again.
         view.is_being_emptied = True
-        return not view.runs or now_ms - progress.since_ms > MAX_EVACUATION_MS
+        is_empty = not (view.runs or view.may_have_unknown_runs(now_ms))
+        return is_empty or now_ms - progress.since_ms > MAX_EVACUATION_MS
 
     def _enter_phase(
         self,
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -107,6 +107,10 @@
         lasting_idle = self.lasting_millicores * (1 - ASSUMED_LASTING_USE_SHARE)
         return int(self.free_cpu + lasting_idle - self.fill_millicores)
 
+    def may_have_unknown_runs(self, now_ms: int) -> bool:
+        """Whether a previous owner's runs on it may not be known here."""
+        return self.answered_ms == 0 and now_ms <= self.release_after_ms
+
     def accepts_work(self, now_ms: int) -> bool:
         """Whether new tasks may be placed on it."""
         return (
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -218,6 +218,21 @@
         worker = self.cell.workers.find(first.replace("m", "w"))
         self.assertFalse(worker.is_being_emptied)
 
+    # Guards against maintenance of a machine whose worker has not answered the
+    # new owner: its runs aren't known here, so that it seemed to be empty.
+    def test_worker_with_unknown_runs_is_not_taken_for_empty(self) -> None:
+        for worker in self.cell.workers:
+            worker.answered_ms = 0
+            worker.release_after_ms = harness.START_MS + 1_500
+        self.assertEqual([], self.next_orders())
+        self.assertEqual(1, len(self.next_orders()))
+
+    def test_workers_that_have_answered_are_maintained_first(self) -> None:
+        worker = self.cell.workers.find("w1")
+        worker.answered_ms = 0
+        worker.release_after_ms = harness.START_MS + 60_000
+        self.assertEqual(["m2"], self.next_orders())
+
     def test_next_owner_waits_before_its_first_order(self) -> None:
         self.planner = self.new_planner(handover_ms=3_000)
         self.assertEqual([], self.next_orders())
