--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -208,9 +208,7 @@
     @property
     def is_isolated(self) -> bool:
         """Whether this host can't reach most of the listed workers."""
-        listed = [view for view in self._workers if view.is_listed]
-        failing = [view for view in listed if not view.is_answering]
-        return bool(listed) and 2 * len(failing) > len(listed)
+        return self._workers.are_mostly_unreachable
 
     def run(
         self, must_stop: Callable[[], reasons.OwnershipEnd | None]
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -90,6 +90,16 @@
     def __len__(self) -> int:
         return len(self._views)
 
+    @property
+    def are_mostly_unreachable(self) -> bool:
+        """Whether calls to most of the listed workers fail.
+
+        A worker whose first call has not returned may be reachable.
+        """
+        listed = [view for view in self if view.is_listed]
+        failing_count = sum(view.failing_since_ms > 0 for view in listed)
+        return 2 * failing_count > len(listed)
+
     def find(self, worker_id: str) -> worker_view.WorkerView | None:
         """Returns a worker by its id."""
         return self._views.get(worker_id)
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -87,6 +87,33 @@
         self.assertEqual([3], [run.number for run in lost.runs])
 
 
+class IsolationTest(testtools.TestCase):
+    """Whether most workers seem to be out of this host's reach."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=3)
+
+    def test_workers_whose_calls_fail_are_unreachable(self) -> None:
+        self.cell.fail_hold("w1")
+        self.assertFalse(self.cell.workers.are_mostly_unreachable)
+        self.cell.fail_hold("w2")
+        self.assertTrue(self.cell.workers.are_mostly_unreachable)
+
+    # Guards against an owner that gives up a large cell right after it has
+    # taken over, as it has not had time to ask most workers.
+    def test_workers_that_have_not_answered_yet_may_be_reachable(self) -> None:
+        for worker in self.cell.workers:
+            worker.answered_ms = 0
+        self.assertFalse(self.cell.workers.are_mostly_unreachable)
+
+    def test_workers_without_an_entry_do_not_count(self) -> None:
+        self.cell.fail_hold("w1")
+        self.cell.fail_hold("w2")
+        self.cell.workers.find("w2").is_listed = False
+        self.assertFalse(self.cell.workers.are_mostly_unreachable)
+
+
 class ExpiredLeaseTest(testtools.TestCase):
     """A start is still queued when the lease of its worker ends."""
 
