Count a machine in maintenance whoever ordered it

A new owner knew only the machines of a wave whose orders were recorded. One that its predecessor had ordered and not recorded counted as waiting while it was away, and another one could be ordered beyond what the wave allows. The wait of a new owner, 3 s, hides that where maintenance takes 2 s.

--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -191,12 +191,7 @@
             and now_ms >= progress.not_before_ms
         ]
         in_progress_count = sum(
-            progress.phase
-            in (
-                wave_state.MachinePhase.EMPTYING,
-                wave_state.MachinePhase.ORDERED,
-                wave_state.MachinePhase.AWAY,
-            )
+            self._is_in_progress(progress)
             for progress in wave_progress.machines.values()
         )
         limit = concurrent_machines(
@@ -228,6 +223,20 @@
                 progress, wave_state.MachinePhase.EMPTYING, now_ms
             )
 
+    def _is_in_progress(self, progress: wave_state.MachineProgress) -> bool:
+        """Whether a machine is away, about to be, or being emptied."""
+        match progress.phase:
+            case wave_state.MachinePhase.WAITING:
+                # A previous owner may have ordered it and not recorded that.
+                machine = (self._machines or {}).get(progress.machine_id)
+                return machine is not None and (
+                    machine.state is machines_port.MachineState.MAINTENANCE
+                )
+            case wave_state.MachinePhase.FINISHED:
+                return False
+            case _:
+                return True
+
     def _is_evacuated(
         self,
         progress: wave_state.MachineProgress,
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -218,6 +218,14 @@
         worker = self.cell.workers.find(first.replace("m", "w"))
         self.assertFalse(worker.is_being_emptied)
 
+    # Guards against more machines away than the wave allows: the previous owner
+    # had ordered one, and was replaced before it had recorded that.
+    def test_machine_in_maintenance_counts_whoever_ordered_it(self) -> None:
+        self.states["m1"] = IN_MAINTENANCE
+        self.assertEqual([], self.next_orders())
+        self.states["m1"] = UP
+        self.assertEqual(1, len(self.next_orders()))
+
     # Guards against maintenance of a machine whose worker has not answered the
     # new owner: its runs aren't known here, so that it seemed to be empty.
     def test_worker_with_unknown_runs_is_not_taken_for_empty(self) -> None:
