Let releases tell how long leases of earlier owners last

A host took over from a silent owner, was stopped before that owner's leases had ended, and released the cell. Likewise where an owner came and went between the decision to claim and the claim.

Cause: the wait followed the heartbeat seen at the decision, and a release said nothing of owners before.

The released heartbeat now carries the time for which earlier leases may last, and the wait follows the last heartbeat before this host's own.

--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -30,6 +30,7 @@
 from comfreylatch._process.cell import owner_dependencies
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import takeover
 
 # Time for which most workers must be unreachable before the owner releases the
@@ -261,15 +262,15 @@
                     deps.replica, writer, deps.keep_ended_ms, deps.clock
                 )
                 deps.jobs_reader.pause_ms = 0
-                self._run_until_stopped(owner, writer, heartbeat, retention)
+                reason = self._run_until_stopped(owner, heartbeat, retention)
+                self._release(writer, heartbeat, reason, recovered)
 
     def _run_until_stopped(
         self,
         owner: owner_module.Owner,
-        writer: fenced_writer_module.FencedWriter,
         heartbeat: records.HeartbeatRecord,
         retention: job_retention.JobRetention,
-    ) -> None:
+    ) -> reasons.OwnershipEnd:
         def on_workers(
             entries: dict[str, cell_workers.WorkerEntry],
         ) -> None:
@@ -291,18 +292,30 @@
             reason=reason,
         )
         deps.metrics.count(metrics_module.Counter.OWNERSHIPS_ENDED, reason)
-        if reason is reasons.OwnershipEnd.ISOLATED:
-            self._isolated_ms = deps.clock.monotonic_ms()
-        if reason in (
-            reasons.OwnershipEnd.STOPPING,
-            reasons.OwnershipEnd.ISOLATED,
-        ):
-            last_heartbeat = attrs.evolve(
+        return reason
+
+    def _release(
+        self,
+        writer: fenced_writer_module.FencedWriter,
+        heartbeat: records.HeartbeatRecord,
+        reason: reasons.OwnershipEnd,
+        recovered: recovered_state.RecoveredState,
+    ) -> None:
+        """Releases the cell if the store still takes this owner's records."""
+        now_ms = self._deps.clock.monotonic_ms()
+        is_isolated = reason is reasons.OwnershipEnd.ISOLATED
+        if is_isolated:
+            self._isolated_ms = now_ms
+        elif reason is not reasons.OwnershipEnd.STOPPING:
+            return
+        writer.release(
+            attrs.evolve(
                 heartbeat,
                 is_released=True,
-                is_isolated=reason is reasons.OwnershipEnd.ISOLATED,
+                is_isolated=is_isolated,
+                earlier_leases_ms=max(recovered.release_after_ms - now_ms, 0),
             )
-            writer.release(last_heartbeat)
+        )
 
     def _reason_to_stop(
         self,
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -80,17 +80,33 @@
     started_ms: int,
     predecessor: records.HeartbeatRecord | None,
 ) -> int:
-    """Returns when the leases that a previous owner renewed have ended."""
+    """Returns when the leases that previous owners renewed have ended."""
+    lease_ms = _lease_ms(deps)
+    # Another host may have owned the cell since the claim was decided on. All
+    # heartbeats of previous owners precede that of this host.
+    last_read = deps.replica.previous_heartbeat
+    last_read_ms = started_ms
+    if last_read is not None:
+        predecessor = last_read.heartbeat
+        last_read_ms = last_read.seen_ms
     if predecessor is None:
         return started_ms
-    lease_ms = int(deps.lease_ms / (1 - worker_view.MAX_CLOCK_DRIFT))
     if predecessor.is_released or predecessor.host == host.name:
-        return started_ms + lease_ms
+        earlier_end_ms = last_read_ms + predecessor.earlier_leases_ms
+        return max(started_ms + lease_ms, earlier_end_ms)
     # It renews leases for AUTONOMY_MS from a time before this host read its
-    # last heartbeat. All its heartbeats precede that of this host.
-    last_read = deps.replica.previous_heartbeat
-    last_read_ms = started_ms if last_read is None else last_read.seen_ms
-    return last_read_ms + fenced_writer_module.AUTONOMY_MS + lease_ms
+    # last heartbeat.
+    return last_read_ms + longest_leases_ms(deps)
+
+
+def longest_leases_ms(deps: owner_dependencies.OwnerDependencies) -> int:
+    """How long leases may last after the last heartbeat of their owner."""
+    return fenced_writer_module.AUTONOMY_MS + _lease_ms(deps)
+
+
+def _lease_ms(deps: owner_dependencies.OwnerDependencies) -> int:
+    """Duration of a lease by this host's clock."""
+    return int(deps.lease_ms / (1 - worker_view.MAX_CLOCK_DRIFT))
 
 
 def _read_work(
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -36,6 +36,10 @@
 
 WAIT_S = 15.0
 LEASE_MS = 1_000
+# After the last heartbeat of an owner that went silent.
+LONGEST_LEASES_MS = fenced_writer_module.AUTONOMY_MS + int(
+    LEASE_MS / (1 - worker_view.MAX_CLOCK_DRIFT)
+)
 KEEP_ENDED_MS = 200
 ID = "0" * 16
 ALLOWED_WORKER = "w2"
@@ -205,30 +209,64 @@
 class ReleaseTest(testtools.TestCase):
     """When the runs of a silent owner on unreachable workers have ended."""
 
-    def test_wait_counts_from_the_last_heartbeat_that_was_read(self) -> None:
+    def setUp(self) -> None:
+        super().setUp()
         stack = contextlib.ExitStack()
         self.addCleanup(stack.close)
-        store = record_store.MemoryStore()
-        host = Host("two", store, {}, stack)
-        silent = records.HeartbeatRecord("one", "boot-one", 1)
+        self.store = record_store.MemoryStore()
+        self.host = Host("three", self.store, {}, stack)
+        self.silent = records.HeartbeatRecord("one", "boot-one", 1)
+
+    def read_heartbeat(self, heartbeat: records.HeartbeatRecord) -> int:
+        """Stores a heartbeat; returns when the host has read it."""
         record = store_port.NewRecord(
-            records.HEARTBEAT_KEY, records.encode(silent)
+            records.HEARTBEAT_KEY, records.encode(heartbeat)
         )
-        store.append(records.JOBS_TOPIC, 0, (record,))
-        self.assertTrue(host.reader.wait_for(0, 2_000))
-        read_ms = host.replica.last_heartbeat.seen_ms
-        time.sleep(0.3)
-        heartbeat = records.HeartbeatRecord("two", "boot-two", 2)
+        offset = self.store.append(records.JOBS_TOPIC, 0, (record,)).unwrap()
+        self.assertTrue(self.host.reader.wait_for(offset, 2_000))
+        return self.host.replica.last_heartbeat.seen_ms
+
+    def release_after_ms(self, predecessor: records.HeartbeatRecord) -> int:
+        """Takes the cell over; returns when earlier leases have ended."""
+        heartbeat = records.HeartbeatRecord("three", "boot-three", 9)
+        host = self.host
         with fenced_writer_module.FencedWriter(
             host.store, 0, heartbeat, lambda _: None, host.clock
         ) as writer:
             recovered = takeover.take_over(
-                host.deps, host.identity, 2, writer, silent
+                host.deps, host.identity, 9, writer, predecessor
             )
-        lease_ms = int(LEASE_MS / (1 - worker_view.MAX_CLOCK_DRIFT))
+        return recovered.release_after_ms
+
+    def test_wait_counts_from_the_last_heartbeat_that_was_read(self) -> None:
+        read_ms = self.read_heartbeat(self.silent)
+        time.sleep(0.3)
+        self.assertEqual(
+            read_ms + LONGEST_LEASES_MS, self.release_after_ms(self.silent)
+        )
+
+    def test_wait_includes_leases_from_before_an_owner_that_released(
+        self,
+    ) -> None:
+        # An owner that stopped soon after it had replaced a silent one let its
+        # successor wait for its own leases only.
+        self.read_heartbeat(self.silent)
+        released = records.HeartbeatRecord(
+            "two", "boot-two", 2, is_released=True, earlier_leases_ms=5_000
+        )
+        read_ms = self.read_heartbeat(released)
+        self.assertEqual(read_ms + 5_000, self.release_after_ms(released))
+
+    def test_wait_includes_an_owner_between_the_decision_and_the_claim(
+        self,
+    ) -> None:
+        # The wait followed the heartbeat seen at the decision to claim.
+        released = attrs.evolve(self.silent, is_released=True)
+        self.read_heartbeat(released)
+        between = records.HeartbeatRecord("two", "boot-two", 2)
+        read_ms = self.read_heartbeat(between)
         self.assertEqual(
-            read_ms + fenced_writer_module.AUTONOMY_MS + lease_ms,
-            recovered.release_after_ms,
+            read_ms + LONGEST_LEASES_MS, self.release_after_ms(released)
         )
 
 
@@ -286,6 +324,18 @@
         elapsed_ms = (time.monotonic() - started_s) * 1_000
         self.assertLess(elapsed_ms, claiming.OWNER_TIMEOUT_MS)
 
+    def test_owner_that_stops_early_hands_on_the_wait_for_earlier_leases(
+        self,
+    ) -> None:
+        # Its successor took all leases of the silent owner before for ended.
+        self.first.store.is_cut = True
+        self.wait_for(lambda: self.second.ownership.is_owner)
+        self.second.ownership.stop(2_000)
+        (record,) = self.store.newest(records.JOBS_TOPIC, 0).unwrap().records
+        last = records.decode(records.HeartbeatRecord, record.value)
+        self.assertTrue(last.is_released)
+        self.assertGreater(last.earlier_leases_ms, LEASE_MS)
+
     def test_job_submitted_to_any_host_reaches_the_owner(self) -> None:
         self.second.job_api.submit(harness.job(), 2_000)
         self.wait_for(lambda: len(self.running()) == 1)
