Keep hosts that stop from claiming a cell

In a rolling restart a host that had its SIGTERM claimed the released cell, took it over and gave it up 0.3 s later, and the next two owners followed soon.

Cause: the stop was looked at every 40 ms between two checks of the owner, but not after the calls to the store that a claim begins with, nor once it was won.

A host now looks right before the claim. One that wins while it stops writes the released heartbeat as its first record, by one append, without reading state or opening sessions to workers; as it hasn't read who owned the cell before, that heartbeat names the longest time that leases may last. A stop during the takeover ends before sessions are opened.

--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -155,6 +155,8 @@
         # arrived in between may be from the winner of the newest claim.
         if claiming.is_outdated(view, deps.replica.last_heartbeat):
             return None
+        if self._stopping.is_set():
+            return None
         claim = records.ClaimRecord(
             deps.cell, self._host.name, self._host.boot, self._host.zone
         )
@@ -237,14 +239,26 @@
             for post in post_functions:
                 post(events.Fenced(detail))
 
-        with fenced_writer_module.FencedWriter(
+        writer = fenced_writer_module.FencedWriter(
             deps.store, deps.cell, heartbeat, on_fenced, deps.clock
-        ) as writer:
+        )
+        if self._stopping.is_set():
+            self._give_up(writer, heartbeat)
+            return
+        with writer:
             recovered = takeover.take_over(
                 deps, self._host, token, writer, predecessor
             )
             if recovered is None:
                 return
+            if self._stopping.is_set():
+                self._end_tenure(
+                    writer,
+                    heartbeat,
+                    reasons.OwnershipEnd.STOPPING,
+                    self._remaining_ms(recovered),
+                )
+                return
             with owner_module.Owner(
                 recovered, writer, deps, self._host.name
             ) as owner:
@@ -263,7 +277,28 @@
                 )
                 deps.jobs_reader.pause_ms = 0
                 reason = self._run_until_stopped(owner, heartbeat, retention)
-                self._release(writer, heartbeat, reason, recovered)
+                self._end_tenure(
+                    writer, heartbeat, reason, self._remaining_ms(recovered)
+                )
+
+    def _give_up(
+        self,
+        writer: fenced_writer_module.FencedWriter,
+        heartbeat: records.HeartbeatRecord,
+    ) -> None:
+        """Releases the cell by the first heartbeat, without taking it over.
+
+        It is not known who owned the cell before.
+        """
+        self._end_tenure(
+            writer,
+            heartbeat,
+            reasons.OwnershipEnd.STOPPING,
+            takeover.longest_leases_ms(self._deps),
+        )
+        # Entering starts the append, leaving waits for it.
+        with writer:
+            pass
 
     def _run_until_stopped(
         self,
@@ -281,9 +316,23 @@
             return self._reason_to_stop(owner, heartbeat)
 
         self._isolated_since_ms = 0
+        with self._deps.follow_workers(on_workers):
+            return owner.run(must_stop)
+
+    def _remaining_ms(self, recovered: recovered_state.RecoveredState) -> int:
+        """How long leases of earlier owners may still last."""
+        now_ms = self._deps.clock.monotonic_ms()
+        return max(recovered.release_after_ms - now_ms, 0)
+
+    def _end_tenure(
+        self,
+        writer: fenced_writer_module.FencedWriter,
+        heartbeat: records.HeartbeatRecord,
+        reason: reasons.OwnershipEnd,
+        earlier_leases_ms: int,
+    ) -> None:
+        """Reports the end; releases the cell if this host gives it up."""
         deps = self._deps
-        with deps.follow_workers(on_workers):
-            reason = owner.run(must_stop)
         logs.event(
             _logger,
             "tenure-ended",
@@ -292,20 +341,9 @@
             reason=reason,
         )
         deps.metrics.count(metrics_module.Counter.OWNERSHIPS_ENDED, reason)
-        return reason
-
-    def _release(
-        self,
-        writer: fenced_writer_module.FencedWriter,
-        heartbeat: records.HeartbeatRecord,
-        reason: reasons.OwnershipEnd,
-        recovered: recovered_state.RecoveredState,
-    ) -> None:
-        """Releases the cell if the store still takes this owner's records."""
-        now_ms = self._deps.clock.monotonic_ms()
         is_isolated = reason is reasons.OwnershipEnd.ISOLATED
         if is_isolated:
-            self._isolated_ms = now_ms
+            self._isolated_ms = deps.clock.monotonic_ms()
         elif reason is not reasons.OwnershipEnd.STOPPING:
             return
         writer.release(
@@ -313,7 +351,7 @@
                 heartbeat,
                 is_released=True,
                 is_isolated=is_isolated,
-                earlier_leases_ms=max(recovered.release_after_ms - now_ms, 0),
+                earlier_leases_ms=earlier_leases_ms,
             )
         )
 
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -46,19 +46,31 @@
 
 
 class HostStore:
-    """One host's connection to the store, which a test can cut."""
+    """One host's connection to the store, which a test can cut.
+
+    Attributes:
+        is_cut: Whether all calls fail.
+        on_call: Receives the method and the topic of each call, before it.
+    """
 
     def __init__(self, store: record_store.MemoryStore) -> None:
         self.is_cut = False
+        self.on_call: Callable[[str, str], None] = lambda *_: None
         self._store = store
         self._unreachable_store = record_store.MemoryStore()
         self._unreachable_store.is_down = True
 
     def __getattr__(self, name: str) -> Any:
-        return getattr(
+        method = getattr(
             self._unreachable_store if self.is_cut else self._store, name
         )
 
+        def call(topic: str, *args: Any, **kwargs: Any) -> Any:
+            self.on_call(name, topic)
+            return method(topic, *args, **kwargs)
+
+        return call
+
 
 class HostWorker:
     """One host's connection to a worker, which a test can cut."""
@@ -206,6 +218,91 @@
         self.take_over()
 
 
+class StoppingTest(testtools.TestCase):
+    """Hosts that are stopped while they claim a cell."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.store = record_store.MemoryStore()
+        self.host = Host("two", self.store, {}, stack)
+        # A host claims the cell of its own previous incarnation at once.
+        self.previous = records.HeartbeatRecord("two", "boot-before", 0)
+        record = store_port.NewRecord(
+            records.HEARTBEAT_KEY, records.encode(self.previous)
+        )
+        self.store.append(records.JOBS_TOPIC, 0, (record,))
+        self.assertTrue(self.host.reader.wait_for(0, 2_000))
+
+    def claim_and_stop_at(self, name: str, topic: str) -> list[tuple[str, str]]:
+        """Claims the cell; a call of the store starts the stop.
+
+        Returns:
+            The calls that follow.
+        """
+        calls: list[tuple[str, str]] = []
+        ownership = self.host.ownership
+
+        def on_call(call_name: str, call_topic: str) -> None:
+            if call_name == "read":
+                return
+            if ownership._stopping.is_set():
+                calls.append((call_name, call_topic))
+            elif (call_name, call_topic) == (name, topic):
+                ownership._stopping.set()
+
+        self.host.store.on_call = on_call
+        ownership._check_owner()
+        self.assertTrue(ownership._stopping.is_set())
+        return calls
+
+    def last_heartbeat(self) -> records.HeartbeatRecord:
+        """Returns the newest heartbeat in the store."""
+        (record,) = self.store.newest(records.JOBS_TOPIC, 0).unwrap().records
+        return records.decode(records.HeartbeatRecord, record.value)
+
+    def test_host_that_stops_claims_nothing(self) -> None:
+        # The stop came while the claims were read.
+        self.claim_and_stop_at("newest", records.CLAIMS_TOPIC)
+        self.assertEqual([], self.store.keys(records.CLAIMS_TOPIC, 0))
+
+    def test_claim_won_during_the_stop_is_released_by_one_append(self) -> None:
+        # The host took the cell over and gave it up 0.3 s later.
+        calls = self.claim_and_stop_at("append", records.CLAIMS_TOPIC)
+        self.assertEqual([("append", records.JOBS_TOPIC)], calls)
+        last = self.last_heartbeat()
+        self.assertEqual((1, True), (last.token, last.is_released))
+
+    def test_claim_won_during_the_stop_vouches_for_no_earlier_owner(
+        self,
+    ) -> None:
+        self.claim_and_stop_at("append", records.CLAIMS_TOPIC)
+        self.assertEqual(
+            LONGEST_LEASES_MS, self.last_heartbeat().earlier_leases_ms
+        )
+
+    def test_stop_during_the_takeover_opens_no_sessions(self) -> None:
+        self.host.ownership._deps = attrs.evolve(
+            self.host.deps, follow_workers=self.fail
+        )
+        calls = self.claim_and_stop_at("newest", records.WORK_TOPIC)
+        self.assertEqual(("append", records.JOBS_TOPIC), calls[-1])
+        self.assertTrue(self.last_heartbeat().is_released)
+
+    def test_cell_given_up_in_a_stop_is_claimed_at_once(self) -> None:
+        self.claim_and_stop_at("append", records.CLAIMS_TOPIC)
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        started_s = time.monotonic()
+        other = Host("one", self.store, {}, stack)
+        other.ownership.start()
+        while not other.ownership.is_owner:
+            elapsed_ms = (time.monotonic() - started_s) * 1_000
+            self.assertLess(elapsed_ms, claiming.OWNER_TIMEOUT_MS / 2)
+            time.sleep(0.01)
+
+
 class ReleaseTest(testtools.TestCase):
     """When the runs of a silent owner on unreachable workers have ended."""
 
