Wait for the outcome of a claim whose answer was lost

On a slow store a host whose claim had timed out claimed once more, under a higher token, as the first claim was carried out only later; the cell changed hands once for each. A host that had owned the cell before could instead go on under its old token, with sequence numbers that the store had seen.

Cause: the claims were read once after the time-out, and any claim of this process was taken for the one in question.

A host now looks for the outcome for a while, by the offset of its claim, and takes up one that is decided later still. While another claimant has time for its first heartbeat, the claims aren't read every 40 ms any more.

--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 import threading
+import time
 from typing import final
 
 import attrs
@@ -44,6 +45,10 @@
 # How long a host waits for a current view before it claims a silent cell.
 CLAIM_REFRESH_TIMEOUT_MS = 300
 CLAIM_TIMEOUT_MS = 800
+# How long a host looks for the outcome of a claim without an answer, and the
+# pause between two looks.
+OUTCOME_TIMEOUT_MS = 500
+OUTCOME_PAUSE_MS = 60
 
 _logger = logbook.Logger(__name__)
 
@@ -70,8 +75,10 @@
         self._started_ms = deps.clock.monotonic_ms()
         self._isolated_since_ms = 0
         self._isolated_ms: int | None = None
+        self._key = f"cell/{deps.cell}"
         self._other_claim_offset = -1
         self._other_claim_seen_ms = 0
+        self._unanswered_offset = -1
         self.is_owner = False
 
     def start(self) -> None:
@@ -143,28 +150,38 @@
     ) -> int | None:
         """Tries to claim the cell; returns the fencing token."""
         deps = self._deps
-        match deps.store.newest(records.CLAIMS_TOPIC, records.CLAIMS_PARTITION):
-            case result.Ok(claims):
-                pass
-            case result.Err(_):
-                return None
-        key = f"cell/{deps.cell}"
-        if self._has_recent_claim(claims.records, key):
+        if self._is_other_claim_recent():
             return None
+        claims = self._read_claims()
+        if claims is None:
+            return None
+        newest = _find_newest(claims, self._key)
+        if newest is not None and newest.offset >= self._seen_token():
+            if self._is_unanswered(newest):
+                return self._take_token(newest.offset)
+            self._note_other_claim(newest)
+            if self._is_other_claim_recent():
+                return None
         # The claims were read after the view was taken. A heartbeat that
         # arrived in between may be from the winner of the newest claim.
         if claiming.is_outdated(view, deps.replica.last_heartbeat):
             return None
         if self._stopping.is_set():
             return None
+        return self._append_claim(reason, claims.end_offset)
+
+    def _append_claim(
+        self, reason: reasons.ClaimReason, at_offset: int
+    ) -> int | None:
+        deps = self._deps
         claim = records.ClaimRecord(
             deps.cell, self._host.name, self._host.boot, self._host.zone
         )
         outcome = deps.store.append(
             records.CLAIMS_TOPIC,
             records.CLAIMS_PARTITION,
-            (store_port.NewRecord(key, records.encode(claim)),),
-            at_offset=claims.end_offset,
+            (store_port.NewRecord(self._key, records.encode(claim)),),
+            at_offset=at_offset,
             timeout_ms=CLAIM_TIMEOUT_MS,
         )
         logs.event(
@@ -172,55 +189,80 @@
             "claim",
             cell=deps.cell,
             reason=reason,
-            at_offset=claims.end_offset,
+            at_offset=at_offset,
             outcome=outcome,
         )
         deps.metrics.count(metrics_module.Counter.CLAIMS, reason)
         match outcome:
             case result.Ok(offset):
-                return offset + 1
+                return self._take_token(offset)
             case result.Err(store_port.StoreAnswerLost(_)):
-                return self._find_own_claim(key)
+                return self._await_outcome(at_offset)
         return None
 
-    def _has_recent_claim(
-        self, claims: tuple[store_port.StoredRecord, ...], key: str
-    ) -> bool:
-        """Whether another host has a claim newer than the last heartbeat."""
-        for record in claims:
-            if record.key != key or record.value is None:
-                continue
-            observed = self._deps.replica.last_heartbeat
-            seen_token = observed.heartbeat.token if observed else 0
-            if record.offset + 1 <= seen_token:
-                return False
-            now_ms = self._deps.clock.monotonic_ms()
-            if record.offset != self._other_claim_offset:
-                self._other_claim_offset = record.offset
-                self._other_claim_seen_ms = now_ms
-            # The claimant gets OWNER_TIMEOUT_MS to write its first heartbeat.
-            claim = _decode_claim(record)
-            is_own = claim is not None and claim.host == self._host.name
-            return (
-                not is_own
-                and now_ms - self._other_claim_seen_ms
-                < claiming.OWNER_TIMEOUT_MS
-            )
-        return False
+    def _await_outcome(self, at_offset: int) -> int | None:
+        """Waits until an unanswered claim is decided; returns its token.
+
+        The store may carry it out seconds later, in the order of the claims. A
+        claim that isn't decided in time is looked for at the next check.
+        """
+        self._unanswered_offset = at_offset
+        clock = self._deps.clock
+        deadline_ms = clock.monotonic_ms() + OUTCOME_TIMEOUT_MS
+        while clock.monotonic_ms() < deadline_ms:
+            claims = self._read_claims()
+            if claims is not None and claims.end_offset > at_offset:
+                newest = _find_newest(claims, self._key)
+                if newest is not None and self._is_unanswered(newest):
+                    return self._take_token(at_offset)
+                return None
+            time.sleep(OUTCOME_PAUSE_MS / 1_000)
+        return None
 
-    def _find_own_claim(self, key: str) -> int | None:
-        """Returns the token of this host's claim if the store has it."""
+    def _read_claims(self) -> store_port.StoreBatch | None:
+        """Reads the newest claims; None if the store doesn't answer."""
         match self._deps.store.newest(
             records.CLAIMS_TOPIC, records.CLAIMS_PARTITION
         ):
             case result.Ok(claims):
-                for record in claims.records:
-                    if record.key != key or record.value is None:
-                        continue
-                    claim = _decode_claim(record)
-                    if claim is not None and claim.boot == self._host.boot:
-                        return record.offset + 1
-        return None
+                return claims
+            case result.Err(_):
+                return None
+
+    def _seen_token(self) -> int:
+        """Token of the newest heartbeat; a claim's is its offset plus one."""
+        observed = self._deps.replica.last_heartbeat
+        return observed.heartbeat.token if observed else 0
+
+    def _is_unanswered(self, record: store_port.StoredRecord) -> bool:
+        """Whether it is this process's claim whose answer was lost."""
+        claim = _decode_claim(record)
+        return (
+            record.offset == self._unanswered_offset
+            and claim is not None
+            and claim.boot == self._host.boot
+        )
+
+    def _take_token(self, claim_offset: int) -> int:
+        """Returns the token of a claim, which is then never used again."""
+        self._unanswered_offset = -1
+        return claim_offset + 1
+
+    def _note_other_claim(self, record: store_port.StoredRecord) -> None:
+        """Notes when another host's claim was first seen."""
+        claim = _decode_claim(record)
+        if claim is not None and claim.host == self._host.name:
+            self._other_claim_offset = -1
+        elif record.offset != self._other_claim_offset:
+            self._other_claim_offset = record.offset
+            self._other_claim_seen_ms = self._deps.clock.monotonic_ms()
+
+    def _is_other_claim_recent(self) -> bool:
+        """Whether another claimant still has time for its first heartbeat."""
+        if self._other_claim_offset < self._seen_token():
+            return False
+        age_ms = self._deps.clock.monotonic_ms() - self._other_claim_seen_ms
+        return age_ms < claiming.OWNER_TIMEOUT_MS
 
     def _run_owner(
         self, token: int, predecessor: records.HeartbeatRecord | None
@@ -240,7 +282,11 @@
                 post(events.Fenced(detail))
 
         writer = fenced_writer_module.FencedWriter(
-            deps.store, deps.cell, heartbeat, on_fenced, deps.clock
+            deps.store,
+            deps.cell,
+            heartbeat,
+            on_fenced,
+            deps.clock,
         )
         if self._stopping.is_set():
             self._give_up(writer, heartbeat)
@@ -375,6 +421,16 @@
         return None
 
 
+def _find_newest(
+    claims: store_port.StoreBatch, key: str
+) -> store_port.StoredRecord | None:
+    """Returns the newest claim with a key."""
+    for record in claims.records:
+        if record.key == key and record.value is not None:
+            return record
+    return None
+
+
 def _decode_claim(
     record: store_port.StoredRecord,
 ) -> records.ClaimRecord | None:
--- a/testing/fakes/record_store.py
+++ b/testing/fakes/record_store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 import threading
+import time
 from typing import final
 
 import attrs
@@ -11,6 +12,9 @@
 
 from comfreylatch._ports import store as store_port
 
+# An append is turned away when more work than this is waiting.
+MAX_QUEUED_S = 2.0
+
 
 @attrs.define
 class _Partition:
@@ -19,6 +23,7 @@
     epochs: dict[str, int] = attrs.field(factory=dict)
     sequences: dict[str, int] = attrs.field(factory=dict)
     answers: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    busy_until_s: float = 0.0
 
 
 @final
@@ -30,6 +35,10 @@
         lose_answers: Number of next appends that take effect but report a
             lost answer.
         timeouts_ms: Timeout of each append.
+        answer_ms: Duration of each call. A partition carries out its appends
+            one at a time, also those that nobody waits for any more.
+        backlog_ms: Time for which an append to a topic waits for those of
+            others, by topic.
     """
 
     def __init__(self) -> None:
@@ -37,6 +46,8 @@
         self.lose_answers = 0
         self.appends = 0
         self.timeouts_ms: list[int] = []
+        self.answer_ms = 0
+        self.backlog_ms: dict[str, int] = {}
         self._partitions: dict[tuple[str, int], _Partition] = {}
         self._changed = threading.Condition()
 
@@ -57,6 +68,44 @@
         with self._changed:
             self.appends += 1
             self.timeouts_ms.append(timeout_ms)
+            wait_s = self._queue_append(topic, partition)
+
+        def append() -> result.Result[int, store_port.AppendError]:
+            return self._append_now(
+                topic, partition, records, at_offset, producer
+            )
+
+        if wait_s > MAX_QUEUED_S:
+            return result.Err(store_port.StoreUnavailable("queue is full"))
+        if wait_s > timeout_ms / 1_000 > 0:
+            threading.Timer(wait_s, append).start()
+            time.sleep(timeout_ms / 1_000)
+            return result.Err(store_port.StoreAnswerLost("timed out"))
+        if wait_s > 0:
+            time.sleep(wait_s)
+        return append()
+
+    def _queue_append(self, topic: str, partition: int) -> float:
+        """Returns the seconds until an append is carried out."""
+        if not self.answer_ms or self.is_down:
+            return 0.0
+        stored = self._partition(topic, partition)
+        now_s = time.monotonic()
+        free_s = now_s + self.backlog_ms.get(topic, 0) / 1_000
+        done_s = max(stored.busy_until_s, free_s) + self.answer_ms / 1_000
+        if done_s - now_s <= MAX_QUEUED_S:
+            stored.busy_until_s = done_s
+        return done_s - now_s
+
+    def _append_now(
+        self,
+        topic: str,
+        partition: int,
+        records: Sequence[store_port.NewRecord],
+        at_offset: int | None,
+        producer: store_port.Producer | None,
+    ) -> result.Result[int, store_port.AppendError]:
+        with self._changed:
             if self.is_down:
                 return result.Err(store_port.StoreUnavailable("down"))
             stored = self._partition(topic, partition)
@@ -93,6 +142,13 @@
         self, topic: str, partition: int, from_offset: int, wait_ms: int
     ) -> result.Result[store_port.StoreBatch, store_port.ReadError]:
         """See `RecordStore.read`."""
+        answer = self._read_now(topic, partition, from_offset, wait_ms)
+        time.sleep(self.answer_ms / 1_000)
+        return answer
+
+    def _read_now(
+        self, topic: str, partition: int, from_offset: int, wait_ms: int
+    ) -> result.Result[store_port.StoreBatch, store_port.ReadError]:
         with self._changed:
             stored = self._partition(topic, partition)
             self._changed.wait_for(
@@ -118,6 +174,13 @@
         self, topic: str, partition: int
     ) -> result.Result[store_port.StoreBatch, store_port.StoreUnavailable]:
         """See `RecordStore.newest`."""
+        answer = self._newest_now(topic, partition)
+        time.sleep(self.answer_ms / 1_000)
+        return answer
+
+    def _newest_now(
+        self, topic: str, partition: int
+    ) -> result.Result[store_port.StoreBatch, store_port.StoreUnavailable]:
         with self._changed:
             if self.is_down:
                 return result.Err(store_port.StoreUnavailable("down"))
