Give owners and claimants more time while the store is slow

With a store 20 times slower, three hosts claimed a cell in turn, each before the one before could write its first heartbeat, and hosts replaced an owner whose heartbeats were queued.

Cause: all time-outs were those of a fast store. An append that was repeated after 350 ms joined the partition's queue again, and its heartbeat's successor was sent only once a repeat was answered in time.

Each host now follows the round trips of its own last two calls, of which the shorter one counts. Silence, the wait for a claimant, the wait for a claim's outcome and the owner's appends get 25 times what exceeds 20 ms, at most 2.5 s. The decision to claim is repeated after the claims were read, as that call shows the present pace.

--- a/src/comfreylatch/_process/cell/claiming.py
+++ b/src/comfreylatch/_process/cell/claiming.py
@@ -88,6 +88,7 @@
         started_ms: Monotonic time at which this host began to watch the cell.
         isolated_ms: Monotonic time at which this host last gave up the cell, as
             it could not reach most workers; None if it never did.
+        slow_ms: How much longer than usual an append to the store may take.
     """
 
     now_ms: int
@@ -96,6 +97,7 @@
     last_heartbeat: job_replica.ObservedHeartbeat | None
     started_ms: int
     isolated_ms: int | None = None
+    slow_ms: int = 0
 
 
 def reason_to_claim(
@@ -122,7 +124,8 @@
         return reasons.ClaimReason.RELEASED if is_due else None
     # Without answers from the store, no heartbeat could have been read.
     silent_ms = min(heartbeat_age_ms, view.reachable_ms)
-    if silent_ms >= OWNER_TIMEOUT_MS + host.delay_after_ms(heartbeat):
+    timeout_ms = OWNER_TIMEOUT_MS + view.slow_ms
+    if silent_ms >= timeout_ms + host.delay_after_ms(heartbeat):
         return reasons.ClaimReason.OWNER_SILENT
     if _should_replace(observed, view, host):
         return reasons.ClaimReason.OWNER_WEAK
--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -19,6 +19,7 @@
 from comfreylatch._process import logs
 from comfreylatch._process.cell import append_timeout
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import round_trips as round_trips_module
 
 # A third of the time without a heartbeat after which another host takes over.
 HEARTBEAT_INTERVAL_MS = 500
@@ -64,6 +65,8 @@
         heartbeat: The heartbeat, written at each interval.
         on_fenced: Called once when the store has seen a higher fencing token.
         clock: Source of monotonic time.
+        round_trips: Measures the appends, which get more time while the store
+            is slow.
     """
 
     def __init__(
@@ -73,12 +76,14 @@
         heartbeat: records.HeartbeatRecord,
         on_fenced: Callable[[str], None],
         clock: clock_port.Clock,
+        round_trips: round_trips_module.RoundTrips | None = None,
     ) -> None:
         self._store = store
         self._cell = cell
         self._heartbeat = heartbeat
         self._on_fenced = on_fenced
         self._clock = clock
+        self._round_trips = round_trips or round_trips_module.RoundTrips(clock)
         self._name = f"cell-{cell}"
         self._sequences = {records.JOBS_TOPIC: 0, records.WORK_TOPIC: 0}
         self._condition = threading.Condition()
@@ -218,14 +223,17 @@
         while not self._is_fenced:
             tries += 1
             sent_ms = self._clock.monotonic_ms()
+            timeout_ms = APPEND_TIMEOUT.of_try(tries)
             match self._store.append(
                 topic,
                 self._cell,
                 new_records,
                 producer=producer,
-                timeout_ms=APPEND_TIMEOUT.of_try(tries),
+                timeout_ms=max(timeout_ms, self._round_trips.slow_ms),
             ):
                 case result.Ok(offset):
+                    now_ms = self._clock.monotonic_ms()
+                    self._round_trips.add(now_ms - sent_ms)
                     self._appended_ms = max(sent_ms, self._appended_ms)
                     if new_records:
                         self._sequences[topic] += 1
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -1,10 +1,10 @@
 """Elects the owner of a cell and runs the owner on the host that wins.
 
 The owner writes a heartbeat to the topic of jobs. A host that reads the topic
-without errors, but has seen no heartbeat for OWNER_TIMEOUT_MS, appends a claim
-at the end offset of the topic of claims, where one append at most succeeds.
-The claim's offset gives the fencing token, by which the store and the workers
-refuse the previous owner.
+without errors, but has seen no heartbeat for OWNER_TIMEOUT_MS, or longer while
+the store is slow, appends a claim at the end offset of the topic of claims,
+where one append at most succeeds. The claim's offset gives the fencing token,
+by which the store and the workers refuse the previous owner.
 """
 
 from __future__ import annotations
@@ -143,6 +143,7 @@
             last_heartbeat=deps.replica.last_heartbeat,
             started_ms=self._started_ms,
             isolated_ms=self._isolated_ms,
+            slow_ms=deps.jobs_reader.round_trips.slow_ms,
         )
 
     def _try_claim(
@@ -166,6 +167,9 @@
         # arrived in between may be from the winner of the newest claim.
         if claiming.is_outdated(view, deps.replica.last_heartbeat):
             return None
+        # The call may have taken long, or shown that the store is slow.
+        if claiming.reason_to_claim(self._claim_view(), self._host) is None:
+            return None
         if self._stopping.is_set():
             return None
         return self._append_claim(reason, claims.end_offset)
@@ -208,7 +212,10 @@
         """
         self._unanswered_offset = at_offset
         clock = self._deps.clock
-        deadline_ms = clock.monotonic_ms() + OUTCOME_TIMEOUT_MS
+        wait_ms = (
+            OUTCOME_TIMEOUT_MS + self._deps.jobs_reader.round_trips.slow_ms
+        )
+        deadline_ms = clock.monotonic_ms() + wait_ms
         while clock.monotonic_ms() < deadline_ms:
             claims = self._read_claims()
             if claims is not None and claims.end_offset > at_offset:
@@ -221,10 +228,14 @@
 
     def _read_claims(self) -> store_port.StoreBatch | None:
         """Reads the newest claims; None if the store doesn't answer."""
+        clock = self._deps.clock
+        sent_ms = clock.monotonic_ms()
         match self._deps.store.newest(
             records.CLAIMS_TOPIC, records.CLAIMS_PARTITION
         ):
             case result.Ok(claims):
+                elapsed_ms = clock.monotonic_ms() - sent_ms
+                self._deps.jobs_reader.round_trips.add(elapsed_ms)
                 return claims
             case result.Err(_):
                 return None
@@ -262,7 +273,8 @@
         if self._other_claim_offset < self._seen_token():
             return False
         age_ms = self._deps.clock.monotonic_ms() - self._other_claim_seen_ms
-        return age_ms < claiming.OWNER_TIMEOUT_MS
+        slow_ms = self._deps.jobs_reader.round_trips.slow_ms
+        return age_ms < claiming.OWNER_TIMEOUT_MS + slow_ms
 
     def _run_owner(
         self, token: int, predecessor: records.HeartbeatRecord | None
@@ -287,6 +299,7 @@
             heartbeat,
             on_fenced,
             deps.clock,
+            deps.jobs_reader.round_trips,
         )
         if self._stopping.is_set():
             self._give_up(writer, heartbeat)
--- a/src/comfreylatch/_process/cell/partition_reader.py
+++ b/src/comfreylatch/_process/cell/partition_reader.py
@@ -14,6 +14,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import logs
+from comfreylatch._process.cell import round_trips as round_trips_module
 
 # How long a read waits for a record. It bounds the age of a view without
 # changes, and is below half of the two seconds after which callers must not be
@@ -47,6 +48,9 @@
         read_wait_ms: How long a read waits for a record.
         pause_ms: Pause between two reads, so that one read returns several
             records; may be changed at any time. `refresh` ends it early.
+
+    Attributes:
+        round_trips: Measures the reads that returned no records.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         self._clock = clock
         self._read_wait_ms = read_wait_ms
         self.pause_ms = pause_ms
+        self.round_trips = round_trips_module.RoundTrips(clock)
         self._next_offset = -1
         self._synced_ms = -(10**9)
         self._reachable_since_ms = clock.monotonic_ms()
@@ -181,6 +186,9 @@
             )
         match answer:
             case result.Ok(batch):
+                if not batch.records and not is_complete:
+                    elapsed_ms = self._clock.monotonic_ms() - sent_ms
+                    self.round_trips.add(elapsed_ms - wait_ms)
                 self._apply_batch(batch, is_complete, sent_ms)
                 return True
             case result.Err(store_port.RecordsExpired(first_offset)):
--- a/tests/process/cell/test_fenced_writer.py
+++ b/tests/process/cell/test_fenced_writer.py
@@ -80,6 +80,17 @@
         lost_ms = sum(self.store.timeouts_ms[:3])
         self.assertLess(lost_ms, claiming.OWNER_TIMEOUT_MS)
 
+    def test_appends_to_a_slow_store_get_more_time(self) -> None:
+        # Each repeat joined the queue of the partition once more, and the next
+        # heartbeat was sent only once one of them was answered in time.
+        writer = self.make_writer(1)
+        writer.fence()
+        self.store.answer_ms = 80
+        for _ in range(3):
+            record = store_port.NewRecord("state/a", b"{}")
+            writer._append_until_known(records.JOBS_TOPIC, (record,))
+        self.assertGreater(self.store.timeouts_ms[-1], 1_000)
+
     def test_write_succeeds_after_an_outage(self) -> None:
         with self.make_writer(1) as writer:
             writer.fence()
--- a/tests/process/cell/test_ownership.py
+++ b/tests/process/cell/test_ownership.py
@@ -49,6 +49,16 @@
             claiming.reason_to_claim(view, HOST),
         )
 
+    def test_owner_on_a_slow_store_gets_more_time(self) -> None:
+        silent_ms = claiming.OWNER_TIMEOUT_MS + claiming.MAX_CLAIM_DELAY_MS
+        view = claim_view(silent_ms, HEARTBEAT, slow_ms=800)
+        self.assertIs(None, claiming.reason_to_claim(view, HOST))
+        view = claim_view(silent_ms + 800, HEARTBEAT, slow_ms=800)
+        self.assertIs(
+            reasons.ClaimReason.OWNER_SILENT,
+            claiming.reason_to_claim(view, HOST),
+        )
+
     def test_owner_gets_time_after_an_outage_of_the_store(self) -> None:
         view = claim_view(9_000, HEARTBEAT, reachable_ms=300)
         self.assertIs(None, claiming.reason_to_claim(view, HOST))
--- a/tests/process/cell/test_partition_reader.py
+++ b/tests/process/cell/test_partition_reader.py
@@ -89,6 +89,19 @@
         self.reader.refresh(WAIT_MS)
         self.assertEqual(["a", "b", "c"], self.keys)
 
+    def test_reads_without_records_show_a_slow_store(self) -> None:
+        self.store.answer_ms = 80
+        for _ in range(2):
+            self.reader.refresh(WAIT_MS)
+        self.assertGreater(self.reader.round_trips.slow_ms, 1_000)
+
+    def test_wait_for_records_is_not_taken_for_a_slow_store(self) -> None:
+        self.reader.pause_ms = 0
+        for _ in range(2):
+            self.reader.refresh(WAIT_MS)
+        time.sleep(1.0)
+        self.assertEqual(0, self.reader.round_trips.slow_ms)
+
     def test_refresh_gives_up_while_the_store_is_away(self) -> None:
         self.store.is_down = True
         started_ms = time.monotonic() * 1_000
