Prefer hosts that came back recently as owners

In a rolling restart a cell went from one host that was about to be stopped to the next, as the delay of a claim followed only processors and name.

Among hosts as strong, the delay now also rises with the time for which the process has been up, by up to 180 ms; the whole delay of a strong host is 300 ms at most (240 before), so strong hosts still claim before weak ones.

Four new tests, which failed before for want of the parameter, and pass now. Two older ones name a process that has just started, so that they check the same delay as before.

--- a/src/comfreylatch/_process/cell/claiming.py
+++ b/src/comfreylatch/_process/cell/claiming.py
@@ -12,9 +12,14 @@
 # Three heartbeat intervals. With less, an owner would lose its cell to one slow
 # append; with more, the work of a failed owner waits longer.
 OWNER_TIMEOUT_MS = 1_500
-# Longest delay of a claim. The delays of hosts differ, so that few claims
-# collide.
-MAX_CLAIM_DELAY_MS = 240
+# Longest delays of a claim by the host's name, so that few claims collide, by
+# its processors and by the time for which its process has been up.
+NAME_DELAY_MS = 45
+CORES_DELAY_MS = 75
+UPTIME_DELAY_MS = 180
+MAX_CLAIM_DELAY_MS = NAME_DELAY_MS + CORES_DELAY_MS + UPTIME_DELAY_MS
+# Time up at which a process has half of the delay by uptime.
+HALF_DELAY_UPTIME_MS = 15_000
 # Additional delay of hosts in the zone of an owner that released the cell as it
 # could not reach most workers; a host of another zone should take over.
 ISOLATED_ZONE_DELAY_MS = 2_000
@@ -51,24 +56,29 @@
 
     @property
     def claim_delay_ms(self) -> int:
-        """Delay before this host claims a cell, in milliseconds."""
+        """Delay before a process that just started claims a cell."""
         name_factor = xxhash.xxh32_intdigest(self.name.encode()) % 100 / 100
-        delay_factor = 1 / (1 + self.cpu_cores)
-        return int(
-            MAX_CLAIM_DELAY_MS * (0.5 * name_factor + 0.5 * delay_factor)
-        )
+        cores_factor = 1 / (1 + self.cpu_cores)
+        return int(NAME_DELAY_MS * name_factor + CORES_DELAY_MS * cores_factor)
 
-    def delay_after_ms(self, owner: records.HeartbeatRecord | None) -> int:
+    def delay_after_ms(
+        self, owner: records.HeartbeatRecord | None, up_ms: int = 0
+    ) -> int:
         """Delay before this host claims the cell of an owner that is gone.
 
+        In a rolling restart, hosts that have been up for long stop next.
+
         Args:
             owner: The owner's last heartbeat; None if there was no owner.
+            up_ms: Time for which this host's process has been up.
         """
+        uptime_factor = up_ms / (up_ms + HALF_DELAY_UPTIME_MS)
+        delay_ms = self.claim_delay_ms + int(UPTIME_DELAY_MS * uptime_factor)
         if owner is None:
             is_weak = self.cpu_cores < STRONG_HOST_CORES
         else:
             is_weak = is_weak_beside(self.cpu_cores, owner.cpu_cores)
-        return self.claim_delay_ms + (WEAK_HOST_DELAY_MS if is_weak else 0)
+        return delay_ms + (WEAK_HOST_DELAY_MS if is_weak else 0)
 
 
 def is_weak_beside(cpu_cores: float, other_cpu_cores: float) -> bool:
@@ -99,6 +109,11 @@
     isolated_ms: int | None = None
     slow_ms: int = 0
 
+    @property
+    def up_ms(self) -> int:
+        """Time for which this host has watched the cell."""
+        return self.now_ms - self.started_ms
+
 
 def reason_to_claim(
     view: ClaimView, host: HostIdentity
@@ -108,26 +123,24 @@
         return None
     observed = view.last_heartbeat
     if observed is None:
-        waited_ms = view.now_ms - view.started_ms
-        if waited_ms >= host.delay_after_ms(None):
+        if view.up_ms >= host.delay_after_ms(None, view.up_ms):
             return reasons.ClaimReason.NO_OWNER
         return None
     heartbeat = observed.heartbeat
+    delay_ms = host.delay_after_ms(heartbeat, view.up_ms)
     heartbeat_age_ms = view.now_ms - observed.seen_ms
     if heartbeat.host == host.name and heartbeat.boot != host.boot:
         return reasons.ClaimReason.RESTARTED
     if heartbeat.is_released:
         is_isolated_zone = heartbeat.is_isolated and heartbeat.zone == host.zone
         wait_ms = ISOLATED_ZONE_DELAY_MS if is_isolated_zone else 0
-        wait_ms += host.delay_after_ms(heartbeat)
-        is_due = heartbeat_age_ms >= wait_ms
+        is_due = heartbeat_age_ms >= wait_ms + delay_ms
         return reasons.ClaimReason.RELEASED if is_due else None
     # Without answers from the store, no heartbeat could have been read.
     silent_ms = min(heartbeat_age_ms, view.reachable_ms)
-    timeout_ms = OWNER_TIMEOUT_MS + view.slow_ms
-    if silent_ms >= timeout_ms + host.delay_after_ms(heartbeat):
+    if silent_ms >= OWNER_TIMEOUT_MS + view.slow_ms + delay_ms:
         return reasons.ClaimReason.OWNER_SILENT
-    if _should_replace(observed, view, host):
+    if _should_replace(observed, view, host, delay_ms):
         return reasons.ClaimReason.OWNER_WEAK
     return None
 
@@ -136,6 +149,7 @@
     observed: job_replica.ObservedHeartbeat,
     view: ClaimView,
     host: HostIdentity,
+    delay_ms: int,
 ) -> bool:
     """Whether a strong host should take the cell of a live but weak owner."""
     if not is_weak_beside(observed.heartbeat.cpu_cores, host.cpu_cores):
@@ -146,7 +160,7 @@
     ):
         return False
     owned_ms = view.now_ms - observed.owner_since_ms
-    return owned_ms >= WEAK_OWNER_MS + host.claim_delay_ms
+    return owned_ms >= WEAK_OWNER_MS + delay_ms
 
 
 def is_outdated(
--- a/tests/process/cell/test_ownership.py
+++ b/tests/process/cell/test_ownership.py
@@ -78,7 +78,8 @@
         self.assertIs(
             reasons.ClaimReason.RELEASED,
             claiming.reason_to_claim(
-                claim_view(HOST.claim_delay_ms, released), HOST
+                claim_view(HOST.claim_delay_ms, released, started_ms=100_000),
+                HOST,
             ),
         )
 
@@ -93,7 +94,9 @@
             ),
         )
         later_view = claim_view(
-            HOST.claim_delay_ms + claiming.ISOLATED_ZONE_DELAY_MS, released
+            HOST.claim_delay_ms + claiming.ISOLATED_ZONE_DELAY_MS,
+            released,
+            started_ms=100_000,
         )
         self.assertIs(
             reasons.ClaimReason.RELEASED,
@@ -116,6 +119,44 @@
             last_strong_ms = max(h.delay_after_ms(owner) for h in strong_hosts)
             self.assertGreater(first_weak_ms, last_strong_ms)
 
+    def test_hosts_that_are_back_claim_before_those_up_for_long(self) -> None:
+        # In a rolling restart the cell went to hosts that were stopped next.
+        hosts = [attrs.evolve(HOST, name=f"bole-{n}") for n in range(100)]
+        last_back_ms = max(h.delay_after_ms(None, 3_000) for h in hosts)
+        first_old_ms = min(h.delay_after_ms(None, 60_000) for h in hosts)
+        self.assertLess(last_back_ms, first_old_ms)
+
+    def test_host_up_for_long_waits_longer_for_a_released_cell(self) -> None:
+        released = attrs.evolve(HEARTBEAT, is_released=True)
+        age_ms = HOST.claim_delay_ms + claiming.UPTIME_DELAY_MS // 2
+        for started_ms, reason in (
+            (95_000, reasons.ClaimReason.RELEASED),
+            (0, None),
+        ):
+            view = claim_view(age_ms, released, started_ms=started_ms)
+            self.assertIs(reason, claiming.reason_to_claim(view, HOST))
+
+    def test_strong_host_up_for_long_claims_before_weak_ones_that_are_back(
+        self,
+    ) -> None:
+        strong = attrs.evolve(HEARTBEAT, cpu_cores=2.15)
+        weak_host = attrs.evolve(HOST, cpu_cores=0.297)
+        strong_host = attrs.evolve(HOST, cpu_cores=1.2)
+        for owner in (strong, None):
+            self.assertLess(
+                strong_host.delay_after_ms(owner, 10**9),
+                weak_host.delay_after_ms(owner, 0) - 200,
+            )
+
+    def test_delay_of_a_strong_host_is_bounded(self) -> None:
+        for number in range(100):
+            host = attrs.evolve(HOST, name=f"bole-{number}", cpu_cores=0.0)
+            self.assertLessEqual(
+                host.delay_after_ms(HEARTBEAT, 10**9),
+                claiming.MAX_CLAIM_DELAY_MS,
+            )
+        self.assertLessEqual(claiming.MAX_CLAIM_DELAY_MS, 300)
+
     def test_hosts_as_strong_as_the_owner_claim_without_more_delay(
         self,
     ) -> None:
