Count the logged absence of the store from the reader's start

Hosts that had just started logged `store-regained` with an `away_ms` of about 10**9, as a view that was never current counts as very old. The logged time now starts with the reader at the earliest; the age of the view stays as it was.

--- a/src/comfreylatch/_process/cell/partition_reader.py
+++ b/src/comfreylatch/_process/cell/partition_reader.py
@@ -72,8 +72,10 @@
         self.pause_ms = pause_ms
         self.round_trips = round_trips_module.RoundTrips(clock)
         self._next_offset = -1
+        # Before the first read, the view is too old for any use.
         self._synced_ms = -(10**9)
-        self._reachable_since_ms = clock.monotonic_ms()
+        self._started_ms = clock.monotonic_ms()
+        self._reachable_since_ms = self._started_ms
         self._is_reachable = True
         self._stopping = threading.Event()
         self._refresh_requested = threading.Event()
@@ -216,7 +218,7 @@
                 "store-regained",
                 topic=self._topic,
                 partition=self._partition,
-                away_ms=now_ms - self._synced_ms,
+                away_ms=now_ms - max(self._synced_ms, self._started_ms),
             )
             self._is_reachable = True
             self._reachable_since_ms = now_ms
--- a/tests/process/cell/test_partition_reader.py
+++ b/tests/process/cell/test_partition_reader.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 
+import logbook
 import testtools
 
 from comfreylatch._ports import clock as clock_port
@@ -12,6 +13,7 @@
 from comfreylatch._process.cell import (
     partition_reader as partition_reader_module,
 )
+from testing.fakes import clock as fake_clock
 from testing.fakes import record_store
 
 TOPIC = "jobs"
@@ -107,3 +109,26 @@
         started_ms = time.monotonic() * 1_000
         self.reader.refresh(50)
         self.assertLess(time.monotonic() * 1_000 - started_ms, WAIT_MS / 2)
+
+
+class LoggedAbsenceTest(testtools.TestCase):
+    """What a reader logs on a store that was away."""
+
+    def test_absence_counts_from_the_start_of_the_reader(self) -> None:
+        # Hosts that had just started logged an absence of about 10**9 ms.
+        clock = fake_clock.FakeClock(100_000)
+        store = record_store.MemoryStore()
+        reader = partition_reader_module.PartitionReader(
+            store, TOPIC, 0, lambda *_: None, clock
+        )
+        store.is_down = True
+        reader._read_once(0)
+        clock.advance(300)
+        store.is_down = False
+        logged = logbook.TestHandler()
+        with logged.applicationbound():
+            reader._read_once(0)
+        (record,) = logged.records
+        event = record.message
+        self.assertEqual("store-regained", event.name)
+        self.assertEqual(300, event.fields["away_ms"])
