Renew no leases once the cell is released

Sessions with workers, and calls to machines, ended only some time after the release was sent, and could renew a lease or send an order in between.

The writer now refuses to act from the moment the release is queued. The new test failed before and passes now.

--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -130,8 +130,10 @@
 
     def may_act(self) -> bool:
         """Whether the owner may start tasks and renew leases."""
+        if self._is_fenced or self._is_closing:
+            return False
         age_ms = self._clock.monotonic_ms() - self._heartbeat_sent_ms
-        return not self._is_fenced and age_ms < AUTONOMY_MS
+        return age_ms < AUTONOMY_MS
 
     @property
     def append_age_ms(self) -> int:
--- a/tests/process/cell/test_fenced_writer.py
+++ b/tests/process/cell/test_fenced_writer.py
@@ -111,6 +111,14 @@
                 self.assertTrue(new.may_act())
         self.assertNotIn("state/a", self.store.keys(records.JOBS_TOPIC, 0))
 
+    def test_owner_that_releases_the_cell_may_not_act(self) -> None:
+        # A lease renewed after the release could outlast the next owner's wait.
+        writer = self.make_writer(1)
+        writer.fence()
+        self.assertTrue(writer.may_act())
+        writer.release(records.HeartbeatRecord("bole-1", "boot", 1, True))
+        self.assertFalse(writer.may_act())
+
     def test_release_is_the_last_heartbeat(self) -> None:
         with self.make_writer(1) as writer:
             writer.fence()
