Keep the wait for earlier leases over a restart of the owner

A host that took over from a silent owner, crashed and came back waited for its own leases only, as just released heartbeats told of earlier ones; the silent owner may act for 4.5 s after its last heartbeat.

Every heartbeat now tells for how long earlier leases may last, the longest time until the takeover has shown who owned the cell before.

--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -62,7 +62,8 @@
     Args:
         store: The store to write to.
         cell: Number of the cell, which is the partition of both topics.
-        heartbeat: The heartbeat, written at each interval.
+        heartbeat: The heartbeat, written at each interval. Its
+            `earlier_leases_ms` holds until `note_earlier_leases` is called.
         on_fenced: Called once when the store has seen a higher fencing token.
         clock: Source of monotonic time.
         round_trips: Measures the appends, which get more time while the store
@@ -88,6 +89,7 @@
         self._sequences = {records.JOBS_TOPIC: 0, records.WORK_TOPIC: 0}
         self._condition = threading.Condition()
         self._pending = _PendingRecords()
+        self._earlier_leases_end_ms: int | None = None
         self._is_closing = False
         self._is_fenced = False
         self._appended_ms = clock.monotonic_ms()
@@ -124,7 +126,7 @@
         if self._append_until_known(records.WORK_TOPIC, ()) is None:
             return None
         first_heartbeat = store_port.NewRecord(
-            records.HEARTBEAT_KEY, records.encode(self._heartbeat)
+            records.HEARTBEAT_KEY, self._encode_heartbeat()
         )
         return self._append_until_known(records.JOBS_TOPIC, (first_heartbeat,))
 
@@ -140,6 +142,18 @@
         """Time since the last successful append was sent."""
         return self._clock.monotonic_ms() - self._appended_ms
 
+    def note_earlier_leases(self, end_ms: int) -> None:
+        """Sets when the leases of owners before this one have ended."""
+        self._earlier_leases_end_ms = end_ms
+
+    def _encode_heartbeat(self) -> bytes:
+        heartbeat = self._heartbeat
+        end_ms = self._earlier_leases_end_ms
+        if end_ms is not None:
+            remaining_ms = max(end_ms - self._clock.monotonic_ms(), 0)
+            heartbeat = attrs.evolve(heartbeat, earlier_leases_ms=remaining_ms)
+        return records.encode(heartbeat)
+
     def release(self, last_heartbeat: records.HeartbeatRecord) -> None:
         """Queues the heartbeat that releases the cell, as the last record."""
         with self._condition:
@@ -189,9 +203,7 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._last_heartbeat_ms >= HEARTBEAT_INTERVAL_MS:
             self._last_heartbeat_ms = now_ms
-            pending.jobs[records.HEARTBEAT_KEY] = records.encode(
-                self._heartbeat
-            )
+            pending.jobs[records.HEARTBEAT_KEY] = self._encode_heartbeat()
         for topic, values in (
             (records.JOBS_TOPIC, pending.jobs),
             (records.WORK_TOPIC, pending.work),
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -31,7 +31,6 @@
 from comfreylatch._process.cell import owner_dependencies
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
-from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import takeover
 
 # Time for which most workers must be unreachable before the owner releases the
@@ -286,6 +285,8 @@
             token,
             zone=self._host.zone,
             cpu_cores=self._host.cpu_cores,
+            # Until the takeover shows who owned the cell before.
+            earlier_leases_ms=takeover.longest_leases_ms(deps),
         )
         post_functions: list[Callable[[events.Event], None]] = []
 
@@ -302,21 +303,20 @@
             deps.jobs_reader.round_trips,
         )
         if self._stopping.is_set():
-            self._give_up(writer, heartbeat)
-            return
+            # Without a takeover: entering starts the append, leaving waits.
+            self._end_tenure(writer, heartbeat, reasons.OwnershipEnd.STOPPING)
+            with writer:
+                return
         with writer:
             recovered = takeover.take_over(
                 deps, self._host, token, writer, predecessor
             )
             if recovered is None:
                 return
+            writer.note_earlier_leases(recovered.release_after_ms)
             if self._stopping.is_set():
-                self._end_tenure(
-                    writer,
-                    heartbeat,
-                    reasons.OwnershipEnd.STOPPING,
-                    self._remaining_ms(recovered),
-                )
+                reason = reasons.OwnershipEnd.STOPPING
+                self._end_tenure(writer, heartbeat, reason)
                 return
             with owner_module.Owner(
                 recovered, writer, deps, self._host.name
@@ -336,28 +336,7 @@
                 )
                 deps.jobs_reader.pause_ms = 0
                 reason = self._run_until_stopped(owner, heartbeat, retention)
-                self._end_tenure(
-                    writer, heartbeat, reason, self._remaining_ms(recovered)
-                )
-
-    def _give_up(
-        self,
-        writer: fenced_writer_module.FencedWriter,
-        heartbeat: records.HeartbeatRecord,
-    ) -> None:
-        """Releases the cell by the first heartbeat, without taking it over.
-
-        It is not known who owned the cell before.
-        """
-        self._end_tenure(
-            writer,
-            heartbeat,
-            reasons.OwnershipEnd.STOPPING,
-            takeover.longest_leases_ms(self._deps),
-        )
-        # Entering starts the append, leaving waits for it.
-        with writer:
-            pass
+                self._end_tenure(writer, heartbeat, reason)
 
     def _run_until_stopped(
         self,
@@ -378,17 +357,11 @@
         with self._deps.follow_workers(on_workers):
             return owner.run(must_stop)
 
-    def _remaining_ms(self, recovered: recovered_state.RecoveredState) -> int:
-        """How long leases of earlier owners may still last."""
-        now_ms = self._deps.clock.monotonic_ms()
-        return max(recovered.release_after_ms - now_ms, 0)
-
     def _end_tenure(
         self,
         writer: fenced_writer_module.FencedWriter,
         heartbeat: records.HeartbeatRecord,
         reason: reasons.OwnershipEnd,
-        earlier_leases_ms: int,
     ) -> None:
         """Reports the end; releases the cell if this host gives it up."""
         deps = self._deps
@@ -406,12 +379,7 @@
         elif reason is not reasons.OwnershipEnd.STOPPING:
             return
         writer.release(
-            attrs.evolve(
-                heartbeat,
-                is_released=True,
-                is_isolated=is_isolated,
-                earlier_leases_ms=earlier_leases_ms,
-            )
+            attrs.evolve(heartbeat, is_released=True, is_isolated=is_isolated)
         )
 
     def _reason_to_stop(
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -94,8 +94,8 @@
         is_isolated: Whether the host releases the cell as it can't reach most
             workers. Hosts of other zones should then take over.
         cpu_cores: Processors that the host's process may use; 0 if unknown.
-        earlier_leases_ms: With `is_released`, how long from this heartbeat on
-            leases that owners before this one renewed may still last.
+        earlier_leases_ms: How long, from this heartbeat on, leases that owners
+            before this one renewed may still last.
     """
 
     host: str
--- a/tests/process/cell/test_fenced_writer.py
+++ b/tests/process/cell/test_fenced_writer.py
@@ -111,6 +111,31 @@
                 self.assertTrue(new.may_act())
         self.assertNotIn("state/a", self.store.keys(records.JOBS_TOPIC, 0))
 
+    def test_heartbeats_tell_how_long_earlier_leases_last(self) -> None:
+        # A host that crashed and came back knew nothing of a silent owner from
+        # before its first incarnation.
+        clock = fake_clock.FakeClock(100_000)
+        first = records.HeartbeatRecord(
+            "bole-1", "boot", 1, earlier_leases_ms=9_000
+        )
+        writer = fenced_writer_module.FencedWriter(
+            self.store, 0, first, lambda _: None, clock
+        )
+        writer.fence()
+        seen_ms = [self.earlier_leases_ms()]
+        writer.note_earlier_leases(103_000)
+        for _ in range(3):
+            clock.advance(2_000)
+            writer._write_batch(fenced_writer_module._PendingRecords())
+            seen_ms.append(self.earlier_leases_ms())
+        self.assertEqual([9_000, 1_000, 0, 0], seen_ms)
+
+    def earlier_leases_ms(self) -> int:
+        """Returns what the newest heartbeat tells of earlier leases."""
+        (record,) = self.store.newest(records.JOBS_TOPIC, 0).unwrap().records
+        heartbeat = records.decode(records.HeartbeatRecord, record.value)
+        return heartbeat.earlier_leases_ms
+
     def test_owner_that_releases_the_cell_may_not_act(self) -> None:
         # A lease renewed after the release could outlast the next owner's wait.
         writer = self.make_writer(1)
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -354,6 +354,15 @@
         read_ms = self.read_heartbeat(released)
         self.assertEqual(read_ms + 5_000, self.release_after_ms(released))
 
+    def test_wait_includes_leases_from_before_an_owner_that_restarted(
+        self,
+    ) -> None:
+        crashed = records.HeartbeatRecord(
+            "three", "boot-before", 2, earlier_leases_ms=5_000
+        )
+        read_ms = self.read_heartbeat(crashed)
+        self.assertEqual(read_ms + 5_000, self.release_after_ms(crashed))
+
     def test_wait_includes_an_owner_between_the_decision_and_the_claim(
         self,
     ) -> None:
