--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -19,6 +19,7 @@
 from comfreylatch._process import logs
 from comfreylatch._process.cell import append_timeout
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import round_trips as round_trips_module
 
 # A third of the time without a heartbeat after which another host takes over.
 HEARTBEAT_INTERVAL_MS = 500
@@ -61,9 +62,12 @@
     Args:
         store: The store to write to.
         cell: Number of the cell, which is the partition of both topics.
-        heartbeat: The heartbeat, written at each interval.
+        heartbeat: The heartbeat, written at each interval. Its
+            `earlier_leases_ms` holds until `note_earlier_leases` is called.
         on_fenced: Called once when the store has seen a higher fencing token.
         clock: Source of monotonic time.
+        round_trips: Measures the appends, which get more time while the store
+            is slow.
     """
 
     def __init__(
@@ -73,16 +77,19 @@
         heartbeat: records.HeartbeatRecord,
         on_fenced: Callable[[str], None],
         clock: clock_port.Clock,
+        round_trips: round_trips_module.RoundTrips | None = None,
     ) -> None:
         self._store = store
         self._cell = cell
         self._heartbeat = heartbeat
         self._on_fenced = on_fenced
         self._clock = clock
+        self._round_trips = round_trips or round_trips_module.RoundTrips(clock)
         self._name = f"cell-{cell}"
         self._sequences = {records.JOBS_TOPIC: 0, records.WORK_TOPIC: 0}
         self._condition = threading.Condition()
         self._pending = _PendingRecords()
+        self._earlier_leases_end_ms: int | None = None
         self._is_closing = False
         self._is_fenced = False
         self._has_stopped_acting = False
@@ -120,13 +127,13 @@
         if self._append_until_known(records.WORK_TOPIC, ()) is None:
             return None
         first_heartbeat = store_port.NewRecord(
-            records.HEARTBEAT_KEY, records.encode(self._heartbeat)
+            records.HEARTBEAT_KEY, self._encode_heartbeat()
         )
         return self._append_until_known(records.JOBS_TOPIC, (first_heartbeat,))
 
     def may_act(self) -> bool:
         """Whether the owner may start tasks and renew leases."""
-        if self._is_fenced or self._has_stopped_acting:
+        if self._is_fenced or self._is_closing or self._has_stopped_acting:
             return False
         age_ms = self._clock.monotonic_ms() - self._heartbeat_sent_ms
         return age_ms < AUTONOMY_MS
@@ -140,6 +147,18 @@
         """Time since the last successful append was sent."""
         return self._clock.monotonic_ms() - self._appended_ms
 
+    def note_earlier_leases(self, end_ms: int) -> None:
+        """Sets when the leases of owners before this one have ended."""
+        self._earlier_leases_end_ms = end_ms
+
+    def _encode_heartbeat(self) -> bytes:
+        heartbeat = self._heartbeat
+        end_ms = self._earlier_leases_end_ms
+        if end_ms is not None:
+            remaining_ms = max(end_ms - self._clock.monotonic_ms(), 0)
+            heartbeat = attrs.evolve(heartbeat, earlier_leases_ms=remaining_ms)
+        return records.encode(heartbeat)
+
     def release(self, last_heartbeat: records.HeartbeatRecord) -> None:
         """Queues the heartbeat that releases the cell, as the last record."""
         self.stop_acting()
@@ -190,9 +209,7 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._last_heartbeat_ms >= HEARTBEAT_INTERVAL_MS:
             self._last_heartbeat_ms = now_ms
-            pending.jobs[records.HEARTBEAT_KEY] = records.encode(
-                self._heartbeat
-            )
+            pending.jobs[records.HEARTBEAT_KEY] = self._encode_heartbeat()
         for topic, values in (
             (records.JOBS_TOPIC, pending.jobs),
             (records.WORK_TOPIC, pending.work),
@@ -226,14 +243,17 @@
         while not self._is_fenced:
             tries += 1
             sent_ms = self._clock.monotonic_ms()
+            timeout_ms = APPEND_TIMEOUT.of_try(tries)
             match self._store.append(
                 topic,
                 self._cell,
                 new_records,
                 producer=producer,
-                timeout_ms=APPEND_TIMEOUT.of_try(tries),
+                timeout_ms=max(timeout_ms, self._round_trips.slow_ms),
             ):
                 case result.Ok(offset):
+                    now_ms = self._clock.monotonic_ms()
+                    self._round_trips.add(now_ms - sent_ms)
                     self._appended_ms = max(sent_ms, self._appended_ms)
                     if new_records:
                         self._sequences[topic] += 1
--- a/src/comfreylatch/_process/cell/lease_ends.py
+++ b/src/comfreylatch/_process/cell/lease_ends.py
@@ -29,6 +29,11 @@
     return int(lease_ms / (1 - worker_view.MAX_CLOCK_DRIFT)) + END_MARGIN_MS
 
 
+def longest_after_heartbeat_ms(lease_ms: int) -> int:
+    """Returns how long leases may last after an owner's last heartbeat."""
+    return fenced_writer.AUTONOMY_MS + longest_lease_ms(lease_ms)
+
+
 @final
 @attrs.frozen
 class LeaseEnds:
@@ -73,8 +78,9 @@
     """
     longest_ms = longest_lease_ms(lease_ms)
     if observed is None:
-        return LeaseEnds(now_ms + fenced_writer.AUTONOMY_MS + longest_ms)
+        return LeaseEnds(now_ms + longest_after_heartbeat_ms(lease_ms))
     heartbeat = observed.heartbeat
+    earlier_end_ms = observed.seen_ms + heartbeat.earlier_leases_ms
     if heartbeat.is_released and heartbeat.leases is not None:
         seen_ms, leases = observed.seen_ms, heartbeat.leases
         return LeaseEnds(
@@ -87,6 +93,6 @@
     if heartbeat.is_released or heartbeat.host == host_name:
         # An earlier version renews leases until its sessions are closed. The
         # process of an owner on this host has ended, as this is another one.
-        return LeaseEnds(now_ms + longest_ms)
-    renewed_until_ms = observed.seen_ms + fenced_writer.AUTONOMY_MS
-    return LeaseEnds(renewed_until_ms + longest_ms)
+        return LeaseEnds(max(now_ms + longest_ms, earlier_end_ms))
+    end_ms = observed.seen_ms + longest_after_heartbeat_ms(lease_ms)
+    return LeaseEnds(max(end_ms, earlier_end_ms))
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -110,6 +110,8 @@
         cpu_cores: Processors that the host's process may use; 0 if unknown.
         leases: How long the leases on workers last from a release on. None in
             heartbeats that release nothing, and of earlier versions.
+        earlier_leases_ms: How long, from this heartbeat on, leases that owners
+            before this one renewed may still last.
     """
 
     host: str
@@ -120,6 +122,7 @@
     is_isolated: bool = False
     cpu_cores: float = 0.0
     leases: RemainingLeases | None = None
+    earlier_leases_ms: int = 0
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/recovered_state.py
+++ b/src/comfreylatch/_process/cell/recovered_state.py
@@ -41,3 +41,21 @@
     known_workers: dict[str, KnownWorker]
     learned: records.LearnedRecord = records.LearnedRecord()
     waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
+
+    @property
+    def leases_end_ms(self) -> int:
+        """Monotonic time by which all leases of previous owners have ended."""
+        return max(
+            (known.release_after_ms for known in self.known_workers.values()),
+            default=0,
+        )
+
+    def remaining_leases(self, now_ms: int) -> records.RemainingLeases:
+        """How long leases last if this host has renewed none of them."""
+        return records.RemainingLeases(
+            max(self.leases_end_ms - now_ms, 0),
+            {
+                worker_id: max(known.release_after_ms - now_ms, 0)
+                for worker_id, known in self.known_workers.items()
+            },
+        )
--- a/tests/process/cell/test_fenced_writer.py
+++ b/tests/process/cell/test_fenced_writer.py
@@ -80,6 +80,17 @@
         lost_ms = sum(self.store.timeouts_ms[:3])
         self.assertLess(lost_ms, claiming.OWNER_TIMEOUT_MS)
 
+    def test_appends_to_a_slow_store_get_more_time(self) -> None:
+        # Each repeat joined the queue of the partition once more, and the next
+        # heartbeat was sent only once one of them was answered in time.
+        writer = self.make_writer(1)
+        writer.fence()
+        self.store.answer_ms = 80
+        for _ in range(3):
+            record = store_port.NewRecord("state/a", b"{}")
+            writer._append_until_known(records.JOBS_TOPIC, (record,))
+        self.assertGreater(self.store.timeouts_ms[-1], 1_000)
+
     def test_write_succeeds_after_an_outage(self) -> None:
         with self.make_writer(1) as writer:
             writer.fence()
@@ -100,6 +111,39 @@
                 self.assertTrue(new.may_act())
         self.assertNotIn("state/a", self.store.keys(records.JOBS_TOPIC, 0))
 
+    def test_heartbeats_tell_how_long_earlier_leases_last(self) -> None:
+        # A host that crashed and came back knew nothing of a silent owner from
+        # before its first incarnation.
+        clock = fake_clock.FakeClock(100_000)
+        first = records.HeartbeatRecord(
+            "bole-1", "boot", 1, earlier_leases_ms=9_000
+        )
+        writer = fenced_writer_module.FencedWriter(
+            self.store, 0, first, lambda _: None, clock
+        )
+        writer.fence()
+        seen_ms = [self.earlier_leases_ms()]
+        writer.note_earlier_leases(103_000)
+        for _ in range(3):
+            clock.advance(2_000)
+            writer._write_batch(fenced_writer_module._PendingRecords())
+            seen_ms.append(self.earlier_leases_ms())
+        self.assertEqual([9_000, 1_000, 0, 0], seen_ms)
+
+    def earlier_leases_ms(self) -> int:
+        """Returns what the newest heartbeat tells of earlier leases."""
+        (record,) = self.store.newest(records.JOBS_TOPIC, 0).unwrap().records
+        heartbeat = records.decode(records.HeartbeatRecord, record.value)
+        return heartbeat.earlier_leases_ms
+
+    def test_owner_that_releases_the_cell_may_not_act(self) -> None:
+        # A lease renewed after the release could outlast the next owner's wait.
+        writer = self.make_writer(1)
+        writer.fence()
+        self.assertTrue(writer.may_act())
+        writer.release(records.HeartbeatRecord("bole-1", "boot", 1, True))
+        self.assertFalse(writer.may_act())
+
     def test_release_is_the_last_heartbeat(self) -> None:
         with self.make_writer(1) as writer:
             writer.fence()
--- a/tests/process/cell/test_lease_ends.py
+++ b/tests/process/cell/test_lease_ends.py
@@ -39,6 +39,10 @@
     def test_owner_on_this_host_has_ended_with_its_process(self) -> None:
         self.assertEqual(NOW_MS + LONGEST_MS, after(host="two").end_ms("w1"))
 
+    def test_leases_that_it_had_found_may_last_longer(self) -> None:
+        ends = after(host="two", earlier_leases_ms=9_000)
+        self.assertEqual(SEEN_MS + 9_000, ends.end_ms("w1"))
+
     def test_unknown_owner_may_have_renewed_until_now(self) -> None:
         ends = lease_ends.after_owner(None, "two", NOW_MS, LEASE_MS)
         self.assertEqual(
