End the pause between reads when a host takes over

A takeover took about 0.3 s on a fast store, in which the cell had no owner at work: a host that owned no cell pauses for 0.4 s between two reads, and it read its own first heartbeat only after that pause.

The takeover now ends the pause. The new test failed before (1.86 s with a pause of 2 s) and passes now. In its first form it also failed once with the change, in a run of the whole file; it started the pause before the heartbeat was stored, which may take the whole time-out to be read.

--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -46,6 +46,8 @@
     first_offset = writer.fence()
     if first_offset is None:
         return None
+    # Ends the pause between two reads of a host that owned no cell.
+    deps.jobs_reader.refresh(timeout_ms=0)
     # The replica then has every job that the previous owner may have started.
     if not deps.jobs_reader.wait_for(first_offset, CATCH_UP_TIMEOUT_MS):
         return None
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -304,7 +304,7 @@
 
 
 class ReleaseTest(testtools.TestCase):
-    """When the runs of a silent owner on unreachable workers have ended."""
+    """Takeovers, and when runs of earlier owners must have ended."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -335,6 +335,15 @@
             )
         return recovered.release_after_ms
 
+    def test_takeover_ends_the_pause_between_reads(self) -> None:
+        # A host read its own first heartbeat up to 0.4 s late.
+        self.read_heartbeat(self.silent)
+        self.host.reader.pause_ms = 2_000
+        time.sleep(0.2)
+        started_s = time.monotonic()
+        self.release_after_ms(self.silent)
+        self.assertLess(time.monotonic() - started_s, 1.0)
+
     def test_wait_counts_from_the_last_heartbeat_that_was_read(self) -> None:
         read_ms = self.read_heartbeat(self.silent)
         time.sleep(0.3)
