Keep the drain of a server within its timeout

Hosts that were told to stop needed longer than their drain's timeout. In a drain with a timeout of 1.5 s, a handler that hung for 5 s took 6.0 s, callers who went on sending 2.5 s, half a request on each thread 3.6 s; a server without callers took 1.8 s.

Causes: the timeout bounded one of six waits. Twice two seconds were waited for callers that go on sending, up to ten seconds for open requests after the timeout, and ten for the threads. Cheroot ends its loop by a connection to its own address, where a drain has made the kernel drop new connections, so each stop waited for a second.

All waits of a drain now share one deadline, with a part reserved for closing connections. The listener is closed first, so that no connection to the own address is made.

--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -10,6 +10,7 @@
 from typing import final
 from typing import Self
 
+import attrs
 from cheroot import server as cheroot_server
 import logbook
 import result
@@ -33,6 +34,10 @@
 IMMEDIATE_EXPIRY_S = 0.001
 # Covers the way of a refusal to the caller and the caller's close back.
 LINGER_MS = 500
+# Part of a drain's timeout that is kept for closing the connections: two
+# expirations, the lingering ones, and the end of the server's threads.
+CLOSING_MS = 1_100
+STOP_MS = 250
 
 _DISCARD_BYTES = 65_536
 
@@ -132,7 +137,7 @@
         """Closes connections after their next reply; still accepts new ones."""
         self._state.closing = True
 
-    def _wait_until_no_arrivals(self) -> None:
+    def _wait_until_no_arrivals(self, timeout_ms: int) -> None:
         """Waits until no requests arrive, for a bounded time.
 
         Closing the listening socket resets connections that are not accepted
@@ -146,50 +151,82 @@
             now_ms = state.clock.monotonic_ms()
             if now_ms - state.last_arrival_ms >= QUIET_PERIOD_MS:
                 return
-            if now_ms - started_ms >= MAX_ARRIVAL_WAIT_MS:
+            if now_ms - started_ms >= min(timeout_ms, MAX_ARRIVAL_WAIT_MS):
                 return
             time.sleep(POLL_INTERVAL_S)
 
-    def _close_idle_connections(self) -> None:
+    def _close_idle_connections(self, timeout_ms: int) -> None:
         """Lets the server's own loop close keep-alive connections."""
         self._server.timeout = IMMEDIATE_EXPIRY_S
-        time.sleep(2 * EXPIRATION_INTERVAL_S)
-        self._state.wait_until_idle(IDLE_TIMEOUT_MS)
+        expiry_ms = int(2 * EXPIRATION_INTERVAL_S * 1_000)
+        time.sleep(min(expiry_ms, timeout_ms) / 1_000)
+        self._state.wait_until_idle(timeout_ms - expiry_ms)
 
     def drain(self, timeout_ms: int) -> bool:
         """Shuts down gracefully: completes open requests, refuses new ones.
 
         Requests that arrive while connections are being closed are answered
-        with 503 and outcome `not-run`.
+        with 503 and outcome `not-run`. All of it takes `timeout_ms` at most.
 
         Returns:
-            Whether every open request was answered within `timeout_ms`.
+            Whether every open request was answered in time.
         """
         if self._stopped:
             return True
         self._stopped = True
         self._state.draining = True
-        self._wait_until_no_arrivals()
+        deadline = _Deadline(self._state.clock, timeout_ms)
+        closing_ms = min(CLOSING_MS, timeout_ms // 2)
+        arrivals_ms = (timeout_ms - closing_ms) // 4
+        self._wait_until_no_arrivals(arrivals_ms)
         if not listener.stop_new_connections(self._server.socket):
             _logger.warning(
                 "can't-stop-new-connections address={}", self.address
             )
-        self._wait_until_no_arrivals()
-        finished = self._state.wait_until_idle(timeout_ms)
-        self._close_idle_connections()
-        self._server.close_lingering(LINGER_MS)
-        self._server.shutdown_timeout = 1 if finished else POLL_INTERVAL_S
+        self._wait_until_no_arrivals(arrivals_ms)
+        finished = self._state.wait_until_idle(
+            deadline.remaining_ms(closing_ms)
+        )
+        self._close_idle_connections(deadline.remaining_ms(STOP_MS))
+        linger_ms = min(LINGER_MS, deadline.remaining_ms(STOP_MS))
+        self._server.close_lingering(linger_ms)
+        self._stop_server(deadline.remaining_ms())
+        return finished and self.open_requests == 0
+
+    def _stop_server(self, timeout_ms: int) -> None:
+        """Ends the server's threads; leaves one that hangs to the process."""
+        timeout_s = max(timeout_ms, STOP_MS) / 1_000
+        self._server.shutdown_timeout = timeout_s / 2
         stopper = threading.Thread(
             target=self._server.stop, name="http-stop", daemon=True
         )
         stopper.start()
-        stopper.join(max(timeout_ms, IDLE_TIMEOUT_MS) / 1_000)
-        return finished
+        stopper.join(timeout_s)
+
+
+@final
+@attrs.frozen
+class _Deadline:
+    """The end of a period that several waits share."""
+
+    clock: clock_port.Clock
+    timeout_ms: int
+    started_ms: int = attrs.field(
+        default=attrs.Factory(
+            lambda self: self.clock.monotonic_ms(), takes_self=True
+        )
+    )
+
+    def remaining_ms(self, reserved_ms: int = 0) -> int:
+        """Returns the time left without a reserve at its end; 0 if none."""
+        used_ms = self.clock.monotonic_ms() - self.started_ms
+        return max(self.timeout_ms - reserved_ms - used_ms, 0)
 
 
 def _discard_until_closed(peer: socket.socket, timeout_ms: int) -> None:
     """Reads and drops what a peer sends until it closes or goes silent."""
-    peer.settimeout(max(timeout_ms, 1) / 1_000)
+    # A timeout of 0 reads what is there without waiting.
+    peer.settimeout(timeout_ms / 1_000)
     try:
         while peer.recv(_DISCARD_BYTES):
             pass
@@ -290,7 +327,17 @@
             closed = self.lingering.pop()
             with closed:
                 remaining_ms = deadline_ms - self.state.clock.monotonic_ms()
-                _discard_until_closed(closed, remaining_ms)
+                _discard_until_closed(closed, max(remaining_ms, 0))
+
+    def stop(self) -> None:
+        """Ends the threads, without connecting to the own address first.
+
+        Cheroot connects to end a waiting accept, which waits a second where
+        new connections are dropped. Its loop polls, so nothing waits there,
+        and a closed listener makes it leave the connection out.
+        """
+        self.socket.close()
+        super().stop()
 
     def process_conn(self, conn: _Connection) -> None:
         """Queues a readable connection; a new one first waits for data."""
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -19,6 +19,8 @@
 MAX_BODY_BYTES = 1_000
 MAX_HEADER_BYTES = 4_000
 IDLE_CONNECTIONS = 200
+# Allows for the scheduling of threads on a busy machine.
+SLACK_S = 0.5
 # Time from the start of a drain without arrivals to the next expiration.
 CLOSE_AFTER_S = 0.15
 
@@ -323,6 +325,48 @@
         self.assertIn(b"Connection: close", refusal)
         self.assertIn(b"Retry-After: ", refusal)
 
+    def drain_s(self, timeout_ms: int) -> float:
+        """Drains the server; returns how many seconds it took."""
+        started_s = time.monotonic()
+        self.server.drain(timeout_ms)
+        return time.monotonic() - started_s
+
+    def test_drain_without_callers_is_short(self) -> None:
+        # The server connected to its own address, which drops connections.
+        self.assertLess(self.drain_s(5_000), 1.2)
+
+    def test_drain_keeps_its_timeout_while_a_handler_hangs(self) -> None:
+        # Ten seconds were waited after the timeout.
+        self.connect().sendall(self.post(b"", "/wait"))
+        self.assertTrue(self.entered.wait(5))
+        self.assertLess(self.drain_s(1_500), 1.5 + SLACK_S)
+
+    def test_drain_keeps_its_timeout_with_half_a_request_on_each_thread(
+        self,
+    ) -> None:
+        for _ in range(6):
+            self.connect().sendall(self.post(b"body")[:-1])
+        time.sleep(0.1)
+        self.assertLess(self.drain_s(1_500), 1.5 + SLACK_S)
+
+    def test_drain_keeps_its_timeout_while_callers_go_on_sending(
+        self,
+    ) -> None:
+        # Two seconds were waited for them, and two more.
+        stopped = threading.Event()
+
+        def keep_sending() -> None:
+            while not stopped.is_set():
+                with contextlib.suppress(OSError):
+                    self.ask(self.post(b""))
+
+        caller = threading.Thread(target=keep_sending)
+        caller.start()
+        took_s = self.drain_s(1_500)
+        stopped.set()
+        caller.join()
+        self.assertLess(took_s, 1.5 + SLACK_S)
+
     def test_taken_port_is_a_clear_error(self) -> None:
         second = http_server.HttpServer(
             self.server.address, self.handle, 1, MAX_BODY_BYTES
