End a host within its grace time, and log what a stop spends

In a rolling restart one of 33 hosts was still there at the end of its grace time of 6 s and was killed; its log didn't tell what held it.

Cause: a stop was a chain of waits with a limit each, and their sum was above the grace time even for a host without callers: release of the cell (1.5 s at most), then 2.2 s in the rotation, then the callers' server, then the server of the readiness page (0.9 to over 10 s each). Nothing in it knew GracePeriodS.

The cell is released while the host leaves the rotation, and the readiness page ends beside the callers' server.

--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -196,7 +196,7 @@
     def _stop_server(self, timeout_ms: int) -> None:
         """Ends the server's threads; leaves one that hangs to the process."""
         timeout_s = max(timeout_ms, STOP_MS) / 1_000
-        self._server.shutdown_timeout = timeout_s / 2
+        self._server.shutdown_timeout = min(timeout_s / 2, 1)
         stopper = threading.Thread(
             target=self._server.stop, name="http-stop", daemon=True
         )
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -5,7 +5,6 @@
 import contextlib
 import os
 import pathlib
-import signal
 import sys
 import threading
 import time
@@ -37,6 +36,8 @@
 from comfreylatch.platform import caller_handler
 from comfreylatch.platform import configuration
 from comfreylatch.platform import machines
+from comfreylatch.platform import process_signals
+from comfreylatch.platform import stopping
 from comfreylatch.platform import store
 from comfreylatch.platform import views
 from comfreylatch.platform import wire
@@ -59,9 +60,8 @@
 LEASE_MS = 4_500
 # The load balancer probes each second and removes a host after two failures.
 LEAVE_ROTATION_MS = 2_200
-# Requests take much less; the rest of the grace period is a reserve.
-DRAIN_MS = 1_500
-RELEASE_MS = 1_500
+# Largest part of the grace time that is spent on leaving the rotation.
+LEAVE_ROTATION_PART = 0.4
 # A host that has not reached the store for this long can't accept requests.
 MAX_READY_VIEW_AGE_MS = 1_500
 # Ended jobs are retained this many times the period for which callers can
@@ -73,8 +73,10 @@
 _logger = logbook.Logger(__name__)
 
 
-def run() -> int:
+def run(signals: process_signals.ProcessSignals) -> int:
     """Runs a host until it is signalled to stop; returns its exit code."""
+    if signals.is_stop_requested:
+        return 0
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         text = pathlib.Path(path).read_bytes()
@@ -88,7 +90,7 @@
         return INVALID_SETTINGS_EXIT_CODE
     threading.stack_size(THREAD_STACK_BYTES)
     with json_logs.JsonLogOutput("info"):
-        _serve(settings)
+        _serve(settings, signals)
     return 0
 
 
@@ -97,17 +99,31 @@
     logs.event(_logger, "settings-changed", in_force="at the next start")
 
 
-def _serve(settings: wire.Settings) -> None:
+def _serve(
+    settings: wire.Settings, signals: process_signals.ProcessSignals
+) -> None:
     """Serves until signalled to stop, then shuts down gracefully."""
-    stopping = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopping.set())
-    signal.signal(signal.SIGHUP, lambda *_: _log_settings_change())
-    with _Host(settings, stopping) as host:
+    with _Host(settings, signals) as host:
         logs.event(_logger, "started", host=settings.name)
-        stopping.wait()
-        logs.event(_logger, "stopping", host=settings.name)
-        host.stop()
-        logs.event(_logger, "stopped", host=settings.name)
+        deadline = stopping.StopDeadline(
+            clock_port.SystemClock(),
+            signals.wait_for_stop(_log_settings_change),
+            int(settings.bounds.grace_s * 1_000),
+        )
+        stopping.guard(deadline)
+        logs.event(
+            _logger,
+            "stopping",
+            host=settings.name,
+            elapsed_ms=deadline.elapsed_ms,
+        )
+        host.stop(deadline)
+    logs.event(
+        _logger,
+        "stopped",
+        host=settings.name,
+        elapsed_ms=deadline.elapsed_ms,
+    )
 
 
 @final
@@ -115,10 +131,13 @@
     """Composition root: creates, connects and owns a host's components."""
 
     def __init__(
-        self, settings: wire.Settings, stopping: threading.Event
+        self,
+        settings: wire.Settings,
+        signals: process_signals.ProcessSignals,
     ) -> None:
         self._settings = settings
-        self._stopping = stopping
+        self._signals = signals
+        self._was_ready = False
         self._stack = contextlib.ExitStack()
         self._clock = clock_port.SystemClock()
         self._metrics = metrics_module.Metrics()
@@ -251,7 +270,7 @@
     def _is_ready(self) -> bool:
         """Whether the load balancer should send callers to this host."""
         return (
-            not self._stopping.is_set()
+            not self._signals.is_stop_requested
             and self._configuration.current is not None
             and self._jobs_reader.age_ms < MAX_READY_VIEW_AGE_MS
         )
@@ -260,11 +279,35 @@
         if request.path == METRICS_PATH:
             text = metrics_text.render(self._metrics.page())
             return http.HttpReply(200, text.encode())
-        return http.HttpReply(200 if self._is_ready() else 503)
+        if not self._is_ready():
+            return http.HttpReply(503)
+        self._was_ready = True
+        return http.HttpReply(200)
 
-    def stop(self) -> None:
+    def stop(self, deadline: stopping.StopDeadline) -> None:
         """Releases the cell, leaves the rotation and drains requests."""
+        phases = stopping.StopPhases(deadline)
         self._callers.close_after_replies()
-        self._ownership.stop(RELEASE_MS)
-        time.sleep(LEAVE_ROTATION_MS / 1_000)
-        self._callers.drain(DRAIN_MS)
+        release = phases.start(
+            "release-cell",
+            lambda: self._ownership.stop(deadline.remaining_ms()),
+        )
+        phases.run("leave-rotation", lambda: self._leave_rotation(deadline))
+        readiness = phases.start(
+            "drain-readiness",
+            lambda: self._readiness.drain(deadline.remaining_ms()),
+        )
+        phases.run(
+            "drain-callers",
+            lambda: self._callers.drain(deadline.remaining_ms()),
+        )
+        release.join(deadline.remaining_ms() / 1_000)
+        readiness.join(deadline.remaining_ms() / 1_000)
+
+    def _leave_rotation(self, deadline: stopping.StopDeadline) -> None:
+        """Waits until the load balancer sends no more callers here."""
+        if not self._was_ready:
+            return
+        longest_ms = int(deadline.grace_ms * LEAVE_ROTATION_PART)
+        wait_ms = min(LEAVE_ROTATION_MS, longest_ms) - deadline.elapsed_ms
+        time.sleep(max(wait_ms, 0) / 1_000)
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -385,6 +385,7 @@
         "status_s": "status_s",
         "handover_ms": "LeaseDurationMs",
         "disruption_ms": "DisruptionMs",
+        "grace_s": "GracePeriodS",
     },
 ):
     """Time limits that the platform sets.
@@ -392,13 +393,15 @@
     `MaxHoldMs` is the maximum lease. `status_s` is how long the state of an
     ended job must be available. Within `LeaseDurationMs` no two hosts may send
     orders for the same machine. For `DisruptionMs` a lasting task may be over
-    its tail target while filling tasks work beside it.
+    its tail target while filling tasks work beside it. `GracePeriodS` is how
+    long after a SIGTERM a process is killed.
     """
 
     lease_ms: float = 6_000
     status_s: float = 120
     handover_ms: float = 3_000
     disruption_ms: float = 4_000
+    grace_s: float = 6
 
 
 class Settings(
--- a/testing/standins/platform.py
+++ b/testing/standins/platform.py
@@ -5,6 +5,8 @@
 import base64
 import json
 import struct
+import threading
+import time
 from typing import Any
 from typing import final
 
@@ -32,11 +34,16 @@
     Attributes:
         memory_store: Store that holds the records.
         page_size: Maximum number of items on a page of newest records.
+        answering: While cleared, calls are accepted and not answered.
+        delay_ms: How long each call takes in addition.
     """
 
     def __init__(self) -> None:
         self.memory_store = record_store.MemoryStore()
         self.page_size = 500
+        self.answering = threading.Event()
+        self.answering.set()
+        self.delay_ms = 0
 
     def serve(self) -> http_server.HttpServer:
         """Returns an HTTP server for this stand-in on a free port."""
@@ -46,6 +53,8 @@
 
     def handle(self, request: http.HttpRequest) -> http.HttpReply:
         """Handles one HTTP request."""
+        self.answering.wait()
+        time.sleep(self.delay_ms / 1_000)
         topic = request.query.get("Topic", "")
         part = int(request.query.get("part", "0"))
         match request.path:
@@ -149,10 +158,17 @@
 
 @final
 class ExecutorStandIn:
-    """Serves an in-memory worker over HTTP as an executor."""
+    """Serves an in-memory worker over HTTP as an executor.
+
+    Attributes:
+        worker: The worker that carries out the orders.
+        answering: While cleared, calls are accepted and not answered.
+    """
 
     def __init__(self, worker: fake_workers.FakeWorker) -> None:
         self.worker = worker
+        self.answering = threading.Event()
+        self.answering.set()
 
     def serve(self) -> http_server.HttpServer:
         """Returns an HTTP server for this stand-in on a free port."""
@@ -162,6 +178,7 @@
 
     def handle(self, request: http.HttpRequest) -> http.HttpReply:
         """Handles one HTTP request."""
+        self.answering.wait()
         expected = request.headers.get("x-expected-instance")
         if expected not in (None, self.worker.entry.worker_id):
             return http.HttpReply(421)
--- /dev/null
+++ b/tests/platform/test_host_stop.py
@@ -0,0 +1,167 @@
+"""Tests that a host process stops within its grace time."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import re
+import signal
+import socket
+import threading
+import time
+from typing import Any
+
+from tests.platform import host_process
+
+IDLE_CONNECTIONS = 200
+CALLERS = 12
+# The store answers in 4 ms.
+SLOW_STORE_MS = 80
+GET = b"GET /calib/ HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+def path(number: int) -> str:
+    """Path of the job with a number."""
+    return f"/calib/{number:016x}"
+
+
+class HostStopTest(host_process.HostProcessTestCase):
+    """A host that owns the cell and is told to stop."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.wait_for(self.is_ready)
+        self.wait_for(self.is_owner)
+
+    def connect(self) -> socket.socket:
+        """Opens a connection to the host, as a caller."""
+        ip, _, port = self.callers.partition(":")
+        connection = socket.create_connection((ip, int(port)), timeout=10)
+        self.addCleanup(connection.close)
+        return connection
+
+    def submit_all(
+        self, count: int = CALLERS, deadline_ms: int = 8_000
+    ) -> tuple[list[threading.Thread], list[Any]]:
+        """Submits jobs side by side; returns the threads and the replies."""
+        replies: list[Any] = [None] * count
+
+        def submit(number: int) -> None:
+            replies[number] = self.request(
+                "POST",
+                self.callers,
+                path(number),
+                host_process.JOB,
+                deadline_ms,
+            )
+
+        threads = [
+            threading.Thread(target=submit, args=(number,))
+            for number in range(count)
+        ]
+        for thread in threads:
+            thread.start()
+        return threads, replies
+
+    def test_stops_in_time_with_idle_connections(self) -> None:
+        for _ in range(IDLE_CONNECTIONS):
+            connection = self.connect()
+            connection.sendall(GET)
+            self.assertIn(b" 200 ", connection.recv(65_536))
+        self.assert_stops_in_time()
+
+    def test_stops_in_time_with_half_a_request_on_each_thread(self) -> None:
+        for _ in range(CALLERS):
+            self.connect().sendall(GET[:-4])
+        self.assert_stops_in_time()
+
+    def test_stops_in_time_while_callers_go_on_sending(self) -> None:
+        # Twice two seconds were waited for callers that didn't go away.
+        stopped = threading.Event()
+        self.addCleanup(stopped.set)
+
+        def keep_sending() -> None:
+            while not stopped.is_set():
+                self.request("GET", self.callers, "/calib/", deadline_ms=500)
+                time.sleep(0.03)
+
+        for _ in range(2):
+            threading.Thread(target=keep_sending, daemon=True).start()
+        self.assert_stops_in_time()
+
+    def test_stops_in_time_while_the_store_is_silent(self) -> None:
+        self.store.answering.clear()
+        self.assert_stops_in_time()
+
+    def test_stops_in_time_while_the_store_is_twenty_times_slower(
+        self,
+    ) -> None:
+        self.store.delay_ms = SLOW_STORE_MS
+        threads, replies = self.submit_all()
+        self.assert_stops_in_time()
+        for thread in threads:
+            thread.join()
+        self.assertEqual({200}, {reply.status for reply in replies if reply})
+        self.assertNotIn(None, replies)
+
+    def test_stops_in_time_while_a_call_of_a_worker_hangs(self) -> None:
+        self.executor.answering.clear()
+        reply = self.request(
+            "POST", self.callers, path(1), host_process.JOB, 2_000
+        )
+        self.assertEqual(200, reply.status)
+        self.assert_stops_in_time()
+
+    def test_log_tells_how_long_each_phase_of_a_stop_took(self) -> None:
+        self.assert_stops_in_time()
+        phases = {line["phase"]: line for line in self.logged("stop-phase")}
+        self.assertEqual(
+            {
+                "release-cell",
+                "leave-rotation",
+                "drain-readiness",
+                "drain-callers",
+            },
+            set(phases),
+        )
+        self.assertLess(phases["release-cell"]["took_ms"], 1_000)
+        self.assertEqual([], self.logged("stop-late"))
+        (stopped,) = self.logged("stopped")
+        self.assertLess(stopped["elapsed_ms"], 1_000 * host_process.GRACE_S)
+
+    def test_second_sigterm_changes_nothing(self) -> None:
+        # A handler that takes a lock waits for ever if its thread has it.
+        self.process.send_signal(signal.SIGTERM)
+        time.sleep(0.05)
+        for _ in range(200):
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGTERM)
+            time.sleep(0.002)
+        self.assert_stops_in_time()
+
+
+class HostStartStopTest(host_process.HostProcessTestCase):
+    """A host that is told to stop while it starts."""
+
+    def catches_sigterm(self) -> bool:
+        """Whether the process has a handler for SIGTERM."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        (mask,) = re.findall(r"SigCgt:\s*([0-9a-f]+)", status)
+        return bool(int(mask, 16) & 1 << signal.SIGTERM - 1)
+
+    def stop_after(self, delay_s: float) -> None:
+        """Stops a newly started host."""
+        self.process.kill()
+        self.process.wait()
+        self.process = self.start()
+        self.wait_for(self.catches_sigterm)
+        time.sleep(delay_s)
+        self.assert_stops_in_time()
+
+    def test_sigterm_before_settings_are_read(self) -> None:
+        self.stop_after(0.0)
+        self.assertEqual([], self.logged("started"))
+
+    def test_sigterm_while_components_start(self) -> None:
+        for delay_s in (0.1, 0.2, 0.3, 0.4, 0.6):
+            self.stop_after(delay_s)
