Answer submissions that a stop would cut off

Callers of a host that stopped lost their answers or were refused early: 12 submissions held up by a silent store got no answer at all, and of about 500 submitted on new connections during a stop 83 were refused, from 2.2 s after the SIGTERM on.

Causes: a submission waits for its append until its caller's deadline, which may be later than the host's end, so the connection was cut. Requests were refused as soon as the host had left the rotation, though it goes on getting callers when most hosts of its zone stop too, and though there was time.

A stopping host now serves until callers stay away, or until the time for closing connections begins (3.1 s after the SIGTERM for a grace time of 6 s). Then records that were not sent yet are withdrawn: their callers get 503 with the reason `stopping`, and these records are never sent. An append under way gets 0.5 s for its outcome; after that its callers get 504 with `stopping-undecided`, as the store may still carry it out.

Evidence: the two new tests of tests/platform/test_host_stop.py failed before (12 broken connections; first refusal at 2.21 s).

--- a/src/comfreylatch/_connection/http_gateway.py
+++ b/src/comfreylatch/_connection/http_gateway.py
@@ -48,8 +48,8 @@
         closing: Whether connections are closed after their next reply.
         open_requests: Number of requests in progress, from reading the body
             to sending the reply.
-        last_arrival_ms: Monotonic time at which a request last arrived while
-            draining; reset when a wait for arrivals begins.
+        last_arrival_ms: Monotonic time at which a request last arrived; reset
+            when a wait for arrivals begins.
     """
 
     def __init__(self, handler: http.Handler, clock: clock_port.Clock) -> None:
@@ -86,8 +86,8 @@
     def respond(self) -> None:
         """Answers one request, with status 500 if the handler raises."""
         state = self.req.server.state
+        state.last_arrival_ms = state.clock.monotonic_ms()
         if state.draining:
-            state.last_arrival_ms = state.clock.monotonic_ms()
             # Closing before the body is read would reset the connection while
             # the caller still sends, and the reply would be lost.
             self._read_body()
--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -137,6 +137,22 @@
         """Closes connections after their next reply; still accepts new ones."""
         self._state.closing = True
 
+    def wait_until_quiet(self, timeout_ms: int) -> bool:
+        """Waits, while it serves, until requests neither arrive nor are open.
+
+        Returns:
+            Whether that was so within `timeout_ms`.
+        """
+        state = self._state
+        deadline = _Deadline(state.clock, timeout_ms)
+        state.last_arrival_ms = state.clock.monotonic_ms()
+        while deadline.remaining_ms():
+            quiet_ms = state.clock.monotonic_ms() - state.last_arrival_ms
+            if state.open_requests == 0 and quiet_ms >= QUIET_PERIOD_MS:
+                return True
+            time.sleep(POLL_INTERVAL_S)
+        return False
+
     def _wait_until_no_arrivals(self, timeout_ms: int) -> None:
         """Waits until no requests arrive, for a bounded time.
 
--- a/src/comfreylatch/_process/cell/job_api.py
+++ b/src/comfreylatch/_process/cell/job_api.py
@@ -62,17 +62,33 @@
     """The record may be stored already, or may still be stored later."""
 
     detail: str
+    reason: reasons.Refusal = reasons.Refusal.UNDECIDED
 
 
-AppendOutcome = Kept | NotKept | PerhapsKept
+@attrs.frozen
+class Withdrawn:
+    """The record was not sent and won't be, because the host is stopping."""
+
+
+AppendOutcome = Kept | NotKept | PerhapsKept | Withdrawn
+
+
+_STOPPED_WAITING = PerhapsKept(
+    "the host is stopping", reasons.Refusal.STOPPING_UNDECIDED
+)
 
 
 @attrs.define(eq=False)
 class _PendingRecord:
-    """A queued record whose caller waits for the outcome."""
+    """A queued record whose caller waits for the outcome.
+
+    Attributes:
+        is_sent: Whether an append with it was sent, or is about to be.
+    """
 
     record: store_port.NewRecord
     deadline_ms: int
+    is_sent: bool = False
     done: threading.Event = attrs.field(factory=threading.Event)
     outcome: AppendOutcome = PerhapsKept("no answer in time")
 
@@ -98,6 +114,10 @@
         self._queue: queue.SimpleQueue[_PendingRecord | None] = (
             queue.SimpleQueue()
         )
+        # Guards the outcomes, and what follows.
+        self._lock = threading.Lock()
+        self._waiting: set[_PendingRecord] = set()
+        self._is_stopping = False
         self._thread = threading.Thread(
             target=self._run, name=f"appender-{cell}", daemon=True
         )
@@ -119,10 +139,34 @@
     ) -> AppendOutcome:
         """Appends a record and waits until the deadline for the outcome."""
         pending = _PendingRecord(record, deadline_ms)
+        with self._lock:
+            if self._is_stopping:
+                return Withdrawn()
+            self._waiting.add(pending)
         self._queue.put(pending)
         remaining_ms = max(deadline_ms - self._clock.monotonic_ms(), 0)
         pending.done.wait(remaining_ms / 1_000)
-        return pending.outcome
+        with self._lock:
+            self._waiting.discard(pending)
+            return pending.outcome
+
+    def stop(self, timeout_ms: int) -> None:
+        """Answers all callers who wait, and accepts no record from now on.
+
+        Records that were not sent yet are withdrawn. Those in an append get
+        `timeout_ms` for its outcome; after that they may still be stored.
+        """
+        end_ms = self._clock.monotonic_ms() + timeout_ms
+        with self._lock:
+            self._is_stopping = True
+            waiting = tuple(self._waiting)
+            unsent = [pending for pending in waiting if not pending.is_sent]
+            _set_outcome(unsent, Withdrawn())
+        for pending in waiting:
+            remaining_ms = max(end_ms - self._clock.monotonic_ms(), 0)
+            pending.done.wait(remaining_ms / 1_000)
+        with self._lock:
+            _set_outcome(waiting, _STOPPED_WAITING)
 
     def _run(self) -> None:
         while True:
@@ -138,7 +182,17 @@
                 if pending is None:
                     return
                 batch.append(pending)
-            self._append_batch(batch)
+            unsent = self._mark_sent(batch)
+            if unsent:
+                self._append_batch(unsent)
+
+    def _mark_sent(self, batch: list[_PendingRecord]) -> list[_PendingRecord]:
+        """Marks records as sent; leaves out those that were withdrawn."""
+        with self._lock:
+            unsent = [pending for pending in batch if not pending.done.is_set()]
+            for pending in unsent:
+                pending.is_sent = True
+            return unsent
 
     def _append_batch(self, batch: list[_PendingRecord]) -> None:
         may_be_stored = False
@@ -160,11 +214,17 @@
             batch = [
                 pending for pending in batch if pending.deadline_ms > now_ms
             ]
-            _complete(expired, PerhapsKept("no answer in time"))
+            self._complete(expired, PerhapsKept("no answer in time"))
             if not batch:
                 return
             time.sleep(RETRY_PAUSE_MS / 1_000)
-        _complete(batch, outcome)
+        self._complete(batch, outcome)
+
+    def _complete(
+        self, batch: list[_PendingRecord], outcome: AppendOutcome
+    ) -> None:
+        with self._lock:
+            _set_outcome(batch, outcome)
 
     def _append_once(
         self, batch: Sequence[_PendingRecord], timeout_ms: int
@@ -183,10 +243,14 @@
                 return NotKept(str(error))
 
 
-def _complete(batch: list[_PendingRecord], outcome: AppendOutcome) -> None:
+def _set_outcome(
+    batch: Sequence[_PendingRecord], outcome: AppendOutcome
+) -> None:
+    """Sets the outcome of those records that have none yet."""
     for pending in batch:
-        pending.outcome = outcome
-        pending.done.set()
+        if not pending.done.is_set():
+            pending.outcome = outcome
+            pending.done.set()
 
 
 @attrs.frozen
@@ -207,6 +271,7 @@
     """The request may be stored; the caller can safely repeat it."""
 
     detail: str
+    reason: reasons.Refusal = reasons.Refusal.UNDECIDED
 
 
 SubmitOutcome = Accepted | Refused | Undecided
@@ -277,10 +342,12 @@
                 return Refused(
                     reasons.Refusal.STORE_UNAVAILABLE, RETRY_AFTER_MS
                 )
-            case PerhapsKept(detail):
+            case Withdrawn():
+                return Refused(reasons.Refusal.STOPPING, RETRY_AFTER_MS)
+            case PerhapsKept(detail, reason):
                 if self._is_known(spec.job_id):
                     return Accepted()
-                return Undecided(detail)
+                return Undecided(detail, reason)
 
     def _is_known(self, job_id: str) -> bool:
         entry = self._replica.find(job_id)
@@ -347,8 +414,10 @@
                 return Refused(
                     reasons.Refusal.STORE_UNAVAILABLE, RETRY_AFTER_MS
                 )
-            case PerhapsKept(detail):
-                return Undecided(detail)
+            case Withdrawn():
+                return Refused(reasons.Refusal.STOPPING, RETRY_AFTER_MS)
+            case PerhapsKept(detail, reason):
+                return Undecided(detail, reason)
 
     def count_queued(self, queue: specs.QueueSpec) -> int | StaleView:
         """Counts accepted jobs of a queue of which no task has started."""
--- a/src/comfreylatch/_process/cell/reasons.py
+++ b/src/comfreylatch/_process/cell/reasons.py
@@ -18,6 +18,8 @@
     STORE_UNAVAILABLE = "store-unavailable"
     VIEW_TOO_OLD = "view-too-old"
     UNDECIDED = "undecided"
+    STOPPING = "stopping"
+    STOPPING_UNDECIDED = "stopping-undecided"
 
 
 class StopReason(enum.StrEnum):
--- a/src/comfreylatch/platform/caller_handler.py
+++ b/src/comfreylatch/platform/caller_handler.py
@@ -186,10 +186,10 @@
                     f"job {job_id}: the request was not stored",
                     retry_after_ms,
                 )
-            case job_api_module.Undecided(detail):
+            case job_api_module.Undecided(detail, reason):
                 return self._refuse(
                     504,
-                    reasons.Refusal.UNDECIDED,
+                    reason,
                     f"job {job_id}: the request may have been stored: {detail}",
                 )
             case job_api_module.UnknownJob():
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -62,6 +62,11 @@
 LEAVE_ROTATION_MS = 2_200
 # Largest part of the grace time that is spent on leaving the rotation.
 LEAVE_ROTATION_PART = 0.4
+# Part of a stop that is kept for closing connections once requests are refused.
+DRAIN_MS = 1_900
+# How long appends under way may take by then. The store answers in 4 ms, and in
+# 240 ms at its slowest.
+LAST_APPEND_MS = 500
 # A host that has not reached the store for this long can't accept requests.
 MAX_READY_VIEW_AGE_MS = 1_500
 # Ended jobs are retained this many times the period for which callers can
@@ -285,7 +290,11 @@
         return http.HttpReply(200)
 
     def stop(self, deadline: stopping.StopDeadline) -> None:
-        """Releases the cell, leaves the rotation and drains requests."""
+        """Releases the cell, leaves the rotation and drains requests.
+
+        Requests are answered as usual until callers have gone elsewhere, or
+        for as long as the grace time allows.
+        """
         phases = stopping.StopPhases(deadline)
         self._callers.close_after_replies()
         release = phases.start(
@@ -293,6 +302,15 @@
             lambda: self._ownership.stop(deadline.remaining_ms()),
         )
         phases.run("leave-rotation", lambda: self._leave_rotation(deadline))
+        phases.run(
+            "answer-callers",
+            lambda: self._callers.wait_until_quiet(
+                deadline.remaining_ms(DRAIN_MS)
+            ),
+        )
+        appends = phases.start(
+            "end-submissions", lambda: self._appender.stop(LAST_APPEND_MS)
+        )
         readiness = phases.start(
             "drain-readiness",
             lambda: self._readiness.drain(deadline.remaining_ms()),
@@ -301,8 +319,8 @@
             "drain-callers",
             lambda: self._callers.drain(deadline.remaining_ms()),
         )
-        release.join(deadline.remaining_ms() / 1_000)
-        readiness.join(deadline.remaining_ms() / 1_000)
+        for thread in (release, appends, readiness):
+            thread.join(deadline.remaining_ms() / 1_000)
 
     def _leave_rotation(self, deadline: stopping.StopDeadline) -> None:
         """Waits until the load balancer sends no more callers here."""
--- a/tests/platform/test_host_stop.py
+++ b/tests/platform/test_host_stop.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
+import json
 import pathlib
 import re
 import signal
@@ -93,6 +95,34 @@
         self.store.answering.clear()
         self.assert_stops_in_time()
 
+    def test_submissions_that_a_silent_store_holds_up_are_answered(
+        self,
+    ) -> None:
+        # Their handlers waited for their callers' deadlines, until the host
+        # was killed.
+        self.store.answering.clear()
+        threads, replies = self.submit_all()
+        time.sleep(0.3)
+        self.assert_stops_in_time()
+        for thread in threads:
+            thread.join()
+        statuses = [reply.status if reply else 0 for reply in replies]
+        self.assertEqual(set(), set(statuses) - {503, 504})
+        self.assert_refused_are_never_stored(replies)
+
+    def assert_refused_are_never_stored(self, replies: list[Any]) -> None:
+        """Checks that no job is stored whose reply was 503."""
+        self.store.answering.set()
+        time.sleep(0.5)
+        refused = {
+            f"job/{number:016x}"
+            for number, reply in enumerate(replies)
+            if reply.status == 503
+        }
+        self.assertNotEqual(set(), refused)
+        stored = self.store.memory_store.keys("keyed.jobs", 0)
+        self.assertEqual(set(), refused.intersection(stored))
+
     def test_stops_in_time_while_the_store_is_twenty_times_slower(
         self,
     ) -> None:
@@ -112,6 +142,54 @@
         self.assertEqual(200, reply.status)
         self.assert_stops_in_time()
 
+    def send_until_unreachable(
+        self, number: int, replies: list[tuple[float, int]]
+    ) -> None:
+        """Submits jobs on new connections, until none can be opened.
+
+        Adds the time and status of each reply; the status is 0 if a
+        connection ended without one.
+        """
+        body = json.dumps(host_process.JOB).encode()
+        while True:
+            number += 1_000
+            head = (
+                f"POST {path(number)} HTTP/1.1\r\nHost: a.example\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            )
+            try:
+                connection = self.connect()
+            except OSError:
+                return
+            reply = b""
+            with connection, contextlib.suppress(OSError):
+                connection.sendall(head.encode() + body)
+                reply = connection.recv(65_536)
+            replies.append((time.monotonic(), int(reply[9:12] or 0)))
+            time.sleep(0.02)
+
+    def test_requests_that_cross_the_stop_are_answered(self) -> None:
+        # Requests were refused while there was time to serve them.
+        replies: list[tuple[float, int]] = []
+        threads = [
+            threading.Thread(
+                target=self.send_until_unreachable, args=(number, replies)
+            )
+            for number in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        signalled_s = time.monotonic()
+        self.assert_stops_in_time()
+        for thread in threads:
+            thread.join()
+        counts = collections.Counter(status for _, status in replies)
+        print(f"replies: {counts}")
+        self.assertLessEqual(set(counts), {200, 503})
+        refused_s = [time_s for time_s, status in replies if status == 503]
+        self.assertGreater(min(refused_s, default=1e9) - signalled_s, 2.8)
+
     def test_log_tells_how_long_each_phase_of_a_stop_took(self) -> None:
         self.assert_stops_in_time()
         phases = {line["phase"]: line for line in self.logged("stop-phase")}
@@ -119,6 +197,8 @@
             {
                 "release-cell",
                 "leave-rotation",
+                "answer-callers",
+                "end-submissions",
                 "drain-readiness",
                 "drain-callers",
             },
--- a/tests/process/cell/test_job_api.py
+++ b/tests/process/cell/test_job_api.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import threading
 import time
+from typing import Any
 
 import testtools
 
@@ -15,6 +17,7 @@
 from comfreylatch._process.cell import (
     partition_reader as partition_reader_module,
 )
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from testing.fakes import record_store
 from tests.process.cell import harness
@@ -23,6 +26,22 @@
 ID = "0" * 16
 
 
+class GatedStore:
+    """A store that carries out appends only while its gate is open."""
+
+    def __init__(self, store: record_store.MemoryStore) -> None:
+        self._store = store
+        self.is_open = threading.Event()
+        self.is_open.set()
+        self.entered = threading.Event()
+
+    def append(self, *arguments: Any, **options: Any) -> Any:
+        """Appends to the store once the gate is open."""
+        self.entered.set()
+        self.is_open.wait()
+        return self._store.append(*arguments, **options)
+
+
 class JobApiTest(testtools.TestCase):
     """A job API and its partition reader on an in-memory store."""
 
@@ -38,9 +57,12 @@
                 self.store, records.JOBS_TOPIC, 0, self.replica.apply, clock, 50
             )
         )
+        self.gate = GatedStore(self.store)
+        stack.callback(self.gate.is_open.set)
         appender = stack.enter_context(
-            job_api_module.BatchAppender(self.store, 0, clock)
+            job_api_module.BatchAppender(self.gate, 0, clock)
         )
+        self.appender = appender
         self.job_api = job_api_module.JobApi(
             self.replica, self.reader, appender, metrics.Metrics(), clock
         )
@@ -70,6 +92,62 @@
         outcome = self.job_api.submit(harness.job(), 120)
         self.assertNotIsInstance(outcome, job_api_module.Refused)
 
+    def submit_in_background(
+        self, job_id: str
+    ) -> tuple[threading.Thread, list[job_api_module.SubmitOutcome]]:
+        """Submits a job on a thread; returns it and the list of outcomes."""
+        outcomes: list[job_api_module.SubmitOutcome] = []
+        job = harness.job(job_id=job_id)
+        thread = threading.Thread(
+            target=lambda: outcomes.append(self.job_api.submit(job, WAIT_MS))
+        )
+        thread.start()
+        return thread, outcomes
+
+    def test_stop_refuses_only_jobs_that_are_never_stored(self) -> None:
+        # Both waited for their deadline, and the host was killed before it.
+        self.gate.is_open.clear()
+        sent_thread, sent = self.submit_in_background("1" * 16)
+        self.assertTrue(self.gate.entered.wait(2))
+        unsent_thread, unsent = self.submit_in_background("2" * 16)
+        time.sleep(0.1)
+        self.appender.stop(timeout_ms=100)
+        sent_thread.join(0.5)
+        unsent_thread.join(0.5)
+        (outcome,) = sent
+        assert isinstance(outcome, job_api_module.Undecided)
+        self.assertIs(reasons.Refusal.STOPPING_UNDECIDED, outcome.reason)
+        (refusal,) = unsent
+        assert isinstance(refusal, job_api_module.Refused)
+        self.assertIs(reasons.Refusal.STOPPING, refusal.reason)
+        self.gate.is_open.set()
+        self.assertTrue(self.reader.wait_for(0, WAIT_MS))
+        time.sleep(0.1)
+        self.assertEqual(
+            [records.JOB_PREFIX + "1" * 16],
+            self.store.keys(records.JOBS_TOPIC, 0),
+        )
+
+    def test_stop_waits_for_an_append_that_is_under_way(self) -> None:
+        self.gate.is_open.clear()
+        thread, outcomes = self.submit_in_background("1" * 16)
+        self.assertTrue(self.gate.entered.wait(2))
+        timer = threading.Timer(0.1, self.gate.is_open.set)
+        timer.start()
+        self.appender.stop(timeout_ms=1_000)
+        thread.join(0.5)
+        self.assertEqual([job_api_module.Accepted()], outcomes)
+
+    def test_job_that_comes_after_the_stop_is_refused_at_once(self) -> None:
+        self.appender.stop(timeout_ms=100)
+        self.assertEqual(
+            job_api_module.Refused(
+                reasons.Refusal.STOPPING, job_api_module.RETRY_AFTER_MS
+            ),
+            self.submit(),
+        )
+        self.assertEqual(0, self.store.appends)
+
     def test_repeat_of_a_known_job_writes_nothing(self) -> None:
         self.submit()
         self.assertTrue(self.reader.wait_for(0, WAIT_MS))
