Count the requests that a stopping host refuses

How many requests a stop refused couldn't be told: those that the server refuses while it drains were neither counted nor logged, nor were requests that crossed the refusal on an idle connection. Only the handler's refusals had a counter.

They now count as `refusals` with the reason `stopping`, and `stop-requests` gives the refusals during the stop by reason, 504s among them, and the requests left unanswered.

--- a/src/comfreylatch/_connection/http_gateway.py
+++ b/src/comfreylatch/_connection/http_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import http as http_statuses
 import re
@@ -44,6 +45,7 @@
     Entered as a context manager around each request, to count it as open.
 
     Attributes:
+        on_refusal: Called for each request that is refused while draining.
         draining: Whether new requests are refused with status 503.
         closing: Whether connections are closed after their next reply.
         open_requests: Number of requests in progress, from reading the body
@@ -52,9 +54,15 @@
             when a wait for arrivals begins.
     """
 
-    def __init__(self, handler: http.Handler, clock: clock_port.Clock) -> None:
+    def __init__(
+        self,
+        handler: http.Handler,
+        clock: clock_port.Clock,
+        on_refusal: Callable[[], None],
+    ) -> None:
         self.handler = handler
         self.clock = clock
+        self.on_refusal = on_refusal
         self.draining = False
         self.closing = False
         self.open_requests = 0
@@ -92,6 +100,7 @@
             # the caller still sends, and the reply would be lost.
             self._read_body()
             self.req.close_connection = True
+            state.on_refusal()
             self._send(self._with_request_id(_stopping_reply()))
             return
         with state:
--- a/src/comfreylatch/_connection/http_server.py
+++ b/src/comfreylatch/_connection/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import select
 import socket
 import threading
@@ -56,6 +57,16 @@
     drains the server with a fixed timeout. Call `drain` first to choose the
     timeout.
 
+    Args:
+        address: `IP:port` to listen on; port 0 takes a free one.
+        handler: Answers the requests.
+        threads: Number of requests that are handled at a time.
+        max_body_bytes: Longest body of a request.
+        max_header_bytes: Longest header of a request.
+        idle_timeout_ms: How long a connection may wait for a request.
+        clock: Source of monotonic time.
+        on_refusal: Called for each request that a drain refuses.
+
     Attributes:
         address: Bound `IP:port`; port 0 is replaced by the port assigned.
     """
@@ -69,6 +80,7 @@
         max_header_bytes: int = MAX_HEADER_BYTES,
         idle_timeout_ms: int = IDLE_TIMEOUT_MS,
         clock: clock_port.Clock | None = None,
+        on_refusal: Callable[[], None] = lambda: None,
     ) -> None:
         match address_module.parse(address):
             case result.Ok(parsed):
@@ -77,7 +89,7 @@
                 raise ServerStartError(bad.detail)
         self.address = address
         self._state = http_gateway.ServerState(
-            handler, clock or clock_port.SystemClock()
+            handler, clock or clock_port.SystemClock(), on_refusal
         )
         self._server = _Server(
             (parsed.ip, parsed.port),
@@ -239,15 +251,21 @@
         return max(self.timeout_ms - reserved_ms - used_ms, 0)
 
 
-def _discard_until_closed(peer: socket.socket, timeout_ms: int) -> None:
-    """Reads and drops what a peer sends until it closes or goes silent."""
+def _discard_until_closed(peer: socket.socket, timeout_ms: int) -> bool:
+    """Reads and drops what a peer sends until it closes or goes silent.
+
+    Returns:
+        Whether it has sent anything.
+    """
+    has_sent = False
     # A timeout of 0 reads what is there without waiting.
     peer.settimeout(timeout_ms / 1_000)
     try:
         while peer.recv(_DISCARD_BYTES):
-            pass
+            has_sent = True
     except OSError as error:
         _logger.debug("peer-not-closed error={!r}", error)
+    return has_sent
 
 
 class _Request(cheroot_server.HTTPRequest):
@@ -343,7 +361,9 @@
             closed = self.lingering.pop()
             with closed:
                 remaining_ms = deadline_ms - self.state.clock.monotonic_ms()
-                _discard_until_closed(closed, max(remaining_ms, 0))
+                # What it has sent is a request that crossed the refusal.
+                if _discard_until_closed(closed, max(remaining_ms, 0)):
+                    self.state.on_refusal()
 
     def stop(self) -> None:
         """Ends the threads, without connecting to the own address first.
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -115,6 +115,17 @@
         with self._lock:
             return self._counters[counter, label]
 
+    def by_label(self, counter: Counter) -> collections.Counter[str]:
+        """Current values of a counter by label."""
+        with self._lock:
+            return collections.Counter(
+                {
+                    label: value
+                    for (name, label), value in self._counters.items()
+                    if name == counter
+                }
+            )
+
     def observe(
         self, latency: Latency, elapsed_us: int, label: str = ""
     ) -> None:
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -31,6 +31,7 @@
 from comfreylatch._process.cell import (
     partition_reader as partition_reader_module,
 )
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch.platform import advice
 from comfreylatch.platform import caller_handler
@@ -270,6 +271,9 @@
             handler.handle,
             CALLER_THREADS,
             MAX_BODY_BYTES,
+            on_refusal=lambda: self._metrics.count(
+                metrics_module.Counter.REFUSALS, reasons.Refusal.STOPPING
+            ),
         )
 
     def _is_ready(self) -> bool:
@@ -296,6 +300,8 @@
         for as long as the grace time allows.
         """
         phases = stopping.StopPhases(deadline)
+        refusals = metrics_module.Counter.REFUSALS
+        refused_before = self._metrics.by_label(refusals)
         self._callers.close_after_replies()
         release = phases.start(
             "release-cell",
@@ -321,6 +327,12 @@
         )
         for thread in (release, appends, readiness):
             thread.join(deadline.remaining_ms() / 1_000)
+        logs.event(
+            _logger,
+            "stop-requests",
+            refusals=self._metrics.by_label(refusals) - refused_before,
+            unanswered=self._callers.open_requests,
+        )
 
     def _leave_rotation(self, deadline: stopping.StopDeadline) -> None:
         """Waits until the load balancer sends no more callers here."""
--- a/tests/connection/test_http_server.py
+++ b/tests/connection/test_http_server.py
@@ -32,6 +32,7 @@
         super().setUp()
         self.release = threading.Event()
         self.entered = threading.Event()
+        self.refused: list[int] = []
         self.server = http_server.HttpServer(
             "127.0.0.1:0",
             self.handle,
@@ -39,6 +40,7 @@
             max_body_bytes=MAX_BODY_BYTES,
             max_header_bytes=MAX_HEADER_BYTES,
             idle_timeout_ms=1_000,
+            on_refusal=lambda: self.refused.append(1),
         )
         self.server.__enter__()
         self.addCleanup(self.server.__exit__, None, None, None)
@@ -311,6 +313,8 @@
             caller.join()
         self.assertEqual(IDLE_CONNECTIONS, len(replies))
         statuses = {reply[9:12] for reply in replies}
+        refused = sum(reply[9:12] == b"503" for reply in replies)
+        self.assertEqual(refused, len(self.refused))
         self.assertEqual(set(), statuses - {b"200", b"503"})
         self.assertIn(b"503", statuses)
 
--- a/tests/platform/test_host_stop.py
+++ b/tests/platform/test_host_stop.py
@@ -108,6 +108,14 @@
             thread.join()
         statuses = [reply.status if reply else 0 for reply in replies]
         self.assertEqual(set(), set(statuses) - {503, 504})
+        (counted,) = self.logged("stop-requests")
+        self.assertEqual(
+            {
+                "stopping": statuses.count(503),
+                "stopping-undecided": statuses.count(504),
+            },
+            counted["refusals"],
+        )
         self.assert_refused_are_never_stored(replies)
 
     def assert_refused_are_never_stored(self, replies: list[Any]) -> None:
@@ -189,6 +197,9 @@
         self.assertLessEqual(set(counts), {200, 503})
         refused_s = [time_s for time_s, status in replies if status == 503]
         self.assertGreater(min(refused_s, default=1e9) - signalled_s, 2.8)
+        (counted,) = self.logged("stop-requests")
+        self.assertEqual({"stopping": counts[503]}, counted["refusals"])
+        self.assertEqual(0, counted["unanswered"])
 
     def test_log_tells_how_long_each_phase_of_a_stop_took(self) -> None:
         self.assert_stops_in_time()
