Test stops in a rolling restart, after a freeze and with an unread log

Cases that were at hand when one of 33 hosts was killed in a rolling restart: six hosts that get SIGTERM 0.4 to 1.3 s apart, a host that is frozen for 2.5 s in the middle of its stop, and one whose log is a full pipe that nobody reads.

--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -86,8 +86,10 @@
         self.readiness = free_address()
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.log_path = pathlib.Path(folder) / "host.log"
+        self.log_path.touch()
         self.settings_path = pathlib.Path(folder) / "settings.json"
-        self.write_settings(store_server.address)
+        self.store_address = store_server.address
+        self.write_settings("entry-1")
         self.process = self.start()
 
     def serve(
@@ -103,12 +105,12 @@
         record = store_port.NewRecord(key, json.dumps(value).encode())
         self.store.memory_store.append("keyed." + topic, 0, (record,))
 
-    def write_settings(self, store_address: str) -> None:
-        """Writes the settings file of the host."""
+    def write_settings(self, host_name: str) -> None:
+        """Writes the settings file of the next host."""
         self.settings_path.write_text(
             json.dumps(
                 {
-                    "NodeName": "entry-1",
+                    "NodeName": host_name,
                     "IpAddress": "127.0.0.1",
                     "Zone": "bole",
                     "ListenAddresses": {
@@ -116,7 +118,7 @@
                         "Readiness": self.readiness,
                     },
                     "Bounds": {"GracePeriodS": GRACE_S},
-                    "platform": {"Address": store_address, "parts": 8},
+                    "platform": {"Address": self.store_address, "parts": 8},
                     "SomethingNew": {"a": 1},
                 }
             )
@@ -124,13 +126,17 @@
 
     def start(self) -> subprocess.Popen[bytes]:
         """Starts the host process."""
-        settings = str(self.settings_path)
         with self.log_path.open("wb") as log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", "comfreylatch.platform"],
-                env={**os.environ, host.SETTINGS_VARIABLE: settings},
-                stdout=log,
-            )
+            return self.start_with_log(log.fileno())
+
+    def start_with_log(self, log: int) -> subprocess.Popen[bytes]:
+        """Starts the host process with a descriptor for its log."""
+        settings = str(self.settings_path)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "comfreylatch.platform"],
+            env={**os.environ, host.SETTINGS_VARIABLE: settings},
+            stdout=log,
+        )
         self.stack.callback(process.wait)
         self.stack.callback(process.kill)
         return process
--- a/tests/platform/test_host_stop.py
+++ b/tests/platform/test_host_stop.py
@@ -4,11 +4,15 @@
 
 import collections
 import contextlib
+import fcntl
 import json
+import os
 import pathlib
+import random
 import re
 import signal
 import socket
+import subprocess
 import threading
 import time
 from typing import Any
@@ -17,6 +21,8 @@
 
 IDLE_CONNECTIONS = 200
 CALLERS = 12
+HOSTS = 6
+PIPE_BYTES = 4_096
 # The store answers in 4 ms.
 SLOW_STORE_MS = 80
 GET = b"GET /calib/ HTTP/1.1\r\nHost: a.example\r\n\r\n"
@@ -220,6 +226,17 @@
         (stopped,) = self.logged("stopped")
         self.assertLess(stopped["elapsed_ms"], 1_000 * host_process.GRACE_S)
 
+    def test_stops_in_time_after_a_freeze_during_the_stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+        signalled_s = time.monotonic()
+        time.sleep(1)
+        self.process.send_signal(signal.SIGSTOP)
+        time.sleep(2.5)
+        self.process.send_signal(signal.SIGCONT)
+        self.process.wait(host_process.WAIT_S)
+        self.assertEqual(0, self.process.returncode)
+        self.assertLess(time.monotonic() - signalled_s, host_process.GRACE_S)
+
     def test_second_sigterm_changes_nothing(self) -> None:
         # A handler that takes a lock waits for ever if its thread has it.
         self.process.send_signal(signal.SIGTERM)
@@ -231,6 +248,69 @@
         self.assert_stops_in_time()
 
 
+class UnreadLogTest(host_process.HostProcessTestCase):
+    """A host whose log is a pipe that is full and not read."""
+
+    def start(self) -> subprocess.Popen[bytes]:
+        """Starts the host process."""
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, b" " * PIPE_BYTES)
+        os.set_blocking(writer, True)
+        self.addCleanup(os.close, reader)
+        process = self.start_with_log(writer)
+        os.close(writer)
+        return process
+
+    def test_stops_in_time(self) -> None:
+        self.wait_for(self.is_ready)
+        self.wait_for(self.is_owner)
+        self.assert_stops_in_time()
+
+
+class RollingRestartTest(host_process.HostProcessTestCase):
+    """Several hosts that are told to stop shortly after each other."""
+
+    def test_all_hosts_stop_in_time_and_the_cell_is_released(self) -> None:
+        seed = 1
+        print(f"seed {seed}")
+        chance = random.Random(seed)
+        self.wait_for(self.is_owner)
+        self.wait_for(self.is_ready)
+        processes = [self.process]
+        for number in range(1, HOSTS):
+            self.callers = host_process.free_address()
+            self.readiness = host_process.free_address()
+            self.write_settings(f"entry-{number + 1}")
+            processes.append(self.start())
+            self.wait_for(self.is_ready)
+        ended_s: dict[int, float] = {}
+
+        def stop(process: subprocess.Popen[bytes]) -> None:
+            started_s = time.monotonic()
+            process.send_signal(signal.SIGTERM)
+            process.wait(host_process.WAIT_S)
+            ended_s[process.pid] = time.monotonic() - started_s
+
+        threads = []
+        for process in processes:
+            threads.append(threading.Thread(target=stop, args=(process,)))
+            threads[-1].start()
+            time.sleep(chance.uniform(0.4, 1.3))
+        for thread in threads:
+            thread.join()
+        print(f"the stops took {sorted(ended_s.values())} s")
+        self.assertEqual({0}, {process.returncode for process in processes})
+        self.assertLess(max(ended_s.values()), host_process.GRACE_S)
+        newest = self.store.memory_store.newest("keyed.jobs", 0).unwrap()
+        (heartbeat,) = newest.records
+        assert heartbeat.value is not None
+        self.assertTrue(json.loads(heartbeat.value)["is_released"])
+
+
 class HostStartStopTest(host_process.HostProcessTestCase):
     """A host that is told to stop while it starts."""
 
