Guard a stop that comes before the end of the start

A host whose start hung when the SIGTERM came was there until it was killed: the guard of a stop was started after the start.

It now waits for the request to stop on a thread of its own, from before the start.

--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -109,14 +109,14 @@
     settings: wire.Settings, signals: process_signals.ProcessSignals
 ) -> None:
     """Serves until signalled to stop, then shuts down gracefully."""
+    clock = clock_port.SystemClock()
+    grace_ms = int(settings.bounds.grace_s * 1_000)
+    stopping.start_guard(signals, clock, grace_ms)
     with _Host(settings, signals) as host:
         logs.event(_logger, "started", host=settings.name)
         deadline = stopping.StopDeadline(
-            clock_port.SystemClock(),
-            signals.wait_for_stop(_log_settings_change),
-            int(settings.bounds.grace_s * 1_000),
+            clock, signals.wait_for_stop(_log_settings_change), grace_ms
         )
-        stopping.guard(deadline)
         logs.event(
             _logger,
             "stopping",
--- a/src/comfreylatch/platform/process_signals.py
+++ b/src/comfreylatch/platform/process_signals.py
@@ -27,9 +27,10 @@
     def __init__(self, clock: clock_port.Clock) -> None:
         self._clock = clock
         self.stop_requested_ms: int | None = None
-        # Unlike an event or another queue, it may be used by a handler that
-        # interrupts the thread that is using it.
+        # Unlike an event or another queue, these may be used by a handler that
+        # interrupts the thread that is using them.
         self._received: queue.SimpleQueue[int] = queue.SimpleQueue()
+        self._stop_times_ms: queue.SimpleQueue[int] = queue.SimpleQueue()
 
     def install(self) -> None:
         """Installs the handlers. Only the main thread may call this."""
@@ -42,6 +43,7 @@
         """Takes note of a request to stop; further ones change nothing."""
         if self.stop_requested_ms is None:
             self.stop_requested_ms = self._clock.monotonic_ms()
+            self._stop_times_ms.put(self.stop_requested_ms)
         self._received.put(signal.SIGTERM)
 
     @property
@@ -49,6 +51,16 @@
         """Whether the process was told to stop."""
         return self.stop_requested_ms is not None
 
+    def wait_in_background(self) -> int:
+        """Waits for a request to stop, on another thread than the main one.
+
+        Only one thread may call this.
+
+        Returns:
+            Monotonic time at which the request arrived.
+        """
+        return self._stop_times_ms.get()
+
     def wait_for_stop(self, on_hangup: Callable[[], None]) -> int:
         """Waits for a request to stop.
 
--- a/src/comfreylatch/platform/stopping.py
+++ b/src/comfreylatch/platform/stopping.py
@@ -22,6 +22,7 @@
 
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
+from comfreylatch.platform import process_signals
 
 # Parts of the grace time at which the phases end, at which a stop is reported
 # as late, and at which the guard ends the process.
@@ -105,20 +106,30 @@
         return thread
 
 
-def guard(deadline: StopDeadline) -> None:
-    """Starts the thread that ends the process shortly before it is killed.
+def start_guard(
+    signals: process_signals.ProcessSignals,
+    clock: clock_port.Clock,
+    grace_ms: int,
+) -> None:
+    """Starts the thread that ends a stopping process before it is killed.
 
-    It first logs which threads are still running, and where.
+    It first logs which threads are still running, and where. A host may be
+    told to stop while it starts, so the guard is started before it.
     """
     threading.Thread(
         target=_end_late_process,
-        args=(deadline,),
+        args=(signals, clock, grace_ms),
         name="stop-guard",
         daemon=True,
     ).start()
 
 
-def _end_late_process(deadline: StopDeadline) -> None:
+def _end_late_process(
+    signals: process_signals.ProcessSignals,
+    clock: clock_port.Clock,
+    grace_ms: int,
+) -> None:
+    deadline = StopDeadline(clock, signals.wait_in_background(), grace_ms)
     deadline.wait_for_part(LATE_PART)
     logs.error(
         _logger,
--- a/tests/platform/test_host_stop.py
+++ b/tests/platform/test_host_stop.py
@@ -13,10 +13,12 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 import time
 from typing import Any
 
+from comfreylatch.platform import host
 from tests.platform import host_process
 
 IDLE_CONNECTIONS = 200
@@ -25,6 +27,13 @@
 PIPE_BYTES = 4_096
 # The store answers in 4 ms.
 SLOW_STORE_MS = 80
+HANGING_START = """
+import time
+from comfreylatch._connection import http_server
+from comfreylatch.platform import __main__
+http_server.HttpServer.__enter__ = lambda self: time.sleep(60)
+__main__.main()
+"""
 GET = b"GET /calib/ HTTP/1.1\r\nHost: a.example\r\n\r\n"
 
 
@@ -336,3 +345,28 @@
     def test_sigterm_while_components_start(self) -> None:
         for delay_s in (0.1, 0.2, 0.3, 0.4, 0.6):
             self.stop_after(delay_s)
+
+
+class HangingStartTest(host_process.HostProcessTestCase):
+    """A host whose start hangs when it is told to stop."""
+
+    def start_with_log(self, log: int) -> subprocess.Popen[bytes]:
+        """Starts the host process."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", HANGING_START],
+            env={
+                **os.environ,
+                host.SETTINGS_VARIABLE: str(self.settings_path),
+            },
+            stdout=log,
+        )
+        self.stack.callback(process.wait)
+        self.stack.callback(process.kill)
+        return process
+
+    def test_process_ends_in_time_and_names_the_thread(self) -> None:
+        # Nothing bounded the time of a stop that came before the start's end.
+        self.wait_for(lambda: self.logged("starting"))
+        self.assert_stops_in_time()
+        (late,) = self.logged("stop-late")
+        self.assertIn("MainThread", "".join(late["threads"]))
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -22,6 +22,7 @@
     def setUp(self) -> None:
         super().setUp()
         clock = clock_port.SystemClock()
+        self.clock = clock
         self.deadline = stopping.StopDeadline(
             clock, clock.monotonic_ms(), GRACE_MS
         )
@@ -60,7 +61,13 @@
             ended.set()
 
         with unittest.mock.patch.object(stopping.os, "_exit", end):
-            stopping.guard(self.deadline)
+            signals = process_signals.ProcessSignals(self.clock)
+            stopping.start_guard(signals, self.clock, GRACE_MS)
+            self.assertFalse(ended.wait(GRACE_MS / 1_000))
+            signals.request_stop()
+            self.deadline = stopping.StopDeadline(
+                self.clock, signals.stop_requested_ms or 0, GRACE_MS
+            )
             self.assertTrue(ended.wait(5))
         self.assertLess(self.deadline.elapsed_ms, GRACE_MS)
         (late,) = self.events("stop-late")
