--- a/src/comfreylatch/_connection/http_gateway.py
+++ b/src/comfreylatch/_connection/http_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import http as http_statuses
 import re
@@ -44,17 +45,24 @@
     Entered as a context manager around each request, to count it as open.
 
     Attributes:
+        on_refusal: Called for each request that is refused while draining.
         draining: Whether new requests are refused with status 503.
         closing: Whether connections are closed after their next reply.
         open_requests: Number of requests in progress, from reading the body
             to sending the reply.
-        last_arrival_ms: Monotonic time at which a request last arrived while
-            draining; reset when a wait for arrivals begins.
+        last_arrival_ms: Monotonic time at which a request last arrived; reset
+            when a wait for arrivals begins.
     """
 
-    def __init__(self, handler: http.Handler, clock: clock_port.Clock) -> None:
+    def __init__(
+        self,
+        handler: http.Handler,
+        clock: clock_port.Clock,
+        on_refusal: Callable[[], None],
+    ) -> None:
         self.handler = handler
         self.clock = clock
+        self.on_refusal = on_refusal
         self.draining = False
         self.closing = False
         self.open_requests = 0
@@ -86,12 +94,13 @@
     def respond(self) -> None:
         """Answers one request, with status 500 if the handler raises."""
         state = self.req.server.state
+        state.last_arrival_ms = state.clock.monotonic_ms()
         if state.draining:
-            state.last_arrival_ms = state.clock.monotonic_ms()
             # Closing before the body is read would reset the connection while
             # the caller still sends, and the reply would be lost.
             self._read_body()
             self.req.close_connection = True
+            state.on_refusal()
             self._send(self._with_request_id(_stopping_reply()))
             return
         with state:
