--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -49,7 +49,6 @@
     # Ends the pause between two reads of a host that owned no cell.
     deps.jobs_reader.refresh(timeout_ms=0)
     # The replica then has every job that the previous owner may have started.
-    deps.jobs_reader.refresh(CATCH_UP_TIMEOUT_MS)
     if not deps.jobs_reader.wait_for(first_offset, CATCH_UP_TIMEOUT_MS):
         return None
     work = _read_work(deps)
