Describe the threads of a late stop without reading source files

`stop-late` looked up the source lines of each thread's calls and dropped them again; a host that is late has no time for that. docs/design/platform.md tells how a stop goes. Found while reading; no failing test.

--- a/src/comfreylatch/platform/stopping.py
+++ b/src/comfreylatch/platform/stopping.py
@@ -13,7 +13,6 @@
 import sys
 import threading
 import time
-import traceback
 import types
 from typing import final
 
@@ -155,9 +154,15 @@
 
 
 def _describe(frame: types.FrameType) -> str:
-    """Describes the innermost frames of a thread, the innermost first."""
-    frames = traceback.extract_stack(frame, MAX_LOGGED_FRAMES)
-    return " < ".join(
-        f"{os.path.basename(entry.filename)}:{entry.lineno} {entry.name}"
-        for entry in reversed(frames)
-    )
+    """Describes the innermost frames of a thread, the innermost first.
+
+    Unlike `traceback`, it reads no source files.
+    """
+    positions: list[str] = []
+    caller: types.FrameType | None = frame
+    while caller is not None and len(positions) < MAX_LOGGED_FRAMES:
+        code = caller.f_code
+        file_name = os.path.basename(code.co_filename)
+        positions.append(f"{file_name}:{caller.f_lineno} {code.co_name}")
+        caller = caller.f_back
+    return " < ".join(positions)
