Show five faults of cell ownership, as known failures

Four were found by the model of ownership, the fifth by reading and arithmetic (a test shows it, the model did not):

- A run adopted on a worker that falls silent before the new owner has renewed its lease counts as lost 100 ms after its last answer, though the lease of the previous owner goes on.
- A lost claim takes the host's own older claim for the new one, so that it owns the cell twice under one token.
- A lease renewed by a process that was paused after the check counts from the end of the pause.
- With owners of earlier versions, a host that missed one counts leases from older owners that it has read.
- A lease on a slow clock outlasts the end by 2% of the time since the clock was read.

--- a/tests/process/cell/test_lease_ends.py
+++ b/tests/process/cell/test_lease_ends.py
@@ -6,10 +6,12 @@
 
 import testtools
 
+from comfreylatch._ports import store as store_port
 from comfreylatch._process.cell import fenced_writer
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import records
+from testing.fakes import clock as fake_clock
 
 LEASE_MS = 980
 # A lease by the slowest clock that the platform allows.
@@ -117,3 +119,31 @@
     def test_its_release_counts_from_the_takeover(self) -> None:
         owner = observed(1, 50_000, is_released=True, records_leases=False)
         self.assertEqual(STARTED_MS + LONGEST_LEASE_MS, end_ms(1, owner))
+
+
+class MissedOwnerTest(testtools.TestCase):
+    """A host that has fallen behind and read only the newest heartbeat."""
+
+    # Guards against an end that is too early: a record without a token counted
+    # from owners before the one that was missed.
+    def test_record_without_a_token_counts_from_after_a_missed_owner(
+        self,
+    ) -> None:
+        clock = fake_clock.FakeClock(STARTED_MS - 20_000)
+        replica = job_replica.JobReplica(clock)
+        for token, is_complete in ((1, False), (2, False), (4, True)):
+            clock.advance(5_000)
+            heartbeat = records.HeartbeatRecord(
+                "one", "boot-one", token, records_leases=True
+            )
+            record = store_port.StoredRecord(
+                token, records.HEARTBEAT_KEY, records.encode(heartbeat)
+            )
+            replica.apply((record,), is_complete)
+        leases = lease_ends.LeaseEnds(
+            replica.observed_owners, "new", STARTED_MS, LEASE_MS
+        )
+        self.assertEqual(
+            clock.now_ms + fenced_writer.AUTONOMY_MS + LONGEST_LEASE_MS,
+            leases.end_ms(0),
+        )
--- a/tests/process/cell/test_ownership.py
+++ b/tests/process/cell/test_ownership.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import attrs
+import result
 import testtools
 
+from comfreylatch._ports import store as store_port
 from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import job_replica
+from comfreylatch._process.cell import ownership
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
+from testing.fakes import clock as fake_clock
+from testing.fakes import record_store
 
 HOST = claiming.HostIdentity("bole-1", "boot-2", "bole", 0.43)
 HEARTBEAT = records.HeartbeatRecord("entoto-1", "boot-1", 7, zone="entoto")
@@ -171,3 +177,22 @@
     def test_view_without_new_heartbeat_is_current(self) -> None:
         view = claim_view(2_000, HEARTBEAT)
         self.assertFalse(claiming.is_outdated(view, view.last_heartbeat))
+
+
+class LostClaimTest(testtools.TestCase):
+    """A claim of a host that has owned the cell before."""
+
+    # Guards against a second tenure under the token of the first: its leases
+    # were counted from the release of the first.
+    def test_lost_claim_does_not_bring_back_an_earlier_token(self) -> None:
+        store = record_store.MemoryStore()
+        clock = fake_clock.FakeClock(100_000)
+        replica = job_replica.JobReplica(clock)
+        deps = mock.Mock(cell=0, store=store, replica=replica, clock=clock)
+        watcher = ownership.Ownership(deps, HOST)
+        reason = reasons.ClaimReason.RELEASED
+        view = claim_view(1_000, HEARTBEAT, last_heartbeat=None)
+        self.assertEqual(1, watcher._try_claim(reason, view))
+        lost = result.Err(store_port.StoreAnswerLost("not carried out"))
+        with mock.patch.object(store, "append", return_value=lost):
+            self.assertIsNone(watcher._try_claim(reason, view))
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -13,10 +13,19 @@
 
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import job_replica
+from comfreylatch._process.cell import lease_ends
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import worker_session
+from comfreylatch._process.cell import worker_view
 from testing.fakes import cell_workers as fake_workers
+from testing.fakes import clock as fake_clock
 
 WAIT_S = 5.0
+START_MS = 100_000
+LEASE_MS = 4_900
+# A lease by the slowest clock that the platform allows.
+LONGEST_LEASE_MS = 5_000
 
 
 class WorkerSessionTest(testtools.TestCase):
@@ -150,6 +159,73 @@
         ]
 
 
+class LeaseDeadlineTest(testtools.TestCase):
+    """Deadlines that a session sends, on a fake clock and without threads."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = fake_clock.FakeClock(START_MS)
+        self.worker_clock = fake_clock.FakeClock()
+        entry = fake_workers.entry("w1")
+        self.worker = fake_workers.FakeWorker(entry, self.worker_clock)
+        self.pause_ms = 0
+        self.session = worker_session.WorkerSession(
+            entry,
+            self.worker,
+            worker_session.LeaseParameters(1, LEASE_MS, self.may_renew),
+            lambda _: None,
+            self.clock,
+        )
+        self.session.allow_renewal()
+        self.session._hold(0)
+
+    def may_renew(self) -> bool:
+        """Allows it; then the process pauses."""
+        self.advance(self.pause_ms)
+        return True
+
+    def advance(self, elapsed_ms: int) -> None:
+        """Advances the clock, and the worker's as slowly as is allowed."""
+        self.clock.advance(elapsed_ms)
+        self.worker_clock.advance(
+            int(elapsed_ms * (1 - worker_view.MAX_CLOCK_DRIFT))
+        )
+
+    def lease_end_ms(self) -> int:
+        """Returns when the lease renewed last ends, on the host's clock."""
+        remaining_ms = self.worker.deadlines_ms[-1] - self.worker_clock.now_ms
+        return self.clock.now_ms + int(
+            remaining_ms / (1 - worker_view.MAX_CLOCK_DRIFT)
+        )
+
+    # Guards against a lease that a process which was replaced while it was
+    # paused renews from the end of the pause.
+    def test_lease_counts_from_before_the_check_that_allows_it(self) -> None:
+        checked_ms = self.clock.now_ms
+        self.pause_ms = 6_000
+        self.session._hold(0)
+        self.assertLessEqual(self.lease_end_ms(), checked_ms + LONGEST_LEASE_MS)
+
+    # Guards against a lease on a slow clock that outlasts the end that the
+    # next owner goes by, as the time since that clock was read is not slowed.
+    def test_lease_on_a_slow_clock_ends_when_the_next_owner_expects(
+        self,
+    ) -> None:
+        self.advance(1_000)
+        self.session._hold(0)
+        released = records.HeartbeatRecord(
+            "one", "boot-one", 1, is_released=True, records_leases=True
+        )
+        read_ms = self.clock.now_ms + 10
+        leases = lease_ends.LeaseEnds(
+            {1: job_replica.ObservedHeartbeat(released, read_ms)},
+            "two",
+            read_ms,
+            LEASE_MS,
+        )
+        self.assertLessEqual(self.lease_end_ms(), leases.end_ms(1))
+
+
 class _Run:
     """Stands in for a run and, as its own `task`, for the task."""
 
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -7,6 +7,7 @@
 import attrs
 import testtools
 
+from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import recovered_state
 from tests.process.cell import harness
 
@@ -113,3 +114,21 @@
     def test_record_of_a_former_incarnation_allows_no_start(self) -> None:
         self.cell.workers.allow_starts({"w1": 0})
         self.assertEqual([], self.cell.place())
+
+
+class AdoptedRunTest(testtools.TestCase):
+    """A worker that falls silent before the new owner has its lease."""
+
+    # Guards against a second run of a task whose first run goes on under the
+    # lease of the previous owner.
+    def test_run_is_not_lost_before_the_previous_lease_has_ended(self) -> None:
+        end_ms = harness.START_MS + 5_000
+        known = {"w1": recovered_state.KnownWorker(1, 3, end_ms)}
+        cell = harness.Cell(workers=1, known_workers=known)
+        cell.submit(harness.job())
+        task = f"{'0' * 16}.0.0.0"
+        running = cell_workers.RunningTask(task, 3_001, "", 50.0, 0)
+        cell.answer_hold("w1", running=(running,))
+        cell.fail_hold("w1")
+        cell.clock.advance(1_000)
+        self.assertEqual([], cell.workers.expire())
