--- a/tests/process/cell/ownership_hosts.py
+++ b/tests/process/cell/ownership_hosts.py
@@ -733,6 +733,9 @@
         cut = [w for w in world.workers if world.is_cut(name, w)]
         if len(cut) == len(world.workers) or not world.has_spare_room:
             return True
+        if cut and world.has_earlier_version_owned:
+            # Waits for leases of earlier versions begin with each takeover.
+            return True
         return any(world.now_ms < self._past_ms(w) for w in cut)
 
     def _past_ms(self, worker_id: str) -> int:
--- a/tests/process/cell/ownership_world.py
+++ b/tests/process/cell/ownership_world.py
@@ -98,6 +98,7 @@
         self.faults = Faults()
         self.fault_ms = 0
         self.has_spare_room = True
+        self.has_earlier_version_owned = False
         self.hindered_ms = 0
         self.unstarted_ms: dict[str, int] = {}
         self.trace: list[str] = []
@@ -240,6 +241,8 @@
                 )
                 owner.last_ms = self.now_ms
                 owner.is_released = beat.is_released
+                if not beat.records_leases:
+                    self.has_earlier_version_owned = True
 
     def note_takeover(self, takeover: Takeover) -> None:
         """Checks the ends of leases that a new owner goes by."""
