--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -191,12 +191,7 @@
             and now_ms >= progress.not_before_ms
         ]
         in_progress_count = sum(
-            progress.phase
-            in (
-                wave_state.MachinePhase.EMPTYING,
-                wave_state.MachinePhase.ORDERED,
-                wave_state.MachinePhase.AWAY,
-            )
+            self._is_in_progress(progress)
             for progress in wave_progress.machines.values()
         )
         limit = concurrent_machines(
@@ -211,10 +206,13 @@
             if machine and machine.state is machines_port.MachineState.UP:
                 view = workers.get(machine.worker_id)
                 load = 0 if view is None else len(view.runs)
-                ready.append(
-                    (load, progress.machine_id, progress, machine.worker_id)
+                is_unknown = view is not None and view.may_have_unknown_runs(
+                    now_ms
                 )
-        for _, _, progress, worker_id in sorted(ready)[
+                order = (is_unknown, load, progress.machine_id)
+                ready.append((order, progress, machine.worker_id))
+        ready.sort(key=lambda candidate: candidate[0])
+        for _, progress, worker_id in ready[
             : max(limit - in_progress_count, 0)
         ]:
             progress.worker_id = worker_id
@@ -225,6 +223,20 @@
                 progress, wave_state.MachinePhase.EMPTYING, now_ms
             )
 
+    def _is_in_progress(self, progress: wave_state.MachineProgress) -> bool:
+        """Whether a machine is away, about to be, or being emptied."""
+        match progress.phase:
+            case wave_state.MachinePhase.WAITING:
+                # A previous owner may have ordered it and not recorded that.
+                machine = (self._machines or {}).get(progress.machine_id)
+                return machine is not None and (
+                    machine.state is machines_port.MachineState.MAINTENANCE
+                )
+            case wave_state.MachinePhase.FINISHED:
+                return False
+            case _:
+                return True
+
     def _is_evacuated(
         self,
         progress: wave_state.MachineProgress,
@@ -237,7 +249,8 @@
             return True
         # The view may be a new one, of a worker that was listed again.
         view.is_being_emptied = True
-        return not view.runs or now_ms - progress.since_ms > MAX_EVACUATION_MS
+        is_empty = not (view.runs or view.may_have_unknown_runs(now_ms))
+        return is_empty or now_ms - progress.since_ms > MAX_EVACUATION_MS
 
     def _enter_phase(
         self,
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -46,15 +46,16 @@
     first_offset = writer.fence()
     if first_offset is None:
         return None
+    # Ends the pause between two reads of a host that owned no cell.
+    deps.jobs_reader.refresh(timeout_ms=0)
     # The replica then has every job that the previous owner may have started.
-    deps.jobs_reader.refresh(CATCH_UP_TIMEOUT_MS)
     if not deps.jobs_reader.wait_for(first_offset, CATCH_UP_TIMEOUT_MS):
         return None
     work = _read_work(deps)
     if work is None:
         return None
-    leases = lease_ends.LeaseEnds(
-        deps.replica.observed_owners, host.name, started_ms, deps.lease_ms
+    leases = lease_ends.after_owner(
+        deps.replica.previous_heartbeat, host.name, started_ms, deps.lease_ms
     )
     known_workers = _known_workers(work.workers, leases)
     jobs = deps.replica.listen(None)
@@ -66,7 +67,7 @@
         predecessor=predecessor,
         jobs=len(jobs),
         workers=len(known_workers),
-        older_leases=len(work.workers.lease_tokens),
+        older_leases=len(leases.older_ms),
         took_ms=deps.clock.monotonic_ms() - started_ms,
     )
     return recovered_state.RecoveredState(
@@ -83,13 +84,12 @@
     record: records.WorkersRecord, leases: lease_ends.LeaseEnds
 ) -> dict[str, recovered_state.KnownWorker]:
     """Returns the recorded workers, and when the leases on them end."""
-    known_workers = {}
-    for worker_id, born_ms in record.born_ms.items():
-        lease_token = record.lease_tokens.get(worker_id, record.token)
-        known_workers[worker_id] = recovered_state.KnownWorker(
-            born_ms, lease_token, leases.end_ms(lease_token)
+    return {
+        worker_id: recovered_state.KnownWorker(
+            born_ms, leases.end_ms(worker_id)
         )
-    return known_workers
+        for worker_id, born_ms in record.born_ms.items()
+    }
 
 
 def _read_work(
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -51,8 +51,8 @@
             maintenance.
         cleared_until_ms: No lasting tasks before this time, except overdue
             ones, so that it can take filling tasks that would disturb them.
-        release_after_ms: For a worker that has never answered this owner: the
-            time by which the previous owner's leases have certainly ended.
+        release_after_ms: Monotonic time by which the leases of previous owners
+            have ended.
     """
 
     entry: cell_workers.WorkerEntry
@@ -107,6 +107,10 @@
         lasting_idle = self.lasting_millicores * (1 - ASSUMED_LASTING_USE_SHARE)
         return int(self.free_cpu + lasting_idle - self.fill_millicores)
 
+    def may_have_unknown_runs(self, now_ms: int) -> bool:
+        """Whether a previous owner's runs on it may not be known here."""
+        return self.answered_ms == 0 and now_ms <= self.release_after_ms
+
     def accepts_work(self, now_ms: int) -> bool:
         """Whether new tasks may be placed on it."""
         return (
@@ -150,8 +154,11 @@
             self.lasting_millicores += sign * spec.cpu_millicores
 
     def lease_expiry_ms(self) -> int:
-        """Monotonic time after which no run of an owner is left on it."""
-        if self.clock_read_ms == 0:
+        """Monotonic time after which no run of an owner is left on it.
+
+        While this owner has renewed no lease, that of a previous one may last.
+        """
+        if self.clock_read_ms == 0 or self.deadline_ms == 0:
             return self.release_after_ms
         remaining_ms = max(self.deadline_ms - self.clock_ms, 0)
         expiry_ms = self.clock_read_ms + int(
--- a/tests/process/cell/test_partition_reader.py
+++ b/tests/process/cell/test_partition_reader.py
@@ -5,6 +5,7 @@
 import contextlib
 import time
 
+import logbook
 import testtools
 
 from comfreylatch._ports import clock as clock_port
@@ -12,6 +13,7 @@
 from comfreylatch._process.cell import (
     partition_reader as partition_reader_module,
 )
+from testing.fakes import clock as fake_clock
 from testing.fakes import record_store
 
 TOPIC = "jobs"
@@ -89,8 +91,44 @@
         self.reader.refresh(WAIT_MS)
         self.assertEqual(["a", "b", "c"], self.keys)
 
+    def test_reads_without_records_show_a_slow_store(self) -> None:
+        self.store.answer_ms = 80
+        for _ in range(2):
+            self.reader.refresh(WAIT_MS)
+        self.assertGreater(self.reader.round_trips.slow_ms, 1_000)
+
+    def test_wait_for_records_is_not_taken_for_a_slow_store(self) -> None:
+        self.reader.pause_ms = 0
+        for _ in range(2):
+            self.reader.refresh(WAIT_MS)
+        time.sleep(1.0)
+        self.assertEqual(0, self.reader.round_trips.slow_ms)
+
     def test_refresh_gives_up_while_the_store_is_away(self) -> None:
         self.store.is_down = True
         started_ms = time.monotonic() * 1_000
         self.reader.refresh(50)
         self.assertLess(time.monotonic() * 1_000 - started_ms, WAIT_MS / 2)
+
+
+class LoggedAbsenceTest(testtools.TestCase):
+    """What a reader logs on a store that was away."""
+
+    def test_absence_counts_from_the_start_of_the_reader(self) -> None:
+        # Hosts that had just started logged an absence of about 10**9 ms.
+        clock = fake_clock.FakeClock(100_000)
+        store = record_store.MemoryStore()
+        reader = partition_reader_module.PartitionReader(
+            store, TOPIC, 0, lambda *_: None, clock
+        )
+        store.is_down = True
+        reader._read_once(0)
+        clock.advance(300)
+        store.is_down = False
+        logged = logbook.TestHandler()
+        with logged.applicationbound():
+            reader._read_once(0)
+        (record,) = logged.records
+        event = record.message
+        self.assertEqual("store-regained", event.name)
+        self.assertEqual(300, event.fields["away_ms"])
