--- /dev/null
+++ b/tests/process/cell/ownership_guards.py
@@ -0,0 +1,127 @@
+"""Takes single guards of cell ownership out, to show what they prevent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+import types
+from typing import Any
+from unittest import mock
+
+import attrs
+
+from comfreylatch._process.cell import fenced_writer
+from comfreylatch._process.cell import job_replica
+from comfreylatch._process.cell import lease_ends
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import worker_table
+from tests.process.cell import ownership_hosts
+from tests.process.cell import ownership_world
+
+Patch = contextlib.AbstractContextManager[Any]
+
+
+def fencing_at_workers() -> Patch:
+    """Workers carry out orders with lower tokens."""
+    return mock.patch.object(ownership_world.Worker, "checks_token", False)
+
+
+def earlier_leases() -> Patch:
+    """Heartbeats don't tell how long earlier leases last."""
+
+    def encode(self: Any) -> bytes:
+        heartbeat = attrs.evolve(self._heartbeat, earlier_leases_ms=0)
+        return records.encode(heartbeat)
+
+    return mock.patch.object(
+        fenced_writer.FencedWriter, "_encode_heartbeat", encode
+    )
+
+
+def older_leases() -> Patch:
+    """Releases state the longest lease for all workers."""
+    return mock.patch.object(
+        worker_table.WorkerTable, "older_leases", lambda _: {}
+    )
+
+
+def has_answer() -> Patch:
+    """Releases state older leases though they have been renewed."""
+    return mock.patch.object(
+        worker_table.WorkerTable, "_may_have_renewed", lambda *_: False
+    )
+
+
+def deadline_before_check() -> Patch:
+    """Deadlines are computed after the check that allows them."""
+
+    def deadline_ms(self: Any) -> int:
+        if self._clock_read_ms == 0 or self._is_failing:
+            return 0
+        if not self._lease.may_renew():
+            return 0
+        elapsed_ms = self._clock.monotonic_ms() - self._clock_read_ms
+        deadline_ms = self._clock_ms + elapsed_ms + self._lease.lease_ms
+        self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
+        return deadline_ms
+
+    return mock.patch.object(
+        ownership_hosts.ModelSession, "_deadline_ms", deadline_ms
+    )
+
+
+def release_gate() -> Patch:
+    """An owner that has released the cell goes on."""
+
+    def may_act(self: Any) -> bool:
+        age_ms = self._clock.monotonic_ms() - self._heartbeat_sent_ms
+        return not self._is_fenced and age_ms < fenced_writer.AUTONOMY_MS
+
+    return mock.patch.object(fenced_writer.FencedWriter, "may_act", may_act)
+
+
+def autonomy() -> Patch:
+    """Leases count from the last heartbeat of their owner."""
+    changed = types.SimpleNamespace(AUTONOMY_MS=0)
+    return mock.patch.object(lease_ends, "fenced_writer", changed)
+
+
+def dropped_observation() -> Patch:
+    """Heartbeats that a complete read leaves out count as never sent."""
+    observe = job_replica.JobReplica._observe
+
+    def keep(self: Any, heartbeat: Any, is_complete: bool) -> None:
+        del is_complete
+        observe(self, heartbeat, False)
+
+    return mock.patch.object(job_replica.JobReplica, "_observe", keep)
+
+
+def recorded_starts() -> Patch:
+    """Runs are placed on workers of which nothing is stored."""
+    allow_starts = worker_table.WorkerTable.allow_starts
+
+    def allow_all(self: Any, held: dict[str, int]) -> None:
+        allow_starts(self, held)
+        for view in self:
+            view.is_recorded = True
+
+    return mock.patch.object(
+        worker_table.WorkerTable, "allow_starts", allow_all
+    )
+
+
+GUARDS: dict[str, Callable[[], Patch]] = {
+    guard.__name__: guard
+    for guard in (
+        fencing_at_workers,
+        earlier_leases,
+        older_leases,
+        has_answer,
+        deadline_before_check,
+        release_gate,
+        autonomy,
+        dropped_observation,
+        recorded_starts,
+    )
+}
