Wait for the owner before one of an earlier version

An owner of an earlier version doesn't state how long the leases of owners before it last. Where it replaced a silent one and stopped or was restarted soon after, the next owner counted its own leases only: a task could run twice on a worker that is out of reach. The end now counts from when that owner's first heartbeat was read, as the silent one had been replaced then.

--- a/src/comfreylatch/_process/cell/lease_ends.py
+++ b/src/comfreylatch/_process/cell/lease_ends.py
@@ -80,7 +80,7 @@
     if observed is None:
         return LeaseEnds(now_ms + longest_after_heartbeat_ms(lease_ms))
     heartbeat = observed.heartbeat
-    earlier_end_ms = observed.seen_ms + heartbeat.earlier_leases_ms
+    earlier_end_ms = _earlier_end_ms(observed, lease_ms)
     if heartbeat.is_released and heartbeat.leases is not None:
         seen_ms, leases = observed.seen_ms, heartbeat.leases
         return LeaseEnds(
@@ -96,3 +96,15 @@
         return LeaseEnds(max(now_ms + longest_ms, earlier_end_ms))
     end_ms = observed.seen_ms + longest_after_heartbeat_ms(lease_ms)
     return LeaseEnds(max(end_ms, earlier_end_ms))
+
+
+def _earlier_end_ms(
+    observed: job_replica.ObservedHeartbeat, lease_ms: int
+) -> int:
+    """Returns when the leases of owners before an owner have ended."""
+    earlier_leases_ms = observed.heartbeat.earlier_leases_ms
+    if earlier_leases_ms:
+        return observed.seen_ms + earlier_leases_ms
+    # An earlier version states none. The owner before it had been replaced when
+    # its first heartbeat was read.
+    return observed.owner_since_ms + longest_after_heartbeat_ms(lease_ms)
--- a/tests/process/cell/test_cell_ownership_model.py
+++ b/tests/process/cell/test_cell_ownership_model.py
@@ -93,7 +93,6 @@
     "successors": Profile(
         {"restart_successor": 2, "stop_successor": 1}, (4_000, 9_000)
     ),
-    # Not among the tests; see issue 24.
     "upgrades": Profile(
         {"restart_successor": 2, "stop_successor": 1},
         (4_000, 9_000),
@@ -492,6 +491,12 @@
     def test_promises_hold_among_earlier_versions(self) -> None:
         self.play_all("versions")
 
+    # Guards against leases of a silent owner that outlast the wait of a host
+    # that takes over from an owner of an earlier version after it.
+    def test_promises_hold_while_hosts_are_upgraded(self) -> None:
+        for seed in (7, 10):
+            play("upgrades", seed)
+
 
 class GuardTest(testtools.TestCase):
     """What the model finds with one guard taken out."""
