Log how long a lost run had lasted, and what ran beside it

run-lost said lease-over for every run of a worker that crashed, so that a task that crashes its workers couldn't be told from its neighbours, nor a crash from a worker that was leaving. It now has the time from the order to the first failed call, the number of other runs, the worker's address and whether it was expected to leave. Lost runs come by worker for that.

--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -248,9 +248,8 @@
             case events.JobChanged(change):
                 self._handle_change(change)
             case events.WorkersListed(entries):
-                self._dispatcher.handle_lost(
-                    self._workers.apply_listing(entries)
-                )
+                for lost_runs in self._workers.apply_listing(entries):
+                    self._dispatcher.handle_lost(lost_runs)
             case events.HoldReturned():
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -144,6 +144,10 @@
                 worker=run.worker_id,
                 reason=lost.reason,
                 phase=run.phase.value,
+                ran_ms=lost.failed_ms - run.ordered_ms,
+                neighbours=len(lost.runs) - 1,
+                machine=lost.entry.address,
+                is_planned=lost.is_planned,
             )
             self._metrics.count(metrics_module.Counter.RUNS_LOST, lost.reason)
             run.task.step.remove_run(run, self._clock.monotonic_ms())
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -34,10 +34,21 @@
 
 @attrs.frozen
 class LostRuns:
-    """Runs that have certainly ended, and the reason."""
+    """All runs of a worker, which have certainly ended without a report.
+
+    Attributes:
+        runs: The runs.
+        reason: Why they are known to have ended.
+        entry: Entry of the worker's incarnation.
+        failed_ms: Monotonic time since which the worker hasn't answered.
+        is_planned: Whether the worker was expected to leave.
+    """
 
     runs: tuple[runs_module.Run, ...]
     reason: reasons.LossReason
+    entry: cell_workers.WorkerEntry
+    failed_ms: int
+    is_planned: bool = False
 
 
 @attrs.define(eq=False)
@@ -129,20 +140,20 @@
 
     def apply_listing(
         self, entries: dict[str, cell_workers.WorkerEntry]
-    ) -> LostRuns:
+    ) -> list[LostRuns]:
         """Applies the platform's list of workers.
 
         Returns:
             The runs of incarnations that a newer one has replaced.
         """
         now_ms = self._clock.monotonic_ms()
-        lost: list[runs_module.Run] = []
+        lost: list[LostRuns] = []
         for worker_id, entry in entries.items():
             view = self._views.get(worker_id)
             if view is not None and view.entry.born_ms != entry.born_ms:
                 if entry.born_ms < view.entry.born_ms:
                     continue
-                lost.extend(self._drop(view, "reborn"))
+                lost.append(self._drop(view, reasons.LossReason.REBORN))
                 view = None
             if view is None:
                 self._add(entry)
@@ -154,7 +165,7 @@
             if view.worker_id not in entries and view.is_listed:
                 view.is_listed = False
                 view.unlisted_since_ms = now_ms
-        return LostRuns(tuple(lost), reasons.LossReason.REBORN)
+        return [lost_runs for lost_runs in lost if lost_runs.runs]
 
     def handle_hold(self, event: events.HoldReturned) -> bool:
         """Applies the outcome of a hold call.
@@ -229,14 +240,12 @@
                 continue
             missing_ms = now_ms - view.unlisted_since_ms
             if view.unlisted_since_ms and missing_ms > UNLISTED_GRACE_MS:
-                runs = tuple(self._drop(view, "gone"))
-                lost.append(LostRuns(runs, reasons.LossReason.WORKER_GONE))
+                lost.append(self._drop(view, reasons.LossReason.WORKER_GONE))
             elif view.runs and not _start_was_sent(view, session):
-                runs = tuple(view.runs.values())
-                for run in runs:
-                    view.remove(run)
-                lost.append(LostRuns(runs, reasons.LossReason.LEASE_OVER))
-        return lost
+                lost.append(
+                    self._remove_runs(view, reasons.LossReason.LEASE_OVER)
+                )
+        return [lost_runs for lost_runs in lost if lost_runs.runs]
 
     def unknown(self) -> list[str]:
         """Returns the workers that may have runs that are not known here.
@@ -309,12 +318,24 @@
             cpu_millicores=entry.capacity.cpu_millicores,
         )
 
-    def _drop(
-        self, view: worker_view.WorkerView, reason: str
-    ) -> list[runs_module.Run]:
-        runs = list(view.runs.values())
+    def _remove_runs(
+        self, view: worker_view.WorkerView, reason: reasons.LossReason
+    ) -> LostRuns:
+        runs = tuple(view.runs.values())
         for run in runs:
             view.remove(run)
+        return LostRuns(
+            runs,
+            reason,
+            view.entry,
+            view.failing_since_ms or self._clock.monotonic_ms(),
+            view.entry.is_draining or view.is_being_emptied,
+        )
+
+    def _drop(
+        self, view: worker_view.WorkerView, reason: reasons.LossReason
+    ) -> LostRuns:
+        lost = self._remove_runs(view, reason)
         del self._views[view.worker_id]
         del self._end_cursors[view.worker_id]
         session = self._sessions.pop(view.worker_id)
@@ -324,9 +345,9 @@
             "worker-dropped",
             worker=view.worker_id,
             reason=reason,
-            runs=len(runs),
+            runs=len(lost.runs),
         )
-        return runs
+        return lost
 
 
 def _start_was_sent(
