--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -15,6 +16,7 @@
 from comfreylatch._process.cell import job_table
 from comfreylatch._process.cell import planner
 from comfreylatch._process.cell import ranking
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler
@@ -104,8 +106,11 @@
         workers: int = 2,
         cpu_millicores: int = 8_000,
         known_workers: dict[str, recovered_state.KnownWorker] | None = None,
+        clock: fake_clock.FakeClock | None = None,
     ) -> None:
-        self.clock = fake_clock.FakeClock(START_MS)
+        self.clock = clock or fake_clock.FakeClock(START_MS)
+        self.on_stored: Callable[[dict[str, bytes]], object] = lambda _: None
+        self._ended_jobs: dict[str, records.JobState] = {}
         self.jobs = job_table.JobTable(1, self.clock)
         self.sessions: dict[str, _RecordingSession] = {}
         self.workers = worker_table.WorkerTable(
@@ -169,23 +174,80 @@
         worker_id: str,
         running: tuple[cell_workers.RunningTask, ...] = (),
         ended: tuple[cell_workers.EndedRun, ...] = (),
+        lease_ms: int = 0,
     ) -> None:
         """Has a worker answer the call that renews its lease."""
         now_ms = self.clock.monotonic_ms()
         answer = cell_workers.HoldAnswer(now_ms, running, ended)
         event = events.HoldReturned(
-            worker_id, 1, now_ms, now_ms, 0, result.Ok(answer)
+            worker_id,
+            self._born_ms(worker_id),
+            now_ms,
+            now_ms,
+            now_ms + lease_ms if lease_ms else 0,
+            result.Ok(answer),
         )
         assert self.workers.handle_hold(event)
         self.reconciler.handle_hold(event, answer)
 
+    def _born_ms(self, worker_id: str) -> int:
+        view = self.workers.find(worker_id)
+        return view.entry.born_ms if view is not None else 1
+
+    def apply_listing(
+        self, entries: dict[str, cell_workers.WorkerEntry]
+    ) -> None:
+        """Applies the platform's list of workers."""
+        for lost_runs in self.workers.apply_listing(entries):
+            self.dispatcher.handle_lost(lost_runs)
+
+    def expire(self) -> None:
+        """Removes runs whose leases are over."""
+        for lost_runs in self.workers.expire():
+            self.dispatcher.handle_lost(lost_runs)
+
+    def place_and_store(self) -> list[Any]:
+        """Places tasks and stores the records of the step.
+
+        Returns:
+            The runs that were ordered to start.
+        """
+        started = self.place()
+        writes = self.jobs.drain_writes()
+        self._note_ended(writes.jobs)
+        self.on_stored(
+            {key: value for key, value in writes.work.items() if value}
+        )
+        return started
+
+    def _note_ended(self, writes: dict[str, bytes | None]) -> None:
+        for key, value in writes.items():
+            if value is None or not key.startswith(records.STATE_PREFIX):
+                continue
+            record = records.decode(records.StateRecord, value)
+            if record.state.is_final:
+                job_id = key.removeprefix(records.STATE_PREFIX)
+                self._ended_jobs[job_id] = record.state
+
+    def ended_jobs(self) -> dict[str, records.JobState]:
+        """Returns the final states of the jobs that have ended."""
+        return self._ended_jobs
+
+    def settle(self) -> None:
+        """Ends a takeover: all runs of the previous owner are known."""
+
     def fail_hold(self, worker_id: str) -> None:
         """Has a worker not answer the call that renews its lease."""
         now_ms = self.clock.monotonic_ms()
         error = cell_workers.OrderUnanswered("no answer")
         self.workers.handle_hold(
             events.HoldReturned(
-                worker_id, 1, now_ms, now_ms, 0, result.Err(error)
+                worker_id,
+                self._born_ms(worker_id),
+                now_ms,
+                now_ms,
+                0,
+                result.Err(error),
             )
         )
 
