Give up tasks that crash the workers that start them

Cause: a run that ends with its worker was counted nowhere.

Now each crash is attributed to the young runs on the worker, with what else may explain it. The latest ones are started next on a worker of their own, which is emptied while the crashed one is away. A task that crashes two machines, one of them alone, is given up and its job shown as failed; a run that outlasts the earlier crashes ends the suspicion. Crashes and such starts are stored before the start that relies on them, so that they outlive the owner.

--- /dev/null
+++ b/src/comfreylatch/_process/cell/blame.py
@@ -0,0 +1,149 @@
+"""Decides which task is to blame for crashes of workers.
+
+When a worker crashes, any run on it may be the cause, or the worker itself, or
+something that many workers have in common, such as their power. The cause can
+be told by trying the suspected tasks one at a time, each on a worker of its
+own: a task that crashes two machines, one of them without any other run, is
+given up. A run that outlasts the time after which its task seemed to crash
+workers refutes the suspicion.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import runs as runs_module
+
+# A worker's crash is not attributed to runs that had lasted longer.
+SUSPECT_RUN_MS = 5_000
+# Runs that were started this shortly before a crash are its likely cause. A
+# silent worker's crash is noticed about a second late.
+RECENT_START_MS = 1_500
+# Of these, the ones started about when the latest one was, and at most so many,
+# are tried apart.
+PRIME_SPREAD_MS = 300
+MAX_PRIME_RUNS = 3
+# Added to the time after which a task seemed to crash its workers.
+SURVIVAL_MARGIN_MS = 500
+# Workers that fail within the window have a common cause.
+MASS_FAILURE_COUNT = 4
+MASS_FAILURE_WINDOW_MS = 1_000
+# Crashes of a machine within the window after which it is considered faulty.
+FAULTY_MACHINE_CRASHES = 2
+FAULTY_MACHINE_WINDOW_MS = 30_000
+# Crashes after which a task is started again only if they are confirmed, or
+# have not been for some time.
+CRASHES_TO_CONFIRM = 3
+CONFIRMATION_WAIT_MS = 8_000
+# Crashes of a task that never ran alone, after which it is given up.
+REPEATED_CRASHES = 4
+REPEATED_MACHINES = 3
+
+
+def prime_runs(
+    runs: Iterable[runs_module.Run], failed_ms: int
+) -> list[runs_module.Run]:
+    """Returns the runs that most likely crashed their worker."""
+    recent = [
+        run for run in runs if failed_ms - _touched_ms(run) <= RECENT_START_MS
+    ]
+    recent.sort(key=_touched_ms, reverse=True)
+    return [
+        run
+        for run in recent[:MAX_PRIME_RUNS]
+        if _touched_ms(recent[0]) - _touched_ms(run) <= PRIME_SPREAD_MS
+    ]
+
+
+def _touched_ms(run: runs_module.Run) -> int:
+    """Monotonic time at which its start was last known to be under way."""
+    if run.phase is runs_module.RunPhase.RUNNING:
+        return max(run.ordered_ms, run.confirmed_ms)
+    return run.ordered_ms
+
+
+def is_suspect(run: runs_module.Run, failed_ms: int) -> bool:
+    """Whether a run may have crashed its worker."""
+    if not run.was_ordered:
+        return False
+    trial = run.task.trial
+    if run.is_adopted:
+        return trial is not None and trial.run == run.number
+    return failed_ms - run.ordered_ms <= SUSPECT_RUN_MS
+
+
+def _counted(
+    crashes: Sequence[records.CrashRecord],
+) -> list[records.CrashRecord]:
+    """Returns the crashes that count against a task.
+
+    Only one is excused, as many deadly tasks at once look like a power cut.
+    """
+    excused = next((crash for crash in crashes if crash.is_excused), None)
+    return [crash for crash in crashes if crash is not excused]
+
+
+def needs_trial(crashes: Sequence[records.CrashRecord]) -> bool:
+    """Whether a task's next run has to be kept apart from others."""
+    counted = _counted(crashes)
+    return len(counted) > 1 or any(crash.is_prime for crash in counted)
+
+
+def suspicion(crashes: Sequence[records.CrashRecord]) -> tuple[int, int]:
+    """Ranks suspected tasks; the highest is the most suspected."""
+    soonest_ms = min((crash.ran_ms for crash in crashes), default=0)
+    return len(crashes), -soonest_ms
+
+
+def awaits_confirmation(crashes: Sequence[records.CrashRecord]) -> bool:
+    """Whether a task starts only once more is known of its crashes.
+
+    Its workers may have been unreachable only. If they did crash, the task has
+    to be given up rather than to be started once more.
+    """
+    return len(crashes) >= CRASHES_TO_CONFIRM and not all(
+        crash.is_confirmed for crash in crashes
+    )
+
+
+def probation_ms(crashes: Sequence[records.CrashRecord]) -> int:
+    """How long a run has to last to refute the suspicion."""
+    longest_ms = max((crash.ran_ms for crash in crashes), default=0)
+    return longest_ms + SURVIVAL_MARGIN_MS
+
+
+def without_refuted(
+    crashes: Sequence[records.CrashRecord], ran_ms: int
+) -> tuple[records.CrashRecord, ...]:
+    """Returns the crashes that a run of this duration does not refute."""
+    return tuple(crash for crash in crashes if ran_ms <= probation_ms((crash,)))
+
+
+def verdict(
+    crashes: Sequence[records.CrashRecord],
+) -> reasons.Verdict | None:
+    """Returns why a task has to be given up; None if it has not."""
+    confirmed = [crash for crash in _counted(crashes) if crash.is_confirmed]
+    machines = {crash.machine for crash in confirmed}
+    alone = [crash for crash in confirmed if crash.was_alone]
+    for crash in alone:
+        if any(
+            other.machine != crash.machine
+            and (other.was_alone or _is_alike(crash, other))
+            for other in confirmed
+        ):
+            return reasons.Verdict.ALONE
+    if (
+        len(confirmed) >= REPEATED_CRASHES
+        and len(machines) >= REPEATED_MACHINES
+    ):
+        return reasons.Verdict.REPEATEDLY
+    return None
+
+
+def _is_alike(crash: records.CrashRecord, other: records.CrashRecord) -> bool:
+    """Whether a crash came as soon after the start as another one."""
+    return crash.ran_ms <= 2 * other.ran_ms + SURVIVAL_MARGIN_MS // 2
--- a/src/comfreylatch/_process/cell/cell_report.py
+++ b/src/comfreylatch/_process/cell/cell_report.py
@@ -60,6 +60,7 @@
         waiting_tasks=sum(len(step.pending_tasks) for step in steps),
         waiting_lasting_tasks=len(lasting_waits_ms),
         longest_lasting_wait_ms=max(lasting_waits_ms, default=0),
+        reserved_workers=sum(view.is_reserved for view in views),
         cleared_workers=sum(now_ms < view.cleared_until_ms for view in views),
         append_age_ms=append_age_ms,
         pressures=pressures,
--- /dev/null
+++ b/src/comfreylatch/_process/cell/crash_ledger.py
@@ -0,0 +1,377 @@
+"""Keeps account of the workers that crashed under each task."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import final
+
+import attrs
+import logbook
+
+from comfreylatch._ports import cell_workers
+from comfreylatch._ports import clock as clock_port
+from comfreylatch._process import logs
+from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import blame
+from comfreylatch._process.cell import job_table as job_table_module
+from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import records
+from comfreylatch._process.cell import run_dispatcher
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_table as worker_table_module
+from comfreylatch._process.cell import worker_view
+
+_logger = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class _Incarnation:
+    """An incarnation of a worker."""
+
+    worker_id: str
+    born_ms: int
+
+
+@final
+class CrashLedger:
+    """Attributes lost runs to their workers' crashes; gives up deadly tasks.
+
+    Only the owner's thread uses it.
+    """
+
+    def __init__(
+        self,
+        jobs: job_table_module.JobTable,
+        workers: worker_table_module.WorkerTable,
+        dispatcher: run_dispatcher.RunDispatcher,
+        metrics: metrics_module.Metrics,
+        clock: clock_port.Clock,
+    ) -> None:
+        self._jobs = jobs
+        self._workers = workers
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._clock = clock
+        self._suspects: set[runs_module.Task] = set()
+        self._unconfirmed: dict[_Incarnation, set[runs_module.Task]] = {}
+        self._failures: collections.deque[tuple[int, str]] = collections.deque()
+        self._machine_crashes: dict[str, list[int]] = {}
+
+    def awaiting_trial(self) -> list[runs_module.Task]:
+        """Returns the tasks that need a trial and have no run."""
+        ended = [task for task in self._suspects if not self._is_open(task)]
+        self._suspects.difference_update(ended)
+        return [
+            task
+            for task in self._suspects
+            if task.is_pending and blame.needs_trial(task.crashes)
+        ]
+
+    def _is_open(self, task: runs_module.Task) -> bool:
+        """Whether a task is not done and its job has not ended."""
+        job = task.step.job
+        is_unfinished = self._jobs.find(job.spec.job_id) is job
+        return is_unfinished and not task.is_done
+
+    def handle_lost(self, lost: worker_table_module.LostRuns) -> None:
+        """Attributes the loss of a worker's runs; removes these."""
+        if not lost.is_planned:
+            self._attribute(lost)
+        for run in lost.runs:
+            self._jobs.end_trial(run.task, run.number)
+        self._dispatcher.handle_lost(lost)
+        for run in lost.runs:
+            self._judge(run.task)
+
+    def _attribute(self, lost: worker_table_module.LostRuns) -> None:
+        ordered = [run for run in lost.runs if run.was_ordered]
+        suspects = [
+            run for run in ordered if blame.is_suspect(run, lost.failed_ms)
+        ]
+        primes = blame.prime_runs(suspects, lost.failed_ms)
+        cause = self._cause(lost, bool(suspects))
+        is_confirmed = lost.reason is reasons.LossReason.REBORN
+        logs.event(
+            _logger,
+            "worker-crashed",
+            worker=lost.entry.worker_id,
+            machine=lost.entry.address,
+            born_ms=lost.entry.born_ms,
+            cause=cause,
+            is_confirmed=is_confirmed,
+            runs=len(ordered),
+            suspects=len(suspects),
+            primes=[run.task.name for run in primes],
+            failed_ago_ms=self._clock.monotonic_ms() - lost.failed_ms,
+        )
+        self._metrics.count(metrics_module.Counter.WORKER_CRASHES, cause)
+        for run in suspects:
+            crash = records.CrashRecord(
+                run.number,
+                lost.entry.worker_id,
+                lost.entry.born_ms,
+                lost.entry.address,
+                max(lost.failed_ms - run.ordered_ms, 0),
+                was_alone=len(ordered) == 1,
+                is_prime=run in primes,
+                is_confirmed=is_confirmed,
+                is_excused=cause is not reasons.CrashCause.ITS_RUNS,
+            )
+            self._add(run.task, crash)
+
+    def _cause(
+        self, lost: worker_table_module.LostRuns, has_suspects: bool
+    ) -> reasons.CrashCause:
+        """Returns what may have crashed a worker."""
+        is_faulty = self._is_faulty(lost.entry.address, lost.failed_ms)
+        on_trial = any(
+            run.task.trial is not None and run.task.trial.is_alone
+            for run in lost.runs
+        )
+        if not on_trial:
+            self._failures.append((lost.failed_ms, lost.entry.address))
+        if self._failed_together(lost) >= blame.MASS_FAILURE_COUNT:
+            return reasons.CrashCause.MANY_WORKERS
+        if is_faulty:
+            return reasons.CrashCause.FAULTY_MACHINE
+        if not has_suspects:
+            return reasons.CrashCause.OLD_RUNS
+        return reasons.CrashCause.ITS_RUNS
+
+    def _failed_together(self, lost: worker_table_module.LostRuns) -> int:
+        """Counts the machines that failed about when a worker did.
+
+        Workers with a run on trial don't count: they are expected to crash.
+        """
+        window_ms = blame.MASS_FAILURE_WINDOW_MS
+        earliest_ms = lost.failed_ms - blame.FAULTY_MACHINE_WINDOW_MS
+        while self._failures and self._failures[0][0] < earliest_ms:
+            self._failures.popleft()
+        machines = {
+            machine
+            for failed_ms, machine in self._failures
+            if abs(failed_ms - lost.failed_ms) <= window_ms
+        }
+        machines.update(
+            worker.entry.address
+            for worker in self._workers
+            if worker.failing_since_ms
+            and worker.trial_run is None
+            and abs(worker.failing_since_ms - lost.failed_ms) <= window_ms
+        )
+        return len(machines)
+
+    def _is_faulty(self, machine: str, failed_ms: int) -> bool:
+        """Adds a crash of a machine; returns whether it crashes often."""
+        earliest_ms = failed_ms - blame.FAULTY_MACHINE_WINDOW_MS
+        crashes = [
+            crashed_ms
+            for crashed_ms in self._machine_crashes.get(machine, [])
+            if crashed_ms >= earliest_ms
+        ]
+        self._machine_crashes[machine] = [*crashes, failed_ms]
+        return len(crashes) >= blame.FAULTY_MACHINE_CRASHES
+
+    def crashed_lately(self, machine: str) -> bool:
+        """Whether a machine has crashed within the last half minute."""
+        crashes = self._machine_crashes.get(machine)
+        if not crashes:
+            return False
+        age_ms = self._clock.monotonic_ms() - crashes[-1]
+        return age_ms <= blame.FAULTY_MACHINE_WINDOW_MS
+
+    def _add(self, task: runs_module.Task, crash: records.CrashRecord) -> None:
+        """Adds a crash to a task; for a member of a gang, to the whole gang."""
+        step = task.step
+        for member in step.tasks if step.spec.is_gang else [task]:
+            if any(known.run == crash.run for known in member.crashes):
+                continue
+            kept = blame.without_refuted(member.crashes, crash.ran_ms)
+            self._set(member, (*kept, crash))
+
+    def _set(
+        self,
+        task: runs_module.Task,
+        crashes: tuple[records.CrashRecord, ...],
+    ) -> None:
+        task.crashes = crashes
+        task.suspected_since_ms = self._clock.monotonic_ms()
+        self._jobs.mark_changed(task.step.job)
+        if crashes:
+            self._suspects.add(task)
+        else:
+            self._suspects.discard(task)
+        for crash in crashes:
+            if not crash.is_confirmed:
+                incarnation = _Incarnation(crash.worker_id, crash.born_ms)
+                self._unconfirmed.setdefault(incarnation, set()).add(task)
+
+    def _judge(self, task: runs_module.Task) -> None:
+        """Fails a task's job if the task crashes its workers."""
+        if not self._is_open(task):
+            self._suspects.discard(task)
+            return
+        job = task.step.job
+        verdict = blame.verdict(task.crashes)
+        if verdict is None:
+            return
+        logs.warning(
+            _logger,
+            "task-given-up",
+            task=task.name,
+            job=job.spec.job_id,
+            verdict=verdict,
+            crashes=[attrs.asdict(crash) for crash in task.crashes],
+        )
+        self._metrics.count(metrics_module.Counter.TASKS_GIVEN_UP, verdict)
+        self._suspects.discard(task)
+        self._jobs.finish(job, records.JobState.FAILED)
+        self._dispatcher.stop_all(job)
+
+    def handle_listing(
+        self, entries: dict[str, cell_workers.WorkerEntry]
+    ) -> None:
+        """Confirms the crashes of workers that others have replaced."""
+        if not self._unconfirmed:
+            return
+        born_ms = worker_table_module.newest_born_ms(entries)
+        for incarnation, tasks in list(self._unconfirmed.items()):
+            affected = [
+                task
+                for task in tasks
+                if any(
+                    _is_of(crash, incarnation)
+                    and born_ms.get(crash.machine, 0) > crash.born_ms
+                    for crash in task.crashes
+                )
+            ]
+            if affected:
+                del self._unconfirmed[incarnation]
+                self._confirm(affected, incarnation)
+
+    def _confirm(
+        self,
+        tasks: Iterable[runs_module.Task],
+        incarnation: _Incarnation,
+    ) -> None:
+        for task in tasks:
+            crashes = tuple(
+                attrs.evolve(crash, is_confirmed=True)
+                if _is_of(crash, incarnation)
+                else crash
+                for crash in task.crashes
+            )
+            self._set(task, crashes)
+            self._judge(task)
+
+    def handle_answer(self, worker: worker_view.WorkerView) -> None:
+        """Withdraws the crash of a worker that was only unreachable."""
+        incarnation = _Incarnation(worker.worker_id, worker.entry.born_ms)
+        tasks = self._unconfirmed.pop(incarnation, None)
+        if not tasks:
+            return
+        logs.event(
+            _logger,
+            "crash-withdrawn",
+            worker=worker.worker_id,
+            tasks=len(tasks),
+        )
+        for task in tasks:
+            self._set(
+                task,
+                tuple(
+                    crash
+                    for crash in task.crashes
+                    if not _is_of(crash, incarnation)
+                ),
+            )
+
+    def handle_running(
+        self,
+        worker: worker_view.WorkerView,
+        run: runs_module.Run,
+        now_ms: int,
+    ) -> None:
+        """Ends the suspicion of a task whose run has lasted long enough."""
+        if not run.confirmed_ms:
+            return
+        task = run.task
+        ran_ms = now_ms - run.confirmed_ms
+        if task.crashes:
+            kept = blame.without_refuted(task.crashes, ran_ms)
+            if len(kept) < len(task.crashes):
+                logs.event(
+                    _logger,
+                    "suspicion-ended",
+                    task=task.name,
+                    run=run.number,
+                    worker=worker.worker_id,
+                    ran_ms=ran_ms,
+                    kept=len(kept),
+                )
+                self._set(task, kept)
+        trial = task.trial
+        if trial is None or trial.run != run.number:
+            return
+        if ran_ms > trial.probation_ms:
+            self._jobs.end_trial(task, run.number)
+            if worker.trial_run is run:
+                worker.trial_run = None
+
+    def restore(self, job: runs_module.ActiveJob) -> None:
+        """Takes over the crashes of a job that a previous owner recorded."""
+        for step in job.all_steps():
+            for task in step.tasks:
+                if task.crashes:
+                    self._set(task, task.crashes)
+
+    def resolve_trials(self) -> None:
+        """Decides on the trials of a previous owner once its runs are known.
+
+        Only now suspected tasks of its jobs may start.
+
+        A worker that was replaced, or that can't be reached, has crashed. One
+        that answers has never been told to start the run.
+        """
+        for task in self._suspects:
+            task.suspected_since_ms = self._clock.monotonic_ms()
+        unresolved = [
+            task
+            for job in self._jobs
+            for step in job.all_steps()
+            for task in step.tasks
+            if task.trial is not None
+            and all(run.number != task.trial.run for run in task.runs)
+        ]
+        for task in unresolved:
+            trial = task.trial
+            assert trial is not None
+            task.trial = None
+            self._jobs.mark_changed(task.step.job)
+            if not self._workers.has_listed_runs(
+                trial.worker_id, trial.born_ms
+            ):
+                self._add(task, self._crash_of(trial))
+                self._judge(task)
+
+    def _crash_of(self, trial: records.TrialRecord) -> records.CrashRecord:
+        return records.CrashRecord(
+            trial.run,
+            trial.worker_id,
+            trial.born_ms,
+            trial.machine,
+            trial.probation_ms - blame.SURVIVAL_MARGIN_MS,
+            was_alone=trial.is_alone,
+            is_prime=True,
+            is_confirmed=self._workers.is_replaced(
+                trial.machine, trial.born_ms
+            ),
+        )
+
+
+def _is_of(crash: records.CrashRecord, incarnation: _Incarnation) -> bool:
+    return (crash.worker_id, crash.born_ms) == (
+        incarnation.worker_id,
+        incarnation.born_ms,
+    )
--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -127,6 +127,13 @@
     born_ms: dict[str, int]
 
 
+@attrs.frozen
+class StartsRecorded:
+    """The records of runs are stored that have to precede their starts."""
+
+    runs: tuple[runs_module.Run, ...]
+
+
 @attrs.frozen
 class Fenced:
     """A higher fencing token is in force: another host owns the cell."""
@@ -145,5 +152,6 @@
     | MaintenanceReturned
     | ReportFailed
     | WorkersRecorded
+    | StartsRecorded
     | Fenced
 )
--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -207,6 +207,16 @@
                 member.checkpoint = checkpoint
             self._dirty.add(task.step.job.spec.job_id)
 
+    def mark_changed(self, job: runs_module.ActiveJob) -> None:
+        """Has the progress of an unfinished job recorded."""
+        self._dirty.add(job.spec.job_id)
+
+    def end_trial(self, task: runs_module.Task, run: int) -> None:
+        """Notes that a run did not crash its worker, or that it is counted."""
+        if task.trial is not None and task.trial.run == run:
+            task.trial = None
+            self.mark_changed(task.step.job)
+
     def cancel(self, job_id: str) -> runs_module.ActiveJob | None:
         """Cancels a job; returns it if it was unfinished, else None."""
         job = self._jobs.get(job_id)
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -17,6 +17,7 @@
 from comfreylatch._process.cell import advice as advice_module
 from comfreylatch._process.cell import advice_fetcher
 from comfreylatch._process.cell import cell_report
+from comfreylatch._process.cell import crash_ledger as crash_ledger_module
 from comfreylatch._process.cell import duration_model as duration_model_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import fenced_writer as fenced_writer_module
@@ -37,6 +38,8 @@
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler as run_reconciler_module
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import stored_starts as stored_starts_module
+from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
 
@@ -108,17 +111,27 @@
         self._dispatcher = run_dispatcher.RunDispatcher(
             self._jobs, self._workers, model, metrics, clock
         )
+        self._crashes = crash_ledger_module.CrashLedger(
+            self._jobs, self._workers, self._dispatcher, metrics, clock
+        )
+        self._stored_starts = stored_starts_module.StoredStarts(
+            self._jobs, self._dispatcher, metrics, self._events.put
+        )
         self._reconciler = run_reconciler_module.RunReconciler(
             self._dispatcher,
             self._jobs,
             self._workers,
             self._durations,
             model,
+            self._crashes,
             metrics,
             clock,
         )
         self._planner = planner_module.Planner(
-            self._workers, self._ranker, model
+            self._workers,
+            self._ranker,
+            model,
+            self._crashes.crashed_lately,
         )
         self._advice_planner = advice_module.AdvicePlanner(metrics)
         self._waves = deps.waves
@@ -174,6 +187,7 @@
             )
             if job is not None:
                 self._ranker.add_job(job)
+                self._crashes.restore(job)
             if entry.is_cancelled:
                 self._jobs.cancel(entry.spec.job_id)
         return self
@@ -249,13 +263,14 @@
                 self._handle_change(change)
             case events.WorkersListed(entries):
                 for lost_runs in self._workers.apply_listing(entries):
-                    self._dispatcher.handle_lost(lost_runs)
+                    self._crashes.handle_lost(lost_runs)
+                self._crashes.handle_listing(entries)
             case events.HoldReturned():
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
                 self._handle_order(event)
-            case events.WorkersRecorded(born_ms):
-                self._recorded_workers.mark_recorded(born_ms)
+            case events.WorkersRecorded() | events.StartsRecorded():
+                self._handle_recorded(event)
             case events.AdviceReturned():
                 self._advice_planner.handle_advice_returned(
                     event, self._clock.monotonic_ms()
@@ -278,6 +293,15 @@
             case events.StopReturned():
                 self._dispatcher.handle_stop(event)
 
+    def _handle_recorded(
+        self, event: events.WorkersRecorded | events.StartsRecorded
+    ) -> None:
+        match event:
+            case events.WorkersRecorded(born_ms):
+                self._recorded_workers.mark_recorded(born_ms)
+            case events.StartsRecorded(runs):
+                self._stored_starts.handle_recorded(runs)
+
     def _handle_change(self, change: job_replica.JobChange) -> None:
         match change:
             case job_replica.JobAdded(spec):
@@ -325,20 +349,28 @@
     def _tick(self, now_ms: int) -> None:
         self._jobs.create_due_occurrences()
         for lost_runs in self._workers.expire():
-            self._dispatcher.handle_lost(lost_runs)
+            self._crashes.handle_lost(lost_runs)
+        self._reserve_workers(now_ms)
         self._run_maintenance(now_ms)
         self._reconciler.move_runs(now_ms)
         if self._is_settled and self._writer.may_act():
             for placement in self._planner.place_speculative_runs(
                 self._jobs, now_ms
             ):
-                self._dispatcher.send_start(placement.run)
+                self._stored_starts.start(placement)
         if not self._is_settled:
             self._check_settled(now_ms)
         if now_ms - self._last_report_ms >= REPORT_INTERVAL_MS:
             self._last_report_ms = now_ms
             self._log_load(now_ms)
 
+    def _reserve_workers(self, now_ms: int) -> None:
+        """Empties workers for tasks that may crash theirs."""
+        for run in trials.reserve_workers(
+            self._workers, self._crashes.awaiting_trial(), now_ms
+        ):
+            self._dispatcher.stop(run, reasons.StopReason.WORKER_RESERVED)
+
     def _log_load(self, now_ms: int) -> None:
         cell_report.log_load(
             self._recovered.token,
@@ -366,6 +398,9 @@
         if self._workers.unknown():
             return
         self._is_settled = True
+        if self._workers.are_known_workers_missing:
+            self._stored_starts.note_missing_runs()
+        self._crashes.resolve_trials()
         logs.event(
             _logger,
             "takeover-settled",
@@ -393,7 +428,7 @@
         self._last_pass_ms = now_ms
         self._request_advice(steps, now_ms)
         for placement in self._planner.place(steps, now_ms):
-            self._dispatcher.send_start(placement.run)
+            self._stored_starts.start(placement)
         remaining = [step for step in steps if step.pending_tasks]
         for victim in self._planner.choose_victims(remaining, now_ms):
             self._dispatcher.stop(victim, reasons.StopReason.SHORT_TASK)
@@ -451,6 +486,7 @@
         )
         self._model_persistence.add_writes(writes.work)
         writes.work.update(self._maintenance_planner.drain_writes())
+        self._stored_starts.add_callback(on_stored)
         if self._unacknowledged_workers:
             on_stored.append(self._end_recorded_timer())
         for worker_id in self._unacknowledged_workers:
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from comfreylatch._process.cell import blame
 from comfreylatch._process.cell import candidates as candidates_module
 from comfreylatch._process.cell import clearing
 from comfreylatch._process.cell import interference
@@ -15,6 +16,7 @@
 from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import speculation
+from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
 
@@ -74,7 +76,9 @@
         workers: worker_table_module.WorkerTable,
         ranker: ranking_module.Ranker,
         model: interference.InterferenceModel,
+        crashed_lately: trials.CrashedLately = lambda _: False,
     ) -> None:
+        self._crashed_lately = crashed_lately
         self._workers = workers
         self._ranker = ranker
         self._interference = model
@@ -91,7 +95,7 @@
             return []
         this_pass = self._new_pass(available, now_ms)
         ranked = sorted(steps, key=lambda step: self._ranker.rank(step, now_ms))
-        placements: list[Placement] = []
+        placements = self._place_trials(steps, this_pass)
         for step in ranked:
             if step.spec.is_gang:
                 placements.extend(self._place_gang(step, this_pass))
@@ -110,6 +114,7 @@
             if step.spec.is_speculative and step.unfinished_count
             for task in step.tasks
             if speculation.is_straggler(task, now_ms)
+            and not self._may_crash_workers(task)
         ]
         if not stragglers:
             return []
@@ -123,6 +128,18 @@
         )
         return [placed_run for placed_run in placed if placed_run is not None]
 
+    def _may_crash_workers(self, task: runs_module.Task) -> bool:
+        """Whether a task has crashed its worker, or may just have done so."""
+        if task.crashes:
+            return True
+        return any(
+            worker is not None
+            and worker.failing_since_ms > 0
+            and run in blame.prime_runs([run], worker.failing_since_ms)
+            for run in task.runs
+            for worker in [self._workers.find(run.worker_id)]
+        )
+
     def _new_pass(
         self, workers: list[worker_view.WorkerView], now_ms: int
     ) -> _PlacementPass:
@@ -184,7 +201,7 @@
             for task in list(step.pending_tasks.values())[
                 :MAX_PREEMPTING_TASKS_PER_STEP
             ]:
-                if capacity.reserve(task):
+                if blame.needs_trial(task.crashes) or capacity.reserve(task):
                     continue
                 if (
                     capacity.stopping_count
@@ -215,6 +232,8 @@
         for task in list(step.pending_tasks.values()):
             if task.not_before_ms > this_pass.now_ms:
                 continue
+            if blame.needs_trial(task.crashes):
+                continue
             placed = self._place_task(task, this_pass, task.last_run + 1)
             if placed is None:
                 self._record_unplaceable(step, this_pass)
@@ -274,18 +293,69 @@
         cached = this_pass.candidates.get(step)
         if cached is not None:
             return cached
-        workers = this_pass.workers
-        if step.spec.fills_idle:
-            cost = self._filling_costs.cost(step)
-        else:
-            rack = placement.preferred_rack(step, this_pass.racks)
-            if step.spec.needs_one_rack and not rack:
-                rack = placement.roomiest_rack(workers, step.spec)
-            cost = placement.reservation_cost(step, rack)
-        cached = candidates_module.Candidates(workers, cost)
+        cached = candidates_module.Candidates(
+            this_pass.workers, self._cost_function(step, this_pass)
+        )
         this_pass.candidates[step] = cached
         return cached
 
+    def _cost_function(
+        self, step: runs_module.StepInstance, this_pass: _PlacementPass
+    ) -> candidates_module.CostFunction:
+        if step.spec.fills_idle:
+            return self._filling_costs.cost(step)
+        rack = placement.preferred_rack(step, this_pass.racks)
+        if step.spec.needs_one_rack and not rack:
+            rack = placement.roomiest_rack(this_pass.workers, step.spec)
+        return placement.reservation_cost(step, rack)
+
+    def _place_trials(
+        self, steps: list[runs_module.StepInstance], this_pass: _PlacementPass
+    ) -> list[Placement]:
+        """Places the tasks that may crash their worker.
+
+        The most suspected ones come first, as few workers are empty.
+        """
+        suspected = [
+            task
+            for step in steps
+            if not step.spec.is_gang
+            for task in step.pending_tasks.values()
+            if blame.needs_trial(task.crashes)
+        ]
+        suspected.sort(
+            key=lambda task: blame.suspicion(task.crashes), reverse=True
+        )
+        placed = (self._place_trial(task, this_pass) for task in suspected)
+        return [placement for placement in placed if placement is not None]
+
+    def _place_trial(
+        self, task: runs_module.Task, this_pass: _PlacementPass
+    ) -> Placement | None:
+        """Places a task that may crash its worker, apart from other work."""
+        chosen = trials.choose_worker(
+            task,
+            [
+                worker
+                for worker in self._workers
+                if worker.accepts_trial(this_pass.now_ms)
+            ],
+            self._cost_function(task.step, this_pass),
+            self._crashed_lately,
+            this_pass.now_ms,
+        )
+        match chosen:
+            case trials.TrialOutcome.WAIT:
+                return None
+            case trials.TrialOutcome.PLACE_ANYWHERE:
+                return self._place_task(task, this_pass, task.last_run + 1)
+            case worker_view.WorkerView():
+                placed = _assign(
+                    task, chosen, task.last_run + 1, this_pass.now_ms
+                )
+                chosen.trial_run = placed.run
+                return placed
+
     def _place_task(
         self, task: runs_module.Task, this_pass: _PlacementPass, number: int
     ) -> Placement | None:
@@ -301,17 +371,7 @@
         )
         if worker is None:
             return None
-        run = runs_module.Run(
-            task,
-            number,
-            worker.worker_id,
-            runs_module.RunPhase.STARTING,
-            this_pass.now_ms,
-        )
-        task.last_run = number
-        step.add_run(run)
-        worker.add(run)
-        return Placement(run, worker)
+        return _assign(task, worker, number, this_pass.now_ms)
 
     def _place_gang(
         self, step: runs_module.StepInstance, this_pass: _PlacementPass
@@ -332,3 +392,23 @@
                 return []
             placements.append(placed)
         return placements
+
+
+def _assign(
+    task: runs_module.Task,
+    worker: worker_view.WorkerView,
+    number: int,
+    now_ms: int,
+) -> Placement:
+    """Assigns a task's next run to a worker, which reserves its capacity."""
+    run = runs_module.Run(
+        task,
+        number,
+        worker.worker_id,
+        runs_module.RunPhase.STARTING,
+        now_ms,
+    )
+    task.last_run = number
+    task.step.add_run(run)
+    worker.add(run)
+    return Placement(run, worker)
--- a/src/comfreylatch/_process/cell/reasons.py
+++ b/src/comfreylatch/_process/cell/reasons.py
@@ -34,6 +34,7 @@
     SHORT_TASK = "room-for-short-task"
     WORKER_CLEARED = "worker-cleared"
     WORKER_LEAVES = "worker-leaves"
+    WORKER_RESERVED = "worker-reserved"
 
 
 class MissingAdvice(enum.StrEnum):
@@ -52,6 +53,22 @@
     NOT_LISTED = "not-listed"
 
 
+class CrashCause(enum.StrEnum):
+    """What may have crashed a worker."""
+
+    ITS_RUNS = "its-runs"
+    MANY_WORKERS = "many-workers"
+    FAULTY_MACHINE = "faulty-machine"
+    OLD_RUNS = "old-runs"
+
+
+class Verdict(enum.StrEnum):
+    """Why a task was given up as one that crashes its workers."""
+
+    ALONE = "crashed-alone"
+    REPEATEDLY = "crashed-repeatedly"
+
+
 class ClaimReason(enum.StrEnum):
     """Why a host claimed a cell."""
 
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -125,6 +125,58 @@
     earlier_leases_ms: int = 0
 
 
+@attrs.frozen
+class CrashRecord:
+    """A run that ended with its worker, which crashed or seems to have.
+
+    Attributes:
+        run: Number of the run.
+        worker_id: Id of the worker.
+        born_ms: Identifies the worker's incarnation.
+        machine: Address of the worker, which its successor has, too.
+        ran_ms: Time from the start order to the worker's first failed call.
+        was_alone: Whether no other run was on the worker.
+        is_prime: Whether the run was among the last that were started there.
+        is_confirmed: Whether a later incarnation has replaced the worker.
+            Otherwise it may only be unreachable.
+        is_excused: Whether something else explains the crash.
+    """
+
+    run: int
+    worker_id: str
+    born_ms: int
+    machine: str
+    ran_ms: int
+    was_alone: bool = False
+    is_prime: bool = False
+    is_confirmed: bool = False
+    is_excused: bool = False
+
+
+@attrs.frozen
+class TrialRecord:
+    """A run that is recorded before it is ordered to start.
+
+    If its worker is replaced before the run is known to have ended, the worker
+    counts as crashed under it, whether or not the owner is still the same.
+
+    Attributes:
+        run: Number of the run.
+        worker_id: Id of the worker.
+        born_ms: Identifies the worker's incarnation.
+        machine: Address of the worker.
+        probation_ms: How long it has to run to be no longer suspected.
+        is_alone: Whether the worker runs nothing else for that time.
+    """
+
+    run: int
+    worker_id: str
+    born_ms: int
+    machine: str
+    probation_ms: int
+    is_alone: bool
+
+
 @attrs.frozen
 class StepProgress:
     """Progress of one step in one occurrence of a job.
@@ -135,6 +187,8 @@
         done: Indexes of the tasks that are done.
         failed_runs: Numbers of the failed runs, by task index.
         checkpoints: Checkpoint to resume from, by task index.
+        crashes: Workers that crashed under the tasks, by task index.
+        trials: Runs that may crash their worker, by task index.
     """
 
     occurrence: int
@@ -142,6 +196,8 @@
     done: tuple[int, ...] = ()
     failed_runs: dict[int, tuple[int, ...]] = attrs.field(factory=dict)
     checkpoints: dict[int, str] = attrs.field(factory=dict)
+    crashes: dict[int, tuple[CrashRecord, ...]] = attrs.field(factory=dict)
+    trials: dict[int, TrialRecord] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -59,6 +59,8 @@
             return
         job = step.job
         now_ms = self._clock.monotonic_ms()
+        run.was_ordered = True
+        run.ordered_ms = now_ms
         waited_ms = now_ms - run.task.waiting_since_ms
         if job.first_start_ms == 0:
             job.first_start_ms = now_ms
@@ -236,6 +238,7 @@
         worker = self._workers.find(run.worker_id)
         if worker is not None:
             worker.remove(run)
+        self._jobs.end_trial(run.task, run.number)
         run.task.step.remove_run(run, self._clock.monotonic_ms())
 
     def handle_stop(self, event: events.StopReturned) -> None:
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -11,6 +11,7 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import crash_ledger as crash_ledger_module
 from comfreylatch._process.cell import duration_model as duration_model_module
 from comfreylatch._process.cell import evacuation
 from comfreylatch._process.cell import events
@@ -55,6 +56,7 @@
         workers: worker_table_module.WorkerTable,
         durations: duration_model_module.DurationModel,
         model: interference.InterferenceModel,
+        crashes: crash_ledger_module.CrashLedger,
         metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
@@ -63,6 +65,7 @@
         self._workers = workers
         self._durations = durations
         self._interference = model
+        self._crashes = crashes
         self._metrics = metrics
         self._evacuation = evacuation.EvacuationPolicy(durations)
         self._clock = clock
@@ -77,6 +80,7 @@
         """
         worker = self._workers.find(event.worker_id)
         assert worker is not None
+        self._crashes.handle_answer(worker)
         ended = self._workers.new_ends(event.worker_id, answer)
         for end in ended:
             self._handle_end(worker, end)
@@ -115,6 +119,7 @@
         if task is None:
             return
         task.last_run = max(task.last_run, end.run)
+        self._jobs.end_trial(task, end.run)
         is_unfinished_job = (
             self._jobs.find(task.step.job.spec.job_id) is not None
         )
@@ -208,6 +213,8 @@
         if running_task.percent > run.percent or run.progressed_ms == 0:
             run.percent = running_task.percent
             run.progressed_ms = now_ms
+        if run.task.crashes or run.task.trial is not None:
+            self._crashes.handle_running(worker, run, now_ms)
         run.reading = running_task.reading
         if running_task.checkpoint and run.number == run.task.last_run:
             run.task.checkpoint = running_task.checkpoint
@@ -239,6 +246,8 @@
                 progressed_ms=now_ms,
                 percent=running_task.percent,
                 is_pace_known=not task.step.spec.fills_idle,
+                was_ordered=True,
+                is_adopted=True,
             )
             task.last_run = max(task.last_run, running_task.run)
             # A copy may run on after another one is done.
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -77,6 +77,8 @@
         is_over: Whether it is known to have ended or was given up. A start
             order that is still queued must not be sent then, as its task may
             have another run.
+        was_ordered: Whether its start order was passed on to be sent.
+        is_adopted: Whether a previous owner started it, at an unknown time.
     """
 
     task: Task
@@ -97,6 +99,8 @@
     unanswered_tries: int = 0
     is_in_doubt: bool = False
     is_over: bool = False
+    was_ordered: bool = False
+    is_adopted: bool = False
 
     @property
     def should_start(self) -> bool:
@@ -126,6 +130,11 @@
         not_before_ms: Monotonic time before which it is not started again.
         avoided_workers: Workers on which it failed or stalled.
         pending_since_ms: Monotonic time since which it has been pending.
+        crashes: Workers that crashed under it, and that no longer run of it
+            has refuted.
+        suspected_since_ms: Monotonic time of the last change of `crashes`, or
+            of the takeover.
+        trial: Its recorded run, see `TrialRecord`; None if it has none.
     """
 
     name: str
@@ -139,6 +148,9 @@
     not_before_ms: int = 0
     avoided_workers: frozenset[str] = frozenset()
     pending_since_ms: int = 0
+    crashes: tuple[records.CrashRecord, ...] = ()
+    suspected_since_ms: int = 0
+    trial: records.TrialRecord | None = None
 
     @property
     def failures(self) -> int:
@@ -381,7 +393,17 @@
                 for task in step.tasks
                 if task.checkpoint and not task.is_done
             }
-            if done or failed_runs or checkpoints:
+            crashes = {
+                task.index: task.crashes
+                for task in step.tasks
+                if task.crashes and not task.is_done
+            }
+            trials = {
+                task.index: task.trial
+                for task in step.tasks
+                if task.trial is not None and not task.is_done
+            }
+            if done or failed_runs or checkpoints or crashes or trials:
                 steps.append(
                     records.StepProgress(
                         step.occurrence,
@@ -389,6 +411,8 @@
                         done,
                         failed_runs,
                         checkpoints,
+                        crashes,
+                        trials,
                     )
                 )
         return records.ProgressRecord(tuple(steps))
@@ -400,6 +424,7 @@
                 continue
             if recorded.occurrence not in self.steps:
                 self.create_occurrence(recorded.occurrence)
+            self._restore_crashes(recorded)
             for index in recorded.done:
                 task = self.find(recorded.occurrence, recorded.step, index)
                 if task is not None:
@@ -413,6 +438,16 @@
                 if task is not None:
                     task.checkpoint = checkpoint
 
+    def _restore_crashes(self, recorded: records.StepProgress) -> None:
+        for index, crashes in recorded.crashes.items():
+            task = self.find(recorded.occurrence, recorded.step, index)
+            if task is not None:
+                task.crashes = tuple(crashes)
+        for index, trial in recorded.trials.items():
+            task = self.find(recorded.occurrence, recorded.step, index)
+            if task is not None:
+                task.trial = trial
+
 
 @attrs.frozen
 class TaskName:
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -80,6 +80,7 @@
         self._clock = clock
         self._known_workers = known_workers
         self._views: dict[str, worker_view.WorkerView] = {}
+        self._newest_born_ms: dict[str, int] = {}
         self._sessions: dict[str, worker_session.WorkerSession] = {}
         self._end_cursors: dict[str, _EndCursor] = {}
 
@@ -147,8 +148,11 @@
             The runs of incarnations that a newer one has replaced.
         """
         now_ms = self._clock.monotonic_ms()
-        lost: list[LostRuns] = []
+        self._newest_born_ms = newest_born_ms(entries)
+        lost = self._drop_replaced()
         for worker_id, entry in entries.items():
+            if self.is_replaced(entry.address, entry.born_ms):
+                continue
             view = self._views.get(worker_id)
             if view is not None and view.entry.born_ms != entry.born_ms:
                 if entry.born_ms < view.entry.born_ms:
@@ -167,6 +171,18 @@
                 view.unlisted_since_ms = now_ms
         return [lost_runs for lost_runs in lost if lost_runs.runs]
 
+    def _drop_replaced(self) -> list[LostRuns]:
+        """Drops workers at whose address a later one has started."""
+        return [
+            self._drop(view, reasons.LossReason.REBORN)
+            for view in list(self._views.values())
+            if self.is_replaced(view.entry.address, view.entry.born_ms)
+        ]
+
+    def is_replaced(self, address: str, born_ms: int) -> bool:
+        """Whether a later worker has started at an address."""
+        return self._newest_born_ms.get(address, 0) > born_ms
+
     def handle_hold(self, event: events.HoldReturned) -> bool:
         """Applies the outcome of a hold call.
 
@@ -268,6 +284,23 @@
             return False
         return view.entry.born_ms > born_ms or view.answered_ms > 0
 
+    def has_listed_runs(self, worker_id: str, born_ms: int) -> bool:
+        """Whether this incarnation has told this owner what it runs."""
+        view = self._views.get(worker_id)
+        return (
+            view is not None
+            and view.entry.born_ms == born_ms
+            and view.answered_ms > 0
+        )
+
+    @property
+    def are_known_workers_missing(self) -> bool:
+        """Whether a worker with runs of a previous owner has not answered."""
+        return not all(
+            self.has_listed_runs(worker_id, known.born_ms)
+            for worker_id, known in self._known_workers.items()
+        )
+
     def forbid_starts(self, recorded: dict[str, int]) -> None:
         """Forbids starts on incarnations that a new record leaves out."""
         for view in self:
@@ -350,6 +383,20 @@
         return lost
 
 
+def newest_born_ms(
+    entries: Mapping[str, cell_workers.WorkerEntry],
+) -> dict[str, int]:
+    """Returns when the latest worker at each address has started.
+
+    A worker that crashes may start again under another id, while its former
+    entry is still listed.
+    """
+    newest: dict[str, int] = {}
+    for entry in entries.values():
+        newest[entry.address] = max(newest.get(entry.address, 0), entry.born_ms)
+    return newest
+
+
 def _start_was_sent(
     view: worker_view.WorkerView, session: worker_session.WorkerSession
 ) -> bool:
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -53,6 +53,9 @@
             ones, so that it can take filling tasks that would disturb them.
         release_after_ms: Monotonic time by which the leases of previous owners
             have ended.
+        trial_run: A run that may crash it and is on trial; nothing else is
+            started meanwhile. None if there is none.
+        is_reserved: Whether it takes only runs on trial.
     """
 
     entry: cell_workers.WorkerEntry
@@ -77,6 +80,8 @@
     is_being_emptied: bool = False
     cleared_until_ms: int = -(10**9)
     release_after_ms: int = 0
+    trial_run: runs_module.Run | None = None
+    is_reserved: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.free_cpu = self.entry.capacity.cpu_millicores
@@ -113,8 +118,13 @@
 
     def accepts_work(self, now_ms: int) -> bool:
         """Whether new tasks may be placed on it."""
+        return not self.is_reserved and self.accepts_trial(now_ms)
+
+    def accepts_trial(self, now_ms: int) -> bool:
+        """Whether a task that may crash it may be placed on it."""
         return (
-            self.is_listed
+            self.trial_run is None
+            and self.is_listed
             and self.is_answering
             and self.is_recorded
             and not self.entry.is_draining
@@ -139,6 +149,8 @@
         """Removes a run and frees what it reserved."""
         if self.runs.pop(run_key(run.task.name, run.number), None):
             self._reserve(run, -1)
+        if self.trial_run is run:
+            self.trial_run = None
 
     def _reserve(self, run: runs_module.Run, sign: int) -> None:
         """Reserves what a run needs; with a `sign` of -1, releases it."""
--- a/tests/process/cell/test_reasons_documented.py
+++ b/tests/process/cell/test_reasons_documented.py
@@ -31,5 +31,7 @@
         self.assert_rows("Missing advice", reasons.MissingAdvice)
         self.assert_rows("Refused maintenance", machines.Refusal)
         self.assert_rows("Losses", reasons.LossReason)
+        self.assert_rows("Crashes", reasons.CrashCause)
+        self.assert_rows("Verdicts", reasons.Verdict)
         self.assert_rows("Claims", reasons.ClaimReason)
         self.assert_rows("Ends of an ownership", reasons.OwnershipEnd)
