Count crashes in trials that have nothing else started beside them

Traces show three causes: after a takeover many deadly tasks start at once, so that their workers' crashes looked like a power cut and were excused; on a full cell a trial often shares its worker, so that no crash was ever alone; and the worker of a trial could be one that had just crashed.

A failure right after a start no longer counts towards a power cut, three crashes on three machines, two of them early in trials beside which nothing else was started, give a task up, and machines that crashed lately come last for trials.

--- a/src/comfreylatch/_process/cell/blame.py
+++ b/src/comfreylatch/_process/cell/blame.py
@@ -38,9 +38,12 @@
 # have not been for some time.
 CRASHES_TO_CONFIRM = 3
 CONFIRMATION_WAIT_MS = 8_000
-# Crashes of a task that never ran alone, after which it is given up.
-REPEATED_CRASHES = 4
-REPEATED_MACHINES = 3
+# A worker that fails this soon after a start most likely crashed under it.
+QUICK_CRASH_MS = 150
+# Crashes of a task that never ran alone, on as many machines, after which it is
+# given up. All but one have to be in trials, soon after the start.
+REPEATED_CRASHES = 3
+QUICK_TRIAL_MS = 500
 
 
 def prime_runs(
@@ -58,6 +61,13 @@
     ]
 
 
+def is_explained(runs: Iterable[runs_module.Run], failed_ms: int) -> bool:
+    """Whether a run was started right before its worker failed."""
+    return any(
+        0 <= failed_ms - _touched_ms(run) <= QUICK_CRASH_MS for run in runs
+    )
+
+
 def _touched_ms(run: runs_module.Run) -> int:
     """Monotonic time at which its start was last known to be under way."""
     if run.phase is runs_module.RunPhase.RUNNING:
@@ -136,9 +146,14 @@
             for other in confirmed
         ):
             return reasons.Verdict.ALONE
+    in_trials = {
+        crash.machine
+        for crash in confirmed
+        if crash.was_on_trial and crash.ran_ms <= QUICK_TRIAL_MS
+    }
     if (
-        len(confirmed) >= REPEATED_CRASHES
-        and len(machines) >= REPEATED_MACHINES
+        len(machines) >= REPEATED_CRASHES
+        and len(in_trials) >= REPEATED_CRASHES - 1
     ):
         return reasons.Verdict.REPEATEDLY
     return None
--- a/src/comfreylatch/_process/cell/crash_ledger.py
+++ b/src/comfreylatch/_process/cell/crash_ledger.py
@@ -55,7 +55,9 @@
         self._clock = clock
         self._suspects: set[runs_module.Task] = set()
         self._unconfirmed: dict[_Incarnation, set[runs_module.Task]] = {}
-        self._failures: collections.deque[tuple[int, str]] = collections.deque()
+        self._unexplained: collections.deque[tuple[int, str]] = (
+            collections.deque()
+        )
         self._machine_crashes: dict[str, list[int]] = {}
 
     def awaiting_trial(self) -> list[runs_module.Task]:
@@ -114,6 +116,7 @@
                 lost.entry.address,
                 max(lost.failed_ms - run.ordered_ms, 0),
                 was_alone=len(ordered) == 1,
+                was_on_trial=_is_apart(run),
                 is_prime=run in primes,
                 is_confirmed=is_confirmed,
                 is_excused=cause is not reasons.CrashCause.ITS_RUNS,
@@ -125,12 +128,8 @@
     ) -> reasons.CrashCause:
         """Returns what may have crashed a worker."""
         is_faulty = self._is_faulty(lost.entry.address, lost.failed_ms)
-        on_trial = any(
-            run.task.trial is not None and run.task.trial.is_alone
-            for run in lost.runs
-        )
-        if not on_trial:
-            self._failures.append((lost.failed_ms, lost.entry.address))
+        if not blame.is_explained(lost.runs, lost.failed_ms):
+            self._unexplained.append((lost.failed_ms, lost.entry.address))
         if self._failed_together(lost) >= blame.MASS_FAILURE_COUNT:
             return reasons.CrashCause.MANY_WORKERS
         if is_faulty:
@@ -142,23 +141,26 @@
     def _failed_together(self, lost: worker_table_module.LostRuns) -> int:
         """Counts the machines that failed about when a worker did.
 
-        Workers with a run on trial don't count: they are expected to crash.
+        Those with a run that had just been started don't count: several deadly
+        tasks may be started at once.
         """
         window_ms = blame.MASS_FAILURE_WINDOW_MS
         earliest_ms = lost.failed_ms - blame.FAULTY_MACHINE_WINDOW_MS
-        while self._failures and self._failures[0][0] < earliest_ms:
-            self._failures.popleft()
+        while self._unexplained and self._unexplained[0][0] < earliest_ms:
+            self._unexplained.popleft()
         machines = {
             machine
-            for failed_ms, machine in self._failures
+            for failed_ms, machine in self._unexplained
             if abs(failed_ms - lost.failed_ms) <= window_ms
         }
         machines.update(
             worker.entry.address
             for worker in self._workers
             if worker.failing_since_ms
-            and worker.trial_run is None
             and abs(worker.failing_since_ms - lost.failed_ms) <= window_ms
+            and not blame.is_explained(
+                worker.runs.values(), worker.failing_since_ms
+            )
         )
         return len(machines)
 
@@ -363,6 +365,7 @@
             trial.machine,
             trial.probation_ms - blame.SURVIVAL_MARGIN_MS,
             was_alone=trial.is_alone,
+            was_on_trial=trial.is_apart,
             is_prime=True,
             is_confirmed=self._workers.is_replaced(
                 trial.machine, trial.born_ms
@@ -370,6 +373,12 @@
         )
 
 
+def _is_apart(run: runs_module.Run) -> bool:
+    """Whether a run was on trial, with nothing else started beside it."""
+    trial = run.task.trial
+    return trial is not None and trial.run == run.number and trial.is_apart
+
+
 def _is_of(crash: records.CrashRecord, incarnation: _Incarnation) -> bool:
     return (crash.worker_id, crash.born_ms) == (
         incarnation.worker_id,
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -367,7 +367,10 @@
     def _reserve_workers(self, now_ms: int) -> None:
         """Empties workers for tasks that may crash theirs."""
         for run in trials.reserve_workers(
-            self._workers, self._crashes.awaiting_trial(), now_ms
+            self._workers,
+            self._crashes.awaiting_trial(),
+            self._crashes.crashed_lately,
+            now_ms,
         ):
             self._dispatcher.stop(run, reasons.StopReason.WORKER_RESERVED)
 
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -136,6 +136,7 @@
         machine: Address of the worker, which its successor has, too.
         ran_ms: Time from the start order to the worker's first failed call.
         was_alone: Whether no other run was on the worker.
+        was_on_trial: Whether nothing else was started there meanwhile.
         is_prime: Whether the run was among the last that were started there.
         is_confirmed: Whether a later incarnation has replaced the worker.
             Otherwise it may only be unreachable.
@@ -148,6 +149,7 @@
     machine: str
     ran_ms: int
     was_alone: bool = False
+    was_on_trial: bool = False
     is_prime: bool = False
     is_confirmed: bool = False
     is_excused: bool = False
@@ -166,7 +168,8 @@
         born_ms: Identifies the worker's incarnation.
         machine: Address of the worker.
         probation_ms: How long it has to run to be no longer suspected.
-        is_alone: Whether the worker runs nothing else for that time.
+        is_apart: Whether nothing else is started on the worker in that time.
+        is_alone: Whether the worker runs nothing else in that time.
     """
 
     run: int
@@ -174,6 +177,7 @@
     born_ms: int
     machine: str
     probation_ms: int
+    is_apart: bool
     is_alone: bool
 
 
--- a/src/comfreylatch/_process/cell/stored_starts.py
+++ b/src/comfreylatch/_process/cell/stored_starts.py
@@ -63,7 +63,8 @@
             worker.entry.born_ms,
             worker.entry.address,
             blame.probation_ms(task.crashes),
-            is_alone,
+            is_apart=worker.trial_run is run,
+            is_alone=is_alone,
         )
         self._jobs.mark_changed(task.step.job)
         self._unsent.append(run)
@@ -76,7 +77,7 @@
             run=run.number,
             worker=worker.worker_id,
             crashes=len(task.crashes),
-            is_apart=worker.trial_run is run,
+            is_apart=task.trial.is_apart,
             is_alone=is_alone,
             probation_ms=task.trial.probation_ms,
         )
--- a/src/comfreylatch/_process/cell/trials.py
+++ b/src/comfreylatch/_process/cell/trials.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 import enum
@@ -24,7 +23,7 @@
 # Workers are reserved for one in so many suspected tasks, as most are tried one
 # after the other within the wait.
 TASKS_PER_RESERVED_WORKER = 3
-MAX_RESERVED_SHARE = 0.1
+MAX_RESERVED_SHARE = 0.15
 # Time from a worker's first failed call until one is emptied for the trials. A
 # worker that has crashed is back after some three seconds.
 EMPTYING_DELAY_MS = 1_500
@@ -47,8 +46,8 @@
     """Cost of a worker for a trial; compared field by field."""
 
     is_occupied: bool
-    lasting_millicores: int
     has_crashed_lately: bool
+    lasting_millicores: int
     is_unreserved: bool
     run_count: int
 
@@ -106,8 +105,8 @@
 ) -> _Cost:
     return _Cost(
         bool(worker.runs),
-        worker.lasting_millicores,
         crashed_lately(worker.entry.address),
+        worker.lasting_millicores,
         not worker.is_reserved,
         len(worker.runs),
     )
@@ -116,6 +115,7 @@
 def reserve_workers(
     workers: Iterable[worker_view.WorkerView],
     waiting: Sequence[runs_module.Task],
+    crashed_lately: CrashedLately,
     now_ms: int,
 ) -> list[runs_module.Run]:
     """Reserves as many workers for trials as are needed soon.
@@ -123,6 +123,7 @@
     Args:
         workers: All workers.
         waiting: Suspected tasks that have no run.
+        crashed_lately: Whether a machine has crashed lately, by its address.
         now_ms: Monotonic time.
 
     Returns:
@@ -149,7 +150,13 @@
     if missing <= 0:
         return []
     usable = [view for view in views if _can_be_emptied(view, now_ms)]
-    usable.sort(key=lambda view: _cost_of_emptying(view, crashed, now_ms))
+    usable.sort(
+        key=lambda view: (
+            view.entry.address in crashed,
+            crashed_lately(view.entry.address),
+            _cost_of_emptying(view, now_ms),
+        )
+    )
     moving: list[runs_module.Run] = []
     for view in usable[:missing]:
         view.is_reserved = True
@@ -158,11 +165,10 @@
 
 
 def _cost_of_emptying(
-    view: worker_view.WorkerView, crashed: Collection[str], now_ms: int
-) -> tuple[bool, int, int, int]:
-    """Cost of reserving a worker; `crashed` are machines to avoid."""
+    view: worker_view.WorkerView, now_ms: int
+) -> tuple[int, int, int]:
+    """Cost of emptying a worker; compared field by field."""
     return (
-        view.entry.address in crashed,
         _emptying_steps(view, now_ms),
         view.lasting_millicores,
         len(view.runs),
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -236,7 +236,10 @@
         """
         now_ms = self.clock.monotonic_ms()
         for run in trials.reserve_workers(
-            self.workers, self.crashes.awaiting_trial(), now_ms
+            self.workers,
+            self.crashes.awaiting_trial(),
+            self.crashes.crashed_lately,
+            now_ms,
         ):
             self.dispatcher.stop(run, reasons.StopReason.WORKER_RESERVED)
         steps = [
