Know a crashed worker by its address in a takeover

The owner of 25.8 s settled only at 34.97 s, as takeover-waits names one worker each second: i-8133e77c05, which had crashed at 22.8 s and been replaced at 26.3 s by one with another id at the same address. Its lease was waited for all the same. The record of workers now has their addresses, so that a later worker there shows that the former one is gone. Tests fail without it.

--- a/src/comfreylatch/_process/cell/recorded_workers.py
+++ b/src/comfreylatch/_process/cell/recorded_workers.py
@@ -36,6 +36,10 @@
             worker_id: known.born_ms
             for worker_id, known in known_workers.items()
         }
+        self._predecessor_addresses = {
+            worker_id: known.address
+            for worker_id, known in known_workers.items()
+        }
         self._post = post
         self._queued: dict[str, int] = {}
         self._recorded: dict[str, int] = {}
@@ -67,6 +71,15 @@
         # Until the new record is stored, either may be the newest in the store.
         self._workers.forbid_starts(born_ms)
         work[records.WORKERS_KEY] = records.encode(
-            records.WorkersRecord(born_ms)
+            records.WorkersRecord(born_ms, self._addresses(born_ms))
         )
         on_stored.append(lambda: self._post(events.WorkersRecorded(born_ms)))
+
+    def _addresses(self, born_ms: Mapping[str, int]) -> dict[str, str]:
+        """Returns the known addresses of the workers in a record."""
+        addresses = {**self._predecessor_addresses, **self._workers.addresses()}
+        return {
+            worker_id: addresses[worker_id]
+            for worker_id in born_ms
+            if addresses.get(worker_id)
+        }
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -217,9 +217,12 @@
 
     Attributes:
         born_ms: Their current incarnations, by worker id.
+        addresses: Their addresses, by worker id; records of earlier versions
+            have none.
     """
 
     born_ms: dict[str, int] = attrs.field(factory=dict)
+    addresses: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/recovered_state.py
+++ b/src/comfreylatch/_process/cell/recovered_state.py
@@ -16,10 +16,12 @@
         born_ms: Its incarnation.
         release_after_ms: Monotonic time after which no such run can remain if
             the worker can't be reached.
+        address: Its address; empty if it isn't known.
     """
 
     born_ms: int
     release_after_ms: int
+    address: str = ""
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -86,7 +86,9 @@
     """Returns the recorded workers, and when the leases on them end."""
     return {
         worker_id: recovered_state.KnownWorker(
-            born_ms, leases.end_ms(worker_id)
+            born_ms,
+            leases.end_ms(worker_id),
+            record.addresses.get(worker_id, ""),
         )
         for worker_id, born_ms in record.born_ms.items()
     }
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -266,8 +266,9 @@
     def unknown(self) -> list[str]:
         """Returns the workers that may have runs that are not known here.
 
-        An incarnation is known once it has answered or a later one exists, or
-        when the leases of previous owners have ended there.
+        An incarnation is known once it has answered or a later one exists under
+        its id or at its address, or when the leases of previous owners have
+        ended there.
         """
         now_ms = self._clock.monotonic_ms()
         return [
@@ -275,6 +276,7 @@
             for worker_id, known in self._known_workers.items()
             if now_ms <= known.release_after_ms
             and not self.has_answered(worker_id, known.born_ms)
+            and not self.is_replaced(known.address, known.born_ms)
         ]
 
     def has_answered(self, worker_id: str, born_ms: int) -> bool:
@@ -301,6 +303,10 @@
             for worker_id, known in self._known_workers.items()
         )
 
+    def addresses(self) -> dict[str, str]:
+        """Returns the address of each worker, by its id."""
+        return {view.worker_id: view.entry.address for view in self}
+
     def forbid_starts(self, recorded: dict[str, int]) -> None:
         """Forbids starts on incarnations that a new record leaves out."""
         for view in self:
--- a/tests/process/cell/test_recorded_workers.py
+++ b/tests/process/cell/test_recorded_workers.py
@@ -10,6 +10,7 @@
 from comfreylatch._process.cell import recorded_workers
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
+from testing.fakes import cell_workers as fake_workers
 from tests.process.cell import harness
 
 
@@ -18,7 +19,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        known = {"w3": recovered_state.KnownWorker(1, 1 << 40)}
+        known = {"w3": recovered_state.KnownWorker(1, 1 << 40, "10.0.0.3:1")}
         self.cell = harness.Cell(workers=2, known_workers=known)
         self.recorded = recorded_workers.RecordedWorkers(
             self.cell.workers, known, self.handle
@@ -71,6 +72,21 @@
         self.queue()
         self.assertFalse(self.cell.workers.find("w2").is_recorded)
 
+    def test_record_has_the_addresses(self) -> None:
+        work: dict[str, bytes | None] = {}
+        self.recorded.add_writes(work, [], is_settled=False)
+        record = records.decode(
+            records.WorkersRecord, work[records.WORKERS_KEY] or b""
+        )
+        self.assertEqual(
+            {
+                "w1": fake_workers.entry("w1").address,
+                "w2": fake_workers.entry("w2").address,
+                "w3": "10.0.0.3:1",
+            },
+            record.addresses,
+        )
+
     def test_unchanged_record_is_not_written_again(self) -> None:
         self.store()
         self.assertEqual(None, self.queue()[0])
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -8,7 +8,9 @@
 import testtools
 
 from comfreylatch._ports import cell_workers
+from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import recovered_state
+from testing.fakes import cell_workers as fake_workers
 from tests.process.cell import harness
 
 RELEASE_MS = 500
@@ -51,6 +53,46 @@
         cell.clock.advance(1)
         self.assertEqual([], cell.workers.unknown())
 
+    # Guards against waiting for the lease of a worker that has crashed: its
+    # successor has another id, but the same address.
+    def test_incarnation_replaced_at_its_address_is_known_to_have_ended(
+        self,
+    ) -> None:
+        address = fake_workers.entry("w1").address
+        known = recovered_state.KnownWorker(
+            0, harness.START_MS + RELEASE_MS, address
+        )
+        cell = harness.Cell(workers=2, known_workers={"w3": known})
+        self.assertEqual([], cell.workers.unknown())
+
+
+class ReplacedWorkerTest(testtools.TestCase):
+    """A worker whose successor at the same address has another id."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=1)
+        self.cell.submit(harness.job())
+        (self.run,) = self.cell.place()
+        first = fake_workers.entry("w1")
+        self.first = first
+        self.second = attrs.evolve(first, worker_id="w1b", born_ms=2)
+
+    # Guards against runs that are kept until the lease of a worker is over
+    # though another one has started at its address.
+    def test_runs_end_once_the_successor_is_listed(self) -> None:
+        (lost,) = self.cell.workers.apply_listing(
+            {"w1": self.first, "w1b": self.second}
+        )
+        self.assertEqual((self.run,), lost.runs)
+        self.assertEqual(reasons.LossReason.REBORN, lost.reason)
+
+    def test_entry_left_of_the_former_worker_is_ignored(self) -> None:
+        entries = {"w1": self.first, "w1b": self.second}
+        self.cell.apply_listing(entries)
+        self.cell.apply_listing(entries)
+        self.assertEqual(["w1b"], list(self.cell.workers.by_id()))
+
 
 class OlderLeasesTest(testtools.TestCase):
     """A worker whose lease a previous owner has renewed."""
