Don't clear a worker of lasting tasks that are still starting

A worker with a lasting run that has not started is no longer chosen. The test fails without the change.

--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/clearing.py
@@ -109,5 +109,7 @@
         run for run in worker.runs.values() if run.task.step.spec.is_lasting
     ]
     return bool(lasting) and not any(
-        run.task.step.spec.max_unavailable for run in lasting
+        run.task.step.spec.max_unavailable
+        or run.phase is runs_module.RunPhase.STARTING
+        for run in lasting
     )
--- a/tests/process/cell/test_filling_placement.py
+++ b/tests/process/cell/test_filling_placement.py
@@ -7,6 +7,7 @@
 import testtools
 
 from comfreylatch._process.cell import clearing
+from comfreylatch._process.cell import runs
 from tests.process.cell import harness
 
 CLEARED_FOR_MS = 10_000
@@ -59,6 +60,20 @@
     def test_harmful_image_goes_to_the_cleared_worker(self) -> None:
         self.assertEqual(["w2"], self._place_filling("press", "b" * 16))
 
+    # Guards against a lasting task that has waited for seconds and is stopped
+    # before it was ever at work, and then waits as long again.
+    def test_worker_is_not_cleared_while_a_lasting_task_is_starting(
+        self,
+    ) -> None:
+        worker = self.cell.workers.find(self.serving.worker_id)
+        demand = worker.entry.capacity.cpu_millicores
+        now_ms = self.cell.clock.monotonic_ms() + 2 * CLEARED_FOR_MS
+        self.assertEqual(
+            worker, clearing.choose_worker([worker], demand, now_ms)
+        )
+        self.serving.phase = runs.RunPhase.STARTING
+        self.assertEqual(None, clearing.choose_worker([worker], demand, now_ms))
+
     def test_no_worker_is_cleared_for_harmless_images(self) -> None:
         self._place_filling("idle", "b" * 16, count=40)
         self.cell.clock.advance(2 * clearing.MIN_FILLING_WAIT_MS)
