Place work by the capacity that a worker states now

Free capacity now follows the entry, and is negative while what runs needs more. Where a service doesn't guard its capacity, nothing starts on a worker beside runs that belong to no known task (they count until they have ended), nor by entries read over 2 s ago.

--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -135,6 +135,8 @@
         )
         self._advice_planner = advice_module.AdvicePlanner(metrics)
         self._waves = deps.waves
+        self._guards_capacity = deps.guards_capacity
+        self._listing_age_ms: Callable[[], int] = lambda: 0
         self._maintenance_planner = maintenance.MaintenancePlanner(
             recovered.waves,
             clock.monotonic_ms() + deps.handover_ms,
@@ -212,6 +214,15 @@
         """Queues the event that a job was accepted or cancelled."""
         self._events.put(events.JobChanged(change))
 
+    def follow_listing(self, age_ms: Callable[[], int]) -> None:
+        """Sets how old the newest complete reading of the workers is."""
+        self._listing_age_ms = age_ms
+
+    def _note_capacity_limits(self) -> None:
+        self._workers.note_capacity_limits(
+            self._guards_capacity, self._listing_age_ms()
+        )
+
     def remaining_leases(self) -> records.RemainingLeases:
         """How long leases last; only once this host renews none any more."""
         return records.RemainingLeases(
@@ -265,6 +276,7 @@
                 for lost_runs in self._workers.apply_listing(entries):
                     self._crashes.handle_lost(lost_runs)
                 self._crashes.handle_listing(entries)
+                self._note_capacity_limits()
             case events.HoldReturned():
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
@@ -350,6 +362,7 @@
         self._jobs.create_due_occurrences()
         for lost_runs in self._workers.expire():
             self._crashes.handle_lost(lost_runs)
+        self._note_capacity_limits()
         self._reserve_workers(now_ms)
         self._run_maintenance(now_ms)
         self._reconciler.move_runs(now_ms)
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -43,6 +43,8 @@
         lease_ms: Duration of a lease on a worker's runs.
         max_disruption_ms: How long a lasting task may be over its tail target
             while filling tasks work beside it.
+        guards_capacity: Whether the workers of a service, by its name, refuse
+            tasks that exceed their capacity.
         keep_ended_ms: Retention time of the state of an ended job.
         metrics: Counts claims, ownerships and the owner's decisions.
         clock: Source of wall and monotonic time.
@@ -65,4 +67,5 @@
     machines: machines_port.Machines | None = None
     waves: Callable[[], tuple[machines_port.Wave, ...]] = tuple
     handover_ms: int = 0
+    guards_capacity: Callable[[str], bool] = lambda _: True
     max_disruption_ms: int = interference.DEFAULT_MAX_DISRUPTION_MS
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -386,7 +386,8 @@
             return self._reason_to_stop(owner, heartbeat)
 
         self._isolated_since_ms = 0
-        with self._deps.follow_workers(on_workers):
+        with self._deps.follow_workers(on_workers) as reader:
+            owner.follow_listing(lambda: reader.age_ms)
             return owner.run(must_stop)
 
     def _end_tenure(
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -90,6 +90,7 @@
                 worker_view.run_key(running_task.task, running_task.run)
             )
             self._handle_running(worker, running_task, event.received_ms)
+        worker.stray_count = len(listed_keys - worker.runs.keys())
         if len(answer.ended) < MAX_LISTED_ENDS:
             self._handle_missing(worker, listed_keys, event.sent_ms)
         self._interference.learn(worker, event.received_ms)
--- a/src/comfreylatch/_process/cell/specs.py
+++ b/src/comfreylatch/_process/cell/specs.py
@@ -131,6 +131,14 @@
     queues: tuple[QueueSpec, ...]
     services: tuple[ServiceSpec, ...]
 
+    def guards_capacity(self, service: str) -> bool:
+        """Whether a configured service's workers guard their capacity."""
+        return any(
+            spec.guards_capacity
+            for spec in self.services
+            if spec.name == service
+        )
+
     def find_queue(self, host: str, path: str) -> QueueSpec | None:
         """Returns the queue with the longest matching prefix, or None."""
         longest_match = None
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -26,6 +26,10 @@
 # How long a worker without an entry is still called: entries that lapsed during
 # an outage of the store are back within two seconds.
 UNLISTED_GRACE_MS = 2_500
+# Age of the entries up to which starts rely on the capacity in them, where
+# workers don't guard it. A shrunk capacity counts three seconds after it was
+# published; orders may take one of these.
+MAX_CAPACITY_AGE_MS = 2_000
 
 OpenSession = Callable[[cell_workers.WorkerEntry], worker_session.WorkerSession]
 
@@ -162,7 +166,9 @@
             if view is None:
                 self._add(entry)
                 continue
-            view.entry = entry
+            if view.entry.capacity != entry.capacity:
+                _log_capacity(view, entry)
+            view.update(entry)
             view.is_listed = True
             view.unlisted_since_ms = 0
         for view in self._views.values():
@@ -307,6 +313,20 @@
         """Returns the address of each worker, by its id."""
         return {view.worker_id: view.entry.address for view in self}
 
+    def note_capacity_limits(
+        self, guards_capacity: Callable[[str], bool], listing_age_ms: int
+    ) -> None:
+        """Notes which workers take more than their capacity if told to.
+
+        Args:
+            guards_capacity: Whether the workers of a service refuse that.
+            listing_age_ms: Age of the newest complete reading of the entries.
+        """
+        is_current = listing_age_ms <= MAX_CAPACITY_AGE_MS
+        for view in self:
+            view.guards_capacity = guards_capacity(view.entry.service)
+            view.is_capacity_current = is_current
+
     def forbid_starts(self, recorded: dict[str, int]) -> None:
         """Forbids starts on incarnations that a new record leaves out."""
         for view in self:
@@ -389,6 +409,23 @@
         return lost
 
 
+def _log_capacity(
+    view: worker_view.WorkerView, entry: cell_workers.WorkerEntry
+) -> None:
+    before, after = view.entry.capacity, entry.capacity
+    logs.event(
+        _logger,
+        "worker-capacity",
+        worker=view.worker_id,
+        cpu_millicores_before=before.cpu_millicores,
+        cpu_millicores=after.cpu_millicores,
+        memory_mb_before=before.memory_mb,
+        memory_mb=after.memory_mb,
+        free_millicores_before=view.free_cpu,
+        runs=len(view.runs),
+    )
+
+
 def newest_born_ms(
     entries: Mapping[str, cell_workers.WorkerEntry],
 ) -> dict[str, int]:
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -56,6 +56,11 @@
         trial_run: A run that may crash it and is on trial; nothing else is
             started meanwhile. None if there is none.
         is_reserved: Whether it takes only runs on trial.
+        guards_capacity: Whether it refuses tasks that exceed its capacity.
+        is_capacity_current: Whether its entry was read lately, so that it has
+            no less capacity than the entry says.
+        stray_count: Number of runs on it that belong to no known task; they
+            are being stopped.
     """
 
     entry: cell_workers.WorkerEntry
@@ -82,6 +87,9 @@
     release_after_ms: int = 0
     trial_run: runs_module.Run | None = None
     is_reserved: bool = False
+    guards_capacity: bool = True
+    is_capacity_current: bool = True
+    stray_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.free_cpu = self.entry.capacity.cpu_millicores
@@ -130,8 +138,25 @@
             and not self.entry.is_draining
             and not self.is_being_emptied
             and now_ms >= self.avoided_until_ms
+            and (self.guards_capacity or self._is_free_capacity_known)
         )
 
+    @property
+    def _is_free_capacity_known(self) -> bool:
+        return self.is_capacity_current and self.stray_count == 0
+
+    def update(self, entry: cell_workers.WorkerEntry) -> None:
+        """Replaces the entry; free capacity follows what it states.
+
+        It is negative while the runs on it need more than that.
+        """
+        before, after = self.entry.capacity, entry.capacity
+        self.entry = entry
+        self.free_cpu += after.cpu_millicores - before.cpu_millicores
+        self.free_memory += after.memory_mb - before.memory_mb
+        self.free_gpus += after.gpus - before.gpus
+        self.revision += 1
+
     def fits(self, need: cell_workers.Resources) -> bool:
         """Whether free capacity covers a need."""
         return (
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -246,12 +246,18 @@
                 advice_service=advice_service,
                 machines=machine_client,
                 waves=self._waves.current,
+                guards_capacity=self._guards_capacity,
                 handover_ms=int(settings.bounds.handover_ms),
                 max_disruption_ms=int(settings.bounds.disruption_ms),
             ),
             host,
         )
 
+    def _guards_capacity(self, service: str) -> bool:
+        """Whether a service's workers are known to guard their capacity."""
+        current = self._configuration.current
+        return current is not None and current.guards_capacity(service)
+
     def _make_caller_server(self) -> http_server.HttpServer:
         job_api = job_api_module.JobApi(
             self._replica,
--- a/src/comfreylatch/platform/workers.py
+++ b/src/comfreylatch/platform/workers.py
@@ -60,9 +60,9 @@
         zone=record.zone,
         is_draining=record.state == _DRAINING,
         capacity=cell_workers.Resources(
-            int(record.capacity.cpu_millicores),
-            int(record.capacity.memory_mb),
-            int(record.capacity.gpus),
+            max(int(record.capacity.cpu_millicores), 0),
+            max(int(record.capacity.memory_mb), 0),
+            max(int(record.capacity.gpus), 0),
         ),
         labels=record.labels,
         born_ms=record.born,
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -91,6 +91,8 @@
 class FixedWorkerList:
     """Reports a fixed list of workers once."""
 
+    age_ms = 0
+
     def __init__(
         self,
         entries: dict[str, cell_workers.WorkerEntry],
