Send no request on after two endpoints broke off with it

After two endpoints whose connection broke while they had the request it now ends as unknown, without a hedge to a third; the counter endpoints-broke-off tells. The test fails without the change (3 tries of 4 endpoints, within the retry budget).

--- a/src/comfreylatch/_process/reasons.py
+++ b/src/comfreylatch/_process/reasons.py
@@ -60,6 +60,7 @@
     WORKER_UNREACHABLE = "worker-unreachable"
     NO_CONNECTION_FREE = "no-connection-free"
     WRONG_ANSWER_ID = "wrong-answer-id"
+    ENDPOINTS_BROKE_OFF = "endpoints-broke-off"
     HEDGE_CANCELLED = "hedge-cancelled"
     SPILLED = "spilled"
     SLOT_HELD_TOO_LONG = "slot-held-too-long"
--- a/src/comfreylatch/_request/request_dispatch.py
+++ b/src/comfreylatch/_request/request_dispatch.py
@@ -28,6 +28,10 @@
 
 # A request is not retried after this many tries, hedges included.
 MAX_TRIES = 4
+# Endpoints that broke off with a request, after which it is sent to no other:
+# it may crash each endpoint that serves it.
+MAX_BROKEN_ENDPOINTS = 2
+_BROKEN_OFF = frozenset({exchange.Loss.RESET, exchange.Loss.TRUNCATED})
 # Share of the remaining time after which a hedge is sent at the latest.
 HEDGE_DEADLINE_SHARE = 0.5
 MIN_HEDGE_DELAY_MS = 2
@@ -80,6 +84,7 @@
         self._state = call.state
         self._observer = try_observer.TryObserver(deps, call.state)
         self._tried_endpoints: frozenset[str] = frozenset()
+        self._broken_endpoints: frozenset[str] = frozenset()
         needs_claim = call.needs_claim and not is_claimed
         self._guard = deps.guard if needs_claim else None
         self._claim: outcomes.Claim | None = None
@@ -277,6 +282,8 @@
         is_hedging_off = self._state.service.hedge_percentile == 0
         if is_hedging_off or self._tries >= MAX_TRIES:
             return None
+        if self._broken_endpoints:
+            return None
         wait_ms = self._hedge_delay_ms()
         if sent_try.first_readable([sent], wait_ms):
             return None
@@ -301,7 +308,7 @@
         sent_result = self._send_try(endpoint)
         if isinstance(sent_result, result.Err):
             self._observer.record_failure(endpoint, sent_result.err_value, 0.0)
-            self._record_loss(sent_result.err_value)
+            self._record_loss(endpoint, sent_result.err_value)
             return None
         return sent_result.ok_value
 
@@ -323,13 +330,17 @@
             self._state.stats.record_inconclusive(loser.endpoint)
             self._count_retry(reasons.RetryReason.HEDGE_CANCELLED)
             return try_result
-        self._record_loss(try_result.err_value)
+        self._record_loss(winner.endpoint, try_result.err_value)
         return self._finish(loser)
 
-    def _record_loss(self, error: exchange.EndpointError) -> None:
+    def _record_loss(
+        self, endpoint: str, error: exchange.EndpointError
+    ) -> None:
         """Records that an endpoint may have run the request."""
         if isinstance(error, exchange.LostAfterSend):
             self._last_loss = error
+            if error.loss in _BROKEN_OFF:
+                self._broken_endpoints |= {endpoint}
 
     def _outcome_after_failure(
         self, endpoint: str, error: exchange.EndpointError
@@ -351,7 +362,7 @@
                 retry_reason = reasons.RetryReason.ENDPOINT_BUSY
                 return self._prepare_retry(endpoint, retry_reason, detail)
             case exchange.LostAfterSend(loss, detail):
-                self._last_loss = error
+                self._record_loss(endpoint, error)
                 if not self._call.idempotent:
                     return self._unknown_outcome(
                         f"{endpoint}: {loss}: {detail}"
@@ -372,6 +383,12 @@
         if remaining_ms <= 0:
             refusal_reason = reasons.RefusalReason.DEADLINE_PASSED
             return self._outcome_without_answer(refusal_reason, sentence, 0)
+        if len(self._broken_endpoints) >= MAX_BROKEN_ENDPOINTS:
+            self._count_retry(reasons.RetryReason.ENDPOINTS_BROKE_OFF)
+            return self._unknown_outcome(
+                f"{', '.join(sorted(self._broken_endpoints))} broke off while "
+                "they had the request"
+            )
         is_limit_reached = self._tries >= MAX_TRIES
         if is_limit_reached or not self._state.budget.try_spend():
             self._count_retry(reasons.RetryReason.BUDGET_SPENT)
--- a/tests/request/test_router.py
+++ b/tests/request/test_router.py
@@ -129,6 +129,16 @@
             1, fixture.retries(reasons.RetryReason.CONNECTION_LOST)
         )
 
+    # Guards against a request that crashes one endpoint after the other.
+    def test_request_is_not_sent_on_after_two_endpoints_broke_off(self) -> None:
+        fixture = self.make_fixture(reset, reset, reset, reset)
+        reply = fixture.send_request("r1", method="GET", body=b"")
+        self.assert_outcome(reply, 504, "unknown")
+        self.assertEqual(["r1", "r1"], fixture.received_ids())
+        self.assertEqual(
+            1, fixture.retries(reasons.RetryReason.ENDPOINTS_BROKE_OFF)
+        )
+
     def test_declined_request_is_retried_even_if_not_idempotent(self) -> None:
         fixture = self.make_fixture(declined, echo)
         replies = [fixture.send_request(f"r{number}") for number in range(6)]
