--- a/src/comfreylatch/_process/cell/crash_ledger.py
+++ b/src/comfreylatch/_process/cell/crash_ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Sequence
 from typing import final
 
 import attrs
@@ -87,10 +88,27 @@
         is_unfinished = self._jobs.find(job.spec.job_id) is job
         return is_unfinished and not task.is_done
 
-    def handle_lost(self, lost: worker_table_module.LostRuns) -> None:
-        """Attributes the loss of a worker's runs; removes these."""
-        if not lost.is_planned:
+    def handle_lost(
+        self, losses: Sequence[worker_table_module.LostRuns]
+    ) -> None:
+        """Attributes the losses of workers' runs; removes these."""
+        unplanned = [lost for lost in losses if not lost.is_planned]
+        # All of them first, as workers that failed together have one cause.
+        self._failures.extend(
+            _Failure(
+                lost.failed_ms,
+                lost.entry.address,
+                blame.is_explained(lost.runs, lost.failed_ms),
+            )
+            for lost in unplanned
+        )
+        for lost in unplanned:
             self._attribute(lost)
+        for lost in losses:
+            self._remove(lost)
+
+    def _remove(self, lost: worker_table_module.LostRuns) -> None:
+        """Removes lost runs and judges their tasks."""
         for run in lost.runs:
             self._jobs.end_trial(run.task, run.number)
         self._dispatcher.handle_lost(lost)
@@ -139,13 +157,6 @@
     ) -> reasons.CrashCause:
         """Returns what may have crashed a worker."""
         is_faulty = self._is_faulty(lost.entry.address, lost.failed_ms)
-        self._failures.append(
-            _Failure(
-                lost.failed_ms,
-                lost.entry.address,
-                blame.is_explained(lost.runs, lost.failed_ms),
-            )
-        )
         if self._failed_together(lost.failed_ms):
             return reasons.CrashCause.MANY_WORKERS
         if is_faulty:
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -273,8 +273,7 @@
             case events.JobChanged(change):
                 self._handle_change(change)
             case events.WorkersListed(entries):
-                for lost_runs in self._workers.apply_listing(entries):
-                    self._crashes.handle_lost(lost_runs)
+                self._crashes.handle_lost(self._workers.apply_listing(entries))
                 self._crashes.confirm_replaced()
                 self._note_capacity_limits()
             case events.HoldReturned():
@@ -360,8 +359,7 @@
 
     def _tick(self, now_ms: int) -> None:
         self._jobs.create_due_occurrences()
-        for lost_runs in self._workers.expire():
-            self._crashes.handle_lost(lost_runs)
+        self._crashes.handle_lost(self._workers.expire())
         self._note_capacity_limits()
         self._reserve_workers(now_ms)
         self._run_maintenance(now_ms)
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -223,14 +223,12 @@
         self, entries: dict[str, cell_workers.WorkerEntry]
     ) -> None:
         """Applies the platform's list of workers."""
-        for lost_runs in self.workers.apply_listing(entries):
-            self.crashes.handle_lost(lost_runs)
+        self.crashes.handle_lost(self.workers.apply_listing(entries))
         self.crashes.confirm_replaced()
 
     def expire(self) -> None:
         """Removes runs whose leases are over."""
-        for lost_runs in self.workers.expire():
-            self.crashes.handle_lost(lost_runs)
+        self.crashes.handle_lost(self.workers.expire())
 
     def place_and_store(self) -> list[Any]:
         """Places tasks and stores the records of the step.
