Reserve and look for trials only while tasks are suspected

A tick looked at the runs of all workers, a pass at the crashes of all waiting tasks, though none was suspected. Both end early now.

--- a/src/comfreylatch/_process/cell/blame.py
+++ b/src/comfreylatch/_process/cell/blame.py
@@ -117,7 +117,7 @@
     return [crash for crash in crashes if crash is not excused]
 
 
-def confirmed(
+def confirm(
     crash: records.CrashRecord, successor_born_ms: int
 ) -> records.CrashRecord:
     """Returns a crash with what the start of the next worker tells of it."""
@@ -130,6 +130,8 @@
 
 def needs_trial(crashes: Sequence[records.CrashRecord]) -> bool:
     """Whether a task's next run has to be kept apart from others."""
+    if not crashes:
+        return False
     counted = _counted(crashes)
     return len(counted) > 1 or any(
         crash.is_prime
--- a/src/comfreylatch/_process/cell/crash_ledger.py
+++ b/src/comfreylatch/_process/cell/crash_ledger.py
@@ -285,7 +285,7 @@
     ) -> bool:
         """Confirms a task's crashes of a worker if it has been replaced."""
         crashes = tuple(
-            blame.confirmed(crash, self._workers.newest_born_ms(crash.machine))
+            blame.confirm(crash, self._workers.newest_born_ms(crash.machine))
             if _is_of(crash, incarnation)
             and self._workers.is_replaced(crash.machine, crash.born_ms)
             else crash
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -232,7 +232,7 @@
         for task in list(step.pending_tasks.values()):
             if task.not_before_ms > this_pass.now_ms:
                 continue
-            if blame.needs_trial(task.crashes):
+            if task.crashes and blame.needs_trial(task.crashes):
                 continue
             placed = self._place_task(task, this_pass, task.last_run + 1)
             if placed is None:
@@ -321,7 +321,7 @@
             for step in steps
             if not step.spec.is_gang
             for task in step.pending_tasks.values()
-            if blame.needs_trial(task.crashes)
+            if task.crashes and blame.needs_trial(task.crashes)
         ]
         suspected.sort(
             key=lambda task: blame.suspicion(task.crashes), reverse=True
--- a/src/comfreylatch/_process/cell/trials.py
+++ b/src/comfreylatch/_process/cell/trials.py
@@ -136,6 +136,9 @@
         -(-expected_count // TASKS_PER_RESERVED_WORKER),
         max(int(len(views) * MAX_RESERVED_SHARE), 1),
     )
+    if wanted == 0:
+        _release_surplus(views, (), 0, now_ms)
+        return []
     usable = [view for view in views if _can_be_emptied(view, now_ms)]
     crashed = {crash.machine for task in waiting for crash in task.crashes}
     if crashed.issuperset(view.entry.address for view in usable):
--- a/tests/process/cell/test_blame.py
+++ b/tests/process/cell/test_blame.py
@@ -129,8 +129,8 @@
 
     def test_late_return_of_a_worker_tells_of_a_late_crash(self) -> None:
         trial = crash(1, is_confirmed=False, recorded_wall_ms=1_000)
-        soon = blame.confirmed(trial, 1_000 + blame.EARLY_RETURN_MS)
-        late = blame.confirmed(trial, 1_001 + blame.EARLY_RETURN_MS)
+        soon = blame.confirm(trial, 1_000 + blame.EARLY_RETURN_MS)
+        late = blame.confirm(trial, 1_001 + blame.EARLY_RETURN_MS)
         self.assertTrue(soon.is_confirmed)
         self.assertEqual(30, soon.ran_ms)
         self.assertGreater(late.ran_ms, blame.EARLY_CRASH_MS)
