--- a/src/comfreylatch/_process/cell/__init__.py
+++ b/src/comfreylatch/_process/cell/__init__.py
@@ -21,6 +21,11 @@
         that filling tasks that would disturb them can run there.
     advice: Decision of a service on which workers may run a step; it gives a
         ticket for each worker that is allowed.
+    suspected task: One that may have crashed its worker. Its next run is a
+        trial: it is recorded first and, where possible, alone on its worker.
+    prime run: One of the runs that most likely crashed their worker, as they
+        had been started last.
+    reserved worker: Takes only trials, and is emptied for them.
     wave: Maintenance of a set of machines that operators have requested.
 """
 
