Let only a reported run refute earlier crashes

How long a run lasted is known only from reports that it runs, which end the suspicion already; a crash now drops none, and its age counts from the start's confirmation. The new test fails without the change.

--- a/src/comfreylatch/_process/cell/blame.py
+++ b/src/comfreylatch/_process/cell/blame.py
@@ -72,25 +72,28 @@
 ) -> list[runs_module.Run]:
     """Returns the runs that most likely crashed their worker."""
     recent = [
-        run for run in runs if failed_ms - _touched_ms(run) <= RECENT_START_MS
+        run for run in runs if failed_ms - started_ms(run) <= RECENT_START_MS
     ]
-    recent.sort(key=_touched_ms, reverse=True)
+    recent.sort(key=started_ms, reverse=True)
     return [
         run
         for run in recent[:MAX_PRIME_RUNS]
-        if _touched_ms(recent[0]) - _touched_ms(run) <= PRIME_SPREAD_MS
+        if started_ms(recent[0]) - started_ms(run) <= PRIME_SPREAD_MS
     ]
 
 
 def is_explained(runs: Iterable[runs_module.Run], failed_ms: int) -> bool:
     """Whether a run was started right before its worker failed."""
     return any(
-        0 <= failed_ms - _touched_ms(run) <= QUICK_CRASH_MS for run in runs
+        0 <= failed_ms - started_ms(run) <= QUICK_CRASH_MS for run in runs
     )
 
 
-def _touched_ms(run: runs_module.Run) -> int:
-    """Monotonic time at which its start was last known to be under way."""
+def started_ms(run: runs_module.Run) -> int:
+    """Monotonic time of its confirmation, else of its start order.
+
+    On a busy host some time passes between the two.
+    """
     if run.phase is runs_module.RunPhase.RUNNING:
         return max(run.ordered_ms, run.confirmed_ms)
     return run.ordered_ms
--- a/src/comfreylatch/_process/cell/crash_ledger.py
+++ b/src/comfreylatch/_process/cell/crash_ledger.py
@@ -143,7 +143,7 @@
                 lost.entry.worker_id,
                 lost.entry.born_ms,
                 lost.entry.address,
-                max(lost.failed_ms - run.ordered_ms, 0),
+                max(lost.failed_ms - blame.started_ms(run), 0),
                 was_alone=len(ordered) == 1,
                 was_on_trial=_is_apart(run),
                 is_prime=run in primes,
@@ -230,8 +230,7 @@
         for member in step.tasks if step.spec.is_gang else [task]:
             if any(known.run == crash.run for known in member.crashes):
                 continue
-            kept = blame.without_refuted(member.crashes, crash.ran_ms)
-            self._set(member, (*kept, crash))
+            self._set(member, (*member.crashes, crash))
 
     def _set(
         self,
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -134,7 +134,8 @@
         worker_id: Id of the worker.
         born_ms: Identifies the worker's incarnation.
         machine: Address of the worker, which its successor has, too.
-        ran_ms: Time from the start order to the worker's first failed call.
+        ran_ms: Time from the start's confirmation, or from its order if there
+            was none, to the worker's first failed call.
         was_alone: Whether no other run was on the worker.
         was_on_trial: Whether nothing else was started there meanwhile.
         is_prime: Whether the run was among the last that were started there.
--- a/tests/process/cell/test_crash_ledger.py
+++ b/tests/process/cell/test_crash_ledger.py
@@ -91,6 +91,17 @@
         self.cell.answer_hold(run.worker_id)
         self.assertEqual((), self.crashes())
 
+    # Guards against a deadly task that is no longer suspected after a crash
+    # that the owner saw late: only a report of the run shows that it lasted.
+    def test_crash_seen_late_refutes_no_earlier_one(self) -> None:
+        (first,) = self.start()
+        self.crash(first.worker_id)
+        self.cell.workers.allow_starts(self.cell.workers.incarnations())
+        _, second = self.cell.place_and_store()
+        self.cell.clock.advance(1_000)
+        self.crash(second.worker_id)
+        self.assertEqual([1, 2], [crash.run for crash in self.crashes()])
+
     def test_crash_is_confirmed_when_another_worker_is_listed(self) -> None:
         (run,) = self.start()
         self.cell.fail_hold(run.worker_id)
