Let a new owner take over what crash records tell of machines

Callers saw a harmless job fail.

A new owner now restores failures of machines from the recorded crashes, and the rule of four soon crashes asks for three machines.

The two new tests failed before.

--- a/src/comfreylatch/_process/cell/blame.py
+++ b/src/comfreylatch/_process/cell/blame.py
@@ -62,8 +62,10 @@
 # A worker that is back within this time of a start most likely crashed early.
 EARLY_RETURN_MS = 4_000
 # Crashes soon after the start after which a task is given up, whatever else may
-# explain them: it may have had one more of which no owner knows.
+# explain them: it may have had one more of which no owner knows. They have to be
+# on several machines, as a machine may crash under any task.
 MAX_SOON_CRASHES = 4
+MIN_SOON_MACHINES = 3
 SOON_CRASH_MS = 500
 
 
@@ -191,7 +193,11 @@
         for crash in crashes
         if crash.is_confirmed and crash.ran_ms <= SOON_CRASH_MS
     ]
-    if len(soon) >= MAX_SOON_CRASHES:
+    soon_machines = {crash.machine for crash in soon}
+    if (
+        len(soon) >= MAX_SOON_CRASHES
+        and len(soon_machines) >= MIN_SOON_MACHINES
+    ):
         return reasons.Verdict.REPEATEDLY
     weight = sum(_weight(crash) for crash in confirmed)
     was_alone = any(crash.was_alone for crash in confirmed)
--- a/src/comfreylatch/_process/cell/crash_ledger.py
+++ b/src/comfreylatch/_process/cell/crash_ledger.py
@@ -71,6 +71,7 @@
         self._unconfirmed: dict[_Incarnation, set[runs_module.Task]] = {}
         self._failures: collections.deque[_Failure] = collections.deque()
         self._machine_crashes: dict[str, list[int]] = {}
+        self._restored: set[_Incarnation] = set()
 
     def awaiting_trial(self) -> list[runs_module.Task]:
         """Returns the tasks that need a trial and have no run."""
@@ -353,8 +354,28 @@
         """Takes over the crashes of a job that a previous owner recorded."""
         for step in job.all_steps():
             for task in step.tasks:
-                if task.crashes:
-                    self._set(task, task.crashes)
+                if not task.crashes:
+                    continue
+                self._set(task, task.crashes)
+                for crash in task.crashes:
+                    self._restore_failure(crash)
+
+    def _restore_failure(self, crash: records.CrashRecord) -> None:
+        """Takes over a recorded crash as a failure of its machine.
+
+        The record doesn't tell when it was. It counts as one before the
+        takeover, so that it doesn't look like a part of a mass failure after.
+        """
+        incarnation = _Incarnation(crash.worker_id, crash.born_ms)
+        if incarnation in self._restored:
+            return
+        self._restored.add(incarnation)
+        failed_ms = (
+            self._clock.monotonic_ms() - 2 * blame.MASS_FAILURE_WINDOW_MS
+        )
+        is_explained = crash.is_prime and crash.ran_ms <= blame.QUICK_CRASH_MS
+        self._failures.append(_Failure(failed_ms, crash.machine, is_explained))
+        self._is_faulty(crash.machine, failed_ms)
 
     def resolve_trials(self) -> None:
         """Decides on the trials of a previous owner once its runs are known.
--- a/tests/process/cell/test_blame.py
+++ b/tests/process/cell/test_blame.py
@@ -56,6 +56,19 @@
             reasons.Verdict.REPEATEDLY, self.verdict(crash(1), *trials)
         )
 
+    # Guards against giving up a task for a machine that crashes under any.
+    def test_soon_crashes_count_only_on_more_than_two_machines(self) -> None:
+        first = crash(1)
+        on_first = [
+            attrs.evolve(crash(run), machine=first.machine, is_excused=run == 2)
+            for run in (2, 3)
+        ]
+        crashes = (first, *on_first, crash(4))
+        self.assertEqual(None, self.verdict(*crashes))
+        self.assertEqual(
+            reasons.Verdict.REPEATEDLY, self.verdict(*crashes, crash(5))
+        )
+
     # Guards against giving up a task for workers that were only unreachable.
     def test_unconfirmed_crashes_do_not_count(self) -> None:
         self.assertEqual(
--- a/tests/process/cell/test_crash_ledger.py
+++ b/tests/process/cell/test_crash_ledger.py
@@ -111,6 +111,26 @@
         self.assertTrue(self.crashes()[0].is_confirmed)
 
     # Guards against a start that no later owner knows of.
+    # Guards against giving up a task for two crashes of bad machines, the first
+    # of which only a previous owner has seen.
+    def test_unexplained_crash_before_a_takeover_calls_for_more_evidence(
+        self,
+    ) -> None:
+        job = self.cell.submit(harness.job(harness.step(cpu_millicores=2_000)))
+        (task,) = job.steps[0][0].tasks
+        task.crashes = (
+            records.CrashRecord(
+                1, "gone", 1, "gone:1", 180, is_prime=True, is_confirmed=True
+            ),
+        )
+        task.last_run = 1
+        self.cell.crashes.restore(job)
+        self.job = job
+        (run,) = self.cell.place()
+        self.crash(run.worker_id)
+        self.assertEqual(2, len(self.crashes()))
+        self.assertIsNotNone(self.cell.jobs.find(job.spec.job_id))
+
     def test_suspected_task_is_recorded_before_it_starts(self) -> None:
         (run,) = self.start()
         self.crash(run.worker_id)
