Send no starts into zones that operators evacuate

Nothing read the requests.

The owner reads them from the operators' topic, leaves the zone out of placement, and asks again right before each start is sent. Where the settings state a bound, nothing is started on a reading that is too old to tell. Runs move into room elsewhere that nothing waits for. Gauges, log lines and the operators' page say what is in force.

--- a/src/comfreylatch/_process/cell/blame.py
+++ b/src/comfreylatch/_process/cell/blame.py
@@ -62,8 +62,8 @@
 # A worker that is back within this time of a start most likely crashed early.
 EARLY_RETURN_MS = 4_000
 # Crashes soon after the start after which a task is given up, whatever else may
-# explain them: it may have had one more of which no owner knows. They must be on
-# several machines, as a machine may crash under any task.
+# explain them: it may have had one more of which no owner knows. They must be
+# on several machines, as a machine may crash under any task.
 MAX_SOON_CRASHES = 4
 MIN_SOON_MACHINES = 3
 SOON_CRASH_MS = 500
--- a/src/comfreylatch/_process/cell/cell_report.py
+++ b/src/comfreylatch/_process/cell/cell_report.py
@@ -61,6 +61,10 @@
         waiting_lasting_tasks=len(lasting_waits_ms),
         longest_lasting_wait_ms=max(lasting_waits_ms, default=0),
         reserved_workers=sum(view.is_reserved for view in views),
+        evacuated_workers=sum(view.is_evacuated for view in views),
+        runs_in_evacuated=sum(
+            len(view.runs) for view in views if view.is_evacuated
+        ),
         cleared_workers=sum(now_ms < view.cleared_until_ms for view in views),
         append_age_ms=append_age_ms,
         pressures=pressures,
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -42,6 +42,7 @@
 from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
+from comfreylatch._process.cell.evacuation import requests
 
 # Interval between two checks of what changes without an event: repetitions that
 # fall due, leases that expire, stalled runs and maintenance.
@@ -92,8 +93,14 @@
         self._jobs = job_table_module.JobTable(recovered.token, clock)
         self._durations = duration_model_module.DurationModel()
         self._ranker = ranking_module.Ranker(self._durations)
+        self._evacuation_guard = requests.EvacuationGuard(
+            deps.evacuations, metrics
+        )
         lease_parameters = worker_session.LeaseParameters(
-            recovered.token, deps.lease_ms, writer.may_act
+            recovered.token,
+            deps.lease_ms,
+            writer.may_act,
+            self._evacuation_guard.permits_start,
         )
         self._workers = worker_table_module.WorkerTable(
             lambda entry: worker_session.WorkerSession(
@@ -218,7 +225,9 @@
         """Sets how old the newest complete reading of the workers is."""
         self._listing_age_ms = age_ms
 
-    def _note_capacity_limits(self) -> None:
+    def _note_start_limits(self) -> None:
+        """Notes on the workers what limits the starts they may get."""
+        self._evacuation_guard.update(self._workers)
         self._workers.note_capacity_limits(
             self._guards_capacity, self._listing_age_ms()
         )
@@ -275,7 +284,7 @@
             case events.WorkersListed(entries):
                 self._crashes.handle_lost(self._workers.apply_listing(entries))
                 self._crashes.confirm_replaced()
-                self._note_capacity_limits()
+                self._note_start_limits()
             case events.HoldReturned():
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
@@ -360,7 +369,7 @@
     def _tick(self, now_ms: int) -> None:
         self._jobs.create_due_occurrences()
         self._crashes.handle_lost(self._workers.expire())
-        self._note_capacity_limits()
+        self._note_start_limits()
         self._reserve_workers(now_ms)
         self._run_maintenance(now_ms)
         self._reconciler.move_runs(now_ms)
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -9,6 +9,7 @@
 from comfreylatch._ports import advice as advice_port
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import evacuations
 from comfreylatch._ports import machines as machines_port
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import metrics as metrics_module
@@ -35,6 +36,7 @@
         machines: API for the machines under the workers; None if it is not
             configured.
         waves: Returns the maintenance waves that operators have requested.
+        evacuations: The zones that operators have evacuated.
         handover_ms: Duration of the platform's lease on a machine, in which
             two hosts must not both give orders for it; a new owner waits for
             so long before its first maintenance order.
@@ -66,6 +68,7 @@
     advice_service: advice_port.AdviceService | None = None
     machines: machines_port.Machines | None = None
     waves: Callable[[], tuple[machines_port.Wave, ...]] = tuple
+    evacuations: evacuations.EvacuationFeed = evacuations.EvacuationFeed()
     handover_ms: int = 0
     guards_capacity: Callable[[str], bool] = lambda _: True
     max_disruption_ms: int = interference.DEFAULT_MAX_DISRUPTION_MS
--- a/src/comfreylatch/_process/cell/reasons.py
+++ b/src/comfreylatch/_process/cell/reasons.py
@@ -34,6 +34,7 @@
     SHORT_TASK = "room-for-short-task"
     WORKER_CLEARED = "worker-cleared"
     WORKER_LEAVES = "worker-leaves"
+    ZONE_EVACUATED = "zone-evacuated"
     WORKER_RESERVED = "worker-reserved"
 
 
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -13,7 +13,6 @@
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import crash_ledger as crash_ledger_module
 from comfreylatch._process.cell import duration_model as duration_model_module
-from comfreylatch._process.cell import evacuation
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import job_table as job_table_module
@@ -22,6 +21,7 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.evacuation import moves
 
 # Consecutive failed runs, of any jobs, after which a worker is considered
 # faulty and avoided for a while. By chance, this happens once in ten thousand.
@@ -67,7 +67,7 @@
         self._interference = model
         self._crashes = crashes
         self._metrics = metrics
-        self._evacuation = evacuation.EvacuationPolicy(durations)
+        self._evacuation = moves.EvacuationPolicy(durations)
         self._clock = clock
 
     def handle_hold(
@@ -298,6 +298,10 @@
 
     def move_runs(self, now_ms: int) -> None:
         """Stops runs that should continue on another worker."""
+        for run in self._evacuation.runs_to_move_off_zones(
+            self._workers, self._jobs.ready_steps(), now_ms
+        ):
+            self._dispatcher.stop(run, reasons.StopReason.ZONE_EVACUATED)
         for worker in self._workers:
             if not worker.is_answering:
                 continue
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -134,6 +134,7 @@
             has refuted.
         suspected_since_ms: Monotonic time of the last change of `crashes`, or
             of the takeover.
+        has_left_zone: Whether a run of it was moved off an evacuated zone.
         trial: Its recorded run, see `TrialRecord`; None if it has none.
     """
 
@@ -150,6 +151,7 @@
     pending_since_ms: int = 0
     crashes: tuple[records.CrashRecord, ...] = ()
     suspected_since_ms: int = 0
+    has_left_zone: bool = False
     trial: records.TrialRecord | None = None
 
     @property
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -53,11 +53,13 @@
         token: The owner's fencing token.
         lease_ms: Duration of a lease on the worker's clock.
         may_renew: Tells whether this host is still the owner.
+        permits_start: Tells whether the workers of a zone may be sent starts.
     """
 
     token: int
     lease_ms: int
     may_renew: Callable[[], bool]
+    permits_start: Callable[[str], bool] = lambda _: True
 
 
 @attrs.frozen
@@ -299,6 +301,8 @@
             # The run may have been stopped while its start order was queued.
             if deadline_ms == 0 or not order.run.should_start:
                 break
+            if not self._lease.permits_start(self._entry.zone):
+                break
             tries += 1
             outcome = self._orders.start(
                 cell_workers.StartOrder(
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -59,6 +59,9 @@
         guards_capacity: Whether it refuses tasks that exceed its capacity.
         is_capacity_current: Whether its entry was read lately, so that it has
             no less capacity than the entry says.
+        is_evacuated: Whether operators have evacuated its zone.
+        may_get_starts: Whether no request to evacuate its zone is in force, as
+            far as this host can know.
         stray_count: Number of runs on it that belong to no known task; they
             are being stopped.
     """
@@ -89,6 +92,8 @@
     is_reserved: bool = False
     guards_capacity: bool = True
     is_capacity_current: bool = True
+    is_evacuated: bool = False
+    may_get_starts: bool = True
     stray_count: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -137,6 +142,7 @@
             and self.is_recorded
             and not self.entry.is_draining
             and not self.is_being_emptied
+            and self.may_get_starts
             and now_ms >= self.avoided_until_ms
             and (self.guards_capacity or self._is_free_capacity_known)
         )
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -46,6 +46,13 @@
     MAINTENANCE_REFUSALS = "maintenance-refusals"
 
 
+class Gauge(enum.StrEnum):
+    """Names of gauges; some are labelled with an object's name."""
+
+    EVACUATED = "zone-evacuated"
+    STARTS_SUSPENDED = "starts-suspended"
+
+
 class Latency(enum.StrEnum):
     """Names of latencies, measured in microseconds."""
 
@@ -72,6 +79,15 @@
     value: int
 
 
+@attrs.frozen
+class GaugeLine:
+    """The value of one gauge for one label."""
+
+    gauge: str
+    label: str
+    value: int
+
+
 @attrs.frozen
 class LatencyLine:
     """Quantiles of one latency for one label, in microseconds.
@@ -96,18 +112,30 @@
 
     counters: tuple[CounterLine, ...]
     latencies: tuple[LatencyLine, ...]
+    gauges: tuple[GaugeLine, ...] = ()
 
 
 class Metrics:
-    """Counters and histograms. Thread-safe."""
+    """Counters, gauges and histograms. Thread-safe."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._counters: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._gauges: dict[tuple[str, str], int] = {}
         self._histograms: dict[tuple[str, str], histogram.HdrHistogram] = {}
 
+    def set_gauge(self, gauge: Gauge, value: int, label: str = "") -> None:
+        """Sets a gauge."""
+        with self._lock:
+            self._gauges[gauge, label] = value
+
+    def gauge(self, gauge: Gauge, label: str = "") -> int:
+        """Current value of a gauge; 0 if it was never set."""
+        with self._lock:
+            return self._gauges.get((gauge, label), 0)
+
     def count(self, counter: Counter, label: str = "", amount: int = 1) -> None:
         """Adds to a counter; `label` is a reason or an object's name."""
         with self._lock:
@@ -154,7 +182,11 @@
                 _latency_line(latency, label, hist)
                 for (latency, label), hist in sorted(self._histograms.items())
             )
-        return MetricsPage(counters, latencies)
+            gauges = tuple(
+                GaugeLine(gauge, label, value)
+                for (gauge, label), value in sorted(self._gauges.items())
+            )
+        return MetricsPage(counters, latencies, gauges)
 
 
 def _latency_line(
--- a/src/comfreylatch/_process/metrics_text.py
+++ b/src/comfreylatch/_process/metrics_text.py
@@ -12,6 +12,8 @@
         lines.append(
             _metric_line(counter.counter, counter.label, counter.value)
         )
+    for gauge in page.gauges:
+        lines.append(_metric_line(gauge.gauge, gauge.label, gauge.value))
     for latency in page.latencies:
         values = {
             "count": latency.count,
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -18,6 +18,7 @@
 from comfreylatch._connection import http
 from comfreylatch._connection import http_server
 from comfreylatch._ports import clock as clock_port
+from comfreylatch._ports import evacuations
 from comfreylatch._ports import store as store_port
 from comfreylatch._process import json_logs
 from comfreylatch._process import logs
@@ -150,6 +151,12 @@
         self._store = store.StoreClient(settings.store.address)
         self._configuration = views.ConfigurationView()
         self._waves = views.WavesView()
+        self._evacuations = views.EvacuationsView()
+        self._operator_reader = self._make_reader(
+            configuration.TOPIC,
+            self._apply_operator_records,
+            CONFIGURATION_READ_WAIT_MS,
+        )
         self._replica = job_replica.JobReplica(self._clock)
         self._jobs_reader = self._make_reader(
             records.JOBS_TOPIC, self._replica.apply
@@ -169,13 +176,7 @@
     def __enter__(self) -> Self:
         enter = self._stack.enter_context
         enter(self._store)
-        enter(
-            self._make_reader(
-                configuration.TOPIC,
-                self._apply_operator_records,
-                CONFIGURATION_READ_WAIT_MS,
-            )
-        )
+        enter(self._operator_reader)
         enter(self._jobs_reader)
         enter(self._appender)
         self._ownership.start()
@@ -196,6 +197,7 @@
     ) -> None:
         self._configuration.apply(batch, is_complete)
         self._waves.apply(batch, is_complete)
+        self._evacuations.apply(batch, is_complete)
 
     def _make_reader(
         self,
@@ -246,6 +248,11 @@
                 advice_service=advice_service,
                 machines=machine_client,
                 waves=self._waves.current,
+                evacuations=evacuations.EvacuationFeed(
+                    self._evacuations.current,
+                    lambda: self._operator_reader.age_ms,
+                    int(settings.bounds.evacuation_ms),
+                ),
                 guards_capacity=self._guards_capacity,
                 handover_ms=int(settings.bounds.handover_ms),
                 max_disruption_ms=int(settings.bounds.disruption_ms),
--- a/src/comfreylatch/platform/views.py
+++ b/src/comfreylatch/platform/views.py
@@ -17,6 +17,9 @@
 from comfreylatch.platform import wire
 from comfreylatch.platform import workers
 
+# The rest of the key is the name of the zone.
+EVACUATION_PREFIX = "evacuate/"
+
 OnWorkersChanged = Callable[[dict[str, cell_workers.WorkerEntry]], None]
 
 _logger = logbook.Logger(__name__)
@@ -93,6 +96,49 @@
             self._waves = {**self._waves, wave.number: wave}
 
 
+@final
+class EvacuationsView:
+    """The zones that operators have evacuated."""
+
+    def __init__(self) -> None:
+        self._zones: frozenset[str] = frozenset()
+
+    def current(self) -> frozenset[str]:
+        """Returns the evacuated zones. Thread-safe."""
+        return self._zones
+
+    def apply(
+        self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
+    ) -> None:
+        """Applies records of the operators' topic.
+
+        The key alone names the zone, so a malformed value is obeyed, too.
+        """
+        zones = set() if is_complete else set(self._zones)
+        for record in batch:
+            if not record.key.startswith(EVACUATION_PREFIX):
+                continue
+            zone = record.key.removeprefix(EVACUATION_PREFIX)
+            if record.value is None:
+                zones.discard(zone)
+                continue
+            zones.add(zone)
+            self._check(record.key, record.value)
+        self._zones = frozenset(zones)
+
+    def _check(self, key: str, value: bytes) -> None:
+        try:
+            wire.decode(wire.EvacuationRecord, value)
+        except wire.BadMessageError as error:
+            logs.warning(
+                _logger,
+                "bad-evacuation",
+                key=key,
+                detail=str(error),
+                handling="obeyed, as its key names the zone",
+            )
+
+
 @final
 class WorkersView:
     """The listed workers; reports the complete list on each change."""
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -267,6 +267,10 @@
     most_at_once: int = 1
 
 
+class EvacuationRecord(msgspec.Struct, frozen=True):
+    """A request to evacuate the zone in the record's key; it has no fields."""
+
+
 class MachineEntry(
     msgspec.Struct,
     frozen=True,
@@ -386,6 +390,7 @@
         "handover_ms": "LeaseDurationMs",
         "disruption_ms": "DisruptionMs",
         "grace_s": "GracePeriodS",
+        "evacuation_ms": "EvacuationMs",
     },
 ):
     """Time limits that the platform sets.
@@ -394,7 +399,8 @@
     ended job must be available. Within `LeaseDurationMs` no two hosts may send
     orders for the same machine. For `DisruptionMs` a lasting task may be over
     its tail target while filling tasks work beside it. `GracePeriodS` is how
-    long after a SIGTERM a process is killed.
+    long after a SIGTERM a process is killed. `EvacuationMs` is the time within
+    which a confirmed evacuation has to be in force.
     """
 
     lease_ms: float = 6_000
@@ -402,6 +408,7 @@
     handover_ms: float = 3_000
     disruption_ms: float = 4_000
     grace_s: float = 6
+    evacuation_ms: float = 0
 
 
 class Settings(
--- /dev/null
+++ b/tests/process/cell/evacuation/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of evacuations."""
+
+from __future__ import annotations
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -116,6 +116,33 @@
         self.wait_for(lambda: self.worker.running)
         self.wait_for(lambda: len(self.worker.deadlines_ms) > renewals)
 
+    # Guards against a start that has waited in the queue while operators
+    # evacuated the worker's zone.
+    def test_queued_start_is_not_sent_into_an_evacuated_zone(self) -> None:
+        worker = fake_workers.FakeWorker(
+            fake_workers.entry("w2"), clock_port.SystemClock()
+        )
+        lease = worker_session.LeaseParameters(
+            1, 4_000, lambda: True, lambda zone: zone != worker.entry.zone
+        )
+        session = worker_session.WorkerSession(
+            worker.entry,
+            worker,
+            lease,
+            self.events.append,
+            clock_port.SystemClock(),
+        )
+        self.stack.enter_context(session)
+        self.wait_for(lambda: worker.deadlines_ms)
+        session.start(_Run("b.0.0.0"), "text", "", "")
+        self.wait_for(
+            lambda: any(
+                isinstance(event, events.StartReturned) and event.tries == 0
+                for event in list(self.events)
+            )
+        )
+        self.assertEqual([], worker.starts)
+
     def test_host_that_lost_ownership_starts_nothing(self) -> None:
         self.wait_for(lambda: self.worker.deadlines_ms)
         self.may_renew = False
