Compute filling headroom once for each state of a worker

Planned coefficients are kept until the next fit, headrooms until the worker changes, and only the tightest slack of each image is kept. The test counts the computations and failed before.

--- a/src/comfreylatch/_process/cell/interference.py
+++ b/src/comfreylatch/_process/cell/interference.py
@@ -110,6 +110,8 @@
     ) -> None:
         self.pressures = pressure_model.PressureModel()
         self._harm_guard = harm_guard.HarmGuard(max_disruption_ms)
+        self._planned_coefficients: dict[tuple[str, str], float] = {}
+        self._planned_revision = 0
         self._base_ms: dict[str, float] = {}
         self._loads: dict[
             runs_module.StepInstance, serving_load.ServingLoad
@@ -221,16 +223,28 @@
                     self._planned_coefficient(image, filling_image) * use
                 )
             slacks.append(Slack(image, headroom))
-        return tuple(slacks)
+        return _least_by_image(slacks)
 
     def _planned_coefficient(
         self, serving_image: str, filling_image: str
     ) -> float:
-        """Coefficient used by placement: higher while it is uncertain."""
-        margin = COEFFICIENT_MARGIN_SDS * self.pressures.uncertainty(
-            filling_image
-        )
-        return self.coefficient(serving_image, filling_image) + margin
+        """Coefficient used by placement: higher while it is uncertain.
+
+        Placement asks for it once for each worker and step, so it is computed
+        once for each fit of the coefficients.
+        """
+        if self._planned_revision != self.pressures.revision:
+            self._planned_revision = self.pressures.revision
+            self._planned_coefficients.clear()
+        key = serving_image, filling_image
+        planned = self._planned_coefficients.get(key)
+        if planned is None:
+            margin = COEFFICIENT_MARGIN_SDS * self.pressures.uncertainty(
+                filling_image
+            )
+            planned = self.coefficient(serving_image, filling_image) + margin
+            self._planned_coefficients[key] = planned
+        return planned
 
     def summary(self) -> dict[str, float]:
         """Coefficients by filling image, for logs."""
@@ -353,6 +367,16 @@
             paces[filling_run] = lowered
 
 
+def _least_by_image(slacks: Iterable[Slack]) -> tuple[Slack, ...]:
+    """Returns the least slack of each image; the others never decide."""
+    least: dict[str, Slack] = {}
+    for slack in slacks:
+        known = least.get(slack.image)
+        if known is None or slack.headroom < known.headroom:
+            least[slack.image] = slack
+    return tuple(least.values())
+
+
 def serving_runs(
     worker: worker_view.WorkerView,
 ) -> Iterable[runs_module.Run]:
--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/placement.py
@@ -138,10 +138,18 @@
 
 @attrs.frozen
 class _CachedSlacks:
-    """Slacks of a worker, valid for one of its revisions."""
+    """Slacks of a worker, valid for one of its revisions.
+
+    Attributes:
+        revision: The revision.
+        slacks: The slacks of its lasting steps.
+        headrooms: What is left beside one more filling task, by its image and
+            millicores.
+    """
 
     revision: int
     slacks: tuple[interference.Slack, ...]
+    headrooms: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
 
 @final
@@ -152,14 +160,29 @@
         self._model = model
         self._cached: dict[str, _CachedSlacks] = {}
 
-    def _get_slacks(
-        self, worker: worker_view.WorkerView
-    ) -> tuple[interference.Slack, ...]:
+    def _get_slacks(self, worker: worker_view.WorkerView) -> _CachedSlacks:
         cached = self._cached.get(worker.worker_id)
         if cached is None or cached.revision != worker.revision:
             cached = _CachedSlacks(worker.revision, self._model.slacks(worker))
             self._cached[worker.worker_id] = cached
-        return cached.slacks
+        return cached
+
+    def _headroom(
+        self,
+        worker: worker_view.WorkerView,
+        cached: _CachedSlacks,
+        spec: specs.StepSpec,
+    ) -> float:
+        """Returns what the lasting tasks keep beside one more filling task."""
+        key = spec.image, spec.cpu_millicores
+        headroom = cached.headrooms.get(key)
+        if headroom is None:
+            cpu = max(worker.entry.capacity.cpu_millicores, 1)
+            headroom = self._model.headroom(
+                cached.slacks, spec.image, spec.cpu_millicores / cpu
+            )
+            cached.headrooms[key] = headroom
+        return headroom
 
     def cost(self, step: runs_module.StepInstance) -> candidates.CostFunction:
         """Returns the cost function for tasks that fill idle processors.
@@ -181,13 +204,10 @@
             if not is_allowed(worker, step):
                 return None
             slowness = max(worker.slowness - 1.0, 0.0)
-            slacks = self._get_slacks(worker)
-            if not slacks:
+            cached = self._get_slacks(worker)
+            if not cached.slacks:
                 return alone_cost + FILLING_SLOWNESS_COST * slowness
-            cpu = max(worker.entry.capacity.cpu_millicores, 1)
-            headroom = self._model.headroom(
-                slacks, spec.image, spec.cpu_millicores / cpu
-            )
+            headroom = self._headroom(worker, cached, spec)
             if headroom < 0:
                 return None
             return FILLING_SLOWNESS_COST * slowness - headroom
--- a/src/comfreylatch/_process/cell/pressure_model.py
+++ b/src/comfreylatch/_process/cell/pressure_model.py
@@ -91,7 +91,11 @@
 
 @final
 class PressureModel:
-    """Coefficients of filling images on serving images. Not thread-safe."""
+    """Coefficients of filling images on serving images. Not thread-safe.
+
+    Attributes:
+        revision: Increases with every change of the coefficients.
+    """
 
     def __init__(self) -> None:
         self._open_comparisons: dict[object, _Comparison] = {}
@@ -102,9 +106,11 @@
         self._coefficients: dict[str, float] = {}
         self._pair_excesses: dict[tuple[str, str], float] = {}
         self._fitted_ms = 0
+        self.revision = 0
 
     def restore(self, learned: records.LearnedRecord) -> None:
         """Uses what a previous owner learned as priors."""
+        self.revision += 1
         for pressure in learned.pressures:
             weight = min(pressure.weight, MAX_RESTORED_WEIGHT)
             self._priors[pressure.filling] = _Prior(
@@ -260,6 +266,7 @@
         """Decays the sums and fits the coefficients to them."""
         elapsed_ms = now_ms - self._fitted_ms if self._fitted_ms else 0
         self._fitted_ms = now_ms
+        self.revision += 1
         self._decay(math.exp(-elapsed_ms / DECAY_TIME_CONSTANT_MS))
         images = list(self._squares)
         matrix = [
--- a/tests/process/cell/test_filling_placement.py
+++ b/tests/process/cell/test_filling_placement.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from typing import Any
+import unittest.mock
 
 import testtools
 
 from comfreylatch._process.cell import clearing
+from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import runs
 from tests.process.cell import harness
 
@@ -27,6 +29,7 @@
         )
         self.cell.submit(harness.job(lasting_step, job_id="a" * 16))
         (self.serving,) = self.cell.place()
+        self.serving_worker = self.cell.workers.find(self.serving.worker_id)
         self._train_model()
 
     def _train_model(self) -> None:
@@ -62,6 +65,24 @@
 
     # Guards against a lasting task that has waited for seconds and is stopped
     # before it was ever at work, and then waits as long again.
+    # Guards against passes over a backlog that cost the owner's processor time
+    # for each step and worker, although no worker has changed.
+    def test_headroom_is_computed_once_while_a_worker_is_unchanged(
+        self,
+    ) -> None:
+        with unittest.mock.patch.object(
+            interference.InterferenceModel,
+            "headroom",
+            autospec=True,
+            side_effect=lambda *_: -1.0,
+        ) as headroom:
+            for number in range(8):
+                self._place_filling("idle", f"{number:x}" * 16)
+            self.assertEqual(1, headroom.call_count)
+            self.serving_worker.revision += 1
+            self._place_filling("idle", "8" * 16)
+            self.assertEqual(2, headroom.call_count)
+
     def test_worker_is_not_cleared_while_a_lasting_task_is_starting(
         self,
     ) -> None:
