Pass requests on to the owner where the store turns a host away

Such a host passes the request on to the owner of the cell, once, within the caller's deadline, at the address in the owner's heartbeat. A submission that is still queued at its deadline is withdrawn and refused.

--- a/src/comfreylatch/_process/cell/claiming.py
+++ b/src/comfreylatch/_process/cell/claiming.py
@@ -47,12 +47,14 @@
         zone: Availability zone.
         cpu_cores: Processors that the process may use; hosts with more claim
             first. 0 if unknown.
+        caller_address: `IP:port` at which it answers callers.
     """
 
     name: str
     boot: str
     zone: str
     cpu_cores: float
+    caller_address: str = ""
 
     @property
     def claim_delay_ms(self) -> int:
--- a/src/comfreylatch/_process/cell/job_api.py
+++ b/src/comfreylatch/_process/cell/job_api.py
@@ -148,6 +148,9 @@
         pending.done.wait(remaining_ms / 1_000)
         with self._lock:
             self._waiting.discard(pending)
+            if not pending.is_sent:
+                # From now on it is left out of every append.
+                _set_outcome([pending], NotKept("not sent in time"))
             return pending.outcome
 
     def stop(self, timeout_ms: int) -> None:
@@ -308,6 +311,15 @@
         self._shown_states: dict[str, records.JobState] = {}
         self._clock = clock
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether this host's last read from the store was answered."""
+        return self._reader.reachable_ms > 0
+
+    def is_known(self, job_id: str) -> bool:
+        """Whether this host has read that a job was accepted."""
+        return self._is_known(job_id)
+
     def submit(self, spec: specs.JobSpec, wait_ms: int) -> SubmitOutcome:
         """Accepts a job; submitting the same id again is idempotent."""
         if self._is_known(spec.job_id):
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -286,6 +286,7 @@
             token,
             zone=self._host.zone,
             cpu_cores=self._host.cpu_cores,
+            caller_address=self._host.caller_address,
             # Until the takeover shows who owned the cell before.
             earlier_leases_ms=lease_ends.longest_after_heartbeat_ms(
                 deps.lease_ms
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -112,6 +112,8 @@
             heartbeats that release nothing, and of earlier versions.
         earlier_leases_ms: How long, from this heartbeat on, leases that owners
             before this one renewed may still last.
+        caller_address: `IP:port` at which the host answers callers; empty in
+            heartbeats of earlier versions.
     """
 
     host: str
@@ -123,6 +125,7 @@
     cpu_cores: float = 0.0
     leases: RemainingLeases | None = None
     earlier_leases_ms: int = 0
+    caller_address: str = ""
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -43,6 +43,7 @@
     ADVICE_ANSWERS = "advice-answers"
     ADVICE_MISSING = "advice-missing"
     MAINTENANCES = "maintenances"
+    FORWARDS = "forwards"
     MAINTENANCE_REFUSALS = "maintenance-refusals"
 
 
--- a/src/comfreylatch/platform/caller_handler.py
+++ b/src/comfreylatch/platform/caller_handler.py
@@ -16,6 +16,7 @@
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
+from comfreylatch._process.cell.forwarding import forwarder
 from comfreylatch.platform import configuration
 from comfreylatch.platform import wire
 
@@ -25,6 +26,11 @@
 NO_CONFIGURATION_RETRY_MS = 500
 MAX_PAYLOAD_BYTES = 4_000
 
+# Refusals that another host, which reaches the store, need not make.
+_UNREACHABLE_STORE = frozenset(
+    {reasons.Refusal.STORE_UNAVAILABLE, reasons.Refusal.VIEW_TOO_OLD}
+)
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _logger = logbook.Logger(__name__)
 
@@ -39,11 +45,13 @@
         self,
         get_configuration: GetConfiguration,
         job_api: job_api_module.JobApi,
+        request_forwarder: forwarder.Forwarder,
         metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
     ) -> None:
         self._get_configuration = get_configuration
         self._job_api = job_api
+        self._forwarder = request_forwarder
         self._metrics = metrics
         self._clock = clock
 
@@ -69,9 +77,9 @@
         job_id = request.path[len(queue.prefix) :]
         match request.method:
             case "GET" if not job_id:
-                return self._queue_length_reply(queue)
+                return self._queue_length_reply(request, queue)
             case "GET":
-                return self._job_state_reply(job_id)
+                return self._job_state_reply(request, job_id)
             case "POST":
                 return self._submit(request, queue, job_id)
             case "DELETE":
@@ -117,30 +125,69 @@
                 reasons.Refusal.PAYLOAD_TOO_LONG,
                 f"payload of job {job_id} exceeds {MAX_PAYLOAD_BYTES} bytes",
             )
-        return self._outcome_reply(
-            job_id, self._job_api.submit(spec, self._remaining_ms(request))
-        )
+        if not self._job_api.is_store_reachable:
+            # The store may answer too late to pass the request on after it.
+            forwarded = self._forward_change(request, job_id)
+            if forwarded is not None:
+                return forwarded
+        outcome = self._job_api.submit(spec, self._remaining_ms(request))
+        return self._outcome_reply(request, job_id, outcome)
 
     def _cancel(self, request: http.HttpRequest, job_id: str) -> http.HttpReply:
-        return self._outcome_reply(
-            job_id, self._job_api.cancel(job_id, self._remaining_ms(request))
-        )
+        outcome = self._job_api.cancel(job_id, self._remaining_ms(request))
+        return self._outcome_reply(request, job_id, outcome)
 
-    def _job_state_reply(self, job_id: str) -> http.HttpReply:
+    def _forward_change(
+        self, request: http.HttpRequest, job_id: str
+    ) -> http.HttpReply | None:
+        """Passes a submission or a cancellation on to the owner.
+
+        Returns:
+            The reply; None if the request had no effect there.
+        """
+        match self._forwarder.forward(request, self._remaining_ms(request)):
+            case http.HttpReply() as reply:
+                return reply
+            case forwarder.NotForwarded():
+                return None
+            case forwarder.ForwardUnanswered():
+                if request.method == "POST" and self._job_api.is_known(job_id):
+                    return http.json_reply(200, {})
+                return self._undecided_reply(
+                    job_id,
+                    "the owner gave no answer",
+                    reasons.Refusal.UNDECIDED,
+                )
+
+    def _forward_question(
+        self, request: http.HttpRequest
+    ) -> http.HttpReply | None:
+        """Passes a question on to the owner; None if it isn't answered."""
+        match self._forwarder.forward(request, self._remaining_ms(request)):
+            case http.HttpReply() as reply:
+                return reply
+            case _:
+                return None
+
+    def _job_state_reply(
+        self, request: http.HttpRequest, job_id: str
+    ) -> http.HttpReply:
         match self._job_api.state(job_id):
             case records.JobState() as state:
                 return http.json_reply(200, {"State": state.value})
             case job_api_module.UnknownJob():
                 return self._unknown_job_reply(job_id)
             case job_api_module.StaleView(age_ms):
-                return self._stale_view_reply(age_ms)
+                return self._stale_view_reply(request, age_ms)
 
-    def _queue_length_reply(self, queue: specs.QueueSpec) -> http.HttpReply:
+    def _queue_length_reply(
+        self, request: http.HttpRequest, queue: specs.QueueSpec
+    ) -> http.HttpReply:
         match self._job_api.count_queued(queue):
             case int() as count:
                 return http.json_reply(200, {"Waiting": count})
             case job_api_module.StaleView(age_ms):
-                return self._stale_view_reply(age_ms)
+                return self._stale_view_reply(request, age_ms)
 
     def _refuse(
         self,
@@ -163,7 +210,12 @@
             f"job {job_id} is unknown: never accepted, or ended long ago",
         )
 
-    def _stale_view_reply(self, age_ms: int) -> http.HttpReply:
+    def _stale_view_reply(
+        self, request: http.HttpRequest, age_ms: int
+    ) -> http.HttpReply:
+        forwarded = self._forward_question(request)
+        if forwarded is not None:
+            return forwarded
         return self._refuse(
             503,
             reasons.Refusal.VIEW_TOO_OLD,
@@ -171,8 +223,18 @@
             job_api_module.RETRY_AFTER_MS,
         )
 
+    def _undecided_reply(
+        self, job_id: str, detail: str, reason: reasons.Refusal
+    ) -> http.HttpReply:
+        return self._refuse(
+            504,
+            reason,
+            f"job {job_id}: the request may have been stored: {detail}",
+        )
+
     def _outcome_reply(
         self,
+        request: http.HttpRequest,
         job_id: str,
         outcome: job_api_module.SubmitOutcome | job_api_module.UnknownJob,
     ) -> http.HttpReply:
@@ -180,6 +242,10 @@
             case job_api_module.Accepted():
                 return http.json_reply(200, {})
             case job_api_module.Refused(reason, retry_after_ms):
+                if reason in _UNREACHABLE_STORE:
+                    forwarded = self._forward_change(request, job_id)
+                    if forwarded is not None:
+                        return forwarded
                 return self._refuse(
                     503,
                     reason,
@@ -187,10 +253,6 @@
                     retry_after_ms,
                 )
             case job_api_module.Undecided(detail, reason):
-                return self._refuse(
-                    504,
-                    reason,
-                    f"job {job_id}: the request may have been stored: {detail}",
-                )
+                return self._undecided_reply(job_id, detail, reason)
             case job_api_module.UnknownJob():
                 return self._unknown_job_reply(job_id)
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -34,6 +34,7 @@
 )
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell.forwarding import forwarder
 from comfreylatch.platform import advice
 from comfreylatch.platform import caller_handler
 from comfreylatch.platform import configuration
@@ -216,6 +217,7 @@
             boot=uuid.uuid4().hex,
             zone=settings.zone,
             cpu_cores=settings.limits.cpu_share * settings.limits.cores,
+            caller_address=settings.listen.callers,
         )
         logs.event(_logger, "starting", host=host.name, boot=host.boot)
         retention_s = settings.bounds.status_s * RETENTION_FACTOR
@@ -276,6 +278,12 @@
         handler = caller_handler.CallerHandler(
             lambda: self._configuration.current,
             job_api,
+            forwarder.Forwarder(
+                self._settings.name,
+                lambda: self._replica.last_heartbeat,
+                self._metrics,
+                self._clock,
+            ),
             self._metrics,
             self._clock,
         )
--- /dev/null
+++ b/tests/process/cell/forwarding/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of forwarded requests."""
+
+from __future__ import annotations
--- a/tests/process/cell/test_job_api.py
+++ b/tests/process/cell/test_job_api.py
@@ -92,6 +92,20 @@
         outcome = self.job_api.submit(harness.job(), 120)
         self.assertNotIsInstance(outcome, job_api_module.Refused)
 
+    # Guards against "may be stored" for a job that no append has contained.
+    def test_job_that_waited_behind_another_append_is_refused(self) -> None:
+        self.gate.is_open.clear()
+        thread, _ = self.submit_in_background("1" * 16)
+        self.gate.entered.wait()
+        late = self.job_api.submit(harness.job(job_id="2" * 16), 50)
+        self.assertIsInstance(late, job_api_module.Refused)
+        self.gate.is_open.set()
+        thread.join()
+        self.assertEqual(
+            [records.JOB_PREFIX + "1" * 16],
+            self.store.keys(records.JOBS_TOPIC, 0),
+        )
+
     def submit_in_background(
         self, job_id: str
     ) -> tuple[threading.Thread, list[job_api_module.SubmitOutcome]]:
