Let tasks wait for their rack as long as the wait pays

A task with data or a group in a rack started on any other worker as soon as the rack was full, and then ran RemotePenalty times as long.

--- a/src/comfreylatch/_process/cell/model_persistence.py
+++ b/src/comfreylatch/_process/cell/model_persistence.py
@@ -4,10 +4,13 @@
 
 from typing import final
 
+import attrs
+
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process.cell import duration_model as duration_model_module
 from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell.locality import calibration
 
 # Interval between two records of the models. If the owner fails, what it has
 # learned since the last record is lost. A record takes about 2 KB.
@@ -25,16 +28,19 @@
         self,
         model: interference.InterferenceModel,
         durations: duration_model_module.DurationModel,
+        near_waits: calibration.Calibration,
         recovered: records.LearnedRecord,
         clock: clock_port.Clock,
     ) -> None:
         self._model = model
         self._durations = durations
+        self._near_waits = near_waits
         self._clock = clock
         self._recorded = recovered
         self._recorded_ms = clock.monotonic_ms()
         model.restore(recovered)
         durations.restore(recovered.duration_ratios)
+        near_waits.restore(recovered.near_waits)
 
     def add_writes(self, work: dict[str, bytes | None]) -> None:
         """Adds the learned record to a write if it changed and is due."""
@@ -42,7 +48,10 @@
         if now_ms - self._recorded_ms < RECORD_INTERVAL_MS:
             return
         self._recorded_ms = now_ms
-        learned = self._model.export(self._durations.export())
+        learned = attrs.evolve(
+            self._model.export(self._durations.export()),
+            near_waits=self._near_waits.export(),
+        )
         if learned != self._recorded:
             self._recorded = learned
             work[records.LEARNED_KEY] = records.encode(learned)
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -43,6 +43,7 @@
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell.evacuation import requests
+from comfreylatch._process.cell.locality import near_places
 
 # Interval between two checks of what changes without an event: repetitions that
 # fall due, leases that expire, stalled runs and maintenance.
@@ -139,6 +140,9 @@
             self._ranker,
             model,
             self._crashes.crashed_lately,
+            near_places.NearPlaces(
+                self._durations, deps.remote_penalty, metrics
+            ),
         )
         self._advice_planner = advice_module.AdvicePlanner(metrics)
         self._waves = deps.waves
@@ -162,7 +166,11 @@
             self._workers, recovered.known_workers, self._events.put
         )
         self._model_persistence = model_persistence.ModelPersistence(
-            model, self._durations, recovered.learned, clock
+            model,
+            self._durations,
+            self._planner.near_places.calibration,
+            recovered.learned,
+            clock,
         )
 
     def _create_platform_clients(
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -19,6 +19,9 @@
 from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.locality import (
+    near_places as near_places_module,
+)
 
 # How long a step of short tasks waits for capacity, in milliseconds, before
 # it may preempt lasting runs.
@@ -52,6 +55,7 @@
         min_unplaceable_filling_millicores: The same for filling tasks, by
             image.
         candidates: Candidate workers of each step tried so far.
+        wanted_racks: Racks on which the steps tried so far run faster.
     """
 
     workers: list[worker_view.WorkerView]
@@ -65,6 +69,9 @@
     candidates: dict[runs_module.StepInstance, candidates_module.Candidates] = (
         attrs.field(factory=dict)
     )
+    wanted_racks: dict[runs_module.StepInstance, str] = attrs.field(
+        factory=dict
+    )
 
 
 @final
@@ -77,7 +84,9 @@
         ranker: ranking_module.Ranker,
         model: interference.InterferenceModel,
         crashed_lately: trials.CrashedLately = lambda _: False,
+        near_places: near_places_module.NearPlaces | None = None,
     ) -> None:
+        self.near_places = near_places
         self._crashed_lately = crashed_lately
         self._workers = workers
         self._ranker = ranker
@@ -94,6 +103,8 @@
         if not available or not steps:
             return []
         this_pass = self._new_pass(available, now_ms)
+        if self.near_places is not None:
+            self.near_places.begin_pass(available, now_ms)
         ranked = sorted(steps, key=lambda step: self._ranker.rank(step, now_ms))
         placements = self._place_trials(steps, this_pass)
         for step in ranked:
@@ -234,13 +245,51 @@
                 continue
             if task.crashes and blame.needs_trial(task.crashes):
                 continue
+            if self._should_wait_for_rack(task, this_pass):
+                continue
             placed = self._place_task(task, this_pass, task.last_run + 1)
             if placed is None:
                 self._record_unplaceable(step, this_pass)
                 break
+            self._note_placed(placed, this_pass)
             placements.append(placed)
         return placements
 
+    def _should_wait_for_rack(
+        self, task: runs_module.Task, this_pass: _PlacementPass
+    ) -> bool:
+        """Whether a task waits for a worker near its data or its group."""
+        rack = self._wanted_rack(task.step, this_pass)
+        if not rack or self.near_places is None:
+            return False
+        worker = self._pick_worker(task, this_pass)
+        return worker is not None and self.near_places.should_wait(
+            task, rack, worker
+        )
+
+    def _note_placed(
+        self, placed: Placement, this_pass: _PlacementPass
+    ) -> None:
+        if self.near_places is not None:
+            task = placed.run.task
+            rack = self._wanted_rack(task.step, this_pass)
+            self.near_places.note_placed(task, rack, placed.worker)
+
+    def _wanted_rack(
+        self, step: runs_module.StepInstance, this_pass: _PlacementPass
+    ) -> str:
+        """Returns the rack on which a step runs faster; empty for any."""
+        spec = step.spec
+        if not (spec.data_rack or spec.needs_one_rack):
+            return ""
+        rack = this_pass.wanted_racks.get(step)
+        if rack is None:
+            rack = placement.preferred_rack(step, this_pass.racks)
+            if not rack:
+                rack = placement.roomiest_rack(this_pass.workers, spec)
+            this_pass.wanted_racks[step] = rack
+        return rack
+
     def _is_known_unplaceable(
         self, step: runs_module.StepInstance, this_pass: _PlacementPass
     ) -> bool:
@@ -304,10 +353,9 @@
     ) -> candidates_module.CostFunction:
         if step.spec.fills_idle:
             return self._filling_costs.cost(step)
-        rack = placement.preferred_rack(step, this_pass.racks)
-        if step.spec.needs_one_rack and not rack:
-            rack = placement.roomiest_rack(this_pass.workers, step.spec)
-        return placement.reservation_cost(step, rack)
+        return placement.reservation_cost(
+            step, self._wanted_rack(step, this_pass)
+        )
 
     def _place_trials(
         self, steps: list[runs_module.StepInstance], this_pass: _PlacementPass
@@ -359,6 +407,14 @@
     def _place_task(
         self, task: runs_module.Task, this_pass: _PlacementPass, number: int
     ) -> Placement | None:
+        worker = self._pick_worker(task, this_pass)
+        if worker is None:
+            return None
+        return _assign(task, worker, number, this_pass.now_ms)
+
+    def _pick_worker(
+        self, task: runs_module.Task, this_pass: _PlacementPass
+    ) -> worker_view.WorkerView | None:
         step = task.step
         # A speculative run has to be on another worker than the first run.
         excluded = frozenset(run.worker_id for run in task.runs)
@@ -366,12 +422,9 @@
             task, this_pass.now_ms
         ):
             excluded |= this_pass.cleared
-        worker = self._candidates(step, this_pass).pick(
+        return self._candidates(step, this_pass).pick(
             self._avoided_workers(task), excluded
         )
-        if worker is None:
-            return None
-        return _assign(task, worker, number, this_pass.now_ms)
 
     def _avoided_workers(self, task: runs_module.Task) -> frozenset[str]:
         """Returns the workers that a task should use only if it has to."""
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -263,12 +263,15 @@
         base_ms: Tail latencies of serving images without interference.
         duration_ratios: Ratios of measured to declared durations, by queue and
             image.
+        near_waits: Share of the waits for near workers that were worth it, by
+            rack.
     """
 
     pressures: tuple[LearnedPressure, ...] = ()
     pairs: tuple[LearnedPair, ...] = ()
     base_ms: dict[str, float] = attrs.field(factory=dict)
     duration_ratios: dict[str, float] = attrs.field(factory=dict)
+    near_waits: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -134,6 +134,8 @@
             has refuted.
         suspected_since_ms: Monotonic time of the last change of `crashes`, or
             of the takeover.
+        near_wait_since_ms: Monotonic time since which it waits for a worker
+            near its data or its group; 0 while it doesn't.
         has_left_zone: Whether a run of it was moved off an evacuated zone.
         trial: Its recorded run, see `TrialRecord`; None if it has none.
     """
@@ -151,6 +153,7 @@
     pending_since_ms: int = 0
     crashes: tuple[records.CrashRecord, ...] = ()
     suspected_since_ms: int = 0
+    near_wait_since_ms: int = 0
     has_left_zone: bool = False
     trial: records.TrialRecord | None = None
 
--- a/src/comfreylatch/_process/metrics.py
+++ b/src/comfreylatch/_process/metrics.py
@@ -44,6 +44,7 @@
     ADVICE_MISSING = "advice-missing"
     MAINTENANCES = "maintenances"
     FORWARDS = "forwards"
+    NEAR_WAITS = "near-waits"
     MAINTENANCE_REFUSALS = "maintenance-refusals"
 
 
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -256,6 +256,7 @@
                     int(settings.bounds.evacuation_ms),
                 ),
                 guards_capacity=self._guards_capacity,
+                remote_penalty=settings.bounds.remote_penalty,
                 handover_ms=int(settings.bounds.handover_ms),
                 max_disruption_ms=int(settings.bounds.disruption_ms),
             ),
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -391,6 +391,7 @@
         "disruption_ms": "DisruptionMs",
         "grace_s": "GracePeriodS",
         "evacuation_ms": "EvacuationMs",
+        "remote_penalty": "RemotePenalty",
     },
 ):
     """Time limits that the platform sets.
@@ -400,7 +401,8 @@
     orders for the same machine. For `DisruptionMs` a lasting task may be over
     its tail target while filling tasks work beside it. `GracePeriodS` is how
     long after a SIGTERM a process is killed. `EvacuationMs` is the time within
-    which a confirmed evacuation has to be in force.
+    which a confirmed evacuation has to be in force. `RemotePenalty` is the
+    factor by which a task lasts longer away from its rack.
     """
 
     lease_ms: float = 6_000
@@ -409,6 +411,7 @@
     disruption_ms: float = 4_000
     grace_s: float = 6
     evacuation_ms: float = 0
+    remote_penalty: float = 1.0
 
 
 class Settings(
--- /dev/null
+++ b/tests/process/cell/locality/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of waiting for near workers."""
+
+from __future__ import annotations
