Weigh contention in waits for a rack, and forget failed ones

A wait for a rack that is wanted all the time only takes the place of another task, and a rack whose waits failed was never tried again.

--- a/src/comfreylatch/_process/cell/locality/near_places.py
+++ b/src/comfreylatch/_process/cell/locality/near_places.py
@@ -93,7 +93,8 @@
             remote_penalty=self._remote_penalty,
             near_start_ms=near_start_ms,
             waited_ms=self._now_ms - task.waiting_since_ms,
-            reliability=self.calibration.reliability(rack),
+            reliability=self.calibration.reliability(rack, self._now_ms),
+            contention=queue.taken / max(len(queue.starts_ms), 1),
         )
         if not near_wait.should_wait(wait):
             return False
@@ -138,7 +139,7 @@
         waited_ms = self._now_ms - task.near_wait_since_ms
         task.near_wait_since_ms = 0
         came = worker.rack == rack
-        self.calibration.observe(rack, came)
+        self.calibration.observe(rack, came, self._now_ms)
         outcome = "near" if came else "far"
         self._metrics.count(metrics_module.Counter.NEAR_WAITS, outcome)
         logs.event(
--- a/src/comfreylatch/_process/cell/locality/near_wait.py
+++ b/src/comfreylatch/_process/cell/locality/near_wait.py
@@ -21,6 +21,8 @@
             end is expected that would make room.
         waited_ms: Time for which it has waited so far.
         reliability: Share of the waits for its rack that were worth it.
+        contention: Share of the rack's expected room that tasks ahead wait for.
+            Where all of it is wanted, a wait only takes the place of another.
     """
 
     duration_ms: float
@@ -28,6 +30,7 @@
     near_start_ms: float | None
     waited_ms: int
     reliability: float
+    contention: float = 0.0
 
     @property
     def gain_ms(self) -> float:
@@ -38,7 +41,8 @@
         if self.near_start_ms is None:
             return 0.0
         saved_ms = (self.remote_penalty - 1.0) * self.duration_ms
-        return self.reliability * saved_ms - self.near_start_ms
+        saved_ms *= self.reliability * (1.0 - self.contention)
+        return saved_ms - self.near_start_ms
 
 
 def should_wait(wait: NearWait) -> bool:
--- a/src/comfreylatch/_process/cell/model_persistence.py
+++ b/src/comfreylatch/_process/cell/model_persistence.py
@@ -40,7 +40,7 @@
         self._recorded_ms = clock.monotonic_ms()
         model.restore(recovered)
         durations.restore(recovered.duration_ratios)
-        near_waits.restore(recovered.near_waits)
+        near_waits.restore(recovered.near_waits, self._recorded_ms)
 
     def add_writes(self, work: dict[str, bytes | None]) -> None:
         """Adds the learned record to a write if it changed and is due."""
