Explain where a job would go now, without sending it

Operators asked for it. 'explain placement FILE' asks the owner of the cell, whose thread answers with the planner's own costs between two passes: cheapest workers, what rules out the others, waiting steps ahead, expected room. Other hosts name the owner.

--- a/src/comfreylatch/_commands/host.py
+++ b/src/comfreylatch/_commands/host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import enum
 from typing import Annotated
 from typing import Any
 from urllib import parse
@@ -13,6 +14,7 @@
 from comfreylatch._commands import exits
 from comfreylatch._commands import options
 from comfreylatch._commands import output
+from comfreylatch._commands import placement
 from comfreylatch._process import reasons
 
 _RETRY_HINT = "nothing was changed; run the command again"
@@ -54,13 +56,28 @@
     output.print_answer(answer, as_json, _RETRY_HINT)
 
 
+class Explained(enum.StrEnum):
+    """What `explain` explains: the subjects of decisions, and placements."""
+
+    REQUEST = reasons.Subject.REQUEST.value
+    JOB = reasons.Subject.JOB.value
+    TICKET = reasons.Subject.TICKET.value
+    ENDPOINT = reasons.Subject.ENDPOINT.value
+    WORKER = reasons.Subject.WORKER.value
+    PLACEMENT = "placement"
+
+
 def explain(
     subject: Annotated[
-        reasons.Subject,
-        typer.Argument(metavar="SUBJECT", help=", ".join(reasons.Subject)),
+        Explained,
+        typer.Argument(metavar="SUBJECT", help=", ".join(Explained)),
     ],
     name: Annotated[
-        str, typer.Argument(metavar="ID", help="Id or name of the subject.")
+        str,
+        typer.Argument(
+            metavar="ID",
+            help="Id or name of the subject; for a placement, a file.",
+        ),
     ],
     hosts: options.Hosts,
     as_json: options.AsJson = False,
@@ -70,7 +87,13 @@
 
     Prints one line per decision, oldest first: its time, host, explanation,
     reason and log record. Exits 1 if no decision is known.
+
+    `placement FILE` tells where a job would go now, and why, without sending
+    it. The file has its `queue_host`, `queue_path` and `job`.
     """
+    if subject is Explained.PLACEMENT:
+        placement.explain(name, hosts, as_json, timeout_ms)
+        return
     path = f"/explain/{subject.value}/{parse.quote(name, safe='')}"
     with output.connect(hosts, timeout_ms) as client:
         answer = client.read(path)
--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 import result
 
@@ -10,6 +12,8 @@
 from comfreylatch._ports import machines as machines_port
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import specs
+from comfreylatch._process.cell.explaining import answers
 
 
 @attrs.frozen
@@ -134,6 +138,19 @@
     runs: tuple[runs_module.Run, ...]
 
 
+@attrs.frozen
+class PlacementAsked:
+    """Somebody asks where a job would go now.
+
+    Attributes:
+        spec: The job, which is not stored.
+        answer: Called with the explanation, on the owner's thread.
+    """
+
+    spec: specs.JobSpec
+    answer: Callable[[answers.PlacementExplanation], None]
+
+
 @attrs.frozen
 class Fenced:
     """A higher fencing token is in force: another host owns the cell."""
@@ -153,5 +170,6 @@
     | ReportFailed
     | WorkersRecorded
     | StartsRecorded
+    | PlacementAsked
     | Fenced
 )
--- a/src/comfreylatch/_process/cell/locality/near_places.py
+++ b/src/comfreylatch/_process/cell/locality/near_places.py
@@ -72,21 +72,49 @@
     ) -> bool:
         """Whether a task waits for its rack rather than take a far worker.
 
+        Counts the wait among those of the pass.
+
         Args:
             task: The task.
             rack: The rack on which it runs faster.
             worker: The worker that it would be placed on now.
         """
+        wait = self._wait(task, rack, worker)
+        if wait is None or not near_wait.should_wait(wait):
+            return False
+        self._rack_queue(rack, task.step.spec.need).taken += 1
+        if not task.near_wait_since_ms:
+            task.near_wait_since_ms = self._now_ms
+            _log_wait(task, rack, wait)
+        return True
+
+    def would_wait(
+        self,
+        task: runs_module.Task,
+        rack: str,
+        worker: worker_view.WorkerView,
+    ) -> bool:
+        """Whether a task would wait; like `should_wait`, without effect."""
+        wait = self._wait(task, rack, worker)
+        return wait is not None and near_wait.should_wait(wait)
+
+    def _wait(
+        self,
+        task: runs_module.Task,
+        rack: str,
+        worker: worker_view.WorkerView,
+    ) -> near_wait.NearWait | None:
+        """Returns what is known of a wait; None if there is nothing to gain."""
         spec = task.step.spec
         if self._remote_penalty <= 1.0 or not rack or worker.rack == rack:
-            return False
+            return None
         if spec.is_lasting or spec.fills_idle or spec.is_gang:
-            return False
+            return None
         queue = self._rack_queue(rack, spec.need)
         near_start_ms = None
         if queue.taken < len(queue.starts_ms):
             near_start_ms = queue.starts_ms[queue.taken]
-        wait = near_wait.NearWait(
+        return near_wait.NearWait(
             duration_ms=self._durations.estimate_ms(
                 task.step.job.spec.queue.name, spec
             ),
@@ -96,22 +124,6 @@
             reliability=self.calibration.reliability(rack, self._now_ms),
             contention=queue.taken / max(len(queue.starts_ms), 1),
         )
-        if not near_wait.should_wait(wait):
-            return False
-        queue.taken += 1
-        if not task.near_wait_since_ms:
-            task.near_wait_since_ms = self._now_ms
-            logs.event(
-                _logger,
-                "near-wait",
-                task=task.name,
-                rack=rack,
-                near_start_ms=round(near_start_ms or 0.0),
-                duration_ms=round(wait.duration_ms),
-                gain_ms=round(wait.gain_ms),
-                reliability=round(wait.reliability, 2),
-            )
-        return True
 
     def _rack_queue(
         self, rack: str, need: cell_workers.Resources
@@ -150,3 +162,19 @@
             outcome=outcome,
             waited_ms=waited_ms,
         )
+
+
+def _log_wait(
+    task: runs_module.Task, rack: str, wait: near_wait.NearWait
+) -> None:
+    logs.event(
+        _logger,
+        "near-wait",
+        task=task.name,
+        rack=rack,
+        near_start_ms=round(wait.near_start_ms or 0.0),
+        duration_ms=round(wait.duration_ms),
+        gain_ms=round(wait.gain_ms),
+        reliability=round(wait.reliability, 2),
+        contention=round(wait.contention, 2),
+    )
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -38,11 +38,14 @@
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler as run_reconciler_module
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import stored_starts as stored_starts_module
 from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell.evacuation import requests
+from comfreylatch._process.cell.explaining import answers
+from comfreylatch._process.cell.explaining import explanation
 from comfreylatch._process.cell.locality import near_places
 
 # Interval between two checks of what changes without an event: repetitions that
@@ -309,9 +312,24 @@
                 | events.ReportFailed()
             ):
                 self._handle_maintenance(event)
+            case events.PlacementAsked(spec, answer):
+                answer(self._explain_placement(spec))
             case events.Fenced():
                 self._stop_reason = reasons.OwnershipEnd.FENCED
 
+    def _explain_placement(
+        self, spec: specs.JobSpec
+    ) -> answers.PlacementExplanation:
+        return explanation.explain(
+            spec,
+            self._planner,
+            self._ranker,
+            self._durations,
+            self._workers,
+            self._jobs.ready_steps(),
+            self._clock.monotonic_ms(),
+        )
+
     def _handle_order(
         self, event: events.StartReturned | events.StopReturned
     ) -> None:
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import queue
 import threading
 import time
 from typing import final
@@ -32,7 +33,9 @@
 from comfreylatch._process.cell import owner_dependencies
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import takeover
+from comfreylatch._process.cell.explaining import answers
 
 # Time for which most workers must be unreachable before the owner releases the
 # cell.
@@ -80,6 +83,23 @@
         self._other_claim_seen_ms = 0
         self._unanswered_offset = -1
         self.is_owner = False
+        self._owner: owner_module.Owner | None = None
+
+    def explain_placement(
+        self, spec: specs.JobSpec, timeout_ms: int
+    ) -> answers.PlacementExplanation | None:
+        """Explains where a job would go; None on a host without the cell."""
+        owner = self._owner
+        if owner is None:
+            return None
+        given: queue.SimpleQueue[answers.PlacementExplanation] = (
+            queue.SimpleQueue()
+        )
+        owner.post(events.PlacementAsked(spec, given.put))
+        try:
+            return given.get(timeout=timeout_ms / 1_000)
+        except queue.Empty:
+            return None
 
     def start(self) -> None:
         """Starts the thread that watches the owner."""
@@ -132,6 +152,7 @@
         finally:
             deps.replica.listen(None)
             self.is_owner = False
+            self._owner = None
             deps.jobs_reader.pause_ms = STANDBY_READ_PAUSE_MS
 
     def _claim_view(self) -> claiming.ClaimView:
@@ -344,6 +365,7 @@
                             job_replica.JobCancelled(entry.spec.job_id)
                         )
                 self.is_owner = True
+                self._owner = owner
                 retention = job_retention.JobRetention(
                     deps.replica, writer, deps.keep_ended_ms, deps.clock
                 )
--- a/src/comfreylatch/_process/cell/planner.py
+++ b/src/comfreylatch/_process/cell/planner.py
@@ -40,6 +40,31 @@
     worker: worker_view.WorkerView
 
 
+@attrs.frozen
+class CostedWorker:
+    """A worker that could take a task, and its cost."""
+
+    worker: worker_view.WorkerView
+    cost: float
+
+
+@attrs.frozen
+class StepView:
+    """What a placement pass would see of a step.
+
+    Attributes:
+        candidates: Workers that could take a task, cheapest first.
+        cleared: Workers that are closed to the step as cleared.
+        rack: Rack on which the step runs faster; empty for any.
+        waits_for_rack: Whether its first task would wait for that rack.
+    """
+
+    candidates: tuple[CostedWorker, ...]
+    cleared: frozenset[str]
+    rack: str
+    waits_for_rack: bool
+
+
 @attrs.define(eq=False)
 class _PlacementPass:
     """State of one pass over the ready steps.
@@ -114,6 +139,33 @@
                 placements.extend(self._place_step(step, this_pass))
         return placements
 
+    def view_step(
+        self, step: runs_module.StepInstance, now_ms: int
+    ) -> StepView:
+        """Returns what a pass would see of a step; changes nothing."""
+        available = [
+            worker for worker in self._workers if worker.accepts_work(now_ms)
+        ]
+        this_pass = self._new_pass(available, now_ms)
+        cleared = this_pass.cleared if step.spec.is_lasting else frozenset()
+        cost = self._cost_function(step, this_pass)
+        costed = [
+            CostedWorker(worker, worker_cost)
+            for worker in available
+            if worker.worker_id not in cleared
+            and (worker_cost := cost(worker)) is not None
+        ]
+        # Like the heap of candidates, keeps the order of equal costs.
+        costed.sort(key=lambda candidate: candidate.cost)
+        rack = self._wanted_rack(step, this_pass)
+        waits = False
+        if costed and self.near_places is not None:
+            self.near_places.begin_pass(available, now_ms)
+            waits = self.near_places.would_wait(
+                step.tasks[0], rack, costed[0].worker
+            )
+        return StepView(tuple(costed), cleared, rack, waits)
+
     def place_speculative_runs(
         self, jobs: Iterable[runs_module.ActiveJob], now_ms: int
     ) -> list[Placement]:
--- a/src/comfreylatch/_process/cell/ranking.py
+++ b/src/comfreylatch/_process/cell/ranking.py
@@ -162,9 +162,12 @@
             timeliness = Timeliness.ON_TIME
         elif end_ms <= LATE_FACTOR * objective_ms:
             timeliness = Timeliness.LATE
-        mean = max(self._queues[queue.name].mean_core_ms, 1.0)
+        total_core_ms = self._total_core_ms(job)
+        work = self._queues.get(queue.name)
+        # Only an explained job can be the first of its queue here.
+        mean = max(work.mean_core_ms if work else total_core_ms, 1.0)
         value = FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * min(
-            self._total_core_ms(job) / mean, 4.0
+            total_core_ms / mean, 4.0
         )
         value_density = value / max(remaining.core_ms, 1.0)
         return Rank(timeliness, queue.priority, -value_density, job.accepted_ms)
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -39,6 +39,7 @@
 from comfreylatch.platform import caller_handler
 from comfreylatch.platform import configuration
 from comfreylatch.platform import machines
+from comfreylatch.platform import placement_page
 from comfreylatch.platform import process_signals
 from comfreylatch.platform import stopping
 from comfreylatch.platform import store
@@ -167,6 +168,12 @@
         )
         self._ownership = self._make_ownership()
         self._callers = self._make_caller_server()
+        self._placement_page = placement_page.PlacementPage(
+            lambda: self._configuration.current,
+            self._ownership.explain_placement,
+            lambda: self._replica.last_heartbeat,
+            self._clock,
+        )
         self._readiness = http_server.HttpServer(
             settings.listen.readiness,
             self._handle_readiness,
@@ -307,6 +314,8 @@
         )
 
     def _handle_readiness(self, request: http.HttpRequest) -> http.HttpReply:
+        if request.path == placement_page.PATH:
+            return self._placement_page.handle(request)
         if request.path == METRICS_PATH:
             text = metrics_text.render(self._metrics.page())
             return http.HttpReply(200, text.encode())
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -21,6 +21,8 @@
   "changes": [{"kind": "service", "name": "skyproc", "replaces": 3,
                "state": {"timeout_ms": 900}}]}"""
 
+PLACEMENT = {"queue_host": "a", "queue_path": "/q/", "job": {"JobSteps": []}}
+
 
 class FakeHost:
     """Answers every call with the same status and value, or not at all.
@@ -125,6 +127,58 @@
         self.assertEqual(1, outcome.exit_code)
         self.assertIn("ticket-conflict", outcome.output)
 
+    def ask_placement(self, content: Any, host: FakeHost) -> Any:
+        """Runs `explain placement` on a file with this content."""
+        path = self.folder / "placement.json"
+        path.write_text(json.dumps(content), encoding="utf-8")
+        return self.run_command(
+            "explain", "placement", str(path), hosts=[host.address]
+        )
+
+    def test_placement_is_explained_in_lines(self) -> None:
+        step = {
+            "step": 0,
+            "tasks": 2,
+            "decision": "starts now",
+            "worker": "w1",
+            "steps_ahead": 3,
+            "timeliness": "on_time",
+            "expected_wait_ms": None,
+            "wanted_rack": "",
+            "candidates": [],
+            "ruled_out": {"draining": 4},
+        }
+        page = {
+            "queue": "q",
+            "oldest_report_ms": 40,
+            "steps": [step],
+            "later_steps": [1],
+        }
+        host = self.host(200, page)
+        outcome = self.ask_placement(PLACEMENT, host)
+        self.assertEqual(0, outcome.exit_code)
+        self.assertEqual(["POST /explain/placement"], host.calls)
+        self.assertIn("starts now on w1", outcome.output)
+        self.assertIn("4 workers ruled out: draining", outcome.output)
+
+    def test_faulty_placement_file_names_the_fields_and_asks_nobody(
+        self,
+    ) -> None:
+        host = self.host(200, {})
+        outcome = self.ask_placement({"queue_host": 7, "job": []}, host)
+        self.assertEqual(2, outcome.exit_code)
+        for field in ("queue_host", "queue_path", "job"):
+            self.assertIn(field, outcome.output)
+        self.assertEqual([], host.calls)
+
+    def test_placement_asked_of_another_host_than_the_owner_exits_1(
+        self,
+    ) -> None:
+        host = self.host(409, {"reason": "not-the-owner", "detail": "x-3"})
+        outcome = self.ask_placement(PLACEMENT, host)
+        self.assertEqual(1, outcome.exit_code)
+        self.assertIn("not-the-owner", outcome.output)
+
     def test_read_is_retried_on_next_host_after_lost_answer(self) -> None:
         unresponsive, other = self.host(0), self.host(200, {"state": "running"})
         hosts = [unresponsive.address, other.address]
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -74,6 +74,7 @@
             {
                 "Service": "skyproc",
                 "Address": executor_server.address,
+                "Zone": "bole",
                 "State": "ready",
                 "Capacity": {
                     "CpuMillicores": 8_000,
@@ -105,6 +106,11 @@
         record = store_port.NewRecord(key, json.dumps(value).encode())
         self.store.memory_store.append("keyed." + topic, 0, (record,))
 
+    def delete_record(self, topic: str, key: str) -> None:
+        """Deletes a record as an operator or executor would."""
+        record = store_port.NewRecord(key, None)
+        self.store.memory_store.append("keyed." + topic, 0, (record,))
+
     def write_settings(self, host_name: str) -> None:
         """Writes the settings file of the next host."""
         self.settings_path.write_text(
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -6,10 +6,16 @@
 import os
 import subprocess
 import sys
+import time
+from typing import Any
 
 from comfreylatch.platform import host
+from comfreylatch.platform import placement_page
 from tests.platform import host_process
 
+# Several placement passes and reports of workers.
+EVACUATED_S = 1.0
+
 
 class HostProcessTest(host_process.HostProcessTestCase):
     """Jobs, stops and settings of a host process."""
@@ -41,6 +47,38 @@
         metrics = self.request("GET", self.readiness, host.METRICS_PATH)
         self.assertIn(b"tasks_started", metrics.data)
 
+    def test_placement_is_explained_without_a_start(self) -> None:
+        self.wait_for(self.is_ready)
+        self.wait_for(self.is_owner)
+        question = {
+            "queue_host": "a.example",
+            "queue_path": "/calib/",
+            "job": host_process.JOB,
+        }
+
+        def ask() -> Any:
+            reply = self.request(
+                "POST", self.readiness, placement_page.PATH, question
+            )
+            return json.loads(reply.data) if reply.status == 200 else None
+
+        self.wait_for(lambda: (page := ask()) and page["steps"][0]["worker"])
+        self.assertEqual({}, dict(self.worker.running))
+
+    # Guards against starts in a zone that operators have evacuated.
+    def test_job_waits_until_its_zone_is_taken_back(self) -> None:
+        self.wait_for(self.is_ready)
+        self.wait_for(self.is_owner)
+        self.write_record("op", "evacuate/bole", {})
+        self.wait_for(lambda: self.logged("zone-evacuated"))
+        path = f"/calib/{host_process.JOB_ID}"
+        reply = self.request("POST", self.callers, path, host_process.JOB)
+        self.assertEqual(200, reply.status)
+        time.sleep(EVACUATED_S)
+        self.assertEqual({}, dict(self.worker.running))
+        self.delete_record("op", "evacuate/bole")
+        self.wait_for(lambda: len(self.worker.running) == 2)
+
     def test_sigterm_releases_the_cell_and_exits_cleanly(self) -> None:
         self.wait_for(self.is_ready)
         self.wait_for(self.is_owner)
--- /dev/null
+++ b/tests/process/cell/explaining/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of explained placements."""
+
+from __future__ import annotations
