Put planning and crashes of a cell into folders of their own

_process/cell had 50 modules beside each other and planner.py 530 lines. The state of a pass, the view of a step and the choice of victims are modules of their own; no behaviour changes.

--- a/src/comfreylatch/_process/cell/advice.py
+++ b/src/comfreylatch/_process/cell/advice.py
@@ -19,10 +19,10 @@
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import events
-from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import placement
 
 # Workers named in one call. The platform accepts 100, but the time objectives
 # of jobs allow for one call that names 30.
--- a/src/comfreylatch/_process/cell/crash_ledger.py
+++ b/src/comfreylatch/_process/cell/crashes/crash_ledger.py
@@ -12,7 +12,6 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
-from comfreylatch._process.cell import blame
 from comfreylatch._process.cell import job_table as job_table_module
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
@@ -20,6 +19,7 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.crashes import blame
 
 _logger = logbook.Logger(__name__)
 
--- a/src/comfreylatch/_process/cell/stored_starts.py
+++ b/src/comfreylatch/_process/cell/crashes/stored_starts.py
@@ -10,13 +10,13 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
-from comfreylatch._process.cell import blame
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_table as job_table_module
-from comfreylatch._process.cell import planner as planner_module
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell.crashes import blame
+from comfreylatch._process.cell.planning import placement_pass
 
 _logger = logbook.Logger(__name__)
 
@@ -52,7 +52,7 @@
         """
         self._are_runs_missing = True
 
-    def start(self, placement: planner_module.Placement) -> None:
+    def start(self, placement: placement_pass.Placement) -> None:
         """Orders a run to start, at once or after it has been recorded."""
         run, worker = placement.run, placement.worker
         task = run.task
--- a/src/comfreylatch/_process/cell/trials.py
+++ b/src/comfreylatch/_process/cell/crashes/trials.py
@@ -10,10 +10,10 @@
 
 import attrs
 
-from comfreylatch._process.cell import blame
-from comfreylatch._process.cell import candidates
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.crashes import blame
+from comfreylatch._process.cell.planning import candidates
 
 # How long a task waits for a worker of its own: after its first crash, and
 # after others. Then it may share one, but not with another trial. The waits are
--- a/src/comfreylatch/_process/cell/evacuation/moves.py
+++ b/src/comfreylatch/_process/cell/evacuation/moves.py
@@ -7,9 +7,9 @@
 from typing import final
 
 from comfreylatch._process.cell import duration_model as duration_model_module
-from comfreylatch._process.cell import preemption
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import preemption
 
 # A run expected to end within this time is not moved: a draining worker keeps
 # running for at least two seconds.
--- a/src/comfreylatch/_process/cell/explaining/explanation.py
+++ b/src/comfreylatch/_process/cell/explaining/explanation.py
@@ -11,14 +11,14 @@
 import attrs
 
 from comfreylatch._process.cell import duration_model as duration_model_module
-from comfreylatch._process.cell import planner as planner_module
-from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_view
 from comfreylatch._process.cell.explaining import answers
 from comfreylatch._process.cell.explaining import ruled_out
 from comfreylatch._process.cell.locality import near_slots
+from comfreylatch._process.cell.planning import planner as planner_module
+from comfreylatch._process.cell.planning import ranking as ranking_module
 
 MAX_CANDIDATES = 5
 
--- a/src/comfreylatch/_process/cell/explaining/ruled_out.py
+++ b/src/comfreylatch/_process/cell/explaining/ruled_out.py
@@ -4,9 +4,9 @@
 
 import enum
 
-from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import placement
 
 
 class RuledOut(enum.StrEnum):
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -17,7 +17,6 @@
 from comfreylatch._process.cell import advice as advice_module
 from comfreylatch._process.cell import advice_fetcher
 from comfreylatch._process.cell import cell_report
-from comfreylatch._process.cell import crash_ledger as crash_ledger_module
 from comfreylatch._process.cell import duration_model as duration_model_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import fenced_writer as fenced_writer_module
@@ -29,8 +28,6 @@
 from comfreylatch._process.cell import maintenance
 from comfreylatch._process.cell import model_persistence
 from comfreylatch._process.cell import owner_dependencies
-from comfreylatch._process.cell import planner as planner_module
-from comfreylatch._process.cell import ranking as ranking_module
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import recorded_workers
 from comfreylatch._process.cell import records
@@ -39,14 +36,22 @@
 from comfreylatch._process.cell import run_reconciler as run_reconciler_module
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
-from comfreylatch._process.cell import stored_starts as stored_starts_module
-from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
+from comfreylatch._process.cell.crashes import (
+    crash_ledger as crash_ledger_module,
+)
+from comfreylatch._process.cell.crashes import (
+    stored_starts as stored_starts_module,
+)
+from comfreylatch._process.cell.crashes import trials
 from comfreylatch._process.cell.evacuation import requests
 from comfreylatch._process.cell.explaining import answers
 from comfreylatch._process.cell.explaining import explanation
 from comfreylatch._process.cell.locality import near_places
+from comfreylatch._process.cell.planning import planner as planner_module
+from comfreylatch._process.cell.planning import preemption
+from comfreylatch._process.cell.planning import ranking as ranking_module
 
 # Interval between two checks of what changes without an event: repetitions that
 # fall due, leases that expire, stalled runs and maintenance.
@@ -479,7 +484,9 @@
         for placement in self._planner.place(steps, now_ms):
             self._stored_starts.start(placement)
         remaining = [step for step in steps if step.pending_tasks]
-        for victim in self._planner.choose_victims(remaining, now_ms):
+        for victim in preemption.choose_victims(
+            remaining, self._workers, self._ranker, now_ms
+        ):
             self._dispatcher.stop(victim, reasons.StopReason.SHORT_TASK)
         for run in self._planner.clear_worker(remaining, now_ms):
             self._dispatcher.stop(run, reasons.StopReason.WORKER_CLEARED)
--- /dev/null
+++ b/src/comfreylatch/_process/cell/planning/__init__.py
@@ -0,0 +1,3 @@
+"""Where and in which order tasks get workers."""
+
+from __future__ import annotations
--- a/src/comfreylatch/_process/cell/clearing.py
+++ b/src/comfreylatch/_process/cell/planning/clearing.py
@@ -12,9 +12,9 @@
 from collections.abc import Iterable
 
 from comfreylatch._process.cell import interference
-from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import placement
 
 # How long a worker stays cleared.
 CLEARED_DURATION_MS = 4_000
--- a/src/comfreylatch/_process/cell/placement.py
+++ b/src/comfreylatch/_process/cell/planning/placement.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from comfreylatch._process.cell import candidates
 from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import candidates
 
 # Penalties for another rack and for a slow worker, in millicores of leftover
 # capacity. Both multiply a task's duration, the latter by the slowness.
--- /dev/null
+++ b/src/comfreylatch/_process/cell/planning/placement_pass.py
@@ -0,0 +1,125 @@
+"""State of one pass that places tasks, and what it yields."""
+
+from __future__ import annotations
+
+import attrs
+
+from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import candidates as candidates_module
+from comfreylatch._process.cell.planning import placement
+
+
+@attrs.frozen
+class Placement:
+    """A run with an assigned worker; its start order is not sent yet."""
+
+    run: runs_module.Run
+    worker: worker_view.WorkerView
+
+
+@attrs.define(eq=False)
+class PlacementPass:
+    """State of one pass over the ready steps.
+
+    Attributes:
+        workers: Workers that accept work.
+        cleared: Ids of the workers that are cleared for filling tasks; lasting
+            tasks use them only if overdue.
+        racks: The rack of each worker, by worker id.
+        now_ms: Monotonic time of the pass.
+        min_unplaceable_millicores: Smallest processor request of an
+            unconstrained task that fit on no worker.
+        min_unplaceable_filling_millicores: The same for filling tasks, by
+            image.
+        candidates: Candidate workers of each step tried so far.
+        wanted_racks: Racks on which the steps tried so far run faster.
+    """
+
+    workers: list[worker_view.WorkerView]
+    cleared: frozenset[str]
+    racks: dict[str, str]
+    now_ms: int
+    min_unplaceable_millicores: int = 1 << 60
+    min_unplaceable_filling_millicores: dict[str, int] = attrs.field(
+        factory=dict
+    )
+    candidates: dict[runs_module.StepInstance, candidates_module.Candidates] = (
+        attrs.field(factory=dict)
+    )
+    wanted_racks: dict[runs_module.StepInstance, str] = attrs.field(
+        factory=dict
+    )
+
+    def wanted_rack(self, step: runs_module.StepInstance) -> str:
+        """Returns the rack on which a step runs faster; empty for any."""
+        spec = step.spec
+        if not (spec.data_rack or spec.needs_one_rack):
+            return ""
+        rack = self.wanted_racks.get(step)
+        if rack is None:
+            rack = placement.preferred_rack(step, self.racks)
+            if not rack:
+                rack = placement.roomiest_rack(self.workers, spec)
+            self.wanted_racks[step] = rack
+        return rack
+
+    def is_known_unplaceable(self, step: runs_module.StepInstance) -> bool:
+        """Whether a task of the same or a smaller size fit on no worker."""
+        spec = step.spec
+        unplaceable = self.min_unplaceable_millicores
+        if spec.fills_idle:
+            unplaceable = self.min_unplaceable_filling_millicores.get(
+                spec.image, 1 << 60
+            )
+        return spec.cpu_millicores >= unplaceable
+
+    def record_unplaceable(self, step: runs_module.StepInstance) -> None:
+        """Records that a task fit nowhere; the pass then skips such tasks."""
+        spec = step.spec
+        is_unconstrained = not (
+            spec.required_label
+            or spec.max_per_worker
+            or spec.gpus
+            or step.tickets is not None
+        )
+        if not is_unconstrained:
+            return
+        if spec.fills_idle:
+            previous = self.min_unplaceable_filling_millicores.get(
+                spec.image, 1 << 60
+            )
+            self.min_unplaceable_filling_millicores[spec.image] = min(
+                previous, spec.cpu_millicores
+            )
+        elif not self._is_memory_bound(step):
+            self.min_unplaceable_millicores = min(
+                self.min_unplaceable_millicores, spec.cpu_millicores
+            )
+
+    def _is_memory_bound(self, step: runs_module.StepInstance) -> bool:
+        """Whether a worker has enough processors, so that memory is short."""
+        return any(
+            worker.free_cpu >= step.spec.cpu_millicores
+            for worker in self.workers
+        )
+
+
+def assign(
+    task: runs_module.Task,
+    worker: worker_view.WorkerView,
+    number: int,
+    now_ms: int,
+) -> Placement:
+    """Assigns a task's next run to a worker, which reserves its capacity."""
+    run = runs_module.Run(
+        task,
+        number,
+        worker.worker_id,
+        runs_module.RunPhase.STARTING,
+        now_ms,
+    )
+    task.last_run = number
+    task.step.add_run(run)
+    worker.add(run)
+    return Placement(run, worker)
--- a/src/comfreylatch/_process/cell/preemption.py
+++ b/src/comfreylatch/_process/cell/planning/preemption.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import final
 
 import attrs
 
-from comfreylatch._process.cell import placement
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.crashes import blame
+from comfreylatch._process.cell.planning import placement
+from comfreylatch._process.cell.planning import ranking as ranking_module
+
+# How long a step of short tasks waits for capacity, in milliseconds, before
+# it may preempt lasting runs.
+PREEMPTION_DELAY_MS = 40
+# Most tasks of a step for which one pass preempts lasting runs.
+MAX_PREEMPTING_TASKS_PER_STEP = 8
+# Share of the lasting runs that may be stopping at the same time.
+MAX_STOPPING_SHARE = 0.08
 
 
 @attrs.define(eq=False)
@@ -113,3 +124,55 @@
         worker.free_cpu + sum(need.cpu_millicores for need in stopping),
         worker.free_memory + sum(need.memory_mb for need in stopping),
     )
+
+
+def choose_victims(
+    steps: Iterable[runs_module.StepInstance],
+    workers: Iterable[worker_view.WorkerView],
+    ranker: ranking_module.Ranker,
+    now_ms: int,
+) -> list[runs_module.Run]:
+    """Chooses lasting runs to stop for short tasks that fit nowhere.
+
+    A short job is worth as much as two seconds of a lasting one, for a
+    fraction of the processors. The lasting task restarts once the short
+    ones are done.
+    """
+    urgent = [step for step in steps if _may_preempt(step, ranker, now_ms)]
+    if not urgent:
+        return []
+    available = [worker for worker in workers if worker.accepts_work(now_ms)]
+    lasting_count = sum(
+        run.task.step.spec.is_lasting
+        for worker in available
+        for run in worker.runs.values()
+    )
+    capacity = ProjectedCapacity(available)
+    victims: list[runs_module.Run] = []
+    for step in urgent:
+        for task in list(step.pending_tasks.values())[
+            :MAX_PREEMPTING_TASKS_PER_STEP
+        ]:
+            if blame.needs_trial(task.crashes) or capacity.reserve(task):
+                continue
+            if capacity.stopping_count >= lasting_count * MAX_STOPPING_SHARE:
+                return victims
+            victim = capacity.find_victim(task)
+            if victim is None:
+                break
+            victims.append(victim)
+    return victims
+
+
+def _may_preempt(
+    step: runs_module.StepInstance,
+    ranker: ranking_module.Ranker,
+    now_ms: int,
+) -> bool:
+    spec = step.spec
+    if spec.is_lasting or spec.fills_idle or spec.is_gang:
+        return False
+    if now_ms - step.ready_ms < PREEMPTION_DELAY_MS:
+        return False
+    rank = ranker.rank(step, now_ms)
+    return rank.timeliness is ranking_module.Timeliness.ON_TIME
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -11,7 +11,6 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process import logs
 from comfreylatch._process import metrics as metrics_module
-from comfreylatch._process.cell import crash_ledger as crash_ledger_module
 from comfreylatch._process.cell import duration_model as duration_model_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import interference
@@ -21,6 +20,9 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.crashes import (
+    crash_ledger as crash_ledger_module,
+)
 from comfreylatch._process.cell.evacuation import moves
 
 # Consecutive failed runs, of any jobs, after which a worker is considered
--- /dev/null
+++ b/tests/process/cell/crashes/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of crashes."""
+
+from __future__ import annotations
--- a/tests/process/cell/test_blame.py
+++ b/tests/process/cell/crashes/test_blame.py
@@ -7,9 +7,9 @@
 import attrs
 import testtools
 
-from comfreylatch._process.cell import blame
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell.crashes import blame
 
 
 def crash(run: int, **fields: Any) -> records.CrashRecord:
--- a/tests/process/cell/test_crash_histories.py
+++ b/tests/process/cell/crashes/test_crash_histories.py
@@ -9,8 +9,8 @@
 import testtools
 
 from comfreylatch._process.cell import records
-from tests.process.cell import crash_world
 from tests.process.cell import harness
+from tests.process.cell.crashes import crash_world
 
 SEEDS = range(24)
 LENGTH_MS = 16_000
--- a/tests/process/cell/test_deadly_tasks.py
+++ b/tests/process/cell/crashes/test_deadly_tasks.py
@@ -5,8 +5,8 @@
 import testtools
 
 from comfreylatch._process.cell import records
-from tests.process.cell import crash_world
 from tests.process.cell import harness
+from tests.process.cell.crashes import crash_world
 
 DEADLY_JOB = "d" * 16
 DEADLY_TASK = f"{DEADLY_JOB}.0.0.0"
--- a/tests/process/cell/test_trials.py
+++ b/tests/process/cell/crashes/test_trials.py
@@ -6,8 +6,8 @@
 
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs
-from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.crashes import trials
 from tests.process.cell import harness
 
 
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -10,22 +10,22 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process import metrics
-from comfreylatch._process.cell import crash_ledger
 from comfreylatch._process.cell import duration_model
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import job_table
-from comfreylatch._process.cell import planner
-from comfreylatch._process.cell import ranking
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler
 from comfreylatch._process.cell import specs
-from comfreylatch._process.cell import stored_starts
-from comfreylatch._process.cell import trials
 from comfreylatch._process.cell import worker_table
+from comfreylatch._process.cell.crashes import crash_ledger
+from comfreylatch._process.cell.crashes import stored_starts
+from comfreylatch._process.cell.crashes import trials
+from comfreylatch._process.cell.planning import planner
+from comfreylatch._process.cell.planning import ranking
 from testing.fakes import cell_workers as fake_workers
 from testing.fakes import clock as fake_clock
 
--- /dev/null
+++ b/tests/process/cell/planning/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of planning."""
+
+from __future__ import annotations
--- a/tests/process/cell/test_candidates.py
+++ b/tests/process/cell/planning/test_candidates.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from comfreylatch._process.cell import candidates
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.planning import candidates
 from testing.fakes import cell_workers as fake_workers
 
 WORKERS = 250
--- a/tests/process/cell/test_filling_placement.py
+++ b/tests/process/cell/planning/test_filling_placement.py
@@ -7,9 +7,9 @@
 
 import testtools
 
-from comfreylatch._process.cell import clearing
 from comfreylatch._process.cell import interference
 from comfreylatch._process.cell import runs
+from comfreylatch._process.cell.planning import clearing
 from tests.process.cell import harness
 
 CLEARED_FOR_MS = 10_000
--- a/tests/process/cell/test_planner.py
+++ b/tests/process/cell/planning/test_planner.py
@@ -6,8 +6,8 @@
 import testtools
 
 from comfreylatch._ports import cell_workers
-from comfreylatch._process.cell import clearing
-from comfreylatch._process.cell import planner
+from comfreylatch._process.cell.planning import clearing
+from comfreylatch._process.cell.planning import preemption
 from tests.process.cell import harness
 
 
@@ -74,9 +74,11 @@
         cell = self.full_cell()
         cell.submit(harness.job(harness.step(3), job_id="b" * 16))
         self.assertEqual([], cell.place())
-        cell.clock.advance(planner.PREEMPTION_DELAY_MS)
+        cell.clock.advance(preemption.PREEMPTION_DELAY_MS)
         steps = cell.jobs.ready_steps()
-        victims = cell.planner.choose_victims(steps, cell.clock.now_ms)
+        victims = preemption.choose_victims(
+            steps, cell.workers, cell.ranker, cell.clock.now_ms
+        )
         self.assertEqual(1, len(victims))
 
     def test_step_with_a_limit_on_unavailable_tasks_is_not_preempted(
@@ -89,9 +91,11 @@
         cell.submit(harness.job(lasting_step, job_id="a" * 16))
         cell.place()
         cell.submit(harness.job(job_id="b" * 16))
-        cell.clock.advance(planner.PREEMPTION_DELAY_MS)
+        cell.clock.advance(preemption.PREEMPTION_DELAY_MS)
         steps = cell.jobs.ready_steps()
-        victims = cell.planner.choose_victims(steps, cell.clock.now_ms)
+        victims = preemption.choose_victims(
+            steps, cell.workers, cell.ranker, cell.clock.now_ms
+        )
         self.assertEqual([], victims)
 
 
--- a/tests/process/cell/test_job_table.py
+++ b/tests/process/cell/test_job_table.py
@@ -7,8 +7,8 @@
 import testtools
 
 from comfreylatch._ports import cell_workers
-from comfreylatch._process.cell import clearing
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell.planning import clearing
 from tests.process.cell import harness
 
 
