--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -45,7 +45,7 @@
     stored_starts as stored_starts_module,
 )
 from comfreylatch._process.cell.crashes import trials
-from comfreylatch._process.cell.evacuation import requests
+from comfreylatch._process.cell.evacuation import guard
 from comfreylatch._process.cell.explaining import answers
 from comfreylatch._process.cell.explaining import explanation
 from comfreylatch._process.cell.locality import near_places
@@ -102,7 +102,7 @@
         self._jobs = job_table_module.JobTable(recovered.token, clock)
         self._durations = duration_model_module.DurationModel()
         self._ranker = ranking_module.Ranker(self._durations)
-        self._evacuation_guard = requests.EvacuationGuard(
+        self._evacuation_guard = guard.EvacuationGuard(
             deps.evacuations, metrics
         )
         lease_parameters = worker_session.LeaseParameters(
--- a/tests/process/cell/evacuation/test_evacuation_model.py
+++ b/tests/process/cell/evacuation/test_evacuation_model.py
@@ -10,7 +10,7 @@
 
 from comfreylatch._ports import evacuations
 from comfreylatch._process import metrics as metrics_module
-from comfreylatch._process.cell.evacuation import requests
+from comfreylatch._process.cell.evacuation import guard as guard_module
 
 ZONES = ("a", "b", "c")
 IN_FORCE_MS = 5_000
@@ -67,9 +67,9 @@
 
     def make_guard(
         self, host: Host, in_force_ms: int = IN_FORCE_MS
-    ) -> requests.EvacuationGuard:
+    ) -> guard_module.EvacuationGuard:
         """Returns a host's guard."""
-        return requests.EvacuationGuard(
+        return guard_module.EvacuationGuard(
             evacuations.EvacuationFeed(
                 lambda: host.zones,
                 lambda: self.now_ms - host.read_ms,
--- a/tests/process/cell/evacuation/test_requests.py
+++ b/tests/process/cell/evacuation/test_guard.py
@@ -7,7 +7,7 @@
 from comfreylatch._ports import evacuations
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import worker_view
-from comfreylatch._process.cell.evacuation import requests
+from comfreylatch._process.cell.evacuation import guard
 from testing.fakes import cell_workers as fake_workers
 
 IN_FORCE_MS = 5_000
@@ -24,9 +24,9 @@
         self.metrics = metrics_module.Metrics()
         self.guard = self.make_guard(IN_FORCE_MS)
 
-    def make_guard(self, in_force_ms: int) -> requests.EvacuationGuard:
+    def make_guard(self, in_force_ms: int) -> guard.EvacuationGuard:
         """Returns a guard on the test's reading."""
-        return requests.EvacuationGuard(
+        return guard.EvacuationGuard(
             evacuations.EvacuationFeed(
                 lambda: self.zones, lambda: self.age_ms, in_force_ms
             ),
@@ -41,7 +41,7 @@
     # Guards against an owner that is cut off from the store and starts tasks
     # in a zone whose evacuation it could not read.
     def test_no_zone_gets_starts_once_the_reading_is_too_old(self) -> None:
-        self.age_ms = IN_FORCE_MS - requests.START_MARGIN_MS
+        self.age_ms = IN_FORCE_MS - guard.START_MARGIN_MS
         self.assertTrue(self.guard.permits_start("kality"))
         self.age_ms += 1
         self.assertFalse(self.guard.permits_start("kality"))
