Limit the workers that one owner drives to what its host can bear

One owner opens two connections and two threads for each worker.

An owner now drives at most a thousand workers a core, and no more than its descriptors allow, chosen alike by all owners; the rest stay idle and a log line tells how many.

--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -121,6 +121,7 @@
             ),
             clock,
             recovered.known_workers,
+            deps.max_workers,
         )
         model = interference.InterferenceModel(deps.max_disruption_ms)
         self._interference = model
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -47,6 +47,7 @@
             while filling tasks work beside it.
         guards_capacity: Whether the workers of a service, by its name, refuse
             tasks that exceed their capacity.
+        max_workers: Most workers that an owner on this host drives.
         remote_penalty: Factor by which a task lasts longer away from the rack
             of its data or its group.
         keep_ended_ms: Retention time of the state of an ended job.
@@ -72,6 +73,7 @@
     waves: Callable[[], tuple[machines_port.Wave, ...]] = tuple
     evacuations: evacuations.EvacuationFeed = evacuations.EvacuationFeed()
     handover_ms: int = 0
+    max_workers: int = 1 << 30
     remote_penalty: float = 1.0
     guards_capacity: Callable[[str], bool] = lambda _: True
     max_disruption_ms: int = interference.DEFAULT_MAX_DISRUPTION_MS
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -22,6 +22,7 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.sizing import worker_limit
 
 # How long a worker without an entry is still called: entries that lapsed during
 # an outage of the store are back within two seconds.
@@ -72,6 +73,7 @@
         open_session: Creates the session for an incarnation of a worker.
         clock: Source of all times.
         known_workers: Workers that may have runs of a previous owner, by id.
+        max_workers: Most workers to drive.
     """
 
     def __init__(
@@ -79,7 +81,10 @@
         open_session: OpenSession,
         clock: clock_port.Clock,
         known_workers: Mapping[str, recovered_state.KnownWorker],
+        max_workers: int = 1 << 30,
     ) -> None:
+        self._max_workers = max_workers
+        self._left_out_count = 0
         self._open_session = open_session
         self._clock = clock
         self._known_workers = known_workers
@@ -154,7 +159,7 @@
         now_ms = self._clock.monotonic_ms()
         self._newest_born_ms = _newest_by_address(entries)
         lost = self._drop_replaced()
-        for worker_id, entry in entries.items():
+        for worker_id, entry in self._select(entries).items():
             if self.is_replaced(entry.address, entry.born_ms):
                 continue
             view = self._views.get(worker_id)
@@ -177,6 +182,24 @@
                 view.unlisted_since_ms = now_ms
         return [lost_runs for lost_runs in lost if lost_runs.runs]
 
+    def _select(
+        self, entries: dict[str, cell_workers.WorkerEntry]
+    ) -> dict[str, cell_workers.WorkerEntry]:
+        """Returns the listed workers that this owner drives."""
+        known = self._views.keys() | self._known_workers.keys()
+        selected = worker_limit.select(entries, known, self._max_workers)
+        left_out_count = len(entries) - len(selected)
+        if left_out_count != self._left_out_count:
+            self._left_out_count = left_out_count
+            logs.event(
+                _logger,
+                "workers-left-out",
+                left_out=left_out_count,
+                driven=len(selected),
+                limit=self._max_workers,
+            )
+        return selected
+
     def _drop_replaced(self) -> list[LostRuns]:
         """Drops workers at whose address a later one has started."""
         return [
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -35,6 +35,7 @@
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell.forwarding import forwarder
+from comfreylatch._process.cell.sizing import worker_limit
 from comfreylatch.platform import advice
 from comfreylatch.platform import caller_handler
 from comfreylatch.platform import configuration
@@ -263,6 +264,10 @@
                     int(settings.bounds.evacuation_ms),
                 ),
                 guards_capacity=self._guards_capacity,
+                max_workers=worker_limit.max_workers(
+                    settings.limits.cpu_share * settings.limits.cores,
+                    int(settings.limits.descriptors),
+                ),
                 remote_penalty=settings.bounds.remote_penalty,
                 handover_ms=int(settings.bounds.handover_ms),
                 max_disruption_ms=int(settings.bounds.disruption_ms),
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -362,12 +362,17 @@
 class Limits(
     msgspec.Struct,
     frozen=True,
-    rename={"cpu_share": "CpuShare", "cores": "Cores"},
+    rename={
+        "cpu_share": "CpuShare",
+        "cores": "Cores",
+        "descriptors": "FileDescriptors",
+    },
 ):
     """Limits of the host's machine; `CpuShare` applies to each core."""
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    descriptors: float = 0
 
 
 class ListenAddresses(
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -111,6 +111,7 @@
         cpu_millicores: int = 8_000,
         known_workers: dict[str, recovered_state.KnownWorker] | None = None,
         clock: fake_clock.FakeClock | None = None,
+        max_workers: int = 1 << 30,
     ) -> None:
         self.clock = clock or fake_clock.FakeClock(START_MS)
         self.is_settled = True
@@ -119,7 +120,7 @@
         self.jobs = job_table.JobTable(1, self.clock)
         self.sessions: dict[str, _RecordingSession] = {}
         self.workers = worker_table.WorkerTable(
-            self._session, self.clock, known_workers or {}
+            self._session, self.clock, known_workers or {}, max_workers
         )
         self.durations = duration_model.DurationModel()
         self.model = interference.InterferenceModel()
