Answer repeats of known jobs before passing requests on

A repeat of a job that the host had read as accepted went to the owner while the store turned the host away, and was refused if the owner was gone. The new test failed before.

--- a/src/comfreylatch/platform/caller_handler.py
+++ b/src/comfreylatch/platform/caller_handler.py
@@ -125,7 +125,8 @@
                 reasons.Refusal.PAYLOAD_TOO_LONG,
                 f"payload of job {job_id} exceeds {MAX_PAYLOAD_BYTES} bytes",
             )
-        if not self._job_api.is_store_reachable:
+        is_known = self._job_api.is_known(job_id)
+        if not is_known and not self._job_api.is_store_reachable:
             # The store may answer too late to pass the request on after it.
             forwarded = self._forward_change(request, job_id)
             if forwarded is not None:
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -163,6 +163,18 @@
             1, self.owner.replica.count_queued(QUEUE.prefix, QUEUE.host)
         )
 
+    # Guards against a repeat that is refused although this host has read that
+    # the job was accepted.
+    def test_known_job_is_accepted_without_the_owner(self) -> None:
+        self.other.store.turns_away = False
+        self.assertEqual(200, self.other.ask("POST", BODY).status)
+        self.wait_for(lambda: self.other.ask("GET").status == 200)
+        self.other.store.turns_away = True
+        self.wait_for(lambda: self.other.reader.reachable_ms == 0)
+        self.owner.server.drain(0)
+        self.assertEqual(200, self.other.ask("POST", BODY).status)
+        self.assertEqual(0, self.other.forwards("not-sent"))
+
     def test_dead_owner_leads_to_a_true_refusal(self) -> None:
         self.owner.server.drain(0)
         reply = self.other.ask("POST", BODY)
