--- a/src/comfreylatch/_process/cell/sizing/worker_limit.py
+++ b/src/comfreylatch/_process/cell/sizing/worker_limit.py
@@ -16,8 +16,12 @@
 
 # Renewals and reports of a worker take 0.9 ms of a core in a second.
 WORKERS_PER_CORE = 1_000
-# One connection for the call that renews the lease, one for orders.
+# One connection and one thread for the call that renews the lease, one of each
+# for orders.
 CONNECTIONS_PER_WORKER = 2
+THREADS_PER_WORKER = 2
+# An owner on the users' hosts came to a halt at some 2,040 threads.
+MAX_THREADS = 1_900
 # Descriptors for callers, the store, files and the platform.
 RESERVED_DESCRIPTORS = 600
 
@@ -29,7 +33,9 @@
         cpu_cores: Processors that the host's process may use.
         descriptors: Descriptors that it may open; 0 if that isn't limited.
     """
-    limit = int(WORKERS_PER_CORE * cpu_cores)
+    limit = min(
+        int(WORKERS_PER_CORE * cpu_cores), MAX_THREADS // THREADS_PER_WORKER
+    )
     if descriptors:
         available = descriptors - RESERVED_DESCRIPTORS
         limit = min(limit, available // CONNECTIONS_PER_WORKER)
