--- a/tests/process/cell/locality/test_near_places.py
+++ b/tests/process/cell/locality/test_near_places.py
@@ -69,14 +69,14 @@
 
     def test_wait_ends_near_when_the_expected_room_comes(self) -> None:
         self.submit(1, 2)
-        first, _ = self.cell.place()
+        first, second = self.cell.place()
         self.cell.clock.advance(600)
         self.submit(2)
         self.assertEqual([], self.place())
         end = harness.ended_run(first, harness.cell_workers.RunEnd.DONE)
         self.cell.answer_hold(
             "w1",
-            running=(harness.running_task(_),),
+            running=(harness.running_task(second),),
             ended=(end,),
         )
         self.assertEqual(["w1"], self.place())
@@ -121,19 +121,24 @@
         self.submit(2)
         self.assertEqual(1, len(self.place()))
 
-    # Guards against a long queue behind the wait: the second size waits behind
-    # the first, too.
-    def test_group_waits_for_the_rack_where_it_has_begun(self) -> None:
+    def test_group_that_has_not_begun_starts_where_there_is_room(self) -> None:
         self.submit(1, 2)
         self.place()
-        self.cell.clock.advance(600)
-        job = self.submit(2, 1, data_rack="", needs_one_rack=True)
-        (task,) = job.steps[0][0].tasks
+        self.submit(2, 2, data_rack="", needs_one_rack=True)
+        workers = self.place()
+        racks = {self.cell.workers.find(name).rack for name in workers}
+        self.assertEqual({FAR}, racks)
+
+    def test_group_waits_for_the_rack_where_it_has_begun(self) -> None:
+        self.submit(1, 1)
         self.place()
-        self.assertEqual(
-            FAR, self.cell.workers.find(task.runs[0].worker_id).rack
-        )
-        self.assertEqual(0, self.waits("far"))
+        self.submit(2, 2, data_rack="", needs_one_rack=True)
+        far = [self.cell.workers.find(f"w{n}") for n in (2, 3, 4)]
+        for worker in far:
+            worker.avoided_until_ms = self.cell.clock.now_ms + 1
+        self.assertEqual(["w1"], self.place())
+        self.cell.clock.advance(600)
+        self.assertEqual([], self.place())
 
 
 class DrawnHistoriesTest(testtools.TestCase):
