--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -144,11 +144,12 @@
 
     Attributes:
         spec: The job, which is not stored.
-        answer: Called with the explanation, on the owner's thread.
+        answer: Called with the explanation, on the owner's thread; with None
+            if there is none.
     """
 
     spec: specs.JobSpec
-    answer: Callable[[answers.PlacementExplanation], None]
+    answer: Callable[[answers.PlacementExplanation | None], None]
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/explaining/explanation.py
+++ b/src/comfreylatch/_process/cell/explaining/explanation.py
@@ -9,8 +9,11 @@
 from collections.abc import Iterable
 
 import attrs
+import logbook
 
+from comfreylatch._process import logs
 from comfreylatch._process.cell import duration_model as duration_model_module
+from comfreylatch._process.cell import events
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_view
@@ -22,6 +25,31 @@
 
 MAX_CANDIDATES = 5
 
+_logger = logbook.Logger(__name__)
+
+
+def answer(
+    question: events.PlacementAsked,
+    planner: planner_module.Planner,
+    ranker: ranking_module.Ranker,
+    durations: duration_model_module.DurationModel,
+    workers: Iterable[worker_view.WorkerView],
+    waiting: Iterable[runs_module.StepInstance],
+    now_ms: int,
+) -> None:
+    """Answers a question; a fault in that must not end the owner.
+
+    See `explain` for the arguments.
+    """
+    explained = None
+    try:
+        explained = explain(
+            question.spec, planner, ranker, durations, workers, waiting, now_ms
+        )
+    except Exception:
+        logs.exception(_logger, "placement-not-explained")
+    question.answer(explained)
+
 
 def explain(
     spec: specs.JobSpec,
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -35,7 +35,6 @@
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import run_reconciler as run_reconciler_module
 from comfreylatch._process.cell import runs as runs_module
-from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_table as worker_table_module
 from comfreylatch._process.cell.crashes import (
@@ -46,7 +45,6 @@
 )
 from comfreylatch._process.cell.crashes import trials
 from comfreylatch._process.cell.evacuation import guard
-from comfreylatch._process.cell.explaining import answers
 from comfreylatch._process.cell.explaining import explanation
 from comfreylatch._process.cell.locality import near_places
 from comfreylatch._process.cell.planning import planner as planner_module
@@ -318,16 +316,14 @@
                 | events.ReportFailed()
             ):
                 self._handle_maintenance(event)
-            case events.PlacementAsked(spec, answer):
-                answer(self._explain_placement(spec))
+            case events.PlacementAsked():
+                self._answer_placement(event)
             case events.Fenced():
                 self._stop_reason = reasons.OwnershipEnd.FENCED
 
-    def _explain_placement(
-        self, spec: specs.JobSpec
-    ) -> answers.PlacementExplanation:
-        return explanation.explain(
-            spec,
+    def _answer_placement(self, question: events.PlacementAsked) -> None:
+        explanation.answer(
+            question,
             self._planner,
             self._ranker,
             self._durations,
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -88,11 +88,15 @@
     def explain_placement(
         self, spec: specs.JobSpec, timeout_ms: int
     ) -> answers.PlacementExplanation | None:
-        """Explains where a job would go; None on a host without the cell."""
+        """Explains where a job would go.
+
+        Returns:
+            None on a host without the cell, or if its owner doesn't answer.
+        """
         owner = self._owner
         if owner is None:
             return None
-        given: queue.SimpleQueue[answers.PlacementExplanation] = (
+        given: queue.SimpleQueue[answers.PlacementExplanation | None] = (
             queue.SimpleQueue()
         )
         owner.post(events.PlacementAsked(spec, given.put))
--- a/src/comfreylatch/platform/placement_page.py
+++ b/src/comfreylatch/platform/placement_page.py
@@ -40,7 +40,7 @@
     Attributes:
         get_configuration: Returns the configuration in force; None before the
             first.
-        explain: Explains a job's placement; returns None without the cell.
+        explain: Explains a job's placement; returns None without an answer.
         owner: Returns the newest heartbeat of the cell's owner.
         clock: Source of wall time.
     """
@@ -75,13 +75,16 @@
             return http.error_reply(400, "bad-job", str(error))
         explained = self.explain(spec, ANSWER_TIMEOUT_MS)
         if explained is None:
-            return self._not_owner_reply()
+            return self._unexplained_reply()
         page = {"queue": queue.name, **attrs.asdict(explained)}
         return http.json_reply(200, page)
 
-    def _not_owner_reply(self) -> http.HttpReply:
+    def _unexplained_reply(self) -> http.HttpReply:
         observed = self.owner()
         name = observed.heartbeat.host if observed else "unknown"
         return http.error_reply(
-            409, "not-the-owner", f"the cell's owner is {name}; ask that host"
+            409,
+            "not-explained",
+            "this host doesn't own the cell, or its owner gave no answer in "
+            f"{ANSWER_TIMEOUT_MS} ms; the owner is {name}",
         )
--- a/tests/process/cell/explaining/test_explanation.py
+++ b/tests/process/cell/explaining/test_explanation.py
@@ -4,11 +4,13 @@
 
 import random
 from typing import Any
+import unittest.mock
 
 import attrs
 import testtools
 
 from comfreylatch._process import metrics as metrics_module
+from comfreylatch._process.cell import events
 from comfreylatch._process.cell.explaining import answers
 from comfreylatch._process.cell.explaining import explanation
 from comfreylatch._process.cell.explaining import ruled_out
@@ -117,6 +119,24 @@
         self.assertEqual(before, after)
         self.assertIsNone(cell.jobs.find(ASKED_ID))
 
+    # Guards against a question that ends the owner.
+    def test_fault_in_an_explanation_is_answered_with_none(self) -> None:
+        cell = harness.Cell()
+        given: list[Any] = []
+        with unittest.mock.patch.object(
+            explanation, "explain", side_effect=KeyError("queue")
+        ):
+            explanation.answer(
+                events.PlacementAsked(harness.job(), given.append),
+                cell.planner,
+                cell.ranker,
+                cell.durations,
+                cell.workers,
+                cell.jobs.ready_steps(),
+                cell.clock.now_ms,
+            )
+        self.assertEqual([None], given)
+
     def test_reasons_name_what_rules_workers_out(self) -> None:
         cell = harness.Cell(workers=4, cpu_millicores=2_000)
         evacuated, draining, small, _ = cell.workers
