--- a/src/comfreylatch/_process/cell/sizing/worker_limit.py
+++ b/src/comfreylatch/_process/cell/sizing/worker_limit.py
@@ -14,8 +14,8 @@
 
 from comfreylatch._ports import cell_workers
 
-# An owner of 999 workers used 0.9 ms of a core for each of them in a second, all
-# of its work included.
+# An owner of 999 workers used 0.9 ms of a core for each of them in a second,
+# all of its work included.
 WORKERS_PER_CORE = 1_000
 # One connection and one thread for the call that renews the lease, one of each
 # for orders.
