Show that a start taken by an executor's new life makes a task run twice

Cause: answers to orders don't tell for which life of an executor they are. A second try of a start reaches the executor after its restart under the same id and counts as confirmed there; when the new life is listed, the run is given up as lost with the former one, and the task is started elsewhere.

--- a/review/rig/executor.py
+++ b/review/rig/executor.py
@@ -17,7 +17,6 @@
 TICK_S = 0.01
 CHECK_IN_S = 1.5
 MISSED_CHECK_INS = 3
-STOP_S = 0.05
 STARTUP_S = 0.3
 MAX_HOLD_MS = 6_000
 
@@ -82,6 +81,8 @@
         task_millicores: What each task of the case asks for.
         labels: Its labels.
         zone: Its zone.
+        stop_s: How long a stop takes.
+        first_check_in_s: Time from its start to its first entry in the store.
     """
 
     executor_id: str
@@ -90,6 +91,8 @@
     task_millicores: int = 500
     labels: tuple[str, ...] = ("std", "r1-1")
     zone: str = "bole"
+    stop_s: float = 0.05
+    first_check_in_s: float = 0.0
 
 
 class Executor:
@@ -210,6 +213,7 @@
 
     def _check_in_loop(self) -> None:
         sequence = 0
+        time.sleep(self.spec.first_check_in_s)
         while True:
             sequence += 1
             with self._changed:
@@ -379,7 +383,7 @@
         self._close_run(task, number)
         run = self._runs.get((task, number))
         if run is not None and run.stop_at_s is None:
-            run.stop_at_s = time.monotonic() + STOP_S
+            run.stop_at_s = time.monotonic() + self.spec.stop_s
             self._record.note(
                 "stop",
                 executor=self.spec.executor_id,
--- a/review/rig/proxy.py
+++ b/review/rig/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import socket
 import threading
 
@@ -10,6 +11,22 @@
 CHUNK_BYTES = 65_536
 
 
+@dataclasses.dataclass(eq=False)
+class _Pair:
+    near: socket.socket
+    far: socket.socket
+    is_silent: bool = False
+
+    def close(self) -> None:
+        """Closes both connections."""
+        for each in (self.near, self.far):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            each.close()
+
+
 class Proxy:
     """Passes connections on to an address, unless it is cut.
 
@@ -26,6 +43,8 @@
             self.lead_to(target)
         self._open = threading.Event()
         self._open.set()
+        self._is_dark = False
+        self._pairs: list[_Pair] = []
         self._is_closed = False
         self._sockets: set[socket.socket] = set()
         self._listener = socket.create_server((web.LOOPBACK, 0), backlog=128)
@@ -45,6 +64,33 @@
         """Lets everything pass again, also what was held up."""
         self._open.set()
 
+    def darken(self) -> None:
+        """Silences all connections for good, as when a machine loses power.
+
+        They get no reset. New ones are closed until `lighten`.
+        """
+        self._is_dark = True
+        for pair in self._pairs:
+            pair.is_silent = True
+
+    def lighten(self, reset_after_s: float) -> None:
+        """Passes new connections on again.
+
+        Args:
+            reset_after_s: Time after which the silent ones are closed, as a
+                machine that has started again answers a probe with a reset.
+        """
+        silent, self._pairs = self._pairs, []
+        self._is_dark = False
+
+        def reset() -> None:
+            for pair in silent:
+                pair.close()
+
+        timer = threading.Timer(reset_after_s, reset)
+        timer.daemon = True
+        timer.start()
+
     def close(self) -> None:
         """Closes everything."""
         self._is_closed = True
@@ -67,6 +113,9 @@
 
     def _connect(self, near: socket.socket) -> None:
         self._open.wait()
+        if self._is_dark:
+            near.close()
+            return
         try:
             far = socket.create_connection(self._target, 5)
             far.settimeout(None)
@@ -76,19 +125,26 @@
         for each in (near, far):
             each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sockets.update((near, far))
+        pair = _Pair(near, far)
+        self._pairs.append(pair)
         for source, sink in ((near, far), (far, near)):
             threading.Thread(
-                target=self._pump, args=(source, sink), daemon=True
+                target=self._pump, args=(pair, source, sink), daemon=True
             ).start()
 
-    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+    def _pump(
+        self, pair: _Pair, source: socket.socket, sink: socket.socket
+    ) -> None:
         try:
             while data := source.recv(CHUNK_BYTES):
                 self._open.wait()
-                sink.sendall(data)
+                if not pair.is_silent:
+                    sink.sendall(data)
         except OSError:
             pass
         self._open.wait()
+        if pair.is_silent:
+            return
         try:
             sink.shutdown(socket.SHUT_WR)
         except OSError:
