Show that a cancellation answered 410 leaves its submission running

A host denies a submission that it has accepted itself while the store is slow, and stores no cancellation.

--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -48,6 +48,8 @@
     def __init__(self) -> None:
         self._changed = threading.Condition()
         self._partitions: dict[tuple[str, int], _Partition] = {}
+        self._append_turn = threading.Lock()
+        self._extra_s = 0.0
         self._server = web.Server(self._handle)
         self.address = self._server.address
 
@@ -55,6 +57,10 @@
         """Stops serving."""
         self._server.close()
 
+    def slow_down(self, factor: float) -> None:
+        """Makes every answer take so many times its usual time; 1 ends it."""
+        self._extra_s = (factor - 1) * APPEND_S
+
     def write(self, topic: str, key: str, value: Any) -> None:
         """Writes a record as the operator or an executor does.
 
@@ -95,11 +101,15 @@
         part = int(request.query.get("part", "0"))
         match request.path:
             case "/v1/log-append":
-                time.sleep(APPEND_S)
-                return self._append(request, topic, part)
+                # Appends are carried out one at a time.
+                with self._append_turn:
+                    time.sleep(APPEND_S + self._extra_s)
+                    return self._append(request, topic, part)
             case "/v1/log-read":
+                time.sleep(self._extra_s)
                 return self._read(request, topic, part)
             case "/v1/log-newest":
+                time.sleep(self._extra_s)
                 return self._newest(request, topic, part)
         return web.Reply(404)
 
