--- a/review/rig/host.py
+++ b/review/rig/host.py
@@ -83,6 +83,7 @@
         zone: Its zone.
         cloud_address: Address of the machines API; None if there is none.
         bounds: Bounds that differ from those of addis-skyimg.
+        advice_address: Address of the advice service; None if there is none.
     """
 
     def __init__(
@@ -93,7 +94,9 @@
         zone: str = "bole",
         cloud_address: str | None = None,
         bounds: Mapping[str, Any] | None = None,
+        advice_address: str | None = None,
     ) -> None:
+        self._advice_address = advice_address
         self._bounds = {**BOUNDS, **(bounds or {})}
         if not (DEPENDENCIES / "comfreylatch").is_dir():
             raise CannotRunError("target/deps is missing; run the build first")
@@ -145,7 +148,7 @@
             "FaultTolerance": {"Machines": 2, "Zones": 1, "Regions": 0},
             "Bounds": self._bounds,
             "Orders": "request",
-            "Recommendation": None,
+            "Recommendation": self._advice_address,
             "platform": {
                 "Address": store_address,
                 "form": "log",
