--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,127 +1,136 @@
-"""An executor that loses power and starts again under its id."""
+"""A lasting task of a queue with a policy fails once, beside five others."""
 
 from __future__ import annotations
 
-import dataclasses
-import threading
+import collections
+import json
 import time
 
 from rig import case
-from rig import executor
+from rig import executor as executor_module
+from rig import host as host_module
+from rig import web
 
-HOSTS = ("entry-1", "entry-2", "entry-3")
-# The loss of one of these is at most 0.14 of them.
 EXECUTORS = 8
-TASKS = 7
-TASK_S = 5.0
-ROUNDS = 5
-ROUND_S = 12.0
-# `for_s` of `srv_crash` is 4.5 s.
-DARK_S = 0.4
-# A submission comes so long after the executor went dark.
-SUBMIT_AFTER_S = 0.1
-# Half of `lag_ms` of the site's discovery; entries are written every 1.5 s.
-FIRST_CHECK_IN_S = 0.4
-# A probe of an idle connection finds the machine started again.
-RESET_AFTER_S = 0.6
-# Within `StopTimeoutMs`.
-STOP_S = 0.15
-JOB = {
-    "Specification": "seven tasks",
+TASKS = 6
+JOB = "00000000000000aa"
+# A lasting task without a run counts as lost from 6 s after its last run, if
+# that lasts for 3 s.
+AWAY_S = 6.0
+IDLE_S = 3.0
+WATCHED_S = 20.0
+ADVICE = {"DecisionMs": 60, "PerWorkerMs": 4, "ValidityMs": 4_000}
+SUBMISSION = {
+    "Specification": "night alignment",
     "JobSteps": [
         {
             "TaskCount": TASKS,
             "CpuMillicores": 500,
-            "EstimatedDurationMs": 5_000,
+            "RequestedMemoryMb": 256,
+            "EstimatedDurationMs": 500,
+            "Perpetual": True,
             "AntiAffinity": 1,
         }
     ],
 }
 
 
-class Fleet:
-    """The executors, of which some start again, and what runs twice."""
+class _Starts(executor_module.RunListener):
+    """Notes the number of each task's last run."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[str, int] = {}
+
+    def joined(
+        self,
+        executor: executor_module.Executor,
+        task: str,
+        number: int,
+        checkpoint: str,
+    ) -> None:
+        """See `RunListener.joined`."""
+        del executor, checkpoint
+        self.numbers[task] = number
+
+
+class _Advice:
+    """Stand-in of the advice service; its policy allows every executor."""
 
     def __init__(self, deployment: case.Deployment) -> None:
-        self._deployment = deployment
-        self.paths = [deployment.proxy() for _ in range(EXECUTORS)]
-        self.executors = [self._boot(number) for number in range(EXECUTORS)]
-        self.twice: dict[str, list[str]] = {}
-        threading.Thread(target=self._watch, daemon=True).start()
-
-    def _boot(self, number: int, waits: bool = False) -> executor.Executor:
-        spec = executor.Spec(
-            f"e{number}", case.SERVICE, labels=("std", f"r1-{number}")
+        self._record = deployment.record
+        self.first_named: list[str] = []
+        self.server = web.Server(self._handle)
+
+    def _handle(self, request: web.Request) -> web.Reply:
+        body = json.loads(request.body)
+        workers = body["Workers"]
+        self.first_named = self.first_named or workers
+        time.sleep(
+            (ADVICE["DecisionMs"] + ADVICE["PerWorkerMs"] * len(workers))
+            / 1_000
         )
-        return self._deployment.executor(
-            dataclasses.replace(
-                spec,
-                stop_s=STOP_S,
-                first_check_in_s=FIRST_CHECK_IN_S if waits else 0.0,
-            ),
-            lambda *_: executor.Life(TASK_S),
-            advertise=self.paths[number],
+        self._record.note(
+            "advised", step=body["Step"], workers=",".join(workers)
+        )
+        allowed = [[worker, f"ticket-{worker}"] for worker in workers]
+        return web.json_reply(
+            200, {"Allowed": allowed, "ValidityMs": ADVICE["ValidityMs"]}
         )
-
-    def darken(self, number: int) -> None:
-        """Takes the power from an executor."""
-        self._deployment.record.note("dark", executor=f"e{number}")
-        self.paths[number].darken()
-        self.executors[number].close()
-
-    def lighten(self, number: int) -> None:
-        """Starts an executor again under its id."""
-        self.executors[number] = self._boot(number, waits=True)
-        self.paths[number].lighten(RESET_AFTER_S)
-        self._deployment.record.note("started-again", executor=f"e{number}")
-
-    def _watch(self) -> None:
-        while True:
-            places: dict[str, list[str]] = {}
-            for each in list(self.executors):
-                if each.is_up:
-                    for task in each.running():
-                        places.setdefault(task, []).append(
-                            each.spec.executor_id
-                        )
-            for task, ids in places.items():
-                if len(ids) > 1 and task not in self.twice:
-                    self.twice[task] = ids
-                    self._deployment.record.note(
-                        "two-runs", task=task, executors=",".join(ids)
-                    )
-            time.sleep(0.003)
 
 
 def play(deployment: case.Deployment) -> int:
-    """Restarts one executor in each round, while a submission is placed."""
-    fleet = Fleet(deployment)
-    deployment.configure()
-    hosts = {name: deployment.host(name) for name in HOSTS}
-    for host in hosts.values():
+    """Plays the case."""
+    deployment.configure(Recommendation=ADVICE)
+    advice = _Advice(deployment)
+    starts = _Starts()
+    executors = [
+        deployment.executor(
+            executor_module.Spec(f"ex-{number}", case.SERVICE),
+            lambda *_: executor_module.Life(None),
+            listener=starts,
+        )
+        for number in range(EXECUTORS)
+    ]
+    hosts = [
+        deployment.host(f"bole-{n}", advice_address=advice.server.address)
+        for n in (1, 2)
+    ]
+    for host in hosts:
         host.wait_until_ready()
-    deployment.require("an owner", lambda: deployment.owner() in hosts)
-    time.sleep(3.0)
-    owner = hosts[deployment.owner()]
-    for number in range(ROUNDS):
-        began_s = time.monotonic()
-        # Each executor gets an order, so that a connection for orders is open.
-        deployment.call("POST", owner, f"5c0e7a21d94b30{number:02x}", JOB)
-        time.sleep(TASK_S + 0.7)
-        busy = deployment.has_trouble
-        if busy:
-            fleet.darken(number)
-        time.sleep(SUBMIT_AFTER_S)
-        deployment.call("POST", owner, f"5c0e7a21d94b31{number:02x}", JOB)
-        time.sleep(DARK_S - SUBMIT_AFTER_S)
-        if busy:
-            fleet.lighten(number)
-        time.sleep(max(began_s + ROUND_S - time.monotonic(), 0))
-    time.sleep(1.0)
-    for number in range(ROUNDS):
-        deployment.call("GET", owner, f"5c0e7a21d94b31{number:02x}")
-    return case.BROKEN if fleet.twice else case.HELD
-
-
-if __name__ == "__main__":
-    case.main(__file__, play)
+    deployment.require("an owner", lambda: deployment.owner() != "")
+
+    def running() -> dict[str, executor_module.Executor]:
+        return {task: each for each in executors for task in each.running()}
+
+    answer = deployment.call("POST", hosts[0], JOB, SUBMISSION)
+    if answer is None or answer[0] != 200:
+        raise host_module.CannotRunError("it was not accepted")
+    tasks = [f"{JOB}.0.0.{index}" for index in range(TASKS)]
+    deployment.require("all tasks", lambda: set(running()) == set(tasks))
+    # Until the tickets of the first starts have expired.
+    time.sleep(ADVICE["ValidityMs"] / 1_000 + 2.0)
+    if deployment.has_trouble:
+        # The one on the executor that the owner has named last.
+        task, executor = max(
+            running().items(),
+            key=lambda pair: advice.first_named.index(pair[1].spec.executor_id),
+        )
+        executor.end_run(task, starts.numbers[task], "failed")
+
+    last_run_s = dict.fromkeys(tasks, time.monotonic())
+    lost: dict[str, float] = collections.defaultdict(float)
+    end_s = time.monotonic() + WATCHED_S
+    while time.monotonic() < end_s:
+        now_s = time.monotonic()
+        last_run_s.update(dict.fromkeys(running(), now_s))
+        for task in tasks:
+            away_s = now_s - last_run_s[task]
+            if away_s > AWAY_S + IDLE_S:
+                lost[task] = max(lost[task], away_s)
+        time.sleep(0.05)
+    for task, away_s in lost.items():
+        deployment.record.note("judged", task=task, away_s=round(away_s, 1))
+    return case.BROKEN if lost else case.HELD
+
+
+case.main(__file__, play)
