--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -30,6 +30,8 @@
     records: list[bytes] = dataclasses.field(default_factory=list)
     newest: dict[str, int] = dataclasses.field(default_factory=dict)
     producers: dict[str, _Producer] = dataclasses.field(default_factory=dict)
+    # Appends to a partition are carried out one at a time.
+    turn: threading.Lock = dataclasses.field(default_factory=threading.Lock)
 
 
 def _encode(key: str, value: bytes) -> bytes:
@@ -48,7 +50,6 @@
     def __init__(self) -> None:
         self._changed = threading.Condition()
         self._partitions: dict[tuple[str, int], _Partition] = {}
-        self._append_turn = threading.Lock()
         self._extra_s = 0.0
         self._server = web.Server(self._handle)
         self.address = self._server.address
@@ -101,8 +102,9 @@
         part = int(request.query.get("part", "0"))
         match request.path:
             case "/v1/log-append":
-                # Appends are carried out one at a time.
-                with self._append_turn:
+                with self._changed:
+                    turn = self._partition(topic, part).turn
+                with turn:
                     time.sleep(APPEND_S + self._extra_s)
                     return self._append(request, topic, part)
             case "/v1/log-read":
