Request advice for workers that can take a task of the step

Cause: AdvicePlanner counted what a worker could take by its free capacity and the step's limit, but not by the tasks of the step that it had. Placement looks at these. So workers at the limit were taken for room enough: each call named the same four, and no call was made for others while their tickets were valid.

Evidence: the stand-in service logs calls for ex-0 to ex-3 only, each of which has a task of the step; the owner logs "advised" with all four allowed, and no placement and no refused start.

The same cause on related paths: idle processors and interference of filling tasks, and workers cleared of lasting tasks, were not counted either. Full workers were named before free ones, so that with more than 30 of them that are allowed, a free one is never named.

Change: Planner.count_startable counts what placement could start, from the same conditions, and the calls use it; workers with room go first.

Ruled out: a service that refuses, refused starts, and the pause after a failure (50 ms).

--- a/src/comfreylatch/_process/cell/advice.py
+++ b/src/comfreylatch/_process/cell/advice.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import final
 
@@ -43,6 +44,12 @@
 
 _logger = logbook.Logger(__name__)
 
+# Number of a step's pending tasks that a worker could take at a monotonic time
+# if it had a ticket.
+CountStartable = Callable[
+    [runs_module.StepInstance, worker_view.WorkerView, int], int
+]
+
 
 @attrs.frozen
 class AdviceRequest:
@@ -75,10 +82,22 @@
 
 @final
 class AdvicePlanner:
-    """Decides which calls to make. Used by the owner's thread only."""
+    """Decides which calls to make. Used by the owner's thread only.
+
+    Args:
+        metrics: Counts the calls.
+        count_startable: Counts what placement could start on a worker. Both
+            have to agree: a ticket for a worker that placement can't use would
+            keep the step from getting others.
+    """
 
-    def __init__(self, metrics: metrics_module.Metrics) -> None:
+    def __init__(
+        self,
+        metrics: metrics_module.Metrics,
+        count_startable: CountStartable,
+    ) -> None:
         self._metrics = metrics
+        self._count_startable = count_startable
         self._steps: dict[runs_module.StepInstance, _StepAdvice] = {}
         self._allowed_shares: dict[str, float] = {}
 
@@ -105,7 +124,7 @@
             state = self._steps.setdefault(step, _StepAdvice())
             if state.is_call_pending or now_ms < state.not_before_ms:
                 continue
-            chosen = self._choose_workers(step, state, available)
+            chosen = self._choose_workers(step, state, available, now_ms)
             if chosen:
                 state.is_call_pending = True
                 requests.append(
@@ -130,15 +149,20 @@
         step: runs_module.StepInstance,
         state: _StepAdvice,
         available: list[worker_view.WorkerView],
+        now_ms: int,
     ) -> list[worker_view.WorkerView]:
-        """Chooses workers to name; none if workers with tickets suffice."""
+        """Chooses workers to name; none if workers with tickets suffice.
+
+        Workers that can take a task now come first. The others follow, as
+        they may have capacity by the time a task is still waiting.
+        """
         tickets = step.tickets or {}
         needed = float(len(step.pending_tasks))
         candidates = []
         for worker in available:
             if not placement.is_eligible(worker, step):
                 continue
-            fitting = _count_fitting(worker, step)
+            fitting = self._count_startable(step, worker, now_ms)
             if worker.worker_id in tickets:
                 needed -= fitting
             elif state.allowed.get(worker.worker_id, True):
@@ -147,6 +171,7 @@
             return []
         candidates.sort(
             key=lambda pair: (
+                pair[1] == 0,
                 not state.allowed.get(pair[0].worker_id, False),
                 -pair[1],
                 pair[0].slowness,
@@ -240,23 +265,6 @@
         )
 
 
-def _count_fitting(
-    worker: worker_view.WorkerView, step: runs_module.StepInstance
-) -> int:
-    """Counts the tasks of a step that fit on a worker now."""
-    need = step.spec.need
-    count = len(step.pending_tasks)
-    if need.cpu_millicores:
-        count = min(count, worker.free_cpu // need.cpu_millicores)
-    if need.memory_mb:
-        count = min(count, worker.free_memory // need.memory_mb)
-    if need.gpus:
-        count = min(count, worker.free_gpus // need.gpus)
-    if step.spec.max_per_worker:
-        count = min(count, step.spec.max_per_worker)
-    return max(count, 0)
-
-
 def _drop_expired(
     step: runs_module.StepInstance,
     views: dict[str, worker_view.WorkerView],
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -151,7 +151,9 @@
                 self._durations, deps.remote_penalty, metrics
             ),
         )
-        self._advice_planner = advice_module.AdvicePlanner(metrics)
+        self._advice_planner = advice_module.AdvicePlanner(
+            metrics, self._planner.count_startable
+        )
         self._waves = deps.waves
         self._guards_capacity = deps.guards_capacity
         self._listing_age_ms: Callable[[], int] = lambda: 0
--- a/src/comfreylatch/_process/cell/planning/placement.py
+++ b/src/comfreylatch/_process/cell/planning/placement.py
@@ -29,6 +29,7 @@
 # A filling task is placed only where it would get at least this share of the
 # processors it requests.
 MIN_FILLING_CPU_SHARE = 0.7
+_NO_LIMIT = 1 << 30
 
 
 def is_allowed(
@@ -37,12 +38,39 @@
     """Whether a worker may run one more task of a step, if it has capacity."""
     if not is_eligible(worker, step):
         return False
-    limit = step.spec.max_per_worker
-    if limit and step.runs_per_worker.get(worker.worker_id, 0) >= limit:
+    if remaining_per_worker(worker, step) <= 0:
         return False
     return step.tickets is None or worker.worker_id in step.tickets
 
 
+def remaining_per_worker(
+    worker: worker_view.WorkerView, step: runs_module.StepInstance
+) -> int:
+    """Returns how many more runs the step's limit allows on a worker."""
+    limit = step.spec.max_per_worker
+    if not limit:
+        return _NO_LIMIT
+    return limit - step.runs_per_worker.get(worker.worker_id, 0)
+
+
+def count_fitting(
+    worker: worker_view.WorkerView, step: runs_module.StepInstance
+) -> int:
+    """Counts the pending tasks that a worker has capacity for.
+
+    Interference and tickets are left out.
+    """
+    need = step.spec.need
+    count = min(len(step.pending_tasks), remaining_per_worker(worker, step))
+    if need.cpu_millicores:
+        count = min(count, worker.free_cpu // need.cpu_millicores)
+    if need.memory_mb:
+        count = min(count, worker.free_memory // need.memory_mb)
+    if need.gpus:
+        count = min(count, worker.free_gpus // need.gpus)
+    return max(count, 0)
+
+
 def is_eligible(
     worker: worker_view.WorkerView, step: runs_module.StepInstance
 ) -> bool:
@@ -192,14 +220,12 @@
         without lasting tasks is left to images that fit nowhere else.
         """
         spec = step.spec
-        need = spec.need
-        min_millicores = int(spec.cpu_millicores * MIN_FILLING_CPU_SHARE)
         alone_cost = MIN_HARMFUL_COEFFICIENT - self._model.common_coefficient(
             spec.image
         )
 
         def cost(worker: worker_view.WorkerView) -> float | None:
-            if worker.idle_millicores < min_millicores or not worker.fits(need):
+            if not _has_filling_capacity(worker, spec):
                 return None
             if not is_allowed(worker, step):
                 return None
@@ -213,3 +239,37 @@
             return FILLING_SLOWNESS_COST * slowness - headroom
 
         return cost
+
+    def count_fitting(
+        self, worker: worker_view.WorkerView, step: runs_module.StepInstance
+    ) -> int:
+        """Counts the pending tasks that a worker can take, without tickets.
+
+        Beside lasting tasks it is an upper bound, as each task that is placed
+        leaves less headroom for the next one.
+        """
+        spec = step.spec
+        if not _has_filling_capacity(worker, spec):
+            return 0
+        cached = self._get_slacks(worker)
+        if cached.slacks and self._headroom(worker, cached, spec) < 0:
+            return 0
+        min_millicores = max(_min_filling_millicores(spec), 1)
+        return min(
+            count_fitting(worker, step),
+            worker.idle_millicores // min_millicores,
+        )
+
+
+def _min_filling_millicores(spec: specs.StepSpec) -> int:
+    """Returns the idle processors that a worker needs for a filling task."""
+    return int(spec.cpu_millicores * MIN_FILLING_CPU_SHARE)
+
+
+def _has_filling_capacity(
+    worker: worker_view.WorkerView, spec: specs.StepSpec
+) -> bool:
+    """Whether a worker has memory and idle processors for a filling task."""
+    return worker.idle_millicores >= _min_filling_millicores(
+        spec
+    ) and worker.fits(spec.need)
--- a/src/comfreylatch/_process/cell/planning/planner.py
+++ b/src/comfreylatch/_process/cell/planning/planner.py
@@ -90,6 +90,30 @@
             )
         return step_view.StepView(tuple(costed), cleared, rack, waits)
 
+    def count_startable(
+        self,
+        step: runs_module.StepInstance,
+        worker: worker_view.WorkerView,
+        now_ms: int,
+    ) -> int:
+        """Counts the pending tasks that a pass could place on a worker.
+
+        Tickets are left out: advice is requested where this is above zero.
+
+        Args:
+            step: The step to start.
+            worker: A worker that accepts work and is eligible for the step.
+            now_ms: Monotonic time.
+        """
+        if step.spec.fills_idle:
+            return self._filling_costs.count_fitting(worker, step)
+        is_cleared = now_ms < worker.cleared_until_ms
+        if step.spec.is_lasting and is_cleared:
+            tasks = step.pending_tasks.values()
+            if not any(clearing.is_overdue(task, now_ms) for task in tasks):
+                return 0
+        return placement.count_fitting(worker, step)
+
     def place_speculative_runs(
         self, jobs: Iterable[runs_module.ActiveJob], now_ms: int
     ) -> list[placement_pass.Placement]:
