Skip listed entries that name no worker of a known service

Cause: an entry with the address of a worker and a later start counts as its successor, and the worker's runs are given up at once. Entries of services that no configuration names, and entries that lack fields of workers, were decoded like all others and so had that effect.

Evidence: "worker-dropped" with the reason "reborn" follows the entry at once; no call to the worker had failed.

Change: the decoder requires every field of an entry, with its type; the owner leaves out entries of services that neither a configuration so far nor the queue of a job names, except workers that may have runs of a previous owner.

The same cause on related paths: takeovers, crash attribution and the count of unreachable workers use the same list, and are covered by it.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -31,9 +31,14 @@
 
 @final
 class JobTable:
-    """All unfinished jobs of a cell. Only the owner's thread uses it."""
+    """All unfinished jobs of a cell. Only the owner's thread uses it.
+
+    Attributes:
+        services: Services of the queues of all jobs added so far.
+    """
 
     def __init__(self, token: int, clock: clock_port.Clock) -> None:
+        self.services: set[str] = set()
         self._token = token
         self._clock = clock
         self._jobs: dict[str, runs_module.ActiveJob] = {}
@@ -88,6 +93,7 @@
             state=state,
         )
         self._jobs[spec.job_id] = job
+        self.services.add(spec.queue.service)
         if spec.repetitions:
             self._repeating.add(spec.job_id)
         else:
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -46,6 +46,7 @@
 from comfreylatch._process.cell.crashes import trials
 from comfreylatch._process.cell.evacuation import guard
 from comfreylatch._process.cell.explaining import explanation
+from comfreylatch._process.cell.listing import service_filter
 from comfreylatch._process.cell.locality import near_places
 from comfreylatch._process.cell.planning import planner as planner_module
 from comfreylatch._process.cell.planning import preemption
@@ -121,6 +122,11 @@
             recovered.known_workers,
             deps.max_workers,
         )
+        self._service_filter = service_filter.ServiceFilter(
+            deps.configured_services,
+            self._jobs.services,
+            recovered.known_workers,
+        )
         model = interference.InterferenceModel(deps.max_disruption_ms)
         self._interference = model
         self._dispatcher = run_dispatcher.RunDispatcher(
@@ -299,9 +305,7 @@
             case events.JobChanged(change):
                 self._handle_change(change)
             case events.WorkersListed(entries):
-                self._crashes.handle_lost(self._workers.apply_listing(entries))
-                self._crashes.confirm_replaced()
-                self._note_start_limits()
+                self._apply_listing(self._service_filter.select(entries))
             case events.HoldReturned():
                 self._handle_hold(event)
             case events.StartReturned() | events.StopReturned():
@@ -323,6 +327,13 @@
             case events.Fenced():
                 self._stop_reason = reasons.OwnershipEnd.FENCED
 
+    def _apply_listing(
+        self, entries: dict[str, cell_workers.WorkerEntry]
+    ) -> None:
+        self._crashes.handle_lost(self._workers.apply_listing(entries))
+        self._crashes.confirm_replaced()
+        self._note_start_limits()
+
     def _answer_placement(self, question: events.PlacementAsked) -> None:
         explanation.answer(
             question,
@@ -398,6 +409,9 @@
 
     def _tick(self, now_ms: int) -> None:
         self._jobs.create_due_occurrences()
+        entries = self._service_filter.reselect()
+        if entries is not None:
+            self._apply_listing(entries)
         self._crashes.handle_lost(self._workers.expire())
         self._note_start_limits()
         self._reserve_workers(now_ms)
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -19,6 +19,7 @@
     partition_reader as partition_reader_module,
 )
 from comfreylatch._process.cell import worker_session
+from comfreylatch._process.cell.listing import service_filter
 
 
 @attrs.frozen
@@ -47,6 +48,8 @@
             while filling tasks work beside it.
         guards_capacity: Whether the workers of a service, by its name, refuse
             tasks that exceed their capacity.
+        configured_services: The services that the configurations so far name;
+            None before the first one.
         max_workers: Most workers that an owner on this host drives.
         remote_penalty: Factor by which a task lasts longer away from the rack
             of its data or its group.
@@ -73,6 +76,7 @@
     waves: Callable[[], tuple[machines_port.Wave, ...]] = tuple
     evacuations: evacuations.EvacuationFeed = evacuations.EvacuationFeed()
     handover_ms: int = 0
+    configured_services: service_filter.ConfiguredServices = lambda: None
     max_workers: int = 1 << 30
     remote_penalty: float = 1.0
     guards_capacity: Callable[[str], bool] = lambda _: True
--- a/src/comfreylatch/_process/cell/specs.py
+++ b/src/comfreylatch/_process/cell/specs.py
@@ -131,6 +131,14 @@
     queues: tuple[QueueSpec, ...]
     services: tuple[ServiceSpec, ...]
 
+    @property
+    def service_names(self) -> frozenset[str]:
+        """Names of the services, including those that queues name."""
+        return frozenset(
+            [spec.name for spec in self.services]
+            + [queue.service for queue in self.queues]
+        )
+
     def guards_capacity(self, service: str) -> bool:
         """Whether a configured service's workers guard their capacity."""
         return any(
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -264,6 +264,7 @@
                     int(settings.bounds.evacuation_ms),
                 ),
                 guards_capacity=self._guards_capacity,
+                configured_services=lambda: self._configuration.services,
                 max_workers=worker_limit.max_workers(
                     settings.limits.cpu_share * settings.limits.cores,
                     int(settings.limits.descriptors),
--- a/src/comfreylatch/platform/views.py
+++ b/src/comfreylatch/platform/views.py
@@ -27,10 +27,17 @@
 
 @final
 class ConfigurationView:
-    """The newest configuration; its version never decreases."""
+    """The newest configuration; its version never decreases.
+
+    Attributes:
+        current: The newest configuration; None before the first one.
+        services: Services that any configuration so far has named; None before
+            the first one. Jobs of an earlier one may still run on them.
+    """
 
     def __init__(self) -> None:
         self.current: specs.FleetConfiguration | None = None
+        self.services: frozenset[str] | None = None
 
     def apply(
         self, batch: tuple[store_port.StoredRecord, ...], is_complete: bool
@@ -55,6 +62,7 @@
             current = self.current
             if current is None or decoded.version > current.version:
                 self.current = decoded
+                self.services = decoded.service_names.union(self.services or ())
                 logs.event(
                     _logger,
                     "configured",
@@ -172,7 +180,7 @@
         self, key: str, value: bytes
     ) -> cell_workers.WorkerEntry | None:
         try:
-            return workers.decode_worker(key, value, None)
+            return workers.decode_worker(key, value)
         except wire.BadMessageError as error:
             logs.warning(
                 _logger, "bad-worker-entry", worker=key, detail=str(error)
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -190,19 +190,31 @@
         "service": "Service",
         "address": "Address",
         "zone": "Zone",
+        "version": "Version",
+        "slots": "Slots",
         "state": "State",
+        "cold_remaining_ms": "ColdRemainingMs",
+        "sequence": "Sequence",
         "capacity": "Capacity",
         "labels": "Labels",
     },
 ):
-    """Entry of an executor, whose id is the record's key."""
+    """Entry of an executor, whose id is the record's key.
+
+    Some fields are not used. They are declared because an entry that lacks one
+    comes from another writer and names no executor.
+    """
 
     service: str
     address: str
+    zone: str
+    version: str
+    slots: float
     state: str
+    cold_remaining_ms: float
+    sequence: float
     capacity: Capacity
-    zone: str = ""
-    labels: tuple[str, ...] = ()
+    labels: tuple[str, ...]
     born: int = 0
 
 
--- a/src/comfreylatch/platform/workers.py
+++ b/src/comfreylatch/platform/workers.py
@@ -30,15 +30,12 @@
 }
 
 
-def decode_worker(
-    worker_id: str, value: bytes, services: frozenset[str] | None
-) -> cell_workers.WorkerEntry:
+def decode_worker(worker_id: str, value: bytes) -> cell_workers.WorkerEntry:
     """Decodes an executor's entry.
 
     Args:
         worker_id: Key of the record.
         value: Value of the record.
-        services: Configured services; None to accept any.
 
     Raises:
         wire.BadMessageError: The entry is malformed or unusable.
@@ -46,8 +43,6 @@
     record = wire.decode(wire.WorkerRecord, value)
     if record.state not in _STATES:
         raise wire.BadMessageError(f"unknown state {record.state!r}")
-    if services is not None and record.service not in services:
-        raise wire.BadMessageError(f"unknown service {record.service!r}")
     host, _, port = record.address.rpartition(":")
     if not host or not port.isdigit():
         raise wire.BadMessageError(
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -27,6 +27,8 @@
 WAIT_S = 20.0
 GRACE_S = 6
 JOB_ID = "5c0e7a21d94b36f8"
+# Longer than it takes until a host has read a record and acted on it.
+SETTLED_S = 1.0
 ROUTE = {
     "Name": "calib",
     "Host": "a.example",
@@ -67,22 +69,9 @@
         self.worker = fake_workers.FakeWorker(fake_workers.entry("w1"), clock)
         self.executor = platform.ExecutorStandIn(self.worker)
         executor_server = self.serve(self.executor)
+        self.executor_address = executor_server.address
         self.write_record("op", "config", {"Version": 1, "Routes": [ROUTE]})
-        self.write_record(
-            "servers",
-            "w1",
-            {
-                "Service": "skyproc",
-                "Address": executor_server.address,
-                "Zone": "bole",
-                "State": "ready",
-                "Capacity": {
-                    "CpuMillicores": 8_000,
-                    "RequestedMemoryMb": 64_000,
-                },
-                "born": 1,
-            },
-        )
+        self.write_executor("w1", Address=executor_server.address, born=1)
         self.callers = free_address()
         self.readiness = free_address()
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
@@ -106,6 +95,22 @@
         record = store_port.NewRecord(key, json.dumps(value).encode())
         self.store.memory_store.append("keyed." + topic, 0, (record,))
 
+    def write_executor(self, key: str, **fields: Any) -> None:
+        """Writes an entry of an executor; `fields` override the defaults."""
+        entry = {
+            "Service": "skyproc",
+            "Zone": "bole",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+            "Capacity": {"CpuMillicores": 8_000, "RequestedMemoryMb": 64_000},
+            "Labels": [],
+            **fields,
+        }
+        self.write_record("servers", key, entry)
+
     def delete_record(self, topic: str, key: str) -> None:
         """Deletes a record as an operator or executor would."""
         record = store_port.NewRecord(key, None)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -20,6 +20,10 @@
     "Service": "skyproc",
     "Address": "10.1.64.3:8721",
     "Zone": "bole",
+    "Version": "v1",
+    "Slots": 8,
+    "ColdRemainingMs": 0,
+    "Sequence": 4,
     "State": "ready",
     "Capacity": {"CpuMillicores": 32_000, "RequestedMemoryMb": 128_000},
     "Labels": ["a", "r1-3"],
@@ -34,7 +38,7 @@
     def hold(self, **fields: Any) -> Any:
         """Has an executor reply with these fields; returns the outcome."""
         reply = json.dumps({"ClockMs": 7, **fields}).encode()
-        entry = workers.decode_worker("i-1", json.dumps(ENTRY).encode(), None)
+        entry = workers.decode_worker("i-1", json.dumps(ENTRY).encode())
         client = workers.WorkerClient(entry)
         self.addCleanup(client.close)
         answered = result.Ok(json_call.Answer(200, reply))
@@ -70,7 +74,7 @@
     def decode(self, **changes: Any) -> Any:
         """Decodes the entry with some fields changed."""
         value = json.dumps({**ENTRY, **changes}).encode()
-        return workers.decode_worker("i-1", value, None)
+        return workers.decode_worker("i-1", value)
 
     def test_entry_is_decoded(self) -> None:
         entry = self.decode()
@@ -92,13 +96,21 @@
         ):
             self.assertRaises(wire.BadMessageError, self.decode, **changes)
 
+    # Guards against an entry of another writer that is taken for an executor.
+    def test_entry_that_lacks_a_field_is_rejected(self) -> None:
+        for field in ENTRY.keys() - {"born"}:
+            entry = {key: ENTRY[key] for key in ENTRY if key != field}
+            value = json.dumps(entry).encode()
+            self.assertRaises(
+                wire.BadMessageError, workers.decode_worker, "i-1", value
+            )
+
     def test_invalid_utf8_is_rejected(self) -> None:
         self.assertRaises(
             wire.BadMessageError,
             workers.decode_worker,
             "i-1",
             b"\xff\x00",
-            None,
         )
 
 
