Compare memory before skipping filling tasks of an image

Cause: a placement pass skips filling tasks of an image once one has found no worker, if they ask for as many processors. Memory was not compared, nor the service, and the hopeless job ranks first in every pass.

Evidence: no placement and no refused start of the two jobs in the logs; with memory that fits, the same jobs are completed.

Ruled out: tasks that reserve processors.

Change: the pass notes processors and memory by service and image, and skips a task that asks for at least as much of both.

--- a/src/comfreylatch/_process/cell/planning/placement_pass.py
+++ b/src/comfreylatch/_process/cell/planning/placement_pass.py
@@ -5,6 +5,7 @@
 import attrs
 
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_view
 from comfreylatch._process.cell.planning import candidates as candidates_module
 from comfreylatch._process.cell.planning import placement
@@ -18,6 +19,26 @@
     worker: worker_view.WorkerView
 
 
+@attrs.frozen
+class _FillingRequest:
+    """What a filling task that fit nowhere requests.
+
+    Attributes:
+        cpu_millicores: Processors.
+        memory_mb: Memory; 0 if every worker had enough.
+    """
+
+    cpu_millicores: int
+    memory_mb: int
+
+    def is_covered_by(self, spec: specs.StepSpec) -> bool:
+        """Whether a task of a step requests at least as much."""
+        return (
+            spec.cpu_millicores >= self.cpu_millicores
+            and spec.memory_mb >= self.memory_mb
+        )
+
+
 @attrs.define(eq=False)
 class PlacementPass:
     """State of one pass over the ready steps.
@@ -30,8 +51,8 @@
         now_ms: Monotonic time of the pass.
         min_unplaceable_millicores: Smallest processor request of an
             unconstrained task that fit on no worker.
-        min_unplaceable_filling_millicores: The same for filling tasks, by
-            image.
+        unplaceable_filling: Requests of unconstrained filling tasks that fit on
+            no worker, by service and image.
         candidates: Candidate workers of each step tried so far.
         wanted_racks: Racks on which the steps tried so far run faster.
     """
@@ -41,8 +62,8 @@
     racks: dict[str, str]
     now_ms: int
     min_unplaceable_millicores: int = 1 << 60
-    min_unplaceable_filling_millicores: dict[str, int] = attrs.field(
-        factory=dict
+    unplaceable_filling: dict[tuple[str, str], list[_FillingRequest]] = (
+        attrs.field(factory=dict)
     )
     candidates: dict[runs_module.StepInstance, candidates_module.Candidates] = (
         attrs.field(factory=dict)
@@ -67,12 +88,14 @@
     def is_known_unplaceable(self, step: runs_module.StepInstance) -> bool:
         """Whether a task of the same or a smaller size fit on no worker."""
         spec = step.spec
-        unplaceable = self.min_unplaceable_millicores
         if spec.fills_idle:
-            unplaceable = self.min_unplaceable_filling_millicores.get(
-                spec.image, 1 << 60
+            return any(
+                request.is_covered_by(spec)
+                for request in self.unplaceable_filling.get(
+                    _filling_key(step), ()
+                )
             )
-        return spec.cpu_millicores >= unplaceable
+        return spec.cpu_millicores >= self.min_unplaceable_millicores
 
     def record_unplaceable(self, step: runs_module.StepInstance) -> None:
         """Records that a task fit nowhere; the pass then skips such tasks."""
@@ -86,17 +109,22 @@
         if not is_unconstrained:
             return
         if spec.fills_idle:
-            previous = self.min_unplaceable_filling_millicores.get(
-                spec.image, 1 << 60
-            )
-            self.min_unplaceable_filling_millicores[spec.image] = min(
-                previous, spec.cpu_millicores
+            # Where memory is short, a task that needs less of it may fit.
+            memory_mb = spec.memory_mb if self._is_memory_short(step) else 0
+            self.unplaceable_filling.setdefault(_filling_key(step), []).append(
+                _FillingRequest(spec.cpu_millicores, memory_mb)
             )
         elif not self._is_memory_bound(step):
             self.min_unplaceable_millicores = min(
                 self.min_unplaceable_millicores, spec.cpu_millicores
             )
 
+    def _is_memory_short(self, step: runs_module.StepInstance) -> bool:
+        """Whether a worker has too little memory for a task of a step."""
+        return any(
+            worker.free_memory < step.spec.memory_mb for worker in self.workers
+        )
+
     def _is_memory_bound(self, step: runs_module.StepInstance) -> bool:
         """Whether a worker has enough processors, so that memory is short."""
         return any(
@@ -105,6 +133,11 @@
         )
 
 
+def _filling_key(step: runs_module.StepInstance) -> tuple[str, str]:
+    """Returns what decides, beside its size, where a filling task fits."""
+    return step.job.spec.queue.service, step.spec.image
+
+
 def assign(
     task: runs_module.Task,
     worker: worker_view.WorkerView,
