Refuse listed workers whose address or id can't be used

Reported by operators of a similar system: one odd entry of another writer in the list of workers ended process after process.

Cause: the decoder accepted every port of which str.isdigit() holds. int() raises an error for some of these digits, and for more than 4,300 of any. The first conversion was in the owner's thread, which ended with "owner-failed"; the next owner read the same entry. A space or a line break in the address, or an id that no header can carry, made each call raise an error instead, six times a second.

Change: the entry's address goes through the parser of the settings, which now compares the length of a port before it converts it; port 0 and unusable ids are refused. Errors are logged with 200 characters at most, as they may quote a value of the length of a record.

Looked at: deeply nested entries and infinite numbers are skipped on Python 3.11; PartitionReader skips a record whose handling fails.

--- a/src/comfreylatch/_connection/address.py
+++ b/src/comfreylatch/_connection/address.py
@@ -8,6 +8,8 @@
 import result
 
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_DIGITS = 12
 
 
 @attrs.frozen
@@ -35,11 +37,12 @@
     ip_text, separator, port_text = text.rpartition(":")
     if not separator or not port_text.isascii() or not port_text.isdigit():
         return result.Err(BadAddress(f"{text!r} is not of the form IP:port"))
-    port = int(port_text)
-    if port > MAX_PORT:
-        return result.Err(BadAddress(f"port {port} is above {MAX_PORT}"))
+    # The length first: int() refuses texts of thousands of digits.
+    if len(port_text) > MAX_PORT_DIGITS or int(port_text) > MAX_PORT:
+        shown = port_text[:MAX_SHOWN_DIGITS]
+        return result.Err(BadAddress(f"port {shown} is above {MAX_PORT}"))
     try:
         ip = ipaddress.ip_address(ip_text.strip("[]"))
     except ValueError:
         return result.Err(BadAddress(f"{ip_text!r} is not an IP address"))
-    return result.Ok(Address(str(ip), port))
+    return result.Ok(Address(str(ip), int(port_text)))
--- a/src/comfreylatch/platform/views.py
+++ b/src/comfreylatch/platform/views.py
@@ -19,6 +19,8 @@
 
 # The rest of the key is the name of the zone.
 EVACUATION_PREFIX = "evacuate/"
+# An error may quote a value as long as a record.
+MAX_DETAIL_CHARS = 200
 
 OnWorkersChanged = Callable[[dict[str, cell_workers.WorkerEntry]], None]
 
@@ -183,6 +185,9 @@
             return workers.decode_worker(key, value)
         except wire.BadMessageError as error:
             logs.warning(
-                _logger, "bad-worker-entry", worker=key, detail=str(error)
+                _logger,
+                "bad-worker-entry",
+                worker=key,
+                detail=str(error)[:MAX_DETAIL_CHARS],
             )
             return None
--- a/src/comfreylatch/platform/workers.py
+++ b/src/comfreylatch/platform/workers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 from typing import final
 
 import result
 
+from comfreylatch._connection import address
 from comfreylatch._connection import json_call
 from comfreylatch._ports import cell_workers
 from comfreylatch.platform import wire
@@ -14,6 +16,8 @@
 # One connection for the long-polling hold, one for other orders.
 POOL_SIZE = 2
 _DRAINING = "draining"
+# Each call names the worker by its id in a header.
+_WORKER_ID = re.compile(r"[!-~]+")
 _STATES = frozenset({"ready", _DRAINING})
 _REFUSALS = {
     "fence": cell_workers.Refusal.FENCED,
@@ -43,14 +47,13 @@
     record = wire.decode(wire.WorkerRecord, value)
     if record.state not in _STATES:
         raise wire.BadMessageError(f"unknown state {record.state!r}")
-    host, _, port = record.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not _WORKER_ID.fullmatch(worker_id):
         raise wire.BadMessageError(
-            f"address {record.address!r} is not of the form host:port"
+            f"id {worker_id!r} can't be sent in a header"
         )
     return cell_workers.WorkerEntry(
         worker_id=worker_id,
-        address=record.address,
+        address=_decode_address(record.address),
         service=record.service,
         zone=record.zone,
         is_draining=record.state == _DRAINING,
@@ -64,6 +67,16 @@
     )
 
 
+def _decode_address(text: str) -> str:
+    match address.parse(text):
+        case result.Ok(address.Address(_, 0)):
+            raise wire.BadMessageError(f"no worker listens on {text!r}")
+        case result.Ok(parsed):
+            return str(parsed)
+        case result.Err(address.BadAddress(detail)):
+            raise wire.BadMessageError(f"address: {detail}")
+
+
 @final
 class WorkerClient:
     """Implements `WorkerOrders` for one incarnation of an executor.
--- a/tests/connection/test_address.py
+++ b/tests/connection/test_address.py
@@ -25,3 +25,8 @@
     def test_port_out_of_range_is_refused(self) -> None:
         """A port has 16 bits."""
         self.assertTrue(address.parse("127.0.0.1:65536").is_err())
+
+    # Guards against an error of int() that ends the thread of the reader.
+    def test_port_of_thousands_of_digits_is_refused(self) -> None:
+        """The text is compared before it is converted."""
+        self.assertTrue(address.parse("127.0.0.1:" + "9" * 5_000).is_err())
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -29,6 +29,17 @@
 JOB_ID = "5c0e7a21d94b36f8"
 # Longer than it takes until a host has read a record and acted on it.
 SETTLED_S = 1.0
+EXECUTOR = {
+    "Service": "skyproc",
+    "Zone": "bole",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 1,
+    "Capacity": {"CpuMillicores": 8_000, "RequestedMemoryMb": 64_000},
+    "Labels": [],
+}
 ROUTE = {
     "Name": "calib",
     "Host": "a.example",
@@ -92,24 +103,16 @@
 
     def write_record(self, topic: str, key: str, value: Any) -> None:
         """Writes a record as an operator or executor would."""
-        record = store_port.NewRecord(key, json.dumps(value).encode())
+        self.write_raw(topic, key, json.dumps(value).encode())
+
+    def write_raw(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a record with any bytes."""
+        record = store_port.NewRecord(key, value)
         self.store.memory_store.append("keyed." + topic, 0, (record,))
 
     def write_executor(self, key: str, **fields: Any) -> None:
         """Writes an entry of an executor; `fields` override the defaults."""
-        entry = {
-            "Service": "skyproc",
-            "Zone": "bole",
-            "Version": "v1",
-            "Slots": 8,
-            "State": "ready",
-            "ColdRemainingMs": 0,
-            "Sequence": 1,
-            "Capacity": {"CpuMillicores": 8_000, "RequestedMemoryMb": 64_000},
-            "Labels": [],
-            **fields,
-        }
-        self.write_record("servers", key, entry)
+        self.write_record("servers", key, {**EXECUTOR, **fields})
 
     def delete_record(self, topic: str, key: str) -> None:
         """Deletes a record as an operator or executor would."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -90,6 +90,12 @@
             {"State": "sleeping"},
             {"Address": 7},
             {"Address": "nowhere"},
+            {"Address": "localhost:80"},
+            {"Address": "10.1.64.3:0"},
+            {"Address": "10.1.64.3:65536"},
+            {"Address": "10.1.64.3:\u00b2"},
+            {"Address": "10.1.64.3:" + "9" * 5_000},
+            {"Address": "10.1.64.3\r\nX-A: b:80"},
             {"Capacity": None},
             {"Labels": "a"},
             {"born": 1.5},
@@ -105,6 +111,14 @@
                 wire.BadMessageError, workers.decode_worker, "i-1", value
             )
 
+    # Guards against calls that fail for a header that can't be sent.
+    def test_unusable_ids_are_rejected(self) -> None:
+        value = json.dumps(ENTRY).encode()
+        for worker_id in ("", "a b", "a\n", "\u2603"):
+            self.assertRaises(
+                wire.BadMessageError, workers.decode_worker, worker_id, value
+            )
+
     def test_invalid_utf8_is_rejected(self) -> None:
         self.assertRaises(
             wire.BadMessageError,
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 from tests.platform import host_process
@@ -57,3 +58,66 @@
                 **fields,
             )
         self.assert_executor_is_kept()
+
+
+# More nested than any decoder should follow, in less than one record.
+NESTED = "[" * 60_000 + "]" * 60_000
+ODD_VALUES = {
+    "a nested value": {"Extra": NESTED},
+    "a nested label": {"Labels": NESTED},
+    "a nested address": {"Address": NESTED},
+    "an infinite number": {"Slots": "1e999"},
+    "a capacity too large": {"Capacity": '{"CpuMillicores":1e308}'},
+    "memory too large": {
+        "Capacity": '{"CpuMillicores":1,"RequestedMemoryMb":1e300}'
+    },
+    "a start too late": {"born": "1" + "0" * 30},
+    "a start too early": {"born": "-1" + "0" * 30},
+    "a number too long": {"born": "1" * 5_000},
+    "port 0": {"Address": '"127.0.0.1:0"'},
+    "a port too large": {"Address": '"127.0.0.1:65536"'},
+    "a port far too large": {"Address": f'"127.0.0.1:{"9" * 5_000}"'},
+    "a port of other digits": {"Address": '"127.0.0.1:\\u00b2"'},
+    "a space in the address": {"Address": '"127.0.0.1 x:80"'},
+    "a line break in the address": {"Address": '"127.0.0.1\\n:80"'},
+}
+ODD_KEYS = ("", "a\nb", "\u2603", "a" * 255)
+
+
+class OddEntryTest(host_process.HostProcessTestCase):
+    """A host process that reads entries that no decoder expects."""
+
+    def write_odd(self, key: str, fields: dict[str, str]) -> None:
+        """Writes an entry in which some fields have the JSON text given."""
+        entry = {
+            **host_process.EXECUTOR,
+            "Address": self.store_address,
+            "born": 2,
+        }
+        texts = {name: json.dumps(value) for name, value in entry.items()}
+        texts.update(fields)
+        body = ",".join(f'"{name}":{text}' for name, text in texts.items())
+        self.write_raw("servers", key, f"{{{body}}}".encode())
+
+    # Guards against owners that end one after the other, and against a list
+    # that is not followed any more, for one entry of another writer.
+    def test_odd_entries_stop_no_owner(self) -> None:
+        self.wait_for(self.is_ready)
+        self.wait_for(self.is_owner)
+        for number, fields in enumerate(ODD_VALUES.values()):
+            self.write_odd(f"odd-{number}", fields)
+        for key in ODD_KEYS:
+            self.write_odd(key, {})
+        time.sleep(host_process.SETTLED_S)
+        for event in ("owner-failed", "records-not-applied", "hold-failed"):
+            self.assertEqual([], self.logged(event)[:1])
+        self.assertEqual(1, len(self.logged("takeover")))
+        # The list is still followed: an executor that leaves it gets no task.
+        self.delete_record("servers", "w1")
+        path = f"/calib/{host_process.JOB_ID}"
+        reply = self.request("POST", self.callers, path, host_process.JOB)
+        self.assertEqual(200, reply.status)
+        time.sleep(host_process.SETTLED_S)
+        self.assertEqual({}, dict(self.worker.running))
+        self.write_executor("w1", Address=self.executor_address, born=1)
+        self.wait_for(lambda: len(self.worker.running) == 2)
