Refuse listed workers with numbers out of range

What callers would see: a task in two places, as an entry of another writer with the address of a worker and a start time of 10**30 ms counts as the worker's successor.

Cause: the numbers of an entry had a type but no range. Integers of more than 64 bits can't be encoded in a record either.

Evidence: test_entry_with_an_odd_number_replaces_no_executor fails without the change with "worker-dropped", reason "reborn".

Change: numbers of an entry are at most 2**53; counts and start times are not negative.

Result: the test passes with the change.

--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -6,12 +6,20 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
 import msgspec
 
+# The largest integer up to which doubles are exact. Larger numbers can't be
+# added up without errors, nor stored in records.
+MAX_NUMBER = 1 << 53
+
 _Message = TypeVar("_Message")
+_Amount = Annotated[float, msgspec.Meta(le=MAX_NUMBER)]
+_Count = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_WallMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class BadMessageError(ValueError):
@@ -29,9 +37,9 @@
 ):
     """Capacity of an executor; `RequestedMemoryMb` is all its memory here."""
 
-    cpu_millicores: float = 0
-    memory_mb: float = 0
-    gpus: float = 0
+    cpu_millicores: _Amount = 0
+    memory_mb: _Amount = 0
+    gpus: _Amount = 0
 
 
 class Step(
@@ -209,13 +217,13 @@
     address: str
     zone: str
     version: str
-    slots: float
+    slots: _Count
     state: str
-    cold_remaining_ms: float
-    sequence: float
+    cold_remaining_ms: _Amount
+    sequence: _Count
     capacity: Capacity
     labels: tuple[str, ...]
-    born: int = 0
+    born: _WallMs = 0
 
 
 class HoldReply(
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -38,6 +38,23 @@
         )
         self.assert_executor_is_kept()
 
+    # Guards against the same by an entry with a number that no executor has.
+    def test_entry_with_an_odd_number_replaces_no_executor(self) -> None:
+        for number, fields in enumerate(
+            (
+                {"born": 10**30},
+                {"born": 2, "Slots": -1},
+                {"born": 2, "Sequence": 1e300},
+                {"born": 2, "ColdRemainingMs": 1e300},
+                {"born": 2, "Capacity": {"CpuMillicores": 1e300}},
+                {"born": 2, "Capacity": {"RequestedMemoryMb": 10**30}},
+            )
+        ):
+            self.write_executor(
+                f"probe-{number}", Address=self.executor_address, **fields
+            )
+        self.assert_executor_is_kept()
+
     # Guards against the same by an entry that lacks a field of executors or has
     # one of another type.
     def test_incomplete_entry_replaces_no_executor(self) -> None:
