Limit the nesting of messages before they are decoded

What callers would see: on Python 3.12 or 3.13, one deeply nested entry in the list of workers, or one deeply nested submission, ends the process that reads it; the entry ends the next one, too.

Cause: the threads of a host have stacks of 256 KiB. Up to Python 3.11 the decoder stops at 1,000 levels; later versions allow it so many that the stack overflows.

Evidence: the decoder in a thread of that size, 60,000 levels: signal 11 on 3.12.15 and 3.13.14, RecursionError on 3.11.6. With the limit, all three refuse 100 levels and more. A whole host was not run on 3.12.

Change: text of more than 64 levels is refused. Text with at most 64 opening brackets is not searched, so that an entry costs 1 microsecond; a page of 234 KB costs 3 ms.

--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from comfreylatch._connection import json_nesting
+
 # The largest integer up to which doubles are exact. Larger numbers can't be
 # added up without errors, nor stored in records.
 MAX_NUMBER = 1 << 53
@@ -473,6 +475,10 @@
     Raises:
         BadMessageError: The body is not a valid message of this kind.
     """
+    if json_nesting.is_too_deep(body):
+        raise BadMessageError(
+            f"{kind.__name__}: more than {json_nesting.MAX_DEPTH} levels"
+        )
     try:
         return msgspec.json.decode(body, type=kind)
     except (
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -111,6 +111,14 @@
                 wire.BadMessageError, workers.decode_worker, "i-1", value
             )
 
+    # Guards against an entry that overflows the stack of the thread that reads
+    # the list, which kills the process on Python 3.12 and later.
+    def test_nested_entry_is_rejected(self) -> None:
+        nested: list[Any] = []
+        for _ in range(100):
+            nested = [nested]
+        self.assertRaises(wire.BadMessageError, self.decode, Extra=nested)
+
     # Guards against calls that fail for a header that can't be sent.
     def test_unusable_ids_are_rejected(self) -> None:
         value = json.dumps(ENTRY).encode()
