Count GPUs before lasting runs are preempted

What callers saw: a job that asks for GPUs that no worker has makes the owner stop lasting tasks for it, up to 8 in 100 at a time; other urgent jobs get none meanwhile.

Cause: the projected capacity of a worker had processors and memory only, so that the job seemed to fit once a lasting run ended.

Change: the projection counts GPUs, by the same two methods for all dimensions.

Result: test_no_run_is_preempted_for_gpus_that_no_worker_has fails without the change (one victim) and passes with it.

--- a/src/comfreylatch/_process/cell/planning/preemption.py
+++ b/src/comfreylatch/_process/cell/planning/preemption.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
 from comfreylatch._process.cell.crashes import blame
@@ -20,6 +21,7 @@
 MAX_PREEMPTING_TASKS_PER_STEP = 8
 # Share of the lasting runs that may be stopping at the same time.
 MAX_STOPPING_SHARE = 0.08
+_NOTHING = cell_workers.Resources(0, 0)
 
 
 @attrs.define(eq=False)
@@ -29,6 +31,29 @@
     worker: worker_view.WorkerView
     free_cpu: int
     free_memory: int
+    free_gpus: int
+
+    def can_take(
+        self,
+        need: cell_workers.Resources,
+        ended: cell_workers.Resources = _NOTHING,
+    ) -> bool:
+        """Whether a need is covered once a run with these resources ends."""
+        return (
+            need.cpu_millicores <= self.free_cpu + ended.cpu_millicores
+            and need.memory_mb <= self.free_memory + ended.memory_mb
+            and need.gpus <= self.free_gpus + ended.gpus
+        )
+
+    def replace(
+        self,
+        need: cell_workers.Resources,
+        ended: cell_workers.Resources = _NOTHING,
+    ) -> None:
+        """Reserves a need and counts a run with these resources as ended."""
+        self.free_cpu += ended.cpu_millicores - need.cpu_millicores
+        self.free_memory += ended.memory_mb - need.memory_mb
+        self.free_gpus += ended.gpus - need.gpus
 
 
 @final
@@ -53,13 +78,8 @@
         """Reserves capacity for a task; returns whether it fit."""
         need = task.step.spec.need
         for projected in self._workers:
-            fits = (
-                projected.free_cpu >= need.cpu_millicores
-                and projected.free_memory >= need.memory_mb
-            )
-            if fits and self._is_allowed(projected, task):
-                projected.free_cpu -= need.cpu_millicores
-                projected.free_memory -= need.memory_mb
+            if projected.can_take(need) and self._is_allowed(projected, task):
+                projected.replace(need)
                 return True
         return False
 
@@ -78,12 +98,7 @@
                 spec = run.task.step.spec
                 if not self._may_stop(run):
                     continue
-                if (
-                    projected.free_cpu + spec.cpu_millicores
-                    < need.cpu_millicores
-                ):
-                    continue
-                if projected.free_memory + spec.memory_mb < need.memory_mb:
+                if not projected.can_take(need, spec.need):
                     continue
                 if best is None or (
                     spec.cpu_millicores < best.task.step.spec.cpu_millicores
@@ -91,11 +106,9 @@
                     best, best_worker = run, projected
         if best is None or best_worker is None:
             return None
-        spec = best.task.step.spec
         self._victims.add(best)
         self.stopping_count += 1
-        best_worker.free_cpu += spec.cpu_millicores - need.cpu_millicores
-        best_worker.free_memory += spec.memory_mb - need.memory_mb
+        best_worker.replace(need, best.task.step.spec.need)
         return best
 
     def _may_stop(self, run: runs_module.Run) -> bool:
@@ -123,6 +136,7 @@
         worker,
         worker.free_cpu + sum(need.cpu_millicores for need in stopping),
         worker.free_memory + sum(need.memory_mb for need in stopping),
+        worker.free_gpus + sum(need.gpus for need in stopping),
     )
 
 
--- a/tests/process/cell/planning/test_planner.py
+++ b/tests/process/cell/planning/test_planner.py
@@ -81,6 +81,20 @@
         )
         self.assertEqual(1, len(victims))
 
+    # Guards against lasting tasks that are stopped for a job that can't start
+    # all the same, as no worker has the GPUs.
+    def test_no_run_is_preempted_for_gpus_that_no_worker_has(self) -> None:
+        cell = self.full_cell()
+        cell.submit(harness.job(harness.step(gpus=1), job_id="b" * 16))
+        cell.clock.advance(preemption.PREEMPTION_DELAY_MS)
+        victims = preemption.choose_victims(
+            cell.jobs.ready_steps(),
+            cell.workers,
+            cell.ranker,
+            cell.clock.now_ms,
+        )
+        self.assertEqual([], victims)
+
     def test_step_with_a_limit_on_unavailable_tasks_is_not_preempted(
         self,
     ) -> None:
