Clear no worker for filling tasks that fit on none

What callers saw: a filling job of a harmful image that no worker has the memory, the GPUs or the label for counts as demand for a worker without lasting tasks, for good. The owner stops the lasting tasks of one worker after the other for it.

Cause: the demand is summed over the waiting steps by their processors; whether an empty worker could take them was not looked at.

Change: only steps that an empty worker could take count as demand.

Result: test_no_worker_is_cleared_for_tasks_that_fit_on_none fails without the change and passes with it.

--- a/src/comfreylatch/_process/cell/planning/placement.py
+++ b/src/comfreylatch/_process/cell/planning/placement.py
@@ -81,6 +81,19 @@
     )
 
 
+def fits_when_empty(
+    worker: worker_view.WorkerView, step: runs_module.StepInstance
+) -> bool:
+    """Whether a worker without runs could take a task of a step."""
+    need, capacity = step.spec.need, worker.entry.capacity
+    return (
+        is_eligible(worker, step)
+        and need.cpu_millicores <= capacity.cpu_millicores
+        and need.memory_mb <= capacity.memory_mb
+        and need.gpus <= capacity.gpus
+    )
+
+
 def reservation_cost(
     step: runs_module.StepInstance, preferred_rack: str
 ) -> candidates.CostFunction:
--- a/src/comfreylatch/_process/cell/planning/planner.py
+++ b/src/comfreylatch/_process/cell/planning/planner.py
@@ -173,7 +173,19 @@
         Returns:
             The worker's lasting runs, which have to be stopped.
         """
-        demand = clearing.waiting_millicores(steps, self._interference, now_ms)
+        # An empty worker is of no use to a step that fits on none.
+        servable = (
+            step
+            for step in steps
+            if step.spec.fills_idle
+            and any(
+                placement.fits_when_empty(worker, step)
+                for worker in self._workers
+            )
+        )
+        demand = clearing.waiting_millicores(
+            servable, self._interference, now_ms
+        )
         if not demand:
             clearing.reopen_unused(self._workers, now_ms)
             return []
--- a/tests/process/cell/planning/test_planner.py
+++ b/tests/process/cell/planning/test_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 import testtools
 
@@ -116,8 +118,11 @@
 class HarmfulFillingTest(testtools.TestCase):
     """Filling tasks that would slow a lasting task on any worker."""
 
-    def cell_with_lasting(self) -> harness.Cell:
-        """Returns a cell with a lasting task near its target on each worker."""
+    def cell_with_lasting(self, **fields: Any) -> harness.Cell:
+        """Returns a cell with a lasting task near its target on each worker.
+
+        `fields` are those of the filling step that waits.
+        """
         cell = harness.Cell(workers=4, cpu_millicores=8_000)
         lasting_step = harness.step(
             4,
@@ -137,7 +142,11 @@
         cell.submit(
             harness.job(
                 harness.step(
-                    4, cpu_millicores=4_000, fills_idle=True, image="press"
+                    4,
+                    cpu_millicores=4_000,
+                    fills_idle=True,
+                    image="press",
+                    **fields,
                 ),
                 job_id="b" * 16,
             )
@@ -169,6 +178,21 @@
             },
         )
 
+    # Guards against lasting tasks that are stopped again and again for a job
+    # that no worker has the memory, the GPUs or the label for.
+    def test_no_worker_is_cleared_for_tasks_that_fit_on_none(self) -> None:
+        for fields in (
+            {"memory_mb": 1_000_000},
+            {"gpus": 8},
+            {"required_label": "gpu-9"},
+        ):
+            cell = self.cell_with_lasting(**fields)
+            cell.clock.advance(clearing.MIN_FILLING_WAIT_MS)
+            steps = cell.jobs.ready_steps()
+            self.assertEqual(
+                [], cell.planner.clear_worker(steps, cell.clock.now_ms), fields
+            )
+
     def test_stopped_lasting_task_is_placed_again_once_it_is_overdue(
         self,
     ) -> None:
