Call a job unknown to its canceller only from a complete view

What callers saw: a job was accepted, cancelled 0.1 s later at the same host while the store was slow, and the cancellation was answered 410.

Cause: a host knows of jobs from its reads of the store. cancel() waited 60 ms for a newer view and then answered "unknown" from any view up to 1.9 s old. Callers take that as final.

Evidence: the record of the case has the 410 61 ms after the request, and 0.16 s after the job was accepted.

Change: a host that does not know the job makes one read from where its view ends. Nothing there: unknown. A record that is not applied within 0.6 s: the cancellation is stored, and takes effect as it comes after the job. No answer: refused with view-too-old, which passes the request on to the owner. A lone cancellation is dropped after the retention time.

Ruled out: storing every cancellation without a look, as each unknown id would then leave a record.

Known cost: one read for an unknown job.

--- a/src/comfreylatch/_process/cell/job_api.py
+++ b/src/comfreylatch/_process/cell/job_api.py
@@ -41,6 +41,10 @@
 # How long a caller waits for a current view of a job that has not ended. The
 # store answers in 4 ms; where it is slower, the view at hand is used.
 REFRESH_TIMEOUT_MS = 60
+# How long a cancellation of a job that this host has not read of waits for
+# records that are stored already. It covers an answer of the store at its
+# slowest, 240 ms, after one that is under way.
+CATCH_UP_TIMEOUT_MS = 600
 
 _logger = logbook.Logger(__name__)
 
@@ -401,12 +405,9 @@
         entry = self._replica.find(job_id)
         if entry is not None and (entry.is_cancelled or entry.state.is_final):
             return Accepted()
-        if not self._is_known(job_id):
-            self._reader.refresh(REFRESH_TIMEOUT_MS)
-        if not self._is_known(job_id):
-            if self._reader.age_ms > MAX_VIEW_AGE_MS:
-                return Refused(reasons.Refusal.VIEW_TOO_OLD, RETRY_AFTER_MS)
-            return UnknownJob()
+        denied = self._deny_cancellation(job_id)
+        if denied is not None:
+            return denied
         record = store_port.NewRecord(
             records.CANCEL_PREFIX + job_id,
             records.encode(records.CancelRecord(self._clock.wall_ms())),
@@ -431,6 +432,27 @@
             case PerhapsKept(detail, reason):
                 return Undecided(detail, reason)
 
+    def _deny_cancellation(self, job_id: str) -> Refused | UnknownJob | None:
+        """Returns why a job can't be cancelled; None if it may exist.
+
+        A caller takes "unknown" as final. So it is said only from a view that
+        includes all that was stored before the call; in doubt the cancellation
+        is stored.
+        """
+        if self._is_known(job_id):
+            return None
+        state = self._reader.catch_up(CATCH_UP_TIMEOUT_MS)
+        if self._is_known(job_id):
+            return None
+        match state:
+            case partition_reader_module.CatchUp.CURRENT:
+                return UnknownJob()
+            case partition_reader_module.CatchUp.BEHIND:
+                logs.event(_logger, "cancelled-unread", job=job_id)
+                return None
+            case partition_reader_module.CatchUp.NO_ANSWER:
+                return Refused(reasons.Refusal.VIEW_TOO_OLD, RETRY_AFTER_MS)
+
     def count_queued(self, queue: specs.QueueSpec) -> int | StaleView:
         """Counts accepted jobs of a queue of which no task has started."""
         if self._reader.age_ms > MAX_VIEW_AGE_MS:
--- a/src/comfreylatch/_process/cell/job_replica.py
+++ b/src/comfreylatch/_process/cell/job_replica.py
@@ -27,7 +27,8 @@
             of which only a later record was read.
         state: State that the owner recorded.
         is_cancelled: Whether a caller has cancelled it.
-        ended_ms: Monotonic time at which this host read that it has ended.
+        ended_ms: Monotonic time at which this host read that it has ended, or
+            that it was cancelled before anything else of it.
     """
 
     spec: specs.JobSpec | None = None
@@ -35,6 +36,13 @@
     is_cancelled: bool = False
     ended_ms: int = 0
 
+    @property
+    def is_only_cancelled(self) -> bool:
+        """Whether nothing but a cancellation was read."""
+        return (
+            self.is_cancelled and self.spec is None and not self.state.is_final
+        )
+
     @property
     def shown_state(self) -> records.JobState:
         """The state that callers are shown."""
@@ -115,12 +123,16 @@
             return None if entry is None else attrs.evolve(entry)
 
     def ended_before(self, before_ms: int) -> list[str]:
-        """Returns ids of jobs whose end was read before a monotonic time."""
+        """Returns ids of jobs whose end was read before a monotonic time.
+
+        Also of those of which only a cancellation was read.
+        """
         with self._lock:
             return [
                 job_id
                 for job_id, entry in self._jobs.items()
-                if entry.state.is_final and entry.ended_ms < before_ms
+                if (entry.state.is_final or entry.is_only_cancelled)
+                and entry.ended_ms < before_ms
             ]
 
     def count_queued(self, queue_prefix: str, queue_host: str) -> int:
@@ -227,6 +239,8 @@
             if entry.is_cancelled or entry.state.is_final:
                 return
             entry.is_cancelled = True
+            if entry.is_only_cancelled:
+                entry.ended_ms = self._clock.monotonic_ms()
             listener = self._listener if entry.spec is not None else None
         if listener is not None:
             listener(JobCancelled(job_id))
--- a/src/comfreylatch/_process/cell/partition_reader.py
+++ b/src/comfreylatch/_process/cell/partition_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import enum
 import threading
 import types
 from typing import final
@@ -32,6 +33,14 @@
 _logger = logbook.Logger(__name__)
 
 
+class CatchUp(enum.Enum):
+    """How a view compares with what was stored when it was asked."""
+
+    CURRENT = "current"
+    BEHIND = "behind"
+    NO_ANSWER = "no-answer"
+
+
 @final
 class PartitionReader:
     """A thread that reads a partition's newest records and all that follow.
@@ -141,6 +150,33 @@
                 lambda: self._current_read >= next_read, timeout_ms / 1_000
             )
 
+    def catch_up(self, timeout_ms: int) -> CatchUp:
+        """Makes the view include all that was stored before this call.
+
+        One read of its own shows where the partition ends. The reads of the
+        thread don't: their answers may have been under way for a while.
+
+        Args:
+            timeout_ms: How long to wait for records that are stored, but not
+                applied yet.
+        """
+        applied_offset = self._next_offset
+        if applied_offset < 0:
+            return CatchUp.NO_ANSWER
+        match self._store.read(self._topic, self._partition, applied_offset, 0):
+            case result.Ok(batch) if batch.end_offset == applied_offset:
+                return CatchUp.CURRENT
+            case result.Ok(batch) if batch.end_offset > applied_offset:
+                self._refresh_requested.set()
+                if self.wait_for(batch.end_offset - 1, timeout_ms):
+                    return CatchUp.CURRENT
+                return CatchUp.BEHIND
+            case result.Ok(_):
+                # The store has lost records, so that all are read again.
+                return CatchUp.BEHIND
+            case result.Err(_):
+                return CatchUp.NO_ANSWER
+
     def _run(self) -> None:
         retry_ms = MIN_RETRY_PAUSE_MS
         wait_ms = self._read_wait_ms
--- a/tests/process/cell/test_job_api.py
+++ b/tests/process/cell/test_job_api.py
@@ -7,6 +7,7 @@
 import time
 from typing import Any
 
+import result
 import testtools
 
 from comfreylatch._ports import clock as clock_port
@@ -24,6 +25,7 @@
 
 WAIT_MS = 2_000
 ID = "0" * 16
+SLOW_READ_S = 0.24
 
 
 class GatedStore:
@@ -42,6 +44,32 @@
         return self._store.append(*arguments, **options)
 
 
+class SlowReads:
+    """A store whose answers to reads may be under way for long.
+
+    Attributes:
+        delay_s: Time from a read until its answer arrives.
+        is_cut: Whether reads fail.
+    """
+
+    def __init__(self, store: record_store.MemoryStore) -> None:
+        self._store = store
+        self.delay_s = 0.0
+        self.is_cut = False
+
+    def newest(self, *arguments: Any) -> Any:
+        """Reads the newest records."""
+        return self._store.newest(*arguments)
+
+    def read(self, *arguments: Any) -> Any:
+        """Reads; the answer arrives after the delay."""
+        if self.is_cut:
+            return result.Err(store_port.StoreUnavailable("cut"))
+        answer = self._store.read(*arguments)
+        time.sleep(self.delay_s)
+        return answer
+
+
 class JobApiTest(testtools.TestCase):
     """A job API and its partition reader on an in-memory store."""
 
@@ -51,10 +79,11 @@
         self.addCleanup(stack.close)
         clock = clock_port.SystemClock()
         self.store = record_store.MemoryStore()
+        self.reads = SlowReads(self.store)
         self.replica = job_replica.JobReplica(clock)
         self.reader = stack.enter_context(
             partition_reader_module.PartitionReader(
-                self.store, records.JOBS_TOPIC, 0, self.replica.apply, clock, 50
+                self.reads, records.JOBS_TOPIC, 0, self.replica.apply, clock, 50
             )
         )
         self.gate = GatedStore(self.store)
@@ -178,6 +207,58 @@
         self.assertTrue(self.reader.wait_for(1, WAIT_MS))
         self.assertIs(records.JobState.CANCELLED, self.job_api.state(ID))
 
+    # Guards against tasks that run for good after their job was cancelled: the
+    # host had accepted the job, but not read of it, and called it unknown.
+    def test_job_that_was_just_accepted_can_be_cancelled(self) -> None:
+        # The answer to a read is under way for a while.
+        self.reads.delay_s = SLOW_READ_S
+        time.sleep(SLOW_READ_S)
+        self.assertEqual(job_api_module.Accepted(), self.submit())
+        self.assertEqual(
+            job_api_module.Accepted(), self.job_api.cancel(ID, WAIT_MS)
+        )
+        self.assertIn(
+            records.CANCEL_PREFIX + ID, self.store.keys(records.JOBS_TOPIC, 0)
+        )
+
+    # Guards against the same where the record arrives too late to wait for.
+    def test_cancellation_is_stored_while_the_view_is_behind(self) -> None:
+        self.reads.delay_s = job_api_module.CATCH_UP_TIMEOUT_MS / 1_000
+        time.sleep(self.reads.delay_s)
+        self.assertEqual(job_api_module.Accepted(), self.submit())
+        self.assertEqual(
+            job_api_module.Accepted(), self.job_api.cancel(ID, WAIT_MS)
+        )
+        self.assertIn(
+            records.CANCEL_PREFIX + ID, self.store.keys(records.JOBS_TOPIC, 0)
+        )
+
+    # Guards against the same on a host that is cut off from the store and so
+    # can't know of jobs that others have accepted since.
+    def test_host_without_the_store_calls_no_job_unknown(self) -> None:
+        self.reads.is_cut = True
+        self.assertEqual(
+            job_api_module.Refused(
+                reasons.Refusal.VIEW_TOO_OLD, job_api_module.RETRY_AFTER_MS
+            ),
+            self.job_api.cancel(ID, WAIT_MS),
+        )
+
+    # Guards against records of cancellations for ids that were never used.
+    def test_unknown_job_is_not_cancelled(self) -> None:
+        for _ in range(2):
+            self.assertEqual(
+                job_api_module.UnknownJob(), self.job_api.cancel(ID, WAIT_MS)
+            )
+            self.submit_other()
+        self.assertNotIn(
+            records.CANCEL_PREFIX + ID, self.store.keys(records.JOBS_TOPIC, 0)
+        )
+
+    def submit_other(self) -> None:
+        """Submits another job, whose record this host need not have read."""
+        self.job_api.submit(harness.job(job_id="1" * 16), WAIT_MS)
+
     def test_state_that_was_stored_before_the_question_is_shown(self) -> None:
         self.submit()
         self.assertTrue(self.reader.wait_for(0, WAIT_MS))
--- a/tests/process/cell/test_job_replica.py
+++ b/tests/process/cell/test_job_replica.py
@@ -70,6 +70,19 @@
         self.apply(STATE, None)
         self.assertIsNone(self.shown_state())
 
+    # Guards against records of cancellations that are kept for good, as their
+    # jobs were never accepted.
+    def test_lone_cancellation_is_dropped_after_the_retention_time(
+        self,
+    ) -> None:
+        cancelled = records.CancelRecord(harness.START_MS)
+        self.apply(records.CANCEL_PREFIX + ID, cancelled)
+        later_ms = harness.START_MS + 1
+        self.assertEqual([], self.replica.ended_before(harness.START_MS))
+        self.assertEqual([ID], self.replica.ended_before(later_ms))
+        self.apply(JOB, harness.job())
+        self.assertEqual([], self.replica.ended_before(later_ms))
+
 
 class JobTableTest(testtools.TestCase):
     """Records that the owner writes when a job ends."""
