Give back the run numbers of a gang that does not fit

Cause: a pass that can place some members of a gang withdraws them, but kept the run numbers that it had given them. A waiting gang so used some 50 numbers a second, beyond the range of its owner; the next owner's numbers were below those that had ended on the worker.

Evidence: the case's record has run 2789 as the first start of the gang, by the first owner, whose range ends at 2000.

Change: withdrawing a placement restores the task's last run number and the time since which it waits, which began anew with each pass.

--- a/src/comfreylatch/_process/cell/planning/placement_pass.py
+++ b/src/comfreylatch/_process/cell/planning/placement_pass.py
@@ -13,10 +13,17 @@
 
 @attrs.frozen
 class Placement:
-    """A run with an assigned worker; its start order is not sent yet."""
+    """A run with an assigned worker; its start order is not sent yet.
+
+    Attributes:
+        run: The run.
+        worker: The worker.
+        previous_run: Number of the task's last run before.
+    """
 
     run: runs_module.Run
     worker: worker_view.WorkerView
+    previous_run: int = 0
 
 
 @attrs.frozen
@@ -152,7 +159,20 @@
         runs_module.RunPhase.STARTING,
         now_ms,
     )
+    previous_run = task.last_run
     task.last_run = number
     task.step.add_run(run)
     worker.add(run)
-    return Placement(run, worker)
+    return Placement(run, worker, previous_run)
+
+
+def withdraw(placement: Placement) -> None:
+    """Undoes an assignment whose start was not ordered.
+
+    The task has waited all the while, and its run number is free again: the
+    numbers of an owner are limited.
+    """
+    run = placement.run
+    placement.worker.remove(run)
+    run.task.step.remove_run(run, run.task.pending_since_ms)
+    run.task.last_run = placement.previous_run
--- a/src/comfreylatch/_process/cell/planning/planner.py
+++ b/src/comfreylatch/_process/cell/planning/planner.py
@@ -369,8 +369,7 @@
             placed = self._place_task(task, this_pass, number)
             if placed is None:
                 for earlier in placements:
-                    earlier.worker.remove(earlier.run)
-                    step.remove_run(earlier.run, this_pass.now_ms)
+                    placement_pass.withdraw(earlier)
                 return []
             placements.append(placed)
         return placements
--- a/tests/process/cell/planning/test_planner.py
+++ b/tests/process/cell/planning/test_planner.py
@@ -10,6 +10,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell.planning import clearing
 from comfreylatch._process.cell.planning import preemption
+from testing.fakes import cell_workers as fake_workers
 from tests.process.cell import harness
 
 
@@ -45,6 +46,33 @@
         assert worker is not None
         self.assertEqual(3_000, worker.free_cpu)
 
+    # Guards against a gang that uses up the run numbers of its owner while it
+    # waits, so that workers refuse the runs of the next one as old.
+    def test_waiting_gang_uses_no_run_numbers(self) -> None:
+        cell = harness.Cell(workers=1, cpu_millicores=3_000)
+        job = cell.submit(harness.job(harness.step(4, is_gang=True)))
+        (step,) = job.steps[0]
+        for _ in range(10):
+            cell.clock.advance(10)
+            self.assertEqual([], cell.place())
+        self.assertEqual({0}, {task.last_run for task in step.tasks})
+        worker = cell.workers.find("w1")
+        worker.update(fake_workers.entry("w1", cpu_millicores=4_000))
+        self.assertEqual([1] * 4, [run.number for run in cell.place()])
+
+    # Guards against a gang that seems to have waited since the last pass only,
+    # however long it has.
+    def test_waiting_gang_keeps_the_time_since_which_it_waits(self) -> None:
+        cell = harness.Cell(workers=1, cpu_millicores=3_000)
+        job = cell.submit(harness.job(harness.step(4, is_gang=True)))
+        (step,) = job.steps[0]
+        waiting_since_ms = step.oldest_pending_ms
+        cell.clock.advance(5_000)
+        self.assertEqual([], cell.place())
+        self.assertEqual(
+            {waiting_since_ms}, {task.waiting_since_ms for task in step.tasks}
+        )
+
     def test_limit_of_tasks_per_worker_is_kept(self) -> None:
         cell = harness.Cell(workers=2)
         cell.submit(harness.job(harness.step(5, max_per_worker=2)))
