Reserve run numbers beyond an owner's range in the store

What callers would see: a task that one owner has started over 1,000 times, as a lasting task that ends soon, is refused as an old run after the owner has changed.

Cause: nothing kept an owner from using numbers above its range, and the next owner knows of no numbers but those of its own range.

Change: a start whose number is above the range waits until the record of the job's progress reserves it, 1,000 at a time; the next owner numbers above what is reserved. Records only gain a field; records of earlier versions are read as before.

Ruled out: a larger range, as executors may bound the numbers, and skipping numbers after a refusal, as two owners could then use one number for two runs.

Not played with processes.

--- a/src/comfreylatch/_process/cell/crashes/stored_starts.py
+++ b/src/comfreylatch/_process/cell/crashes/stored_starts.py
@@ -16,6 +16,7 @@
 from comfreylatch._process.cell import run_dispatcher
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell.crashes import blame
+from comfreylatch._process.cell.numbering import run_numbers
 from comfreylatch._process.cell.planning import placement_pass
 
 _logger = logbook.Logger(__name__)
@@ -23,10 +24,12 @@
 
 @final
 class StoredStarts:
-    """Orders starts; those that may crash their worker only once recorded.
+    """Orders starts, some of them only once they are recorded.
 
-    An owner that ends right after such a start leaves a record of it, so that
-    the next one counts the crash. Only the owner's thread uses it.
+    Those are starts that may crash their worker, and those with run numbers
+    beyond the range of the owner. An owner that ends right after such a start
+    leaves a record of it, so that the next one counts the crash and uses other
+    numbers. Only the owner's thread uses it.
     """
 
     def __init__(
@@ -54,11 +57,33 @@
 
     def start(self, placement: placement_pass.Placement) -> None:
         """Orders a run to start, at once or after it has been recorded."""
-        run, worker = placement.run, placement.worker
-        task = run.task
-        if not self._must_store(task):
+        run = placement.run
+        is_trial = self._must_store(run.task)
+        if is_trial:
+            self._record_trial(placement)
+        if run_numbers.needs_reservation(run):
+            self._reserve_number(run)
+        elif not is_trial:
             self._dispatcher.send_start(run)
             return
+        self._unsent.append(run)
+
+    def _reserve_number(self, run: runs_module.Run) -> None:
+        job = run.task.step.job
+        # Also if it is reserved already, as that record may not be stored yet.
+        self._jobs.mark_changed(job)
+        if run_numbers.reserve(job, run.number):
+            logs.event(
+                _logger,
+                "run-numbers-reserved",
+                task=run.task.name,
+                run=run.number,
+                reserved_run=job.reserved_run,
+            )
+
+    def _record_trial(self, placement: placement_pass.Placement) -> None:
+        run, worker = placement.run, placement.worker
+        task = run.task
         is_alone = worker.trial_run is run and len(worker.runs) == 1
         task.trial = records.TrialRecord(
             run.number,
@@ -71,7 +96,6 @@
             wall_ms=self._clock.wall_ms(),
         )
         self._jobs.mark_changed(task.step.job)
-        self._unsent.append(run)
         if not task.crashes:
             return
         logs.event(
@@ -99,10 +123,20 @@
             return
         runs = tuple(self._unsent)
         self._unsent.clear()
-        on_stored.append(lambda: self._post(events.StartsRecorded(runs)))
+        # What the write that follows reserves.
+        reserved = {
+            run.task.step.job: run.task.step.job.reserved_run for run in runs
+        }
+
+        def post() -> None:
+            self._post(events.StartsRecorded(runs, reserved))
+
+        on_stored.append(post)
 
-    def handle_recorded(self, runs: tuple[runs_module.Run, ...]) -> None:
+    def handle_recorded(self, event: events.StartsRecorded) -> None:
         """Orders recorded runs to start, unless they are over meanwhile."""
-        for run in runs:
+        for job, reserved_run in event.reserved.items():
+            job.run_number_limit = max(job.run_number_limit, reserved_run)
+        for run in event.runs:
             if run.should_start and run in run.task.runs:
                 self._dispatcher.send_start(run)
--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -133,9 +133,15 @@
 
 @attrs.frozen
 class StartsRecorded:
-    """The records of runs are stored that have to precede their starts."""
+    """The records of runs are stored that have to precede their starts.
+
+    Attributes:
+        runs: The runs.
+        reserved: Highest run number that the records reserve, by job.
+    """
 
     runs: tuple[runs_module.Run, ...]
+    reserved: dict[runs_module.ActiveJob, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -13,6 +13,7 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
+from comfreylatch._process.cell.numbering import run_numbers
 
 # Delay before a lasting task that has ended is started again. It bounds the
 # rate of starts of a task that always ends at once.
@@ -81,7 +82,15 @@
         progress: records.ProgressRecord | None = None,
         state: records.JobState = records.JobState.QUEUED,
     ) -> runs_module.ActiveJob | None:
-        """Adds an accepted job; returns None if it is in the table already."""
+        """Adds an accepted job; returns None if it is in the table already.
+
+        Args:
+            spec: The job.
+            run_number_floor: Highest run number that a previous owner may have
+                used; 0 for a job that none had.
+            progress: What a previous owner recorded of it.
+            state: Its state as last recorded.
+        """
         if spec.job_id in self._jobs:
             return None
         now_ms = self._clock.monotonic_ms()
@@ -90,6 +99,9 @@
             spec,
             now_ms - age_ms,
             run_number_floor=run_number_floor,
+            run_number_limit=run_numbers.initial_limit(
+                self._token, run_number_floor
+            ),
             state=state,
         )
         self._jobs[spec.job_id] = job
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -48,6 +48,7 @@
 from comfreylatch._process.cell.explaining import explanation
 from comfreylatch._process.cell.listing import service_filter
 from comfreylatch._process.cell.locality import near_places
+from comfreylatch._process.cell.numbering import run_numbers
 from comfreylatch._process.cell.planning import planner as planner_module
 from comfreylatch._process.cell.planning import preemption
 from comfreylatch._process.cell.planning import ranking as ranking_module
@@ -65,10 +66,6 @@
 PASS_INTERVAL_FACTOR = 3
 # Interval between two log lines on the load of the cell.
 REPORT_INTERVAL_MS = 1_000
-# Run numbers reserved per fencing token. A new owner may not know all runs that
-# its predecessor started, so it numbers its own above the predecessor's range;
-# no run number is then used twice.
-RUN_NUMBERS_PER_TOKEN = 1_000
 
 _logger = logbook.Logger(__name__)
 
@@ -210,12 +207,14 @@
 
     def __enter__(self) -> Self:
         self._workers.__enter__()
-        run_number_floor = self._recovered.token * RUN_NUMBERS_PER_TOKEN
         for entry in self._recovered.jobs:
             assert entry.spec is not None
             progress = self._recovered.progress.get(entry.spec.job_id)
             job = self._jobs.add(
-                entry.spec, run_number_floor, progress, entry.state
+                entry.spec,
+                run_numbers.first_floor(self._recovered.token, progress),
+                progress,
+                entry.state,
             )
             if job is not None:
                 self._ranker.add_job(job)
@@ -360,8 +359,8 @@
         match event:
             case events.WorkersRecorded(born_ms):
                 self._recorded_workers.mark_recorded(born_ms)
-            case events.StartsRecorded(runs):
-                self._stored_starts.handle_recorded(runs)
+            case events.StartsRecorded():
+                self._stored_starts.handle_recorded(event)
 
     def _handle_change(self, change: job_replica.JobChange) -> None:
         match change:
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -215,9 +215,16 @@
 
 @attrs.frozen
 class ProgressRecord:
-    """Progress of a job from its ended runs."""
+    """Progress of a job from its ended runs.
+
+    Attributes:
+        steps: Progress of its steps.
+        reserved_run: Run numbers up to this one may have been used; 0 if only
+            those in the ranges of the owners' tokens.
+    """
 
     steps: tuple[StepProgress, ...]
+    reserved_run: int = 0
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -290,6 +290,9 @@
         is_cancelled: Whether a caller has cancelled it.
         run_number_floor: Run numbers start above it; previous owners may have
             used the numbers up to it.
+        run_number_limit: Highest run number that may be used without another
+            reservation, see `numbering.run_numbers`.
+        reserved_run: Highest run number that a record reserves; 0 if none does.
         first_start_ms: Monotonic time at which its first task was started; 0
             before.
     """
@@ -301,6 +304,8 @@
     state: records.JobState = records.JobState.QUEUED
     is_cancelled: bool = False
     run_number_floor: int = 0
+    run_number_limit: int = 1 << 53
+    reserved_run: int = 0
     first_start_ms: int = 0
 
     @property
@@ -420,10 +425,11 @@
                         trials,
                     )
                 )
-        return records.ProgressRecord(tuple(steps))
+        return records.ProgressRecord(tuple(steps), self.reserved_run)
 
     def restore(self, progress: records.ProgressRecord) -> None:
         """Restores the progress that a previous owner recorded."""
+        self.reserved_run = progress.reserved_run
         for recorded in progress.steps:
             if not 0 <= recorded.occurrence < self.occurrence_count:
                 continue
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -265,7 +265,7 @@
 
     def _note_event(self, event: events.Event) -> None:
         assert isinstance(event, events.StartsRecorded)
-        self.stored_starts.handle_recorded(event.runs)
+        self.stored_starts.handle_recorded(event)
 
     def _take_starts(self, now_ms: int) -> list[Any]:
         """Confirms the starts ordered since the last call; returns them."""
--- /dev/null
+++ b/tests/process/cell/numbering/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of run numbers."""
+
+from __future__ import annotations
