Start lasting tasks again that end as done

Cause: only failed runs of lasting tasks were told apart; one that ended as done marked its task as done, also for the next owner.

Evidence: "run-ended" with "done" is the last log line of the task.

Change: such a task, or its whole gang, is started again after the pause of failed ones. Lasting tasks that earlier versions recorded as done are not taken for done.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -204,9 +204,7 @@
         step = task.step
         job = step.job
         if step.spec.is_lasting:
-            task.not_before_ms = (
-                self._clock.monotonic_ms() + LASTING_RESTART_DELAY_MS
-            )
+            self.delay_restart(task)
             return
         members = step.tasks if step.spec.is_gang else [task]
         for member in members:
@@ -215,6 +213,12 @@
         if task.failures >= job.spec.queue.max_attempts:
             self.finish(job, records.JobState.FAILED)
 
+    def delay_restart(self, task: runs_module.Task) -> None:
+        """Delays the next start of a lasting task that has ended."""
+        task.not_before_ms = (
+            self._clock.monotonic_ms() + LASTING_RESTART_DELAY_MS
+        )
+
     def record_checkpoint(
         self, task: runs_module.Task, checkpoint: str
     ) -> None:
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -129,6 +129,8 @@
         if task.is_done or not is_unfinished_job:
             return
         match end.how:
+            case cell_workers.RunEnd.DONE if task.step.spec.is_lasting:
+                self._handle_lasting_done(worker, task)
             case cell_workers.RunEnd.DONE:
                 self._handle_done(worker, task, run)
             case cell_workers.RunEnd.FAILED:
@@ -154,6 +156,19 @@
                 for other_run in list(member.runs):
                     self._dispatcher.discard(other_run)
 
+    def _handle_lasting_done(
+        self, worker: worker_view.WorkerView, task: runs_module.Task
+    ) -> None:
+        """Has a lasting task, or its whole gang, started again."""
+        worker.recent_failures = 0
+        self._jobs.mark_started(task.step.job)
+        members = task.step.tasks if task.step.spec.is_gang else [task]
+        for member in members:
+            # The end of one member stands for all of them.
+            for other_run in list(member.runs):
+                self._dispatcher.discard(other_run)
+            self._jobs.delay_restart(member)
+
     def _observe_duration(
         self, worker: worker_view.WorkerView, run: runs_module.Run
     ) -> None:
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -438,7 +438,8 @@
             self._restore_crashes(recorded)
             for index in recorded.done:
                 task = self.find(recorded.occurrence, recorded.step, index)
-                if task is not None:
+                # Earlier versions recorded lasting tasks as done, too.
+                if task is not None and not task.step.spec.is_lasting:
                     task.step.mark_done(task)
             for index, failed_runs in recorded.failed_runs.items():
                 task = self.find(recorded.occurrence, recorded.step, index)
--- a/tests/process/cell/test_run_reconciler.py
+++ b/tests/process/cell/test_run_reconciler.py
@@ -7,9 +7,11 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import job_table
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import runs as runs_module
+from testing.fakes import clock as fake_clock
 from tests.process.cell import harness
 
 
@@ -79,6 +81,33 @@
             cell.clock.advance(1_000)
         self.assertIs(records.JobState.RUNNING, job.state)
 
+    # Guards against a lasting task that is never started again, and a job that
+    # is shown as completed, as the task's run has ended as done.
+    def test_lasting_task_that_ends_as_done_runs_again(self) -> None:
+        for is_gang in (False, True):
+            cell = harness.Cell()
+            job = cell.submit(
+                harness.job(harness.step(2, is_lasting=True, is_gang=is_gang))
+            )
+            first, second = cell.place()
+            end = harness.ended_run(first, cell_workers.RunEnd.DONE)
+            cell.answer_hold(first.worker_id, ended=(end,))
+            cell.clock.advance(job_table.LASTING_RESTART_DELAY_MS)
+            restarted = {run.task for run in cell.place()}
+            expected = {first.task, second.task} if is_gang else {first.task}
+            self.assertEqual(expected, restarted)
+            self.assertIs(records.JobState.RUNNING, job.state)
+
+    # Guards against the same by what an earlier version has recorded.
+    def test_lasting_task_recorded_as_done_runs_again(self) -> None:
+        progress = records.ProgressRecord((records.StepProgress(0, 0, (0, 1)),))
+        jobs = job_table.JobTable(1, fake_clock.FakeClock(harness.START_MS))
+        spec = harness.job(harness.step(2, is_lasting=True))
+        job = jobs.add(spec, 1_000, progress)
+        assert job is not None
+        self.assertEqual(2, len(job.steps[0][0].pending_tasks))
+        self.assertIs(records.JobState.QUEUED, job.state)
+
     def test_stopped_run_resumes_from_its_checkpoint(self) -> None:
         cell = harness.Cell()
         cell.submit(harness.job(harness.step(1, has_checkpoints=True)))
