Keep runs in doubt that a worker's next life may have accepted

Cause: orders name a worker by its id only. When a later life was listed, all runs of the former one counted as ended, also one whose start had been repeated and accepted by the later life.

Change: a run whose start order was under way after the next life began, less 1 s for the clocks, is carried over in doubt. The next answer to a hold call lists it, or it is stopped and started again.

Ruled out: carrying over every run that no answer has listed, as a task that crashes its worker at once would then never be blamed.

Clocks further apart than 1 s are not covered.

--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -161,6 +161,7 @@
         if worker is None or run not in run.task.runs:
             return
         now_ms = self._clock.monotonic_ms()
+        run.start_returned_ms = now_ms
         match event.outcome:
             case result.Ok(_):
                 self.confirm(run, now_ms)
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -74,6 +74,8 @@
         unanswered_tries: Tries of its start order that got no answer.
         is_in_doubt: Whether an order is unconfirmed that the worker may have
             carried out or may still carry out.
+        start_returned_ms: Monotonic time at which its start order came to an
+            end, answered or not; 0 before.
         is_over: Whether it is known to have ended or was given up. A start
             order that is still queued must not be sent then, as its task may
             have another run.
@@ -98,6 +100,7 @@
     over_target_since_ms: int = 0
     unanswered_tries: int = 0
     is_in_doubt: bool = False
+    start_returned_ms: int = 0
     is_over: bool = False
     was_ordered: bool = False
     is_adopted: bool = False
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -22,6 +22,7 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.listing import incarnations
 from comfreylatch._process.cell.sizing import worker_limit
 
 # How long a worker without an entry is still called: entries that lapsed during
@@ -158,7 +159,7 @@
         """
         now_ms = self._clock.monotonic_ms()
         self._newest_born_ms = _newest_by_address(entries)
-        lost = self._drop_replaced()
+        lost = self._drop_replaced(entries)
         for worker_id, entry in self._select(entries).items():
             if self.is_replaced(entry.address, entry.born_ms):
                 continue
@@ -166,8 +167,8 @@
             if view is not None and view.entry.born_ms != entry.born_ms:
                 if entry.born_ms < view.entry.born_ms:
                     continue
-                lost.append(self._drop(view, reasons.LossReason.REBORN))
-                view = None
+                lost.append(self._renew(view, entry))
+                continue
             if view is None:
                 self._add(entry)
                 continue
@@ -182,6 +183,27 @@
                 view.unlisted_since_ms = now_ms
         return [lost_runs for lost_runs in lost if lost_runs.runs]
 
+    def _renew(
+        self,
+        view: worker_view.WorkerView,
+        entry: cell_workers.WorkerEntry,
+    ) -> LostRuns:
+        """Replaces a worker by its next incarnation under the same id.
+
+        Returns:
+            The runs that have certainly ended.
+        """
+        in_doubt = incarnations.take_runs_in_doubt(
+            view,
+            self._clock.monotonic_ms(),
+            self._clock.wall_ms() - entry.born_ms,
+        )
+        lost = self._drop(view, reasons.LossReason.REBORN)
+        self._add(entry)
+        for run in in_doubt:
+            self._views[entry.worker_id].add(run)
+        return lost
+
     def _select(
         self, entries: dict[str, cell_workers.WorkerEntry]
     ) -> dict[str, cell_workers.WorkerEntry]:
@@ -200,14 +222,30 @@
             )
         return selected
 
-    def _drop_replaced(self) -> list[LostRuns]:
-        """Drops workers at whose address a later one has started."""
+    def _drop_replaced(
+        self, entries: Mapping[str, cell_workers.WorkerEntry]
+    ) -> list[LostRuns]:
+        """Drops workers at whose address one with another id has started."""
         return [
             self._drop(view, reasons.LossReason.REBORN)
             for view in list(self._views.values())
             if self.is_replaced(view.entry.address, view.entry.born_ms)
+            and not self._is_renewed(view, entries)
         ]
 
+    def _is_renewed(
+        self,
+        view: worker_view.WorkerView,
+        entries: Mapping[str, cell_workers.WorkerEntry],
+    ) -> bool:
+        """Whether a worker's next incarnation has the same id."""
+        entry = entries.get(view.worker_id)
+        return (
+            entry is not None
+            and entry.born_ms > view.entry.born_ms
+            and not self.is_replaced(entry.address, entry.born_ms)
+        )
+
     def is_replaced(self, address: str, born_ms: int) -> bool:
         """Whether a later worker has started at an address."""
         return self.newest_born_ms(address) > born_ms
