Keep one checkpoint for all members of a gang

Cause: a checkpoint that a worker reports was kept for the one task. An end gave it to the whole gang only if it was new for that member.

Change: Task.keep_checkpoint keeps it for all members, from reports, ends, and records of earlier versions.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -224,9 +224,7 @@
     ) -> None:
         """Records the checkpoint of a run that ended before it was done."""
         if checkpoint and checkpoint != task.checkpoint:
-            members = task.step.tasks if task.step.spec.is_gang else [task]
-            for member in members:
-                member.checkpoint = checkpoint
+            task.keep_checkpoint(checkpoint)
             self._dirty.add(task.step.job.spec.job_id)
 
     def mark_changed(self, job: runs_module.ActiveJob) -> None:
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -235,7 +235,7 @@
             self._crashes.handle_running(worker, run, now_ms)
         run.reading = running_task.reading
         if running_task.checkpoint and run.number == run.task.last_run:
-            run.task.checkpoint = running_task.checkpoint
+            run.task.keep_checkpoint(running_task.checkpoint)
         if run.phase is runs_module.RunPhase.STOPPING and run.is_in_doubt:
             run.is_in_doubt = False
             self._dispatcher.send_stop(run)
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -170,6 +170,16 @@
         """Whether it is not done and has no run."""
         return not self.is_done and not self.runs
 
+    def keep_checkpoint(self, checkpoint: str) -> None:
+        """Keeps a checkpoint, which is valid for all members of a gang.
+
+        All members have to resume from the same one: members that carry others
+        do not work together.
+        """
+        members = self.step.tasks if self.step.spec.is_gang else [self]
+        for member in members:
+            member.checkpoint = checkpoint
+
     @property
     def waiting_since_ms(self) -> int:
         """Monotonic time since which it could run and has had no run."""
@@ -451,7 +461,8 @@
             for index, checkpoint in recorded.checkpoints.items():
                 task = self.find(recorded.occurrence, recorded.step, index)
                 if task is not None:
-                    task.checkpoint = checkpoint
+                    # Earlier versions recorded one for each member of a gang.
+                    task.keep_checkpoint(checkpoint)
 
     def _restore_crashes(self, recorded: records.StepProgress) -> None:
         for index, crashes in recorded.crashes.items():
--- a/tests/process/cell/test_run_reconciler.py
+++ b/tests/process/cell/test_run_reconciler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import result
 import testtools
 
@@ -120,6 +121,41 @@
         self.assertEqual("half", resumed.task.checkpoint)
         self.assertGreater(resumed.number, run.number)
 
+    # Guards against a gang whose members resume from different checkpoints and
+    # so end alone, again and again: one of them had not reported for a while.
+    def test_members_of_a_gang_resume_from_the_same_checkpoint(self) -> None:
+        cell = harness.Cell()
+        cell.submit(
+            harness.job(harness.step(2, is_gang=True, has_checkpoints=True))
+        )
+        first, second = cell.place()
+        for run, checkpoint in ((first, "early"), (second, "late")):
+            task = attrs.evolve(
+                harness.running_task(run), checkpoint=checkpoint
+            )
+            cell.answer_hold(run.worker_id, running=(task,))
+        broken = cell_workers.RunEnd.BROKEN
+        # The end has the checkpoint that was reported before.
+        end = harness.ended_run(second, broken, checkpoint="late")
+        cell.answer_hold(second.worker_id, ended=(end,))
+        cell.dispatcher.discard(first)
+        resumed = cell.place()
+        self.assertEqual(2, len(resumed))
+        self.assertEqual({"late"}, {run.task.checkpoint for run in resumed})
+
+    # Guards against the same by what an earlier version has recorded.
+    def test_recorded_checkpoints_of_a_gang_are_made_equal(self) -> None:
+        recorded = records.StepProgress(
+            0, 0, checkpoints={0: "early", 1: "late"}
+        )
+        jobs = job_table.JobTable(1, fake_clock.FakeClock(harness.START_MS))
+        spec = harness.job(harness.step(3, is_gang=True, has_checkpoints=True))
+        job = jobs.add(spec, 1_000, records.ProgressRecord((recorded,)))
+        assert job is not None
+        checkpoints = {task.checkpoint for task in job.steps[0][0].tasks}
+        self.assertEqual(1, len(checkpoints))
+        self.assertNotIn("", checkpoints)
+
     def test_gang_ends_with_its_first_task(self) -> None:
         cell = harness.Cell()
         job = cell.submit(harness.job(harness.step(3, is_gang=True)))
