Order maintenance only within the limits of steps

Cause: after 9 s a machine counted as emptied, whatever ran on it. The limits that hold for moving its runs were not asked again, nor before an order that is repeated.

Change: once the time is up, and before each repeat, the limits have to let all runs on the machine end at once. A wave may be late for that.

--- a/src/comfreylatch/_process/cell/evacuation/moves.py
+++ b/src/comfreylatch/_process/cell/evacuation/moves.py
@@ -41,7 +41,7 @@
         if not (worker.entry.is_draining or worker.is_being_emptied):
             return []
         moving = [run for run in worker.runs.values() if self._can_move(run)]
-        return moving if worker.entry.is_draining else _limit_per_step(moving)
+        return moving if worker.entry.is_draining else limit_per_step(moving)
 
     def runs_to_move_off_zones(
         self,
@@ -75,7 +75,7 @@
             [view for view in views if view.accepts_work(now_ms)]
         )
         chosen: list[runs_module.Run] = []
-        for run in _limit_per_step(moving):
+        for run in limit_per_step(moving):
             if len(chosen) == MAX_ZONE_MOVES:
                 break
             if room.reserve(run.task):
@@ -108,7 +108,7 @@
     )
 
 
-def _limit_per_step(
+def limit_per_step(
     moving: Sequence[runs_module.Run],
 ) -> list[runs_module.Run]:
     """Returns the runs that may stop now under their steps' limits."""
--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -19,8 +19,10 @@
 from comfreylatch._process import metrics as metrics_module
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import wave_state
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.evacuation import moves
 
 MACHINE_LIST_INTERVAL_MS = 700
 # Longest wait until a worker has no runs. Tasks without checkpoints take some
@@ -157,6 +159,7 @@
             elif (
                 progress.phase is wave_state.MachinePhase.ORDERED
                 and now_ms >= progress.not_before_ms > 0
+                and _may_end_all_runs(workers.get(progress.worker_id))
             ):
                 progress.not_before_ms = 0
                 actions.append(
@@ -249,8 +252,11 @@
             return True
         # The view may be a new one, of a worker that was listed again.
         view.is_being_emptied = True
-        is_empty = not (view.runs or view.may_have_unknown_runs(now_ms))
-        return is_empty or now_ms - progress.since_ms > MAX_EVACUATION_MS
+        if not (view.runs or view.may_have_unknown_runs(now_ms)):
+            return True
+        if now_ms - progress.since_ms <= MAX_EVACUATION_MS:
+            return False
+        return _may_end_all_runs(view)
 
     def _enter_phase(
         self,
@@ -436,3 +442,20 @@
     time_ms = PLANNED_DURATION_SHARE * wave.duration_ms - elapsed_ms
     rounds = max(int(time_ms // EXPECTED_ROUND_MS), 1)
     return min(-(-unfinished // rounds), wave.most_at_once)
+
+
+def _may_end_all_runs(view: worker_view.WorkerView | None) -> bool:
+    """Whether the limits of their steps allow a worker's runs to end at once.
+
+    An order for maintenance ends them all, however long the machine is due.
+    """
+    if view is None:
+        return True
+    limited = [
+        run
+        for run in view.runs.values()
+        if run.task.step.spec.max_unavailable
+        and run.phase is runs_module.RunPhase.RUNNING
+        and run.percent >= runs_module.FULL_PROGRESS_PERCENT
+    ]
+    return len(moves.limit_per_step(limited)) == len(limited)
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -156,6 +156,54 @@
         self.cell.clock.advance(maintenance.MAX_EVACUATION_MS)
         self.assertEqual(1, len(self.next_orders()))
 
+    def submit_bounded(self, count: int) -> list[Any]:
+        """Starts lasting tasks of which one may be away; one on each worker."""
+        step = harness.step(
+            count, cpu_millicores=5_000, is_lasting=True, max_unavailable=1
+        )
+        self.cell.submit(harness.job(step))
+        runs = self.cell.place()
+        for run in runs:
+            at_work = harness.running_task(run, percent=100.0)
+            self.cell.answer_hold(run.worker_id, running=(at_work,))
+        return runs
+
+    # Guards against maintenance that ends a lasting task while as many of its
+    # step are away as may be: another worker is lost, and nothing has room.
+    def test_maintenance_waits_for_the_limit_of_a_step(self) -> None:
+        lost, *others = self.submit_bounded(3)
+        self.cell.dispatcher.discard(lost)
+        self.cell.workers.find(lost.worker_id).may_get_starts = False
+        wave = machines_port.Wave(
+            1, (others[0].worker_id.replace("w", "m"),), 60_000, 1
+        )
+        self.assertEqual([], self.next_orders(wave))
+        self.cell.clock.advance(maintenance.MAX_EVACUATION_MS)
+        self.assertEqual([], self.next_orders(wave))
+        # The task is back at work elsewhere.
+        self.cell.workers.find(lost.worker_id).may_get_starts = True
+        (back,) = self.cell.place()
+        at_work = harness.running_task(back, percent=100.0)
+        self.cell.answer_hold(back.worker_id, running=(at_work,))
+        self.assertEqual(1, len(self.next_orders(wave)))
+
+    # Guards against the same by an order that is repeated later.
+    def test_repeated_order_keeps_the_limit_of_a_step(self) -> None:
+        (first,) = self.next_orders()
+        overloaded = machines_port.MaintenanceRefused(
+            machines_port.Refusal.OVERLOADED
+        )
+        self.return_outcome(first, result.Err(overloaded))
+        worker = self.cell.workers.find(first.replace("m", "w"))
+        worker.is_being_emptied = False
+        lost = next(
+            run
+            for run in self.submit_bounded(3)
+            if run.worker_id != worker.worker_id
+        )
+        self.cell.dispatcher.discard(lost)
+        self.assertEqual([], self.next_orders())
+
     def test_unanswered_order_is_repeated_for_the_same_machine(self) -> None:
         (first,) = self.next_orders()
         lost = machines_port.MaintenanceUnanswered("lost")
