--- a/src/comfreylatch/_process/cell/listing/service_filter.py
+++ b/src/comfreylatch/_process/cell/listing/service_filter.py
@@ -70,9 +70,9 @@
     def reselect(self) -> Entries | None:
         """Returns the workers listed last if the known services have changed.
 
-        None if they have not.
+        None if they have not, or if no list has been read yet.
         """
-        if self._services() == self._applied:
+        if not self._entries or self._services() == self._applied:
             return None
         return self.select(self._entries)
 
--- a/tests/process/cell/listing/test_service_filter.py
+++ b/tests/process/cell/listing/test_service_filter.py
@@ -46,6 +46,10 @@
         self.configured = None
         self.assertEqual({"w1", "w2"}, set(self.filter.select(self.entries)))
 
+    # Guards against an empty list that is applied before the first was read.
+    def test_nothing_is_selected_before_the_first_list(self) -> None:
+        self.assertEqual(None, self.filter.reselect())
+
     # Guards against workers of a new service that stay unused until their
     # entries change.
     def test_service_that_is_configured_later_is_selected(self) -> None:
