Notice signals that another thread receives

Cause: Python runs handlers on the main thread, which waited in a queue without a limit. A signal that the kernel hands to another thread does not end that wait, so the stop is never begun.

Evidence: a process that waits in the same way beside 40 threads missed 7 of 259, 7 of 173 and 7 of 313 signals for 3 s.

Change: the main thread waits for 0.2 s at a time.

--- a/src/comfreylatch/platform/process_signals.py
+++ b/src/comfreylatch/platform/process_signals.py
@@ -14,6 +14,10 @@
 
 from comfreylatch._ports import clock as clock_port
 
+# Python runs handlers on the main thread only. The kernel may hand a signal to
+# another thread, which does not end a wait of the main thread.
+CHECK_INTERVAL_S = 0.2
+
 
 @final
 class ProcessSignals:
@@ -71,6 +75,10 @@
             Monotonic time at which the request arrived.
         """
         while self.stop_requested_ms is None:
-            if self._received.get() == signal.SIGHUP:
+            try:
+                received = self._received.get(timeout=CHECK_INTERVAL_S)
+            except queue.Empty:
+                continue
+            if received == signal.SIGHUP:
                 on_hangup()
         return self.stop_requested_ms
