--- a/tests/process/cell/listing/test_incarnations.py
+++ b/tests/process/cell/listing/test_incarnations.py
@@ -28,7 +28,7 @@
         self.cell.submit(harness.job())
 
     def restart(self, worker_id: str) -> list[Any]:
-        """Lists the worker's next life, which has just started."""
+        """Lists the worker's next incarnation, which has just started."""
         entries = {
             view.worker_id: view.entry
             for view in self.cell.workers
@@ -38,9 +38,9 @@
         entries[worker_id] = fake_workers.entry(worker_id, born_ms=born_ms)
         return self.cell.workers.apply_listing(entries)
 
-    # Guards against a task in two places: the next life had accepted the start,
-    # but the run was given up with the former one and started elsewhere.
-    def test_run_that_the_next_life_has_accepted_goes_on(self) -> None:
+    # Guards against a task in two places: the next incarnation had
+    # accepted the start, but the run was given up and started elsewhere.
+    def test_run_that_the_next_incarnation_has_accepted_goes_on(self) -> None:
         (run,) = self.cell.place()
         self.assertEqual([], self.restart(run.worker_id))
         self.assertEqual([], self.cell.place())
@@ -62,7 +62,7 @@
         self.assertEqual([placed.run], placed.run.task.runs)
 
     # Guards against a task that waits for good for a run that is nowhere.
-    def test_run_that_the_next_life_lacks_is_stopped_and_started_again(
+    def test_run_that_the_next_incarnation_lacks_is_started_again(
         self,
     ) -> None:
         (run,) = self.cell.place()
@@ -88,7 +88,7 @@
         self.assertEqual((run,), lost.runs)
         self.assertIs(reasons.LossReason.REBORN, lost.reason)
 
-    # Guards against runs that are kept although the next life is over as well.
+    # Guards against runs that are kept although the next incarnation is over.
     def test_worker_replaced_under_another_id_since_is_dropped(self) -> None:
         (run,) = self.cell.place()
         former = self.cell.workers.find(run.worker_id).entry
