Make the case of 500 ends independent of the machine's speed

Change: the tasks end together once all of them run, and ports are taken from below the range of outgoing connections.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -17,24 +17,39 @@
 # 1,200 tasks on each executor, which use most of its processors.
 TASK_COUNT = 4_800
 TASK_CPU = 25
-TASK_MS = 4_000
-# The first tasks have ended by then.
-KILLED_AFTER_S = 4.5
-DOWN_S = 1.5
+ESTIMATED_MS = 30_000
+START_TIMEOUT_S = 40.0
+# The tasks end one after the other in this time.
+ENDS_WITHIN_S = 1.0
+DOWN_S = 1.1
 AFTER_S = 20.0
 
 
-async def kill_all(deployed: deployment.Deployment) -> None:
-    """All processes are killed at once, and start again."""
+def kill_all(deployed: deployment.Deployment) -> None:
+    """Kills all processes."""
     for host in deployed.hosts:
         host.kill()
     deployed.note("killed", hosts=len(deployed.hosts))
-    await asyncio.sleep(DOWN_S)
+
+
+def start_all(deployed: deployment.Deployment) -> None:
+    """Starts all processes again."""
     for host in deployed.hosts:
         host.start()
     deployed.note("restarted", hosts=len(deployed.hosts))
 
 
+async def wait_for_starts(deployed: deployment.Deployment) -> bool:
+    """Waits until all tasks run; returns whether they do."""
+    deadline_s = deployed.now_s + START_TIMEOUT_S
+    while deployed.now_s < deadline_s:
+        running = sum(len(one.running) for one in deployed.executors)
+        if running == TASK_COUNT:
+            return True
+        await asyncio.sleep(0.1)
+    return False
+
+
 async def play(deployed: deployment.Deployment, has_trouble: bool) -> int:
     """Plays the case; returns its exit code."""
     for number in range(EXECUTOR_COUNT):
@@ -47,16 +62,22 @@
                 "TaskCount": TASK_COUNT,
                 "CpuMillicores": TASK_CPU,
                 "RequestedMemoryMb": 64,
-                "EstimatedDurationMs": TASK_MS,
+                "EstimatedDurationMs": ESTIMATED_MS,
             }
         ],
-        f"{TASK_CPU}:{TASK_MS}",
+        f"{TASK_CPU}:{ESTIMATED_MS}",
     )
     if status != 200:
         return deployment.NOT_RUN
-    await asyncio.sleep(KILLED_AFTER_S)
+    if not await wait_for_starts(deployed):
+        return deployment.NOT_RUN
+    if has_trouble:
+        kill_all(deployed)
+    for executor in deployed.executors:
+        executor.end_all(ENDS_WITHIN_S)
+    await asyncio.sleep(DOWN_S)
     if has_trouble:
-        await kill_all(deployed)
+        start_all(deployed)
     await asyncio.sleep(AFTER_S)
     again = checks.starts_after_done(deployed)
     deployed.note("twice-counted", tasks=len(again))
--- a/review/rig-2/deployment.py
+++ b/review/rig-2/deployment.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -25,7 +24,7 @@
 COMMAND = ["python3", "-m", "comfreylatch.platform"]
 HOST_HEADER = "nony24.example"
 PREFIX = "/lohu930/"
-READY_TIMEOUT_S = 15.0
+READY_TIMEOUT_S = 25.0
 # Exit codes of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 ROUTE = {
@@ -63,20 +62,14 @@
     """The deployment did not come up."""
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class Host:
     """A process of the system."""
 
     def __init__(self, name: str, zone: str, folder: pathlib.Path) -> None:
         self.name = name
         self.zone = zone
-        self.callers = f"127.0.0.1:{_free_port()}"
-        self.readiness = f"127.0.0.1:{_free_port()}"
+        self.callers = f"127.0.0.1:{http_stub.free_port()}"
+        self.readiness = f"127.0.0.1:{http_stub.free_port()}"
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.json"
         self.process: subprocess.Popen[bytes] | None = None
--- a/review/rig-2/executor.py
+++ b/review/rig-2/executor.py
@@ -243,6 +243,13 @@
         self._note("start", executor=self.name, task=task, run=run)
         return http_stub.json_reply(200, {"ClockMs": self._clock_ms()})
 
+    def end_all(self, within_s: float) -> None:
+        """Has all that it runs end `done`, one after the other, in a while."""
+        loop = asyncio.get_running_loop()
+        count = max(len(self.running), 1)
+        for number, task in enumerate(list(self.running)):
+            loop.call_later(within_s * number / count, self._end, task, "done")
+
     def _stop(self, body: dict[str, Any]) -> http_stub.Reply:
         task, run = body["Task"], body["Run"]
         self._closed[task] = max(self._closed.get(task, 0), run)
--- a/review/rig-2/http_stub.py
+++ b/review/rig-2/http_stub.py
@@ -6,9 +6,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
+import random
+import socket
 from typing import Any
 import urllib.parse
 
+# Below the ports that outgoing connections take.
+_PORTS = range(12_000, 32_000)
+
 
 class Request:
     """A request as a stand-in receives it."""
@@ -32,6 +37,19 @@
 Handler = Callable[[Request], Awaitable[Reply | None]]
 
 
+def free_port() -> int:
+    """Returns a loopback port on which nothing listens."""
+    while True:
+        port = random.choice(_PORTS)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
 def json_reply(status: int, value: Any) -> Reply:
     """Encodes a reply with a JSON body."""
     return status, json.dumps(value).encode()
@@ -75,10 +93,10 @@
 
     async def open(self) -> None:
         """Listens, on the same port as before if there was one."""
+        self.port = self.port or free_port()
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, limit=1 << 22, backlog=256
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
         """Stops listening and resets all connections."""
