--- a/review/10/case.py
+++ b/review/10/case.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import sys
 
+# With TROUBLE=0 the same is played without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "rig-2"))
 
@@ -29,4 +32,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(deployment.run_case(FOLDER, play))
+    sys.exit(deployment.run_case(FOLDER, play, HAS_TROUBLE))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import sys
 
+# With TROUBLE=0 the same is played without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "rig-2"))
 
@@ -79,7 +82,7 @@
         lost.crash()
         deployed.executors.remove(lost)
     await asyncio.sleep(2 * FINISH_S)
-    idle = await checks.find_idle(deployed, [WORK])
+    idle = await checks.find_idle(deployed, {WORK: WORK_CPU})
     for host in deployed.hosts:
         failures = host.events("owner-failed")
         deployed.note("owner-failed", host=host.name, count=len(failures))
@@ -87,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(deployment.run_case(FOLDER, play))
+    sys.exit(deployment.run_case(FOLDER, play, HAS_TROUBLE))
--- a/review/rig-2/checks.py
+++ b/review/rig-2/checks.py
@@ -11,23 +11,39 @@
 WATCH_S = 8.0
 
 
-def busy_share(deployed: deployment.Deployment) -> float:
-    """Share of the capacity that is in use."""
-    used = sum(
+def total_millicores(deployed: deployment.Deployment) -> int:
+    """Processors of all executors that are up."""
+    return sum(
+        executor.capacity["CpuMillicores"]
+        for executor in deployed.executors
+        if executor.is_up
+    )
+
+
+def used_millicores(deployed: deployment.Deployment) -> int:
+    """Processors that are in use."""
+    return sum(
         running.cpu
         for executor in deployed.executors
         for running in executor.running.values()
     )
-    total = sum(
-        executor.capacity["CpuMillicores"] for executor in deployed.executors
-    )
-    return used / total
+
+
+def _has_room(deployed: deployment.Deployment, millicores: int) -> bool:
+    """Whether there is room twice over, and under half of all is in use."""
+    total, used = total_millicores(deployed), used_millicores(deployed)
+    return total - used >= 2 * millicores and used < total / 2
 
 
 async def find_idle(
-    deployed: deployment.Deployment, job_ids: list[str]
+    deployed: deployment.Deployment, requested: dict[str, int]
 ) -> list[str]:
-    """Returns unfinished submissions of which nothing runs for IDLE_S."""
+    """Returns unfinished submissions of which nothing runs for IDLE_S.
+
+    Args:
+        deployed: The deployment.
+        requested: Processors that a task of a submission requests, by its id.
+    """
     idle_since_s: dict[str, float] = {}
     longest_s: dict[str, float] = {}
     end_s = deployed.now_s + WATCH_S
@@ -37,9 +53,8 @@
             for executor in deployed.executors
             for task in executor.running
         }
-        is_free = busy_share(deployed) < 0.5
-        for job_id in job_ids:
-            if job_id in running or not is_free:
+        for job_id, millicores in requested.items():
+            if job_id in running or not _has_room(deployed, millicores):
                 idle_since_s.pop(job_id, None)
                 continue
             since_s = idle_since_s.setdefault(job_id, deployed.now_s)
@@ -48,7 +63,7 @@
             )
         await asyncio.sleep(0.1)
     idle = []
-    for job_id in job_ids:
+    for job_id in requested:
         state = await deployed.state(job_id)
         if state != "completed" and longest_s.get(job_id, 0.0) >= IDLE_S:
             idle.append(job_id)
@@ -57,7 +72,7 @@
                 job=job_id,
                 state=state,
                 for_s=round(longest_s[job_id], 1),
-                busy_share=round(busy_share(deployed), 2),
+                used_millicores=used_millicores(deployed),
             )
     return idle
 
--- a/review/rig-2/deployment.py
+++ b/review/rig-2/deployment.py
@@ -279,9 +279,14 @@
 Play = Callable[[Deployment, bool], Awaitable[int]]
 
 
-def run_case(folder: pathlib.Path, play: Play) -> int:
-    """Runs a case in its folder; returns its exit code."""
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(folder: pathlib.Path, play: Play, has_trouble: bool) -> int:
+    """Runs a case in its folder, with or without its disruption.
+
+    Returns:
+        Its exit code.
+    """
+    # So that the processes are ended, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
 
     async def run() -> int:
         with tempfile.TemporaryDirectory() as temporary:
