--- a/review/rig-2/deployment.py
+++ b/review/rig-2/deployment.py
@@ -219,6 +219,13 @@
                 await asyncio.sleep(1.0)
                 return
             await asyncio.sleep(0.1)
+        for host in self.hosts:
+            self.note(
+                "not-ready",
+                host=host.name,
+                exit=host.process.poll() if host.process else None,
+                log=host.log.read_bytes()[-500:].decode(errors="replace"),
+            )
         raise CannotRunError("the hosts did not become ready")
 
     def owner_name(self) -> str:
--- a/review/rig-2/http_stub.py
+++ b/review/rig-2/http_stub.py
@@ -6,13 +6,17 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
+import os
 import random
 import socket
 from typing import Any
 import urllib.parse
 
-# Below the ports that outgoing connections take.
-_PORTS = range(12_000, 32_000)
+# Below the ports that outgoing connections take, and others for each process,
+# so that cases side by side don't take each other's ports before they are bound.
+_PORTS_PER_PROCESS = 200
+_FIRST_PORT = 12_000 + os.getpid() % 100 * _PORTS_PER_PROCESS
+_PORTS = range(_FIRST_PORT, _FIRST_PORT + _PORTS_PER_PROCESS)
 
 
 class Request:
