Give out each port of a case once

Cause: a port was drawn for a host while another that was drawn before was not bound yet; the record of a run that couldn't start shows two hosts on one port.

Change: ports are given out in order, each once.

--- a/review/rig-2/http_stub.py
+++ b/review/rig-2/http_stub.py
@@ -7,16 +7,16 @@
 from collections.abc import Callable
 import json
 import os
-import random
 import socket
 from typing import Any
 import urllib.parse
 
 # Below the ports that outgoing connections take, and others for each process,
-# so that cases side by side don't take each other's ports before they are bound.
+# so that cases side by side don't take each other's ports. Each is given out
+# once, as hosts bind theirs later.
 _PORTS_PER_PROCESS = 200
 _FIRST_PORT = 12_000 + os.getpid() % 100 * _PORTS_PER_PROCESS
-_PORTS = range(_FIRST_PORT, _FIRST_PORT + _PORTS_PER_PROCESS)
+_ports = iter(range(_FIRST_PORT, _FIRST_PORT + _PORTS_PER_PROCESS))
 
 
 class Request:
@@ -43,8 +43,7 @@
 
 def free_port() -> int:
     """Returns a loopback port on which nothing listens."""
-    while True:
-        port = random.choice(_PORTS)
+    for port in _ports:
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
@@ -52,6 +51,7 @@
             except OSError:
                 continue
             return port
+    raise OSError("all ports of this process are taken")
 
 
 def json_reply(status: int, value: Any) -> Reply:
