Acknowledge no ends until a worker's incarnation is known

Cause: calls name a worker by its id, which its next incarnation has, too. After a failed hold call the session with the former incarnation sent no deadline, but still the number of the last end that it had read. The next incarnation numbers its ends from 1 and dropped them unread. Its answers to starts were not checked, so a run that it had accepted counted as confirmed by the former one.

Until a hold call has shown that the incarnation is the same, a session now acknowledges nothing, as it already renewed and started nothing. The clock in the answer to a start, which starts anew with each incarnation, shows whether another one has answered; the run is then in doubt. A closed session no longer repeats a start. The fake worker can now start again under its id and carries out orders that were meant for its former incarnation, as the platform's pages say; before, no test could have shown this.

--- a/src/comfreylatch/_process/cell/events.py
+++ b/src/comfreylatch/_process/cell/events.py
@@ -60,6 +60,14 @@
     tries: int
     outcome: result.Result[int, cell_workers.OrderError]
 
+    @property
+    def unanswered_tries(self) -> int:
+        """Number of tries that the worker may still carry out."""
+        match self.outcome:
+            case result.Err(cell_workers.OrderUnanswered()):
+                return self.tries
+        return max(self.tries - 1, 0)
+
 
 @attrs.frozen
 class StopReturned:
--- a/src/comfreylatch/_process/cell/run_dispatcher.py
+++ b/src/comfreylatch/_process/cell/run_dispatcher.py
@@ -162,6 +162,7 @@
             return
         now_ms = self._clock.monotonic_ms()
         run.start_returned_ms = now_ms
+        run.unanswered_tries += event.unanswered_tries
         match event.outcome:
             case result.Ok(_):
                 self.confirm(run, now_ms)
@@ -176,7 +177,6 @@
                     self._workers.mark_failing(worker, detail)
             case result.Err(cell_workers.OrderUnanswered(detail)):
                 run.is_in_doubt = True
-                run.unanswered_tries += event.tries
                 logs.event(
                     _logger,
                     "start-unanswered",
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -23,6 +23,7 @@
 from comfreylatch._process import logs
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell.carryover import clock_readings
 
 # Longest time that a worker may wait for the end of a run before it answers a
 # hold call, so that its readings are at most about a second old. The platform
@@ -109,8 +110,7 @@
         self._clock = clock
         self._closing = threading.Event()
         self._acknowledged_end = 0
-        self._clock_ms = 0
-        self._clock_read_ms = 0
+        self._reading: clock_readings.ClockReading | None = None
         self._latest_deadline_ms = 0
         self._is_failing = False
         self._acknowledged = threading.Condition()
@@ -152,7 +152,7 @@
     @property
     def has_answer(self) -> bool:
         """Whether the worker has answered; no lease is renewed before."""
-        return self._clock_read_ms != 0
+        return self._reading is not None
 
     def start(
         self,
@@ -178,15 +178,27 @@
             self._acknowledged_end = max(self._acknowledged_end, last_end)
             self._acknowledged.notify_all()
 
+    @property
+    def _is_verified(self) -> bool:
+        """Whether the last hold call reached the session's incarnation.
+
+        The next call may reach another one after a failure. That one must get
+        no value that counts from the start of this one: it would take a
+        deadline for a longer lease, and drop ends that nobody has read.
+        """
+        return self._reading is not None and not self._is_failing
+
+    def _end_to_acknowledge(self) -> int:
+        """Number of the last end that a call acknowledges now; 0 for none."""
+        return self._acknowledged_end if self._is_verified else 0
+
     def _deadline_ms(self) -> int:
         """Deadline of a lease renewed now; 0 if it must not be renewed."""
-        if self._clock_read_ms == 0:
-            return 0
-        if self._is_failing:
-            # What the worker runs is unknown, so its lease is left to expire.
+        reading = self._reading
+        if reading is None or not self._is_verified:
             return 0
-        elapsed_ms = self._clock.monotonic_ms() - self._clock_read_ms
-        deadline_ms = self._clock_ms + elapsed_ms + self._lease.lease_ms
+        elapsed_ms = self._clock.monotonic_ms() - reading.read_ms
+        deadline_ms = reading.clock_ms + elapsed_ms + self._lease.lease_ms
         # Checked last, so that a suspension after it is not in the deadline.
         if not self._lease.may_renew():
             return 0
@@ -218,18 +230,22 @@
         deadline_ms = self._deadline_ms()
         outcome = self._orders.hold(
             cell_workers.HoldOrder(
-                self._lease.token, self._acknowledged_end, deadline_ms, wait_ms
+                self._lease.token,
+                self._end_to_acknowledge(),
+                deadline_ms,
+                wait_ms,
             ),
             wait_ms + HOLD_TIMEOUT_MS,
         )
         if self._closing.is_set():
             return 0
         received_ms = self._clock.monotonic_ms()
-        must_renew = self._clock_read_ms == 0 or self._is_failing
+        must_renew = not self._is_verified
         match outcome:
             case result.Ok(answer):
-                self._clock_ms = answer.clock_ms
-                self._clock_read_ms = received_ms
+                self._reading = clock_readings.ClockReading(
+                    answer.clock_ms, received_ms
+                )
                 self._is_failing = False
             case result.Err(_):
                 self._is_failing = True
@@ -292,11 +308,11 @@
 
     def _send_start(self, order: _Start) -> None:
         tries = 0
-        sent_ms = self._clock.monotonic_ms()
+        first_sent_ms = self._clock.monotonic_ms()
         outcome: result.Result[int, cell_workers.OrderError] = result.Err(
             cell_workers.OrderNotSent("abandoned before it was sent")
         )
-        while tries < MAX_START_ATTEMPTS:
+        while tries < MAX_START_ATTEMPTS and not self._closing.is_set():
             deadline_ms = self._deadline_ms()
             # The run may have been stopped while its start order was queued.
             if deadline_ms == 0 or not order.run.should_start:
@@ -304,23 +320,52 @@
             if not self._lease.permits_start(self._entry.zone):
                 break
             tries += 1
-            outcome = self._orders.start(
-                cell_workers.StartOrder(
-                    task=order.run.task.name,
-                    run=order.run.number,
-                    payload=order.payload,
-                    deadline_ms=deadline_ms,
-                    token=self._lease.token,
-                    checkpoint=order.checkpoint,
-                    ticket=order.ticket,
+            reading, sent_ms = self._reading, self._clock.monotonic_ms()
+            outcome = self._verified(
+                self._orders.start(
+                    cell_workers.StartOrder(
+                        task=order.run.task.name,
+                        run=order.run.number,
+                        payload=order.payload,
+                        deadline_ms=deadline_ms,
+                        token=self._lease.token,
+                        checkpoint=order.checkpoint,
+                        ticket=order.ticket,
+                    ),
+                    ORDER_TIMEOUT_MS,
                 ),
-                ORDER_TIMEOUT_MS,
+                reading,
+                sent_ms,
             )
             match outcome:
                 case result.Err(cell_workers.OrderUnanswered()):
                     continue
             break
-        self._post(events.StartReturned(order.run, sent_ms, tries, outcome))
+        self._post(
+            events.StartReturned(order.run, first_sent_ms, tries, outcome)
+        )
+
+    def _verified(
+        self,
+        outcome: result.Result[int, cell_workers.OrderError],
+        reading: clock_readings.ClockReading | None,
+        sent_ms: int,
+    ) -> result.Result[int, cell_workers.OrderError]:
+        """Returns the outcome of a start by the session's incarnation.
+
+        It is unknown if another incarnation has answered, which has the run.
+        """
+        match outcome:
+            case result.Ok(clock_ms) if reading is not None and (
+                reading.excludes(clock_ms, sent_ms)
+            ):
+                self._is_failing = True
+                return result.Err(
+                    cell_workers.OrderUnanswered(
+                        "another incarnation has answered"
+                    )
+                )
+        return outcome
 
     def _send_stop(self, order: _Stop) -> None:
         outcome = self._orders.stop(
--- a/testing/fakes/cell_workers.py
+++ b/testing/fakes/cell_workers.py
@@ -61,12 +61,31 @@
         self.deadlines_ms: list[int] = []
         self._clock = clock
         self._changed = threading.Condition()
+        self._boot_clock_ms = 0
+        self._reset(entry.born_ms)
+
+    def _reset(self, born_ms: int) -> None:
+        self._born_ms = born_ms
         self._running: dict[str, int] = {}
         self._closed: dict[str, int] = {}
         self._ended: list[cell_workers.EndedRun] = []
         self._last_number = 0
         self._token = 0
 
+    def restart(self, born_ms: int) -> None:
+        """Starts again under the same id.
+
+        The next incarnation knows nothing of the former one and counts anew. It
+        carries out orders that were meant for the former one, which name the
+        worker only by its id. A session with it needs an `entry` of its own.
+        """
+        with self._changed:
+            self._boot_clock_ms = self._clock.monotonic_ms()
+            self._reset(born_ms)
+
+    def _clock_ms(self) -> int:
+        return self._clock.monotonic_ms() - self._boot_clock_ms
+
     def _check_order(
         self, token: int
     ) -> result.Err[cell_workers.OrderError] | None:
@@ -98,9 +117,15 @@
             self._changed.wait_for(
                 lambda: bool(self._ended), min(order.wait_ms, 50) / 1_000
             )
+            if self._born_ms != self.entry.born_ms:
+                return result.Err(
+                    cell_workers.OrderRefused(
+                        cell_workers.Refusal.OTHER_INCARNATION
+                    )
+                )
             return result.Ok(
                 cell_workers.HoldAnswer(
-                    self._clock.monotonic_ms(),
+                    self._clock_ms(),
                     tuple(
                         cell_workers.RunningTask(task, run, "", 50.0, 0)
                         for task, run in self._running.items()
@@ -133,7 +158,7 @@
                         order.ticket,
                     )
                 )
-            return result.Ok(self._clock.monotonic_ms())
+            return result.Ok(self._clock_ms())
 
     def stop(
         self, order: cell_workers.StopOrder, timeout_ms: int
@@ -147,14 +172,14 @@
             if self._running.get(order.task) == order.run:
                 self._end(order.task, cell_workers.RunEnd.STOPPED)
             self._closed[order.task] = order.run
-            return result.Ok(self._clock.monotonic_ms())
+            return result.Ok(self._clock_ms())
 
     def pace(
         self, order: cell_workers.PaceOrder, timeout_ms: int
     ) -> result.Result[int, cell_workers.OrderError]:
         """See `WorkerOrders.pace`."""
         del order, timeout_ms
-        return result.Ok(self._clock.monotonic_ms())
+        return result.Ok(self._clock_ms())
 
     def close(self) -> None:
         """See `WorkerOrders.close`."""
@@ -174,6 +199,12 @@
             for task in list(self._running):
                 self._end(task, how)
 
+    @property
+    def unread_ends(self) -> list[cell_workers.EndedRun]:
+        """Ends that no hold order has acknowledged."""
+        with self._changed:
+            return list(self._ended)
+
     @property
     def running(self) -> dict[str, int]:
         """Run number of each running task."""
--- a/tests/process/cell/ownership_guards.py
+++ b/tests/process/cell/ownership_guards.py
@@ -48,12 +48,11 @@
     """Deadlines are computed after the check that allows them."""
 
     def deadline_ms(self: Any) -> int:
-        if self._clock_read_ms == 0 or self._is_failing:
+        if not self._is_verified or not self._lease.may_renew():
             return 0
-        if not self._lease.may_renew():
-            return 0
-        elapsed_ms = self._clock.monotonic_ms() - self._clock_read_ms
-        deadline_ms = self._clock_ms + elapsed_ms + self._lease.lease_ms
+        reading = self._reading
+        elapsed_ms = self._clock.monotonic_ms() - reading.read_ms
+        deadline_ms = reading.clock_ms + elapsed_ms + self._lease.lease_ms
         self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/tests/process/cell/ownership_hosts.py
+++ b/tests/process/cell/ownership_hosts.py
@@ -33,6 +33,7 @@
 from comfreylatch._process.cell import takeover
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.carryover import clock_readings
 from tests.process.cell import ownership_world
 
 LONGEST_LEASE_MS = int(
@@ -243,18 +244,22 @@
         yield from self._process.maybe_pause()
         outcome = yield self._send_order(
             cell_workers.HoldOrder(
-                self._lease.token, self._acknowledged_end, deadline_ms, wait_ms
+                self._lease.token,
+                self._end_to_acknowledge(),
+                deadline_ms,
+                wait_ms,
             ),
             wait_ms + worker_session.HOLD_TIMEOUT_MS,
         )
         if self._closing.is_set():
             return 0
         received_ms = world.now_ms
-        must_renew = self._clock_read_ms == 0 or self._is_failing
+        must_renew = not self._is_verified
         self._is_failing = isinstance(outcome, result.Err)
         if not self._is_failing:
-            self._clock_ms = outcome.unwrap().clock_ms
-            self._clock_read_ms = received_ms
+            self._reading = clock_readings.ClockReading(
+                outcome.unwrap().clock_ms, received_ms
+            )
         self._post(
             events.HoldReturned(
                 self._entry.worker_id,
@@ -314,12 +319,16 @@
         tries = 0
         sent_ms = self._process.world.now_ms
         outcome: Any = result.Err(cell_workers.OrderNotSent("abandoned"))
-        while tries < worker_session.MAX_START_ATTEMPTS:
+        while (
+            tries < worker_session.MAX_START_ATTEMPTS
+            and not self._closing.is_set()
+        ):
             deadline_ms = yield from self._deadline_steps()
             if deadline_ms == 0 or not order.run.should_start:
                 break
             yield from self._process.maybe_pause()
             tries += 1
+            reading, try_sent_ms = self._reading, self._process.world.now_ms
             outcome = yield self._send_order(
                 cell_workers.StartOrder(
                     order.run.task.name,
@@ -330,6 +339,7 @@
                 ),
                 worker_session.ORDER_TIMEOUT_MS,
             )
+            outcome = self._verified(outcome, reading, try_sent_ms)
             match outcome:
                 case result.Err(cell_workers.OrderUnanswered()):
                     continue
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -11,6 +11,7 @@
 import result
 import testtools
 
+from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import job_replica
@@ -261,3 +262,101 @@
         self.name = task
         self.number = 1
         self.should_start = True
+
+
+class RestartedWorkerTest(testtools.TestCase):
+    """A worker that starts again under its id while a session goes on."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = fake_clock.FakeClock(START_MS)
+        self.events: list[Any] = []
+        entry = fake_workers.entry("w1")
+        self.worker = fake_workers.FakeWorker(entry, self.clock)
+        self.session = worker_session.WorkerSession(
+            entry,
+            self.worker,
+            worker_session.LeaseParameters(1, LEASE_MS, lambda: True),
+            self.events.append,
+            self.clock,
+        )
+        self.session._hold(0)
+        self.session.acknowledge(50)
+
+    def send_start(self, task: str) -> Any:
+        """Sends the start of a run; returns what has become of it."""
+        self.session._send_start(
+            worker_session._Start(_Run(task), "text", "", "")
+        )
+        return self.events[-1]
+
+    def restart(self) -> None:
+        """Has the worker be silent for one call, then start again."""
+        self.worker.is_unreachable = True
+        self.session._hold(0)
+        self.worker.is_unreachable = False
+        self.clock.advance(400)
+        self.worker.restart(born_ms=2)
+
+    def start_on_next_incarnation(self) -> None:
+        """Has the next incarnation carry out a start of before."""
+        order = cell_workers.StartOrder("a.0.0.0", 1, "text", 10**9, 1)
+        self.worker.start(order, 0)
+
+    # Guards against completed tasks that are started again: a hold call meant
+    # for the former incarnation made the next one drop ends nobody had read.
+    def test_hold_after_a_failure_acknowledges_no_end(self) -> None:
+        self.restart()
+        self.start_on_next_incarnation()
+        self.worker.end_all(cell_workers.RunEnd.DONE)
+        self.session._hold(0)
+        self.assertEqual(1, len(self.worker.unread_ends))
+
+    # Guards against ends that a worker keeps for good after one lost answer.
+    def test_ends_are_acknowledged_again_once_the_worker_answers(self) -> None:
+        self.start_on_next_incarnation()
+        self.worker.end_all(cell_workers.RunEnd.DONE)
+        self.worker.is_unreachable = True
+        self.session._hold(0)
+        self.worker.is_unreachable = False
+        with unittest.mock.patch.object(worker_session, "RECORDING_WAIT_MS", 0):
+            self.session._hold(0)
+            self.assertEqual(1, len(self.worker.unread_ends))
+            self.session._hold(0)
+        self.assertEqual([], self.worker.unread_ends)
+
+    # Guards against a run that is taken for lost with the former incarnation
+    # while the next one, which accepted its start, goes on with it.
+    def test_start_that_another_incarnation_answers_is_in_doubt(self) -> None:
+        self.clock.advance(400)
+        self.worker.restart(born_ms=2)
+        returned = self.send_start("a.0.0.0")
+        self.assertEqual({"a.0.0.0": 1}, self.worker.running)
+        self.assertIsInstance(
+            returned.outcome.unwrap_err(), cell_workers.OrderUnanswered
+        )
+        self.assertEqual(1, returned.unanswered_tries)
+
+    # Guards against more starts with deadlines of the former incarnation.
+    def test_nothing_is_started_after_another_incarnation_answered(
+        self,
+    ) -> None:
+        self.clock.advance(400)
+        self.worker.restart(born_ms=2)
+        self.send_start("a.0.0.0")
+        self.assertEqual(0, self.send_start("b.0.0.0").tries)
+
+    def test_start_that_the_same_incarnation_answers_is_confirmed(self) -> None:
+        self.clock.advance(400)
+        self.assertIsInstance(self.send_start("a.0.0.0").outcome, result.Ok)
+
+    # Guards against a start that is repeated after the session was closed: it
+    # would reach the worker's next incarnation, which has another session.
+    def test_closed_session_repeats_no_start(self) -> None:
+        def answer_nothing(*_: Any) -> Any:
+            self.session.__exit__(None, None, None)
+            return result.Err(cell_workers.OrderUnanswered("no answer"))
+
+        self.worker.start = unittest.mock.Mock(side_effect=answer_nothing)
+        self.assertEqual(1, self.send_start("a.0.0.0").tries)
+        self.assertEqual(1, self.worker.start.call_count)
