Reckon with leases that calls to a former incarnation have given

What callers saw: a worker was silent for half a second and started again under its id.

Cause: a deadline is a time on the clock of the incarnation that it was computed for. The next one, whose clock starts anew, takes it for one far ahead and grants the longest lease allowed. Until the first answer it took the lease for none at all.

With each incarnation the owner now keeps by when leases from calls to former ones must have ended: the last call with a deadline, the longest delay of a call (12 s) and the longest lease. Runs on a silent worker are given up after that, not before. A run with an unanswered try of its start stays in doubt for as long, and starts with new progress and pace.

The model of cell ownership can now restart workers under their id while they are sent a start.

--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -118,6 +118,7 @@
             clock,
             recovered.known_workers,
             deps.max_workers,
+            deps.max_lease_ms,
         )
         self._service_filter = service_filter.ServiceFilter(
             deps.configured_services,
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -19,6 +19,7 @@
     partition_reader as partition_reader_module,
 )
 from comfreylatch._process.cell import worker_session
+from comfreylatch._process.cell.carryover import former_leases
 from comfreylatch._process.cell.listing import service_filter
 
 
@@ -44,6 +45,7 @@
         follow_workers: Creates a reader that reports all workers of the cell
             at each change.
         lease_ms: Duration of a lease on a worker's runs.
+        max_lease_ms: Longest lease that a worker grants.
         max_disruption_ms: How long a lasting task may be over its tail target
             while filling tasks work beside it.
         guards_capacity: Whether the workers of a service, by its name, refuse
@@ -81,3 +83,4 @@
     remote_penalty: float = 1.0
     guards_capacity: Callable[[str], bool] = lambda _: True
     max_disruption_ms: int = interference.DEFAULT_MAX_DISRUPTION_MS
+    max_lease_ms: int = former_leases.DEFAULT_MAX_LEASE_MS
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -36,6 +36,8 @@
 # Attempts to send a start before the owner is told that its outcome is unknown.
 MAX_START_ATTEMPTS = 2
 FAILED_HOLD_PAUSE_MS = 150
+# Longest time from the computation of a deadline to the end of its call.
+MAX_CALL_MS = HOLD_WAIT_MS + HOLD_TIMEOUT_MS
 # How long the hold thread waits until reported ends are recorded. After that
 # it renews the lease without acknowledging them.
 RECORDING_WAIT_MS = 300
@@ -112,6 +114,7 @@
         self._acknowledged_end = 0
         self._reading: clock_readings.ClockReading | None = None
         self._latest_deadline_ms = 0
+        self._last_renewal_ms = 0
         self._is_failing = False
         self._acknowledged = threading.Condition()
         self._queue: queue.SimpleQueue[_Start | _Stop | _Pace | None] = (
@@ -149,6 +152,16 @@
         """Latest lease deadline sent, on the worker's clock."""
         return self._latest_deadline_ms
 
+    @property
+    def renewals_end_ms(self) -> int:
+        """Monotonic time by which all calls with a deadline have been sent.
+
+        0 if there were none.
+        """
+        if not self._last_renewal_ms:
+            return 0
+        return self._last_renewal_ms + MAX_CALL_MS
+
     @property
     def has_answer(self) -> bool:
         """Whether the worker has answered; no lease is renewed before."""
@@ -197,11 +210,13 @@
         reading = self._reading
         if reading is None or not self._is_verified:
             return 0
-        elapsed_ms = self._clock.monotonic_ms() - reading.read_ms
+        now_ms = self._clock.monotonic_ms()
+        elapsed_ms = now_ms - reading.read_ms
         deadline_ms = reading.clock_ms + elapsed_ms + self._lease.lease_ms
         # Checked last, so that a suspension after it is not in the deadline.
         if not self._lease.may_renew():
             return 0
+        self._last_renewal_ms = now_ms
         self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -22,6 +22,7 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.carryover import former_leases
 from comfreylatch._process.cell.listing import incarnations
 from comfreylatch._process.cell.sizing import worker_limit
 
@@ -75,6 +76,8 @@
         clock: Source of all times.
         known_workers: Workers that may have runs of a previous owner, by id.
         max_workers: Most workers to drive.
+        max_lease_ms: Longest lease on a worker's clock that the platform
+            allows.
     """
 
     def __init__(
@@ -83,8 +86,10 @@
         clock: clock_port.Clock,
         known_workers: Mapping[str, recovered_state.KnownWorker],
         max_workers: int = 1 << 30,
+        max_lease_ms: int = former_leases.DEFAULT_MAX_LEASE_MS,
     ) -> None:
         self._max_workers = max_workers
+        self._former_leases = former_leases.FormerLeases(max_lease_ms, clock)
         self._left_out_count = 0
         self._open_session = open_session
         self._clock = clock
@@ -434,7 +439,9 @@
     def _add(self, entry: cell_workers.WorkerEntry) -> None:
         known = self._known_workers.get(entry.worker_id)
         view = worker_view.WorkerView(
-            entry, release_after_ms=known.release_after_ms if known else 0
+            entry,
+            release_after_ms=known.release_after_ms if known else 0,
+            former_leases_end_ms=self._former_leases.end_ms(entry),
         )
         session = self._open_session(entry)
         self._views[entry.worker_id] = view
@@ -448,6 +455,9 @@
             address=entry.address,
             born_ms=entry.born_ms,
             cpu_millicores=entry.capacity.cpu_millicores,
+            former_leases_ms=max(
+                view.former_leases_end_ms - self._clock.monotonic_ms(), 0
+            ),
         )
 
     def _remove_runs(
@@ -472,6 +482,9 @@
         del self._end_cursors[view.worker_id]
         session = self._sessions.pop(view.worker_id)
         session.__exit__(None, None, None)
+        self._former_leases.note_dropped(
+            view.entry, view.former_leases_end_ms, session.renewals_end_ms
+        )
         logs.event(
             _logger,
             "worker-dropped",
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -53,6 +53,9 @@
             ones, so that it can take filling tasks that would disturb them.
         release_after_ms: Monotonic time by which the leases of previous owners
             have ended.
+        former_leases_end_ms: Monotonic time by which leases have ended that
+            calls to its former incarnations may have given it; 0 if there are
+            none.
         trial_run: A run that may crash it and is on trial; nothing else is
             started meanwhile. None if there is none.
         is_reserved: Whether it takes only runs on trial.
@@ -88,6 +91,7 @@
     is_being_emptied: bool = False
     cleared_until_ms: int = -(10**9)
     release_after_ms: int = 0
+    former_leases_end_ms: int = 0
     trial_run: runs_module.Run | None = None
     is_reserved: bool = False
     guards_capacity: bool = True
@@ -200,6 +204,14 @@
         """Monotonic time after which no run of an owner is left on it.
 
         While this owner has renewed no lease, that of a previous one may last.
+        One that a call to a former incarnation has given lasts on beside it.
+        """
+        return max(self._renewed_expiry_ms(), self.former_leases_end_ms)
+
+    def _renewed_expiry_ms(self) -> int:
+        """Monotonic time after which the lease that was renewed last is over.
+
+        Renewed by calls that were meant for this incarnation.
         """
         if self.clock_read_ms == 0 or self.deadline_ms == 0:
             return self.release_after_ms
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -252,6 +252,7 @@
                     WORKERS_TOPIC, views.WorkersView(on_change).apply
                 ),
                 lease_ms=min(LEASE_MS, int(settings.bounds.lease_ms)),
+                max_lease_ms=int(settings.bounds.lease_ms),
                 keep_ended_ms=int(retention_s * 1_000),
                 metrics=self._metrics,
                 clock=self._clock,
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -65,6 +65,8 @@
         latest_deadline_ms: Latest lease deadline, on the worker's clock.
         acknowledged: Number of the last end acknowledged.
         has_answer: Whether the worker has answered.
+        renewals_end_ms: Monotonic time by which calls with a deadline have
+            been sent; 0 for none.
     """
 
     starts: list[Any] = attrs.field(factory=list)
@@ -73,6 +75,7 @@
     latest_deadline_ms: int = 0
     acknowledged: int = 0
     has_answer: bool = False
+    renewals_end_ms: int = 0
 
     def __enter__(self) -> _RecordingSession:
         return self
--- a/tests/process/cell/listing/test_incarnations.py
+++ b/tests/process/cell/listing/test_incarnations.py
@@ -10,7 +10,9 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import events
+from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell.carryover import former_leases
 from comfreylatch._process.cell.listing import incarnations
 from testing.fakes import cell_workers as fake_workers
 from tests.process.cell import harness
@@ -117,3 +119,113 @@
         end = harness.ended_run(run, cell_workers.RunEnd.DONE)
         self.cell.answer_hold(run.worker_id, ended=(end,))
         self.assertEqual(worker.entry.capacity.cpu_millicores, worker.free_cpu)
+
+
+class SilentNextIncarnationTest(testtools.TestCase):
+    """A worker that starts again under its id and then falls silent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=2)
+        self.cell.submit(harness.job())
+
+    def restart(self, worker_id: str, alive_ms: int = 0) -> None:
+        """Lists the worker's next incarnation."""
+        entries = {
+            view.worker_id: view.entry
+            for view in self.cell.workers
+            if view.worker_id != worker_id
+        }
+        born_ms = self.cell.clock.wall_ms() - alive_ms
+        entries[worker_id] = fake_workers.entry(worker_id, born_ms=born_ms)
+        self.cell.apply_listing(entries)
+
+    def expire_after(self, elapsed_ms: int) -> None:
+        """Lets time pass, then removes runs whose leases are over."""
+        self.cell.clock.advance(elapsed_ms)
+        self.cell.expire()
+
+    def longest_lease_ms(self) -> int:
+        """Returns how long a lease of before may last from now on."""
+        return former_leases.MAX_CALL_DELAY_MS + lease_ends.longest_lease_ms(
+            former_leases.DEFAULT_MAX_LEASE_MS
+        )
+
+    # Guards against a task in two places: the next incarnation had accepted
+    # the run, and it was given up as nothing was known of its lease.
+    def test_run_in_doubt_is_kept_until_its_lease_must_be_over(self) -> None:
+        (run,) = self.cell.place()
+        self.cell.sessions[
+            run.worker_id
+        ].renewals_end_ms = self.cell.clock.now_ms
+        self.restart(run.worker_id)
+        lease_ms = self.longest_lease_ms()
+        self.expire_after(lease_ms)
+        self.assertEqual([run], run.task.runs)
+        self.expire_after(1)
+        self.assertEqual([], run.task.runs)
+
+    # Guards against a task in two places: a call meant for the former
+    # incarnation had given the next one a longer lease than its owner sent.
+    def test_run_outlives_the_lease_that_the_owner_has_sent(self) -> None:
+        session = self.cell.sessions["w1"]
+        session.renewals_end_ms = self.cell.clock.now_ms
+        lease_ms = self.longest_lease_ms()
+        self.restart("w1")
+        self.cell.workers.find("w2").is_listed = False
+        self.cell.workers.allow_starts(self.cell.workers.incarnations())
+        self.cell.clock.advance(100)
+        self.cell.answer_hold("w1", lease_ms=4_500)
+        self.cell.workers.allow_starts(self.cell.workers.incarnations())
+        (run,) = self.cell.place()
+        self.assertEqual("w1", run.worker_id)
+        self.cell.fail_hold("w1")
+        self.expire_after(lease_ms - 100)
+        self.assertEqual([run], run.task.runs)
+        self.expire_after(1)
+        self.assertEqual([], run.task.runs)
+
+    # Guards against waiting for a lease of before on every worker.
+    def test_lease_of_a_worker_that_has_not_restarted_ends_as_sent(
+        self,
+    ) -> None:
+        (run,) = self.cell.place()
+        self.cell.sessions[
+            run.worker_id
+        ].renewals_end_ms = self.cell.clock.now_ms
+        self.cell.answer_hold(
+            run.worker_id, (harness.running_task(run),), lease_ms=4_500
+        )
+        self.cell.fail_hold(run.worker_id)
+        self.expire_after(lease_ends.longest_lease_ms(4_500))
+        self.assertEqual([], run.task.runs)
+
+    # Guards against a run that is taken for lost although a try of its start,
+    # which got no answer, may reach the next incarnation.
+    def test_unanswered_try_may_reach_the_next_incarnation(self) -> None:
+        now_ms = self.cell.clock.monotonic_ms()
+        (placed,) = self.cell.planner.place(
+            self.cell.jobs.ready_steps(), now_ms
+        )
+        self.cell.dispatcher.send_start(placed.run)
+        self.cell.dispatcher.handle_start(
+            events.StartReturned(placed.run, now_ms, 2, result.Ok(now_ms))
+        )
+        self.cell.clock.advance(AWAY_MS)
+        self.restart(placed.run.worker_id)
+        self.assertEqual([placed.run], placed.run.task.runs)
+        self.assertTrue(placed.run.is_in_doubt)
+
+    # Guards against a run that is stopped as stalled, as it is behind what it
+    # had done on the former incarnation.
+    def test_progress_of_a_run_in_doubt_starts_anew(self) -> None:
+        (run,) = self.cell.place()
+        self.cell.answer_hold(
+            run.worker_id, (harness.running_task(run, percent=40.0),)
+        )
+        self.restart(run.worker_id)
+        self.cell.clock.advance(100)
+        self.cell.answer_hold(
+            run.worker_id, (harness.running_task(run, percent=5.0),)
+        )
+        self.assertEqual(5.0, run.percent)
--- a/tests/process/cell/ownership_guards.py
+++ b/tests/process/cell/ownership_guards.py
@@ -12,6 +12,7 @@
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import worker_table
+from comfreylatch._process.cell.carryover import former_leases
 from tests.process.cell import ownership_hosts
 from tests.process.cell import ownership_world
 
@@ -102,6 +103,11 @@
     )
 
 
+def former_leases_end() -> Patch:
+    """A worker's lease counts as ended though a former one may last."""
+    return mock.patch.object(former_leases.FormerLeases, "end_ms", lambda *_: 0)
+
+
 GUARDS: dict[str, Callable[[], Patch]] = {
     guard.__name__: guard
     for guard in (
@@ -114,5 +120,6 @@
         autonomy,
         dropped_observation,
         recorded_starts,
+        former_leases_end,
     )
 }
--- a/tests/process/cell/test_cell_ownership_model.py
+++ b/tests/process/cell/test_cell_ownership_model.py
@@ -43,6 +43,8 @@
         release_pause: Share of releases in which the process pauses before it
             closes its sessions.
         earlier: Share of processes of an earlier version.
+        killed_owners: Share of restarts of workers after which their owner is
+            killed.
         is_spread: Whether each worker may run one task only, so that none can
             take the task of another.
     """
@@ -55,6 +57,7 @@
     check_pause: float = 0.0
     release_pause: float = 0.0
     earlier: float = 0.0
+    killed_owners: float = 0.0
     is_spread: bool = False
 
 
@@ -102,6 +105,16 @@
     "stopping": Profile({"stop_claimant": 3, "cut_owner": 1}, (500, 3_000)),
     "flaps": Profile({"flap": 1}, (2_000, 8_000), is_spread=True),
     "versions": Profile(_MIXED, earlier=0.5),
+    "restarts": Profile({"restart_worker": 1}, (300, 6_000)),
+    "restarts-kills": Profile(
+        {"restart_worker": 4, "kill": 1, "release": 1},
+        (300, 6_000),
+        lost=0.01,
+        killed_owners=0.4,
+    ),
+    "restarts-late": Profile(
+        {"restart_worker": 1}, (300, 6_000), lost=0.01, late=0.03
+    ),
 }
 
 
@@ -389,6 +402,32 @@
                 return
             self.world.run(5)
 
+    def restart_worker(self) -> None:
+        """Has a worker start again under its id while it is sent a start.
+
+        Most are cut off soon after. Their owner may be killed before that.
+        """
+        restarted: list[str] = []
+
+        def restart(worker_id: str) -> None:
+            away_ms = self.rng.randint(50, 900)
+            self.world.restart(worker_id, away_ms, self.rng.randint(50, 1_500))
+            restarted.append(worker_id)
+
+        self.world.on_start = restart
+        for worker in self.world.workers.values():
+            for task in list(worker.running):
+                worker.end(task, cell_workers.RunEnd.STOPPED)
+        self.world.run(self.rng.randint(500, 4_000))
+        self.world.on_start = None
+        if self.rng.random() < self.profile.killed_owners:
+            self.kill()
+        self.world.run(self.rng.randint(0, 1_000))
+        for worker_id in restarted if self.rng.random() < 0.8 else ():
+            span_ms = self.rng.choice([6_000, 9_000, 14_000])
+            for name in self.hosts:
+                self._cut(name, worker_id, span_ms)
+
     def silence(self) -> None:
         """Cuts all hosts from a worker."""
         worker_id = self.rng.choice(list(self.world.workers))
@@ -491,6 +530,11 @@
     def test_promises_hold_among_earlier_versions(self) -> None:
         self.play_all("versions")
 
+    # Guards against a task in two places: a worker starts again under its id,
+    # takes calls meant for its former incarnation, and is then cut off.
+    def test_promises_hold_for_workers_that_start_again(self) -> None:
+        self.play_all("restarts")
+
     # Guards against leases of a silent owner that outlast the wait of a host
     # that takes over from an owner of an earlier version after it.
     def test_promises_hold_while_hosts_are_upgraded(self) -> None:
@@ -549,5 +593,8 @@
     def test_dropped_observation(self) -> None:
         self.assert_found("dropped_observation", "returns", 1, 2)
 
+    def test_former_leases_end(self) -> None:
+        self.assert_found("former_leases_end", "restarts", 1, 3)
+
     def test_recorded_starts(self) -> None:
         self.assert_found("recorded_starts", "flaps", 14, 17)
