Ask a worker that has restarted under its id at a takeover

What callers saw: a worker started again under its id while its owner sent it a start, and the owner ended. The next owner started the task elsewhere while the worker ran it (TWICE).

Cause: a later start time at the address of a recorded worker counted as proof that its runs have ended, also under the same id. But the next incarnation takes calls that were meant for the recorded one. And what an owner knew of such calls ended with it: neither the record of workers nor the release of the cell stated leases longer than its own.

A new owner now asks the next incarnation, until leases from the previous owner's calls must have ended there. The record of workers and the release state what is left of leases from calls to former incarnations.

--- a/src/comfreylatch/_process/cell/carryover/former_leases.py
+++ b/src/comfreylatch/_process/cell/carryover/former_leases.py
@@ -15,6 +15,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process.cell import lease_ends
+from comfreylatch._process.cell import worker_session
 
 # The platform may carry out a call without an answer seconds later; the longest
 # delay that its users describe is 12 s.
@@ -23,6 +24,23 @@
 DEFAULT_MAX_LEASE_MS = 6_000
 
 
+def next_incarnation_ms(lease_ms: int, max_lease_ms: int) -> int:
+    """Returns how much later leases on a worker's next incarnation end.
+
+    Later than the last one that an owner has renewed on this incarnation.
+
+    Args:
+        lease_ms: Duration of the leases that owners renew.
+        max_lease_ms: Longest lease that the platform allows.
+    """
+    return (
+        MAX_CALL_DELAY_MS
+        + worker_session.MAX_CALL_MS
+        + lease_ends.longest_lease_ms(max_lease_ms)
+        - lease_ends.longest_lease_ms(lease_ms)
+    )
+
+
 @attrs.frozen
 class _Former:
     """An incarnation that the owner no longer drives.
--- a/src/comfreylatch/_process/cell/recorded_workers.py
+++ b/src/comfreylatch/_process/cell/recorded_workers.py
@@ -42,6 +42,7 @@
         }
         self._post = post
         self._queued: dict[str, int] = {}
+        self._queued_former: frozenset[str] = frozenset()
         self._recorded: dict[str, int] = {}
 
     def mark_recorded(self, born_ms: dict[str, int]) -> None:
@@ -62,16 +63,22 @@
         born_ms = self._workers.incarnations()
         if not is_settled:
             born_ms = {**self._predecessor_workers, **born_ms}
-        if born_ms == self._queued:
+        former_ms = {
+            worker_id: remaining_ms
+            for worker_id, remaining_ms in self._workers.former_leases().items()
+            if worker_id in born_ms
+        }
+        if born_ms == self._queued and former_ms.keys() == self._queued_former:
             # The stored record allows starts only if no newer one is queued.
             if self._recorded is self._queued:
                 self._workers.allow_starts(born_ms)
             return
         self._queued = born_ms
+        self._queued_former = frozenset(former_ms)
         # Until the new record is stored, either may be the newest in the store.
         self._workers.forbid_starts(born_ms)
         work[records.WORKERS_KEY] = records.encode(
-            records.WorkersRecord(born_ms, self._addresses(born_ms))
+            records.WorkersRecord(born_ms, self._addresses(born_ms), former_ms)
         )
         on_stored.append(lambda: self._post(events.WorkersRecorded(born_ms)))
 
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -235,10 +235,13 @@
         born_ms: Their current incarnations, by worker id.
         addresses: Their addresses, by worker id; records of earlier versions
             have none.
+        former_leases_ms: How long, from this record on, leases may last that
+            calls to former incarnations have given, by worker id.
     """
 
     born_ms: dict[str, int] = attrs.field(factory=dict)
     addresses: dict[str, str] = attrs.field(factory=dict)
+    former_leases_ms: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/recovered_state.py
+++ b/src/comfreylatch/_process/cell/recovered_state.py
@@ -17,11 +17,30 @@
         release_after_ms: Monotonic time after which no such run can remain if
             the worker can't be reached.
         address: Its address; empty if it isn't known.
+        former_leases_end_ms: Monotonic time by which leases have ended that
+            calls to its former incarnations may have given it; 0 if there are
+            none.
+        next_release_after_ms: The same as `release_after_ms` for its next
+            incarnation, which calls to this one may have reached.
     """
 
     born_ms: int
     release_after_ms: int
     address: str = ""
+    former_leases_end_ms: int = 0
+    next_release_after_ms: int = 0
+
+    def release_of(self, born_ms: int) -> int:
+        """Returns `release_after_ms` of an incarnation under its id."""
+        if born_ms > self.born_ms:
+            return max(self.release_after_ms, self.next_release_after_ms)
+        return self.release_after_ms
+
+    def former_leases_of(self, born_ms: int) -> int:
+        """Returns `former_leases_end_ms` of an incarnation under its id."""
+        if born_ms > self.born_ms:
+            return self.next_release_after_ms
+        return self.former_leases_end_ms
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -13,6 +13,7 @@
 from comfreylatch._process.cell import owner_dependencies
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
+from comfreylatch._process.cell.carryover import former_leases
 
 CATCH_UP_TIMEOUT_MS = 3_000
 
@@ -57,7 +58,12 @@
     leases = lease_ends.after_owner(
         deps.replica.previous_heartbeat, host.name, started_ms, deps.lease_ms
     )
-    known_workers = _known_workers(work.workers, leases)
+    known_workers = _known_workers(
+        work.workers,
+        leases,
+        started_ms,
+        former_leases.next_incarnation_ms(deps.lease_ms, deps.max_lease_ms),
+    )
     jobs = deps.replica.listen(None)
     logs.event(
         _logger,
@@ -81,17 +87,32 @@
 
 
 def _known_workers(
-    record: records.WorkersRecord, leases: lease_ends.LeaseEnds
+    record: records.WorkersRecord,
+    leases: lease_ends.LeaseEnds,
+    started_ms: int,
+    next_incarnation_ms: int,
 ) -> dict[str, recovered_state.KnownWorker]:
-    """Returns the recorded workers, and when the leases on them end."""
-    return {
-        worker_id: recovered_state.KnownWorker(
+    """Returns the recorded workers, and when the leases on them end.
+
+    Args:
+        record: The previous owner's record, of unknown age.
+        leases: When the leases of previous owners end.
+        started_ms: Monotonic time at which the takeover began.
+        next_incarnation_ms: How much later a lease on a next incarnation ends.
+    """
+    known = {}
+    for worker_id, born_ms in record.born_ms.items():
+        former_ms = record.former_leases_ms.get(worker_id, 0)
+        former_end_ms = started_ms + former_ms if former_ms else 0
+        end_ms = leases.end_ms(worker_id)
+        known[worker_id] = recovered_state.KnownWorker(
             born_ms,
-            leases.end_ms(worker_id),
+            max(end_ms, former_end_ms),
             record.addresses.get(worker_id, ""),
+            former_end_ms,
+            end_ms + next_incarnation_ms,
         )
-        for worker_id, born_ms in record.born_ms.items()
-    }
+    return known
 
 
 def _read_work(
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -342,25 +342,30 @@
     def unknown(self) -> list[str]:
         """Returns the workers that may have runs that are not known here.
 
-        An incarnation is known once it has answered or a later one exists under
-        its id or at its address, or when the leases of previous owners have
-        ended there.
+        A worker is known once its current incarnation has answered, which may
+        be a later one than the previous owner's, or when leases of previous
+        owners have ended there. A later worker at its address with another id
+        shows that it has ended.
         """
         now_ms = self._clock.monotonic_ms()
         return [
             worker_id
             for worker_id, known in self._known_workers.items()
-            if now_ms <= known.release_after_ms
-            and not self.has_answered(worker_id, known.born_ms)
-            and not self.is_replaced(known.address, known.born_ms)
+            if self._may_have_unknown_runs(worker_id, known, now_ms)
         ]
 
-    def has_answered(self, worker_id: str, born_ms: int) -> bool:
-        """Whether an incarnation has answered this owner or was replaced."""
+    def _may_have_unknown_runs(
+        self,
+        worker_id: str,
+        known: recovered_state.KnownWorker,
+        now_ms: int,
+    ) -> bool:
         view = self._views.get(worker_id)
-        if view is None or view.entry.born_ms < born_ms:
-            return False
-        return view.entry.born_ms > born_ms or view.answered_ms > 0
+        if view is not None and view.entry.born_ms >= known.born_ms:
+            return view.may_have_unknown_runs(now_ms)
+        return now_ms <= known.release_after_ms and not self.is_replaced(
+            known.address, known.born_ms
+        )
 
     def has_listed_runs(self, worker_id: str, born_ms: int) -> bool:
         """Whether this incarnation has told this owner what it runs."""
@@ -431,18 +436,36 @@
             if not self._may_have_renewed(worker_id)
         }
 
+    def former_leases(self) -> dict[str, int]:
+        """Returns how much longer leases from calls to others may last.
+
+        Returns:
+            Milliseconds until no lease is left that a call to a former
+            incarnation may have given, by worker id.
+        """
+        now_ms = self._clock.monotonic_ms()
+        return {
+            view.worker_id: view.former_leases_end_ms - now_ms
+            for view in self
+            if view.former_leases_end_ms > now_ms
+        }
+
     def _may_have_renewed(self, worker_id: str) -> bool:
         # The session may have had an answer that the owner has not handled.
         session = self._sessions.get(worker_id)
         return session is not None and session.has_answer
 
     def _add(self, entry: cell_workers.WorkerEntry) -> None:
-        known = self._known_workers.get(entry.worker_id)
         view = worker_view.WorkerView(
-            entry,
-            release_after_ms=known.release_after_ms if known else 0,
-            former_leases_end_ms=self._former_leases.end_ms(entry),
+            entry, former_leases_end_ms=self._former_leases.end_ms(entry)
         )
+        known = self._known_workers.get(entry.worker_id)
+        if known is not None:
+            view.release_after_ms = known.release_of(entry.born_ms)
+            view.former_leases_end_ms = max(
+                view.former_leases_end_ms,
+                known.former_leases_of(entry.born_ms),
+            )
         session = self._open_session(entry)
         self._views[entry.worker_id] = view
         self._sessions[entry.worker_id] = session
--- a/tests/process/cell/ownership_guards.py
+++ b/tests/process/cell/ownership_guards.py
@@ -108,6 +108,28 @@
     return mock.patch.object(former_leases.FormerLeases, "end_ms", lambda *_: 0)
 
 
+def next_incarnations() -> Patch:
+    """New owners take a recorded worker's next incarnation for idle."""
+    may_have = worker_table.WorkerTable._may_have_unknown_runs
+
+    def is_same_silent(self: Any, worker_id: str, known: Any, now: int) -> bool:
+        view = self.find(worker_id)
+        if view is not None and view.entry.born_ms > known.born_ms:
+            return False
+        return may_have(self, worker_id, known, now)
+
+    return mock.patch.object(
+        worker_table.WorkerTable, "_may_have_unknown_runs", is_same_silent
+    )
+
+
+def recorded_former_leases() -> Patch:
+    """New owners know nothing of calls to former incarnations."""
+    return mock.patch.object(
+        worker_table.WorkerTable, "former_leases", lambda _: {}
+    )
+
+
 GUARDS: dict[str, Callable[[], Patch]] = {
     guard.__name__: guard
     for guard in (
@@ -121,5 +143,7 @@
         dropped_observation,
         recorded_starts,
         former_leases_end,
+        next_incarnations,
+        recorded_former_leases,
     )
 }
--- a/tests/process/cell/test_cell_ownership_model.py
+++ b/tests/process/cell/test_cell_ownership_model.py
@@ -535,6 +535,11 @@
     def test_promises_hold_for_workers_that_start_again(self) -> None:
         self.play_all("restarts")
 
+    # Guards against the same where the owner changes in between.
+    def test_promises_hold_for_restarts_beside_owner_changes(self) -> None:
+        for seed in (3, 8, 13):
+            play("restarts-kills", seed)
+
     # Guards against leases of a silent owner that outlast the wait of a host
     # that takes over from an owner of an earlier version after it.
     def test_promises_hold_while_hosts_are_upgraded(self) -> None:
@@ -596,5 +601,11 @@
     def test_former_leases_end(self) -> None:
         self.assert_found("former_leases_end", "restarts", 1, 3)
 
+    def test_next_incarnations(self) -> None:
+        self.assert_found("next_incarnations", "restarts-kills", 6, 8)
+
+    def test_recorded_former_leases(self) -> None:
+        self.assert_found("recorded_former_leases", "restarts-kills", 137)
+
     def test_recorded_starts(self) -> None:
         self.assert_found("recorded_starts", "flaps", 14, 17)
--- a/tests/process/cell/test_recorded_workers.py
+++ b/tests/process/cell/test_recorded_workers.py
@@ -90,3 +90,25 @@
     def test_unchanged_record_is_not_written_again(self) -> None:
         self.store()
         self.assertEqual(None, self.queue()[0])
+
+    # Guards against a next owner that gives up the runs of a worker too soon,
+    # as it doesn't know of calls to the worker's former incarnation.
+    def test_record_has_leases_from_calls_to_former_incarnations(self) -> None:
+        worker = self.cell.workers.find("w1")
+        worker.former_leases_end_ms = self.cell.clock.now_ms + 700
+        self.assertEqual({"w1": 700}, self.former_leases_ms())
+
+    # Guards against such leases that each next owner counts from its takeover.
+    def test_record_is_written_again_once_these_have_ended(self) -> None:
+        worker = self.cell.workers.find("w1")
+        worker.former_leases_end_ms = self.cell.clock.now_ms + 700
+        self.store()
+        self.cell.clock.advance(700)
+        self.assertEqual({}, self.former_leases_ms())
+
+    def former_leases_ms(self) -> dict[str, int]:
+        """Returns these leases as in the next record."""
+        work: dict[str, bytes | None] = {}
+        self.recorded.add_writes(work, [], is_settled=False)
+        value = work[records.WORKERS_KEY] or b""
+        return records.decode(records.WorkersRecord, value).former_leases_ms
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -14,6 +14,7 @@
 from tests.process.cell import harness
 
 RELEASE_MS = 500
+NEXT_RELEASE_MS = 2_000
 
 
 class UnknownIncarnationsTest(testtools.TestCase):
@@ -39,13 +40,66 @@
         cell = self.cell_with_known("w3")
         self.assertEqual(["w3"], cell.workers.unknown())
 
-    def test_former_incarnation_is_known_to_have_ended(self) -> None:
-        cell = self.cell_with_known("w1")
-        view = cell.workers.find("w1")
-        view.entry = attrs.evolve(view.entry, born_ms=2)
-        view.answered_ms = 0
+    # Guards against a task in two places: calls of the previous owner to the
+    # recorded incarnation had started runs on the next one under its id.
+    def test_silent_next_incarnation_is_not_known(self) -> None:
+        cell = self.cell_with_next("w1")
+        self.assertEqual(["w1"], cell.workers.unknown())
+        cell.answer_hold("w1")
+        self.assertEqual([], cell.workers.unknown())
+
+    def test_next_incarnation_is_known_once_its_leases_have_ended(self) -> None:
+        cell = self.cell_with_next("w1")
+        cell.clock.advance(NEXT_RELEASE_MS)
+        self.assertEqual(["w1"], cell.workers.unknown())
+        cell.clock.advance(1)
         self.assertEqual([], cell.workers.unknown())
 
+    # Guards against a wait for a worker whose machine runs one with another
+    # id, which shows that it has ended.
+    def test_next_incarnation_that_was_replaced_is_known_to_have_ended(
+        self,
+    ) -> None:
+        cell = self.cell_with_next("w1")
+        other = attrs.evolve(
+            fake_workers.entry("w1", born_ms=3), worker_id="w1b"
+        )
+        second = fake_workers.entry("w1", born_ms=2)
+        cell.apply_listing({"w1": second, "w1b": other})
+        self.assertEqual([], cell.workers.unknown())
+
+    # Guards against runs that are given up when this owner's lease is over,
+    # while one that the previous owner's call has given goes on.
+    def test_lease_of_the_previous_owner_on_a_next_incarnation_lasts(
+        self,
+    ) -> None:
+        cell = self.cell_with_next("w1")
+        job = cell.submit(harness.job())
+        name = job.steps[0][0].tasks[0].name
+        adopted = cell_workers.RunningTask(name, 3, "", 50.0, 0)
+        cell.answer_hold("w1", running=(adopted,), lease_ms=100)
+        cell.fail_hold("w1")
+        cell.clock.advance(NEXT_RELEASE_MS)
+        self.assertEqual([], cell.workers.expire())
+        cell.clock.advance(1)
+        (lost,) = cell.workers.expire()
+        self.assertEqual([3], [run.number for run in lost.runs])
+
+    def cell_with_next(self, worker_id: str) -> harness.Cell:
+        """Returns a cell with the next incarnation of a recorded worker."""
+        entry = fake_workers.entry(worker_id)
+        known = recovered_state.KnownWorker(
+            1,
+            harness.START_MS + RELEASE_MS,
+            entry.address,
+            next_release_after_ms=harness.START_MS + NEXT_RELEASE_MS,
+        )
+        cell = harness.Cell(workers=2, known_workers={worker_id: known})
+        entries = {view.worker_id: view.entry for view in cell.workers}
+        entries[worker_id] = attrs.evolve(entry, born_ms=2)
+        cell.apply_listing(entries)
+        return cell
+
     def test_silent_incarnation_is_known_once_its_lease_has_ended(self) -> None:
         cell = self.cell_with_known("w3")
         cell.clock.advance(RELEASE_MS)
