Have a worker's next incarnation refuse starts that were given up

What callers would see: a start without an answer is stopped and its task runs elsewhere; the worker starts again under its id and carries the start out seconds later (TWICE).

Cause: a run that was stopped is refused for good by the incarnation that was told so, but not by the next one, and the owner forgot it.

A session keeps the runs whose start got no answer for as long as a call may be delayed. When the next incarnation is listed, those that can't go on there are stopped at once, which makes it refuse them.

--- a/src/comfreylatch/_process/cell/carryover/former_leases.py
+++ b/src/comfreylatch/_process/cell/carryover/former_leases.py
@@ -16,10 +16,8 @@
 from comfreylatch._ports import clock as clock_port
 from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import worker_session
+from comfreylatch._process.cell.carryover import delays
 
-# The platform may carry out a call without an answer seconds later; the longest
-# delay that its users describe is 12 s.
-MAX_CALL_DELAY_MS = 12_000
 # Longest lease that a worker grants where the platform states none.
 DEFAULT_MAX_LEASE_MS = 6_000
 
@@ -34,7 +32,7 @@
         max_lease_ms: Longest lease that the platform allows.
     """
     return (
-        MAX_CALL_DELAY_MS
+        delays.MAX_CALL_DELAY_MS
         + worker_session.MAX_CALL_MS
         + lease_ends.longest_lease_ms(max_lease_ms)
         - lease_ends.longest_lease_ms(lease_ms)
@@ -89,7 +87,7 @@
         """
         end_ms = max(inherited_end_ms, self.end_ms(entry))
         if renewals_end_ms:
-            last_call_ms = renewals_end_ms + MAX_CALL_DELAY_MS
+            last_call_ms = renewals_end_ms + delays.MAX_CALL_DELAY_MS
             end_ms = max(end_ms, last_call_ms + self._longest_ms)
         self._former[entry.worker_id] = _Former(entry.born_ms, end_ms)
 
--- a/src/comfreylatch/_process/cell/listing/incarnations.py
+++ b/src/comfreylatch/_process/cell/listing/incarnations.py
@@ -4,7 +4,7 @@
 
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_view
-from comfreylatch._process.cell.carryover import former_leases
+from comfreylatch._process.cell.carryover import delays
 
 # How far the clocks of a host and a worker may differ. A worker that crashes is
 # back after some three seconds, so a start that made it crash is earlier.
@@ -53,7 +53,7 @@
     if not run.unanswered_tries:
         return False
     returned_ago_ms = now_ms - run.start_returned_ms
-    return returned_ago_ms <= former_leases.MAX_CALL_DELAY_MS
+    return returned_ago_ms <= delays.MAX_CALL_DELAY_MS
 
 
 def _was_starting_after(run: runs_module.Run, earliest_ms: int) -> bool:
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -24,6 +24,7 @@
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell.carryover import clock_readings
+from comfreylatch._process.cell.carryover import late_starts
 
 # Longest time that a worker may wait for the end of a run before it answers a
 # hold call, so that its readings are at most about a second old. The platform
@@ -95,6 +96,9 @@
 
     A context manager: entering starts its threads, leaving signals them to end
     and closes their connections.
+
+    Attributes:
+        late_starts: Starts that got no answer.
     """
 
     def __init__(
@@ -116,6 +120,7 @@
         self._latest_deadline_ms = 0
         self._last_renewal_ms = 0
         self._is_failing = False
+        self.late_starts = late_starts.LateStarts(clock)
         self._acknowledged = threading.Condition()
         self._queue: queue.SimpleQueue[_Start | _Stop | _Pace | None] = (
             queue.SimpleQueue()
@@ -336,7 +341,8 @@
                 break
             tries += 1
             reading, sent_ms = self._reading, self._clock.monotonic_ms()
-            outcome = self._verified(
+            outcome = self._end_try(
+                order.run,
                 self._orders.start(
                     cell_workers.StartOrder(
                         task=order.run.task.name,
@@ -360,13 +366,14 @@
             events.StartReturned(order.run, first_sent_ms, tries, outcome)
         )
 
-    def _verified(
+    def _end_try(
         self,
+        run: runs_module.Run,
         outcome: result.Result[int, cell_workers.OrderError],
         reading: clock_readings.ClockReading | None,
         sent_ms: int,
     ) -> result.Result[int, cell_workers.OrderError]:
-        """Returns the outcome of a start by the session's incarnation.
+        """Returns the outcome of a try to start a run on the incarnation.
 
         It is unknown if another incarnation has answered, which has the run.
         """
@@ -375,11 +382,16 @@
                 reading.excludes(clock_ms, sent_ms)
             ):
                 self._is_failing = True
-                return result.Err(
+                outcome = result.Err(
                     cell_workers.OrderUnanswered(
                         "another incarnation has answered"
                     )
                 )
+        match outcome:
+            case result.Err(cell_workers.OrderUnanswered()):
+                self.late_starts.add(
+                    late_starts.RunId(run.task.name, run.number)
+                )
         return outcome
 
     def _send_stop(self, order: _Stop) -> None:
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -23,6 +23,7 @@
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
 from comfreylatch._process.cell.carryover import former_leases
+from comfreylatch._process.cell.carryover import late_starts
 from comfreylatch._process.cell.listing import incarnations
 from comfreylatch._process.cell.sizing import worker_limit
 
@@ -203,12 +204,28 @@
             self._clock.monotonic_ms(),
             self._clock.wall_ms() - entry.born_ms,
         )
+        late = self._sessions[entry.worker_id].late_starts
         lost = self._drop(view, reasons.LossReason.REBORN)
         self._add(entry)
         for run in in_doubt:
             self._views[entry.worker_id].add(run)
+        self._prevent(late, self._views[entry.worker_id])
         return lost
 
+    def _prevent(
+        self, late: late_starts.LateStarts, view: worker_view.WorkerView
+    ) -> None:
+        """Stops runs whose start may still reach a worker.
+
+        The former incarnation may have refused them for good, and their tasks
+        may run elsewhere.
+        """
+        session = self._sessions[view.worker_id]
+        session.late_starts.update(late)
+        for start in late.recent():
+            if worker_view.run_key(start.task, start.number) not in view.runs:
+                session.stop(None, start.task, start.number)
+
     def _select(
         self, entries: dict[str, cell_workers.WorkerEntry]
     ) -> dict[str, cell_workers.WorkerEntry]:
--- a/tests/process/cell/carryover/test_former_leases.py
+++ b/tests/process/cell/carryover/test_former_leases.py
@@ -5,6 +5,7 @@
 import testtools
 
 from comfreylatch._process.cell import lease_ends
+from comfreylatch._process.cell.carryover import delays
 from comfreylatch._process.cell.carryover import former_leases
 from testing.fakes import cell_workers as fake_workers
 from testing.fakes import clock as fake_clock
@@ -12,7 +13,7 @@
 START_MS = 100_000
 MAX_LEASE_MS = 10_000
 # From the end of the last call on.
-LONGEST_MS = former_leases.MAX_CALL_DELAY_MS + lease_ends.longest_lease_ms(
+LONGEST_MS = delays.MAX_CALL_DELAY_MS + lease_ends.longest_lease_ms(
     MAX_LEASE_MS
 )
 FIRST = fake_workers.entry("w1", born_ms=1)
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -21,6 +21,7 @@
 from comfreylatch._process.cell import run_reconciler
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import worker_table
+from comfreylatch._process.cell.carryover import late_starts
 from comfreylatch._process.cell.crashes import crash_ledger
 from comfreylatch._process.cell.crashes import stored_starts
 from comfreylatch._process.cell.crashes import trials
@@ -67,8 +68,11 @@
         has_answer: Whether the worker has answered.
         renewals_end_ms: Monotonic time by which calls with a deadline have
             been sent; 0 for none.
+        late_starts: Starts that got no answer.
     """
 
+    late_starts: late_starts.LateStarts
+
     starts: list[Any] = attrs.field(factory=list)
     stops: list[tuple[str, int]] = attrs.field(factory=list)
     paces: list[tuple[str, int]] = attrs.field(factory=list)
@@ -172,7 +176,10 @@
         self.workers.allow_starts(self.workers.incarnations())
 
     def _session(self, entry: cell_workers.WorkerEntry) -> Any:
-        return self.sessions.setdefault(entry.worker_id, _RecordingSession())
+        return self.sessions.setdefault(
+            entry.worker_id,
+            _RecordingSession(late_starts.LateStarts(self.clock)),
+        )
 
     def submit(self, spec: specs.JobSpec) -> Any:
         """Adds a job; returns the cell's state of it."""
--- a/tests/process/cell/listing/test_incarnations.py
+++ b/tests/process/cell/listing/test_incarnations.py
@@ -12,7 +12,9 @@
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import lease_ends
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell.carryover import delays
 from comfreylatch._process.cell.carryover import former_leases
+from comfreylatch._process.cell.carryover import late_starts
 from comfreylatch._process.cell.listing import incarnations
 from testing.fakes import cell_workers as fake_workers
 from tests.process.cell import harness
@@ -147,7 +149,7 @@
 
     def longest_lease_ms(self) -> int:
         """Returns how long a lease of before may last from now on."""
-        return former_leases.MAX_CALL_DELAY_MS + lease_ends.longest_lease_ms(
+        return delays.MAX_CALL_DELAY_MS + lease_ends.longest_lease_ms(
             former_leases.DEFAULT_MAX_LEASE_MS
         )
 
@@ -229,3 +231,19 @@
             run.worker_id, (harness.running_task(run, percent=5.0),)
         )
         self.assertEqual(5.0, run.percent)
+
+    # Guards against a task in two places: a start that the former incarnation
+    # refuses for good is carried out by the next one after a while.
+    def test_run_given_up_is_refused_by_the_next_incarnation(self) -> None:
+        late = self.cell.sessions["w1"].late_starts
+        late.add(late_starts.RunId("a.0.0.0", 3))
+        self.restart("w1")
+        self.assertEqual([("a.0.0.0", 3)], self.cell.sessions["w1"].stops)
+
+    # Guards against stopping a run that may go on there.
+    def test_run_in_doubt_is_not_stopped_at_once(self) -> None:
+        (run,) = self.cell.place()
+        session = self.cell.sessions[run.worker_id]
+        session.late_starts.add(late_starts.RunId(run.task.name, run.number))
+        self.restart(run.worker_id)
+        self.assertEqual([], session.stops)
--- a/tests/process/cell/ownership_hosts.py
+++ b/tests/process/cell/ownership_hosts.py
@@ -34,7 +34,7 @@
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
 from comfreylatch._process.cell.carryover import clock_readings
-from comfreylatch._process.cell.carryover import former_leases
+from comfreylatch._process.cell.carryover import delays
 from tests.process.cell import ownership_world
 
 LONGEST_LEASE_MS = int(
@@ -52,7 +52,7 @@
 MAX_RELEASE_READ_MS = 500
 # Longest time after a worker's restart for which runs on it may be in doubt.
 RESTART_WAIT_MS = 2 * (
-    former_leases.MAX_CALL_DELAY_MS
+    delays.MAX_CALL_DELAY_MS
     + lease_ends.longest_lease_ms(ownership_world.MAX_LEASE_MS)
 )
 # Longest time between two ticks of a process that isn't paused.
@@ -345,7 +345,7 @@
                 ),
                 worker_session.ORDER_TIMEOUT_MS,
             )
-            outcome = self._verified(outcome, reading, try_sent_ms)
+            outcome = self._end_try(order.run, outcome, reading, try_sent_ms)
             match outcome:
                 case result.Err(cell_workers.OrderUnanswered()):
                     continue
--- a/tests/process/cell/test_cell_ownership_model.py
+++ b/tests/process/cell/test_cell_ownership_model.py
@@ -535,6 +535,11 @@
     def test_promises_hold_for_workers_that_start_again(self) -> None:
         self.play_all("restarts")
 
+    # Guards against a task in two places: a start that was given up is carried
+    # out by the next incarnation of its worker seconds later.
+    def test_promises_hold_for_restarts_beside_late_orders(self) -> None:
+        play("restarts-late", 51)
+
     # Guards against the same where the owner changes in between.
     def test_promises_hold_for_restarts_beside_owner_changes(self) -> None:
         for seed in (3, 8, 13):
