Settle a takeover only once all listed ends are read

Cause: a worker counted as known with its first answer, which lists 500 ends at most; further ones follow once these are acknowledged. The limit was regarded only for runs that the owner had itself.

A worker now counts as known once an answer has listed fewer ends than that. If it falls silent before, the owner waits until its lease is over. The same holds for its maintenance, and for the trials and missing runs of a previous owner.

--- a/src/comfreylatch/_ports/cell_workers.py
+++ b/src/comfreylatch/_ports/cell_workers.py
@@ -13,6 +13,10 @@
 import attrs
 import result
 
+# Most ends of runs that a worker lists in one answer to a hold call. It lists
+# further ones once these are acknowledged.
+MAX_LISTED_ENDS = 500
+
 
 @attrs.frozen
 class Resources:
@@ -107,6 +111,11 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Whether no further ends wait for these to be acknowledged."""
+        return len(self.ended) < MAX_LISTED_ENDS
+
 
 @attrs.frozen
 class HoldOrder:
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -36,10 +36,6 @@
 SLOW_TIMEOUT_MS = 1_200
 # Weight of the newest run in the exponential average of a worker's slowness.
 SLOWNESS_SMOOTHING = 0.3
-# Most ends of runs that a worker lists in one answer to a hold call. A run that
-# is missing from an answer with this many may have ended although its end isn't
-# listed.
-MAX_LISTED_ENDS = 500
 
 _logger = logbook.Logger(__name__)
 
@@ -93,7 +89,8 @@
             )
             self._handle_running(worker, running_task, event.received_ms)
         worker.stray_count = len(listed_keys - worker.runs.keys())
-        if len(answer.ended) < MAX_LISTED_ENDS:
+        # Else the end of a run that is missing may not be listed yet.
+        if answer.lists_all_ends:
             self._handle_missing(worker, listed_keys, event.sent_ms)
         self._interference.learn(worker, event.received_ms)
         worker.revision += 1
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -299,6 +299,7 @@
                         - (view.failing_since_ms or event.received_ms),
                     )
                 view.answered_ms = event.received_ms
+                view.has_listed_all |= answer.lists_all_ends
                 view.failing_since_ms = 0
             case result.Err(error):
                 self.mark_failing(view, str(error))
@@ -359,10 +360,10 @@
     def unknown(self) -> list[str]:
         """Returns the workers that may have runs that are not known here.
 
-        A worker is known once its current incarnation has answered, which may
-        be a later one than the previous owner's, or when leases of previous
-        owners have ended there. A later worker at its address with another id
-        shows that it has ended.
+        A worker is known once its current incarnation, which may be a later one
+        than the previous owner's, has listed all of its runs and their ends, or
+        when leases of previous owners have ended there. A later worker at its
+        address with another id shows that it has ended.
         """
         now_ms = self._clock.monotonic_ms()
         return [
@@ -390,7 +391,7 @@
         return (
             view is not None
             and view.entry.born_ms == born_ms
-            and view.answered_ms > 0
+            and view.has_listed_all
         )
 
     def successors_born_ms(self) -> list[int]:
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -36,6 +36,8 @@
         deadline_ms: Latest lease deadline ever sent to it, on its clock.
         answered_ms: Monotonic time at which it last answered a hold call; 0
             before the first answer.
+        has_listed_all: Whether it has listed all ends of runs that it had when
+            this owner first reached it.
         failing_since_ms: Monotonic time at which its calls began to fail; 0
             while they don't.
         fill_millicores: Processors requested by filling tasks.
@@ -80,6 +82,7 @@
     clock_read_ms: int = 0
     deadline_ms: int = 0
     answered_ms: int = 0
+    has_listed_all: bool = False
     failing_since_ms: int = 0
     fill_millicores: int = 0
     lasting_millicores: int = 0
@@ -130,8 +133,16 @@
         return int(self.free_cpu + lasting_idle - self.fill_millicores)
 
     def may_have_unknown_runs(self, now_ms: int) -> bool:
-        """Whether a previous owner's runs on it may not be known here."""
-        return self.answered_ms == 0 and now_ms <= self.release_after_ms
+        """Whether a previous owner's runs on it may not be known here.
+
+        The ends that one answer has no room for are known once they are listed,
+        or once its lease is over.
+        """
+        if self.has_listed_all:
+            return False
+        if self.is_answering:
+            return True
+        return now_ms <= max(self.lease_expiry_ms(), self.release_after_ms)
 
     def accepts_work(self, now_ms: int) -> bool:
         """Whether new tasks may be placed on it."""
--- a/testing/fakes/cell_workers.py
+++ b/testing/fakes/cell_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import final
 
 import attrs
@@ -50,6 +51,7 @@
         is_unreachable: While set, orders fail without being executed.
         starts: Every start order executed.
         deadlines_ms: Lease deadlines received.
+        answer_delay_ms: How late answers to hold orders arrive.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.is_unreachable = False
         self.starts: list[RecordedStart] = []
         self.deadlines_ms: list[int] = []
+        self.answer_delay_ms = 0
         self._clock = clock
         self._changed = threading.Condition()
         self._boot_clock_ms = 0
@@ -103,6 +106,13 @@
     ) -> result.Result[cell_workers.HoldAnswer, cell_workers.OrderError]:
         """See `WorkerOrders.hold`."""
         del timeout_ms
+        answer = self._hold(order)
+        time.sleep(self.answer_delay_ms / 1_000)
+        return answer
+
+    def _hold(
+        self, order: cell_workers.HoldOrder
+    ) -> result.Result[cell_workers.HoldAnswer, cell_workers.OrderError]:
         with self._changed:
             refused = self._check_order(order.token)
             if refused:
@@ -130,7 +140,7 @@
                         cell_workers.RunningTask(task, run, "", 50.0, 0)
                         for task, run in self._running.items()
                     ),
-                    tuple(self._ended),
+                    tuple(self._ended[: cell_workers.MAX_LISTED_ENDS]),
                 )
             )
 
--- a/tests/process/cell/ownership_world.py
+++ b/tests/process/cell/ownership_world.py
@@ -481,7 +481,9 @@
         )
         return result.Ok(
             cell_workers.HoldAnswer(
-                self._clock_ms(), running, tuple(self._ended)
+                self._clock_ms(),
+                running,
+                tuple(self._ended[: cell_workers.MAX_LISTED_ENDS]),
             )
         )
 
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -279,6 +279,7 @@
     def test_worker_with_unknown_runs_is_not_taken_for_empty(self) -> None:
         for worker in self.cell.workers:
             worker.answered_ms = 0
+            worker.has_listed_all = False
             worker.release_after_ms = harness.START_MS + 1_500
         self.assertEqual([], self.next_orders())
         self.assertEqual(1, len(self.next_orders()))
@@ -286,6 +287,7 @@
     def test_workers_that_have_answered_are_maintained_first(self) -> None:
         worker = self.cell.workers.find("w1")
         worker.answered_ms = 0
+        worker.has_listed_all = False
         worker.release_after_ms = harness.START_MS + 60_000
         self.assertEqual(["m2"], self.next_orders())
 
--- a/tests/process/cell/test_takeover_unfinished.py
+++ b/tests/process/cell/test_takeover_unfinished.py
@@ -18,6 +18,10 @@
 from tests.process.cell import test_takeover
 
 RUN_COUNT = 3
+# More than a worker lists in two answers.
+WIDE_COUNT = 2 * cell_workers.MAX_LISTED_ENDS + 100
+# Longer than an owner takes from a worker's first answer to its next start.
+HELD_BACK_MS = 200
 
 
 class UnfinishedWorkTest(testtools.TestCase):
@@ -108,3 +112,39 @@
         host.ownership.start()
         self.wait_for(lambda: not loaded.running)
         self.wait_for(lambda: self.run_count() == RUN_COUNT)
+
+
+class WideStepTest(testtools.TestCase):
+    """A wide step whose tasks end on one worker while no host owns the cell."""
+
+    def wait_for(self, condition: Callable[[], bool]) -> None:
+        """Waits until a condition holds."""
+        deadline_s = time.monotonic() + test_takeover.WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline_s, "timed out")
+            time.sleep(0.01)
+
+    # Guards against completed tasks that are started again: the next owner
+    # settled after the first 500 ends that the worker had listed.
+    def test_completed_tasks_are_not_started_again(self) -> None:
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        store = record_store.MemoryStore()
+        worker = fake_workers.FakeWorker(
+            fake_workers.entry("w1"), clock_port.SystemClock()
+        )
+        first, second = (
+            test_takeover.Host(name, store, {"w1": worker}, stack)
+            for name in ("one", "two")
+        )
+        first.ownership.start()
+        self.wait_for(lambda: first.ownership.is_owner)
+        step = harness.step(WIDE_COUNT, cpu_millicores=1, memory_mb=1)
+        first.job_api.submit(harness.job(step), 2_000)
+        self.wait_for(lambda: len(worker.running) == WIDE_COUNT)
+        first.ownership.stop(2_000)
+        worker.end_all(cell_workers.RunEnd.DONE)
+        worker.answer_delay_ms = HELD_BACK_MS
+        second.ownership.start()
+        self.wait_for(lambda: not worker.unread_ends)
+        self.assertEqual(WIDE_COUNT, len(worker.starts))
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -19,6 +19,7 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell import worker_view
+from comfreylatch._process.cell.carryover import late_starts
 from testing.fakes import cell_workers as fake_workers
 from testing.fakes import clock as fake_clock
 
@@ -336,6 +337,8 @@
             returned.outcome.unwrap_err(), cell_workers.OrderUnanswered
         )
         self.assertEqual(1, returned.unanswered_tries)
+        late = late_starts.RunId("a.0.0.0", 1)
+        self.assertEqual({late}, self.session.late_starts.recent())
 
     # Guards against more starts with deadlines of the former incarnation.
     def test_nothing_is_started_after_another_incarnation_answered(
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -10,6 +10,7 @@
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import recovered_state
+from comfreylatch._process.cell import worker_view
 from testing.fakes import cell_workers as fake_workers
 from tests.process.cell import harness
 
@@ -17,6 +18,18 @@
 NEXT_RELEASE_MS = 2_000
 
 
+def many_ends(
+    count: int, first_number: int = 1
+) -> tuple[cell_workers.EndedRun, ...]:
+    """Returns ends of runs of a previous owner."""
+    return tuple(
+        cell_workers.EndedRun(
+            number, f"a.0.0.{number}", 1, cell_workers.RunEnd.DONE, ""
+        )
+        for number in range(first_number, first_number + count)
+    )
+
+
 class UnknownIncarnationsTest(testtools.TestCase):
     """Incarnations that a previous owner has recorded."""
 
@@ -32,14 +45,46 @@
         self.assertEqual([], cell.workers.unknown())
 
     def test_silent_incarnation_is_not_known(self) -> None:
-        cell = self.cell_with_known("w1")
-        cell.workers.find("w1").answered_ms = 0
+        cell = self.silent_cell("w1")
+        self.assertEqual(["w1"], cell.workers.unknown())
+
+    # Guards against completed tasks that are started again: a worker lists 500
+    # ends in an answer, and the others were not read when the owner settled.
+    def test_incarnation_with_further_ends_is_not_known(self) -> None:
+        cell = self.silent_cell("w1")
+        ends = many_ends(cell_workers.MAX_LISTED_ENDS)
+        cell.answer_hold("w1", ended=ends)
+        self.assertEqual(["w1"], cell.workers.unknown())
+        self.assertFalse(cell.workers.has_listed_runs("w1", 1))
+        cell.clock.advance(RELEASE_MS + 1)
         self.assertEqual(["w1"], cell.workers.unknown())
+        cell.answer_hold("w1", ended=many_ends(1, first_number=501))
+        self.assertEqual([], cell.workers.unknown())
+        self.assertTrue(cell.workers.has_listed_runs("w1", 1))
+
+    # Guards against a takeover that never ends: a worker fails for good before
+    # it has listed all ends.
+    def test_further_ends_count_until_the_lease_is_over(self) -> None:
+        cell = self.silent_cell("w1")
+        ends = many_ends(cell_workers.MAX_LISTED_ENDS)
+        cell.answer_hold("w1", ended=ends, lease_ms=2 * RELEASE_MS)
+        cell.fail_hold("w1")
+        cell.clock.advance(2 * RELEASE_MS)
+        self.assertEqual(["w1"], cell.workers.unknown())
+        cell.clock.advance(worker_view.LEASE_END_MARGIN_MS + RELEASE_MS)
+        self.assertEqual([], cell.workers.unknown())
 
     def test_incarnation_without_an_entry_is_not_known(self) -> None:
         cell = self.cell_with_known("w3")
         self.assertEqual(["w3"], cell.workers.unknown())
 
+    def silent_cell(self, worker_id: str) -> harness.Cell:
+        """Returns a cell whose recorded worker has not answered yet."""
+        known = recovered_state.KnownWorker(1, harness.START_MS + RELEASE_MS)
+        cell = harness.Cell(workers=0, known_workers={worker_id: known})
+        cell.apply_listing({worker_id: fake_workers.entry(worker_id)})
+        return cell
+
     # Guards against a task in two places: calls of the previous owner to the
     # recorded incarnation had started runs on the next one under its id.
     def test_silent_next_incarnation_is_not_known(self) -> None:
