Accept readings of filling tasks that request no processors

Cause: the share of its request that a filling task uses was its reading divided by the request. The pace at which all tasks fit was divided by the requests, too, if lasting tasks leave nothing. Each next owner adopted the run and failed in the same way, and the wait for a silent worker began anew.

A task that requests nothing has no such share, and its pace is not lowered by requests; the guard for lasting tasks over their target still pauses it.

--- a/src/comfreylatch/_process/cell/interference.py
+++ b/src/comfreylatch/_process/cell/interference.py
@@ -318,7 +318,7 @@
             filling_run.task.step.spec.cpu_millicores * filling_run.intensity
             for filling_run in _filling_runs(worker)
         )
-        if requested <= available:
+        if requested <= max(available, 0.0):
             return FULL_PACE
         steps = int(max(available, 0.0) / requested * FULL_PACE) // PACE_STEP
         return steps * PACE_STEP
@@ -401,6 +401,9 @@
         * filling_run.pace_percent
         / FULL_PACE
     )
+    if not allowed:
+        # A task that requests no processors has no share of its request.
+        return
     filling_run.intensity = min(
         max(filling_run.reading / allowed, MIN_INTENSITY), 1.0
     )
--- a/tests/process/cell/test_interference.py
+++ b/tests/process/cell/test_interference.py
@@ -5,6 +5,7 @@
 from typing import Any
 import unittest.mock
 
+import attrs
 import testtools
 
 from comfreylatch._process.cell import serving_load
@@ -119,3 +120,54 @@
         self.worker.load = 0.3
         self.worker.report(seconds=10)
         self.assertEqual(100, self.worker.filling.pace_percent)
+
+
+class NoRequestTest(testtools.TestCase):
+    """A filling task that requests no processors, beside a lasting one."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cell = harness.Cell(workers=1, cpu_millicores=1_000)
+        lasting_step = harness.step(
+            is_lasting=True, image="serve", tail_target_ms=TARGET_MS
+        )
+        filling_step = harness.step(
+            cpu_millicores=0, fills_idle=True, image="press"
+        )
+        self.cell.submit(harness.job(lasting_step, job_id="a" * 16))
+        (self.serving,) = self.cell.place()
+        self.cell.submit(harness.job(filling_step, job_id="b" * 16))
+        (self.filling,) = self.cell.place()
+
+    def report(self, tail_ms: int) -> None:
+        """Reports the tail of the lasting task and 700 millicores, once."""
+        self.cell.clock.advance(500)
+        running = (
+            harness.running_task(self.serving, 100.0, tail_ms),
+            harness.running_task(self.filling, 50.0, 700),
+        )
+        self.cell.answer_hold("w1", running=running)
+
+    # Guards against an owner that ends when such a task reports its usage.
+    def test_its_usage_is_no_share_of_a_request(self) -> None:
+        intensity = self.filling.intensity
+        for _ in range(4):
+            self.report(BASE_MS)
+        self.assertEqual(intensity, self.filling.intensity)
+        self.assertEqual(100, self.filling.pace_percent)
+
+    # Guards against an owner that ends when the lasting task needs more
+    # processors than the worker has for it.
+    def test_worker_without_idle_processors_leaves_its_pace(self) -> None:
+        worker = self.cell.workers.find("w1")
+        capacity = attrs.evolve(worker.entry.capacity, cpu_millicores=10)
+        worker.update(attrs.evolve(worker.entry, capacity=capacity))
+        self.report(TARGET_MS - 1)
+        self.assertEqual(100, self.filling.pace_percent)
+
+    # Guards against a lasting task that stays over its target as the task has
+    # no request by which its pace could be lowered.
+    def test_it_pauses_while_the_lasting_task_is_over_its_target(self) -> None:
+        for _ in range(8):
+            self.report(3 * TARGET_MS)
+        self.assertEqual(0, self.filling.pace_percent)
