Keep runs that a next incarnation may have before it is listed

What callers would see: a worker starts again under its id while the store is down, so that the list doesn't show it; runs that it accepted are given up with the lease of its former incarnation and started elsewhere (TWICE).

Cause: only a listed incarnation was reckoned with, though its answers show it before: hold calls by their start time, starts by their clock.

A session notes that another incarnation has answered, and the worker's runs are then kept as long as leases from its calls may last. The listing ends the wait as before.

--- a/src/comfreylatch/_process/cell/carryover/former_leases.py
+++ b/src/comfreylatch/_process/cell/carryover/former_leases.py
@@ -85,12 +85,28 @@
             renewals_end_ms: Monotonic time by which calls to it that carry a
                 deadline have been sent; 0 if there were none.
         """
-        end_ms = max(inherited_end_ms, self.end_ms(entry))
-        if renewals_end_ms:
-            last_call_ms = renewals_end_ms + delays.MAX_CALL_DELAY_MS
-            end_ms = max(end_ms, last_call_ms + self._longest_ms)
+        end_ms = max(
+            inherited_end_ms,
+            self.end_ms(entry),
+            self.next_end_ms(renewals_end_ms),
+        )
         self._former[entry.worker_id] = _Former(entry.born_ms, end_ms)
 
+    def next_end_ms(self, renewals_end_ms: int) -> int:
+        """Returns by when leases from some calls have ended on another.
+
+        Args:
+            renewals_end_ms: Monotonic time by which the calls with a deadline
+                have been sent to an incarnation; 0 if there were none.
+
+        Returns:
+            Monotonic time by which leases have ended that these calls may have
+            given to the next incarnation; 0 if there are none.
+        """
+        if not renewals_end_ms:
+            return 0
+        return renewals_end_ms + delays.MAX_CALL_DELAY_MS + self._longest_ms
+
     def end_ms(self, entry: cell_workers.WorkerEntry) -> int:
         """Returns by when leases from calls to former incarnations have ended.
 
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -99,6 +99,8 @@
 
     Attributes:
         late_starts: Starts that got no answer.
+        has_seen_other: Whether another incarnation has answered since the last
+            answer of this one.
     """
 
     def __init__(
@@ -121,6 +123,7 @@
         self._last_renewal_ms = 0
         self._is_failing = False
         self.late_starts = late_starts.LateStarts(clock)
+        self.has_seen_other = False
         self._acknowledged = threading.Condition()
         self._queue: queue.SimpleQueue[_Start | _Stop | _Pace | None] = (
             queue.SimpleQueue()
@@ -261,14 +264,7 @@
             return 0
         received_ms = self._clock.monotonic_ms()
         must_renew = not self._is_verified
-        match outcome:
-            case result.Ok(answer):
-                self._reading = clock_readings.ClockReading(
-                    answer.clock_ms, received_ms
-                )
-                self._is_failing = False
-            case result.Err(_):
-                self._is_failing = True
+        self._note_hold(outcome, received_ms)
         self._post(
             events.HoldReturned(
                 self._entry.worker_id,
@@ -289,6 +285,29 @@
                 self._closing.wait(FAILED_HOLD_PAUSE_MS / 1_000)
                 return 0
 
+    def _note_hold(
+        self,
+        outcome: result.Result[
+            cell_workers.HoldAnswer, cell_workers.OrderError
+        ],
+        received_ms: int,
+    ) -> None:
+        """Notes which incarnation has answered a hold call, if any."""
+        match outcome:
+            case result.Ok(answer):
+                self._reading = clock_readings.ClockReading(
+                    answer.clock_ms, received_ms
+                )
+                self._is_failing = self.has_seen_other = False
+            case result.Err(
+                cell_workers.OrderRefused(
+                    cell_workers.Refusal.OTHER_INCARNATION
+                )
+            ):
+                self._is_failing = self.has_seen_other = True
+            case result.Err(_):
+                self._is_failing = True
+
     def _wait_until_recorded(self, answer: cell_workers.HoldAnswer) -> bool:
         """Waits until the ends in an answer are recorded; False on timeout."""
         if not answer.ended:
@@ -381,7 +400,7 @@
             case result.Ok(clock_ms) if reading is not None and (
                 reading.excludes(clock_ms, sent_ms)
             ):
-                self._is_failing = True
+                self._is_failing = self.has_seen_other = True
                 outcome = result.Err(
                     cell_workers.OrderUnanswered(
                         "another incarnation has answered"
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -305,6 +305,22 @@
                 self.mark_failing(view, str(error))
         return True
 
+    def _note_next_incarnation(
+        self,
+        view: worker_view.WorkerView,
+        session: worker_session.WorkerSession,
+    ) -> None:
+        """Notes that another incarnation answers, which is not listed yet.
+
+        It may have accepted starts that were meant for this one.
+        """
+        known = self._known_workers.get(view.worker_id)
+        view.former_leases_end_ms = max(
+            view.former_leases_end_ms,
+            self._former_leases.next_end_ms(session.renewals_end_ms),
+            known.next_release_after_ms if known else 0,
+        )
+
     def mark_failing(self, view: worker_view.WorkerView, detail: str) -> None:
         """Marks a worker as failing after a call without an answer."""
         if view.failing_since_ms == 0:
@@ -346,6 +362,8 @@
                 continue
             session = self._sessions[view.worker_id]
             view.deadline_ms = max(view.deadline_ms, session.latest_deadline_ms)
+            if session.has_seen_other:
+                self._note_next_incarnation(view, session)
             if now_ms <= view.lease_expiry_ms():
                 continue
             missing_ms = now_ms - view.unlisted_since_ms
--- a/tests/process/cell/harness.py
+++ b/tests/process/cell/harness.py
@@ -69,6 +69,7 @@
         renewals_end_ms: Monotonic time by which calls with a deadline have
             been sent; 0 for none.
         late_starts: Starts that got no answer.
+        has_seen_other: Whether another incarnation has answered.
     """
 
     late_starts: late_starts.LateStarts
@@ -80,6 +81,7 @@
     acknowledged: int = 0
     has_answer: bool = False
     renewals_end_ms: int = 0
+    has_seen_other: bool = False
 
     def __enter__(self) -> _RecordingSession:
         return self
--- a/tests/process/cell/listing/test_incarnations.py
+++ b/tests/process/cell/listing/test_incarnations.py
@@ -247,3 +247,19 @@
         session.late_starts.add(late_starts.RunId(run.task.name, run.number))
         self.restart(run.worker_id)
         self.assertEqual([], session.stops)
+
+    # Guards against a task in two places: the next incarnation has a run, but
+    # the list doesn't show it yet, as the store is down.
+    def test_run_outlives_its_lease_once_another_incarnation_answers(
+        self,
+    ) -> None:
+        (run,) = self.cell.place()
+        session = self.cell.sessions[run.worker_id]
+        session.renewals_end_ms = self.cell.clock.now_ms
+        session.has_seen_other = True
+        self.cell.fail_hold(run.worker_id)
+        lease_ms = self.longest_lease_ms()
+        self.expire_after(lease_ms)
+        self.assertEqual([run], run.task.runs)
+        self.expire_after(1)
+        self.assertEqual([], run.task.runs)
--- a/tests/process/cell/ownership_guards.py
+++ b/tests/process/cell/ownership_guards.py
@@ -130,6 +130,20 @@
     )
 
 
+def late_starts() -> Patch:
+    """Next incarnations are not told which starts were given up."""
+    return mock.patch.object(
+        worker_table.WorkerTable, "_prevent", lambda *_: None
+    )
+
+
+def seen_incarnations() -> Patch:
+    """Next incarnations count only once the list shows them."""
+    return mock.patch.object(
+        worker_table.WorkerTable, "_note_next_incarnation", lambda *_: None
+    )
+
+
 GUARDS: dict[str, Callable[[], Patch]] = {
     guard.__name__: guard
     for guard in (
@@ -145,5 +159,7 @@
         former_leases_end,
         next_incarnations,
         recorded_former_leases,
+        late_starts,
+        seen_incarnations,
     )
 }
--- a/tests/process/cell/test_worker_session.py
+++ b/tests/process/cell/test_worker_session.py
@@ -339,6 +339,16 @@
         self.assertEqual(1, returned.unanswered_tries)
         late = late_starts.RunId("a.0.0.0", 1)
         self.assertEqual({late}, self.session.late_starts.recent())
+        self.assertTrue(self.session.has_seen_other)
+
+    # Guards against runs on a next incarnation, which is not listed yet, that
+    # are given up with the lease of the former one.
+    def test_answers_show_which_incarnation_there_is(self) -> None:
+        self.clock.advance(400)
+        self.assertFalse(self.session.has_seen_other)
+        self.worker.restart(born_ms=2)
+        self.session._hold(0)
+        self.assertTrue(self.session.has_seen_other)
 
     # Guards against more starts with deadlines of the former incarnation.
     def test_nothing_is_started_after_another_incarnation_answered(
