State leases from calls to former incarnations in a release

The older lease of a worker that this owner has not reached overrode what is left of leases from calls to its former incarnation: after a release, the next owner took a restarted worker with runs in doubt for idle. A release now states the later end of both, and test_leases_from_calls_to_former_incarnations_are_stated guards it.

--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -257,13 +257,8 @@
 
     def remaining_leases(self) -> records.RemainingLeases:
         """How long leases last; only once this host renews none any more."""
-        renewed_ms = lease_ends.longest_lease_ms(self._lease_ms)
-        former = {
-            worker_id: max(remaining_ms, renewed_ms)
-            for worker_id, remaining_ms in self._workers.former_leases().items()
-        }
-        return records.RemainingLeases(
-            renewed_ms, {**former, **self._workers.older_leases()}
+        return self._workers.remaining_leases(
+            lease_ends.longest_lease_ms(self._lease_ms)
         )
 
     @property
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -224,7 +224,7 @@
         # Checked last, so that a suspension after it is not in the deadline.
         if not self._lease.may_renew():
             return 0
-        self._last_renewal_ms = now_ms
+        self._last_renewal_ms = max(self._last_renewal_ms, now_ms)
         self._latest_deadline_ms = max(self._latest_deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -18,6 +18,7 @@
 from comfreylatch._process import logs
 from comfreylatch._process.cell import events
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_session
@@ -472,6 +473,19 @@
             if not self._may_have_renewed(worker_id)
         }
 
+    def remaining_leases(self, renewed_ms: int) -> records.RemainingLeases:
+        """Returns how much longer leases last if none is renewed any more.
+
+        Args:
+            renewed_ms: How long a lease lasts that was renewed just now.
+        """
+        remaining = self.older_leases()
+        for worker_id, former_ms in self.former_leases().items():
+            # A lease that this owner has renewed may last longer.
+            renewed_or_older_ms = remaining.get(worker_id, renewed_ms)
+            remaining[worker_id] = max(former_ms, renewed_or_older_ms)
+        return records.RemainingLeases(renewed_ms, remaining)
+
     def former_leases(self) -> dict[str, int]:
         """Returns how much longer leases from calls to others may last.
 
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -9,6 +9,7 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import reasons
+from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import worker_view
 from testing.fakes import cell_workers as fake_workers
@@ -207,6 +208,29 @@
             {"w1": RELEASE_MS - 100}, self.cell.workers.older_leases()
         )
 
+    # Guards against a next owner that starts a task elsewhere: a worker has
+    # restarted under its id and not answered, and may have runs in doubt.
+    def test_leases_from_calls_to_former_incarnations_are_stated(self) -> None:
+        self.cell.workers.find("w1").former_leases_end_ms = (
+            harness.START_MS + 9_000
+        )
+        self.cell.clock.advance(1_000)
+        self.assertEqual(
+            records.RemainingLeases(5_000, {"w1": 8_000}),
+            self.cell.workers.remaining_leases(5_000),
+        )
+
+    # Guards against the end of a lease that was renewed later than those.
+    def test_leases_that_were_renewed_may_last_longer(self) -> None:
+        self.cell.sessions["w1"].has_answer = True
+        self.cell.workers.find("w1").former_leases_end_ms = (
+            harness.START_MS + 2_000
+        )
+        self.assertEqual(
+            records.RemainingLeases(5_000, {"w1": 5_000}),
+            self.cell.workers.remaining_leases(5_000),
+        )
+
     # Guards against stating that only the older lease is left although the
     # session has renewed it since and its answer is still queued.
     def test_answer_that_is_not_handled_yet_counts(self) -> None:
