--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -16,6 +16,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -90,6 +91,8 @@
 BROKEN = 1
 COULD_NOT_RUN = 2
 
+_given_ports: set[int] = set()
+
 
 class CannotRunError(Exception):
     """The set-up of a case was not reached."""
@@ -540,6 +543,7 @@
         self.history: list[tuple[str, str, int, float, float, str]] = []
         self.is_up = True
         self.is_draining = False
+        self._listed_s = time.monotonic()
         self.checks_in = True
         self._listener = Listener(self._call)
         self._boot(worker_id)
@@ -587,13 +591,14 @@
     def check_in(self) -> None:
         """Writes its entry."""
         self._sequence += 1
-        self._checked_in_s = time.monotonic()
+        self._checked_in_s = self._listed_s = time.monotonic()
         self._store.write("servers", self.worker_id, self.entry())
 
     def _check_in_loop(self) -> None:
         while True:
-            silent_s = time.monotonic() - self._checked_in_s
-            is_due = silent_s >= HEARTBEAT_MS / 1_000
+            now_s = time.monotonic()
+            is_due = now_s - self._checked_in_s >= HEARTBEAT_MS / 1_000
+            silent_s = now_s - self._listed_s
             if self.is_up and self.checks_in and is_due:
                 self.check_in()
             elif (
@@ -965,9 +970,14 @@
 
 
 def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    """Returns an address below the ports that connections are given."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return f"{LOOPBACK}:{port}"
 
 
 def call(
@@ -1156,18 +1166,26 @@
         folder: Folder of the case.
         scenario: Returns whether the rule was broken.
     """
-    with Case(folder) as case:
-        try:
-            broken = scenario(case)
-        except CannotRunError as error:
-            case.record.add(f"could not run: {error}")
-            print(f"could not run: {error}")
-            return COULD_NOT_RUN
-        except Exception:
-            case.record.add(traceback.format_exc())
-            traceback.print_exc()
-            return COULD_NOT_RUN
-        text = "the rule was broken" if broken else "the rule held"
-        case.record.add(text)
-        print(text)
-        return BROKEN if broken else HELD
+    try:
+        with Case(folder) as case:
+            return _verdict(case, scenario)
+    except Exception:
+        # Python itself would exit with 1.
+        traceback.print_exc()
+        return COULD_NOT_RUN
+
+
+def _verdict(case: Case, scenario: Callable[[Case], bool]) -> int:
+    try:
+        broken = scenario(case)
+    except CannotRunError as error:
+        case.record.add(f"could not run: {error}")
+        print(f"could not run: {error}")
+        return COULD_NOT_RUN
+    except Exception:
+        case.record.add(traceback.format_exc())
+        raise
+    text = "the rule was broken" if broken else "the rule held"
+    case.record.add(text)
+    print(text)
+    return BROKEN if broken else HELD
