Give runs on silent workers up only if the store proves it

What callers saw: the zone of the owner was cut off with half of the executors.

Cause: the owner took a run for over once the lease that it had renewed last must be over. A successor that reaches the worker renews that lease as well. The owner may start tasks until 4.5 s after its last stored heartbeat was sent, and gives a lease up 4.7 s after it was renewed, so both could hold at once.

A successor fences the store before it calls a worker. So runs on a silent worker are given up only once an append that was first sent after the end of the lease is stored (succession/confirmed_tenure.py). A heartbeat is sent at once when a lease ends, so that nothing waits for the next one. The same proof is asked for where a worker has no entry any more, where a new owner takes the leases of previous ones for over, and before maintenance of a silent worker.

--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -93,6 +93,8 @@
         self._is_closing = False
         self._is_fenced = False
         self._has_stopped_acting = False
+        self._is_heartbeat_requested = False
+        self._confirmed_ms = 0
         self._appended_ms = clock.monotonic_ms()
         self._heartbeat_sent_ms = self._appended_ms
         self._last_heartbeat_ms = 0
@@ -147,6 +149,22 @@
         """Time since the last successful append was sent."""
         return self._clock.monotonic_ms() - self._appended_ms
 
+    @property
+    def confirmed_ms(self) -> int:
+        """Latest time by which no other owner can have acted.
+
+        A new owner fences both topics before it acts, so an append that is
+        accepted shows that none has done so. It may have been stored by its
+        first try, whose outcome the store repeats, so that counts.
+        """
+        return self._confirmed_ms
+
+    def request_heartbeat(self) -> None:
+        """Has a heartbeat written at once, ahead of its interval."""
+        with self._condition:
+            self._is_heartbeat_requested = True
+            self._condition.notify_all()
+
     def note_earlier_leases(self, end_ms: int) -> None:
         """Sets when the leases of owners before this one have ended."""
         self._earlier_leases_end_ms = end_ms
@@ -199,17 +217,28 @@
                 return
 
     def _is_due(self) -> bool:
-        return self._is_closing or not self._pending.is_empty
+        return (
+            self._is_closing
+            or self._is_heartbeat_requested
+            or not self._pending.is_empty
+        )
 
     def _until_heartbeat_s(self) -> float:
         next_ms = self._last_heartbeat_ms + HEARTBEAT_INTERVAL_MS
         return max(next_ms - self._clock.monotonic_ms(), 0) / 1_000
 
-    def _write_batch(self, pending: _PendingRecords) -> None:
+    def _add_due_heartbeat(self, pending: _PendingRecords) -> None:
         now_ms = self._clock.monotonic_ms()
-        if now_ms - self._last_heartbeat_ms >= HEARTBEAT_INTERVAL_MS:
+        with self._condition:
+            is_requested = self._is_heartbeat_requested
+            self._is_heartbeat_requested = False
+        elapsed_ms = now_ms - self._last_heartbeat_ms
+        if is_requested or elapsed_ms >= HEARTBEAT_INTERVAL_MS:
             self._last_heartbeat_ms = now_ms
             pending.jobs[records.HEARTBEAT_KEY] = self._encode_heartbeat()
+
+    def _write_batch(self, pending: _PendingRecords) -> None:
+        self._add_due_heartbeat(pending)
         for topic, values in (
             (records.JOBS_TOPIC, pending.jobs),
             (records.WORK_TOPIC, pending.work),
@@ -252,14 +281,9 @@
                 timeout_ms=max(timeout_ms, self._round_trips.slow_ms),
             ):
                 case result.Ok(offset):
-                    now_ms = self._clock.monotonic_ms()
-                    self._round_trips.add(now_ms - sent_ms)
-                    self._appended_ms = max(sent_ms, self._appended_ms)
-                    if new_records:
-                        self._sequences[topic] += 1
-                    if _has_heartbeat(topic, new_records):
-                        # The first try may have stored it.
-                        self._heartbeat_sent_ms = first_sent_ms
+                    self._note_stored(
+                        topic, new_records, first_sent_ms, sent_ms
+                    )
                     return offset
                 case result.Err(store_port.ProducerFenced(detail)):
                     self._is_fenced = True
@@ -278,6 +302,29 @@
             time.sleep(RETRY_PAUSE_MS / 1_000)
         return None
 
+    def _note_stored(
+        self,
+        topic: str,
+        new_records: tuple[store_port.NewRecord, ...],
+        first_sent_ms: int,
+        sent_ms: int,
+    ) -> None:
+        """Notes that an append was accepted, which its first try may have been.
+
+        Args:
+            topic: The topic.
+            new_records: The appended records.
+            first_sent_ms: Monotonic time of the first try.
+            sent_ms: Monotonic time of the last try.
+        """
+        self._round_trips.add(self._clock.monotonic_ms() - sent_ms)
+        self._appended_ms = max(sent_ms, self._appended_ms)
+        self._confirmed_ms = max(first_sent_ms, self._confirmed_ms)
+        if new_records:
+            self._sequences[topic] += 1
+        if _has_heartbeat(topic, new_records):
+            self._heartbeat_sent_ms = first_sent_ms
+
 
 def _has_heartbeat(
     topic: str, new_records: tuple[store_port.NewRecord, ...]
--- a/src/comfreylatch/_process/cell/maintenance.py
+++ b/src/comfreylatch/_process/cell/maintenance.py
@@ -23,6 +23,7 @@
 from comfreylatch._process.cell import wave_state
 from comfreylatch._process.cell import worker_view
 from comfreylatch._process.cell.evacuation import moves
+from comfreylatch._process.cell.succession import confirmed_tenure
 
 MACHINE_LIST_INTERVAL_MS = 700
 # Longest wait until a worker has no runs. Tasks without checkpoints take some
@@ -46,6 +47,7 @@
         not_before_ms: Earliest monotonic time of the first order; within the
             platform's lease, a second host must not order maintenance of the
             same machine.
+        tenure: Tells whether leases on silent workers have ended.
         metrics: Counts maintenances and refusals.
     """
 
@@ -53,10 +55,12 @@
         self,
         recorded: dict[int, records.WaveRecord],
         not_before_ms: int,
+        tenure: confirmed_tenure.ConfirmedTenure,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._recorded = recorded
         self._not_before_ms = not_before_ms
+        self._tenure = tenure
         self._metrics = metrics
         self._waves: dict[int, wave_state.WaveProgress] = {}
         self._machines: dict[str, machines_port.Machine] | None = None
@@ -210,7 +214,7 @@
                 view = workers.get(machine.worker_id)
                 load = 0 if view is None else len(view.runs)
                 is_unknown = view is not None and view.may_have_unknown_runs(
-                    now_ms
+                    self._tenure
                 )
                 order = (is_unknown, load, progress.machine_id)
                 ready.append((order, progress, machine.worker_id))
@@ -252,7 +256,7 @@
             return True
         # The view may be a new one, of a worker that was listed again.
         view.is_being_emptied = True
-        if not (view.runs or view.may_have_unknown_runs(now_ms)):
+        if not (view.runs or view.may_have_unknown_runs(self._tenure)):
             return True
         if now_ms - progress.since_ms <= MAX_EVACUATION_MS:
             return False
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -52,6 +52,7 @@
 from comfreylatch._process.cell.planning import planner as planner_module
 from comfreylatch._process.cell.planning import preemption
 from comfreylatch._process.cell.planning import ranking as ranking_module
+from comfreylatch._process.cell.succession import confirmed_tenure
 
 # Interval between two checks of what changes without an event: repetitions that
 # fall due, leases that expire, stalled runs and maintenance.
@@ -107,6 +108,9 @@
             writer.may_act,
             self._evacuation_guard.permits_start,
         )
+        tenure = confirmed_tenure.ConfirmedTenure(
+            lambda: writer.confirmed_ms, writer.request_heartbeat, clock
+        )
         self._workers = worker_table_module.WorkerTable(
             lambda entry: worker_session.WorkerSession(
                 entry,
@@ -117,6 +121,7 @@
             ),
             clock,
             recovered.known_workers,
+            tenure,
             deps.max_workers,
             deps.max_lease_ms,
         )
@@ -164,6 +169,7 @@
         self._maintenance_planner = maintenance.MaintenancePlanner(
             recovered.waves,
             clock.monotonic_ms() + deps.handover_ms,
+            tenure,
             metrics,
         )
         self._create_platform_clients(deps, host_name)
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -27,6 +27,7 @@
 from comfreylatch._process.cell.carryover import late_starts
 from comfreylatch._process.cell.listing import incarnations
 from comfreylatch._process.cell.sizing import worker_limit
+from comfreylatch._process.cell.succession import confirmed_tenure
 
 # How long a worker without an entry is still called: entries that lapsed during
 # an outage of the store are back within two seconds.
@@ -77,6 +78,7 @@
         open_session: Creates the session for an incarnation of a worker.
         clock: Source of all times.
         known_workers: Workers that may have runs of a previous owner, by id.
+        tenure: Tells whether leases on silent workers have ended.
         max_workers: Most workers to drive.
         max_lease_ms: Longest lease on a worker's clock that the platform
             allows.
@@ -87,6 +89,7 @@
         open_session: OpenSession,
         clock: clock_port.Clock,
         known_workers: Mapping[str, recovered_state.KnownWorker],
+        tenure: confirmed_tenure.ConfirmedTenure,
         max_workers: int = 1 << 30,
         max_lease_ms: int = former_leases.DEFAULT_MAX_LEASE_MS,
     ) -> None:
@@ -96,6 +99,7 @@
         self._open_session = open_session
         self._clock = clock
         self._known_workers = known_workers
+        self._tenure = tenure
         self._views: dict[str, worker_view.WorkerView] = {}
         self._newest_born_ms: dict[str, int] = {}
         self._sessions: dict[str, worker_session.WorkerSession] = {}
@@ -365,7 +369,7 @@
             view.deadline_ms = max(view.deadline_ms, session.latest_deadline_ms)
             if session.has_seen_other:
                 self._note_next_incarnation(view, session)
-            if now_ms <= view.lease_expiry_ms():
+            if not self._tenure.has_passed(view.lease_expiry_ms()):
                 continue
             missing_ms = now_ms - view.unlisted_since_ms
             if view.unlisted_since_ms and missing_ms > UNLISTED_GRACE_MS:
@@ -384,25 +388,21 @@
         when leases of previous owners have ended there. A later worker at its
         address with another id shows that it has ended.
         """
-        now_ms = self._clock.monotonic_ms()
         return [
             worker_id
             for worker_id, known in self._known_workers.items()
-            if self._may_have_unknown_runs(worker_id, known, now_ms)
+            if self._may_have_unknown_runs(worker_id, known)
         ]
 
     def _may_have_unknown_runs(
-        self,
-        worker_id: str,
-        known: recovered_state.KnownWorker,
-        now_ms: int,
+        self, worker_id: str, known: recovered_state.KnownWorker
     ) -> bool:
         view = self._views.get(worker_id)
         if view is not None and view.entry.born_ms >= known.born_ms:
-            return view.may_have_unknown_runs(now_ms)
-        return now_ms <= known.release_after_ms and not self.is_replaced(
-            known.address, known.born_ms
-        )
+            return view.may_have_unknown_runs(self._tenure)
+        if self.is_replaced(known.address, known.born_ms):
+            return False
+        return not self._tenure.has_passed(known.release_after_ms)
 
     def has_listed_runs(self, worker_id: str, born_ms: int) -> bool:
         """Whether this incarnation has told this owner what it runs."""
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -6,6 +6,7 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import runs as runs_module
+from comfreylatch._process.cell.succession import confirmed_tenure
 
 # Maximum rate by which a worker's clock may be slow, as stated by the platform.
 MAX_CLOCK_DRIFT = 0.02
@@ -132,7 +133,9 @@
         lasting_idle = self.lasting_millicores * (1 - ASSUMED_LASTING_USE_SHARE)
         return int(self.free_cpu + lasting_idle - self.fill_millicores)
 
-    def may_have_unknown_runs(self, now_ms: int) -> bool:
+    def may_have_unknown_runs(
+        self, tenure: confirmed_tenure.ConfirmedTenure
+    ) -> bool:
         """Whether a previous owner's runs on it may not be known here.
 
         The ends that one answer has no room for are known once they are listed,
@@ -142,7 +145,9 @@
             return False
         if self.is_answering:
             return True
-        return now_ms <= max(self.lease_expiry_ms(), self.release_after_ms)
+        return not tenure.has_passed(
+            max(self.lease_expiry_ms(), self.release_after_ms)
+        )
 
     def accepts_work(self, now_ms: int) -> bool:
         """Whether new tasks may be placed on it."""
--- a/tests/process/cell/test_maintenance.py
+++ b/tests/process/cell/test_maintenance.py
@@ -53,6 +53,7 @@
         return maintenance.MaintenancePlanner(
             {} if recorded is None else {1: recorded},
             self.cell.clock.monotonic_ms() + handover_ms,
+            self.cell.tenure,
             metrics.Metrics(),
         )
 
--- a/tests/process/cell/test_worker_table.py
+++ b/tests/process/cell/test_worker_table.py
@@ -322,6 +322,51 @@
         self.assertTrue(self.run.should_start)
 
 
+class UnconfirmedTenureTest(testtools.TestCase):
+    """The store has confirmed nothing since the lease of a worker ended."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        known = recovered_state.KnownWorker(1, harness.START_MS + RELEASE_MS)
+        self.cell = harness.Cell(workers=1, known_workers={"w2": known})
+        self.cell.submit(harness.job())
+        (self.run,) = self.cell.place()
+        self.cell.answer_hold(
+            "w1", running=(harness.running_task(self.run),), lease_ms=4_500
+        )
+        self.cell.fail_hold("w1")
+        confirmed_ms = self.cell.clock.now_ms + 4_000
+        self.cell.confirmed_ms = lambda: confirmed_ms
+        self.cell.clock.advance(10_000)
+
+    # Guards against a task in two places: the owner was cut off, and its
+    # successor has adopted the run and renews its lease.
+    def test_run_on_a_silent_worker_may_go_on(self) -> None:
+        self.assertEqual([], self.cell.workers.expire())
+        self.assertEqual([self.run], self.run.task.runs)
+        self.assertEqual(1, self.cell.confirmation_requests)
+
+    def test_run_is_lost_once_the_store_has_confirmed_the_owner(self) -> None:
+        self.cell.confirmed_ms = self.cell.clock.monotonic_ms
+        (lost,) = self.cell.workers.expire()
+        self.assertEqual((self.run,), lost.runs)
+
+    # Guards against the same for a worker whose entry has gone missing.
+    def test_unlisted_worker_is_kept(self) -> None:
+        self.cell.apply_listing({})
+        self.cell.clock.advance(10_000)
+        self.assertEqual([], self.cell.workers.expire())
+        self.assertIsNotNone(self.cell.workers.find("w1"))
+
+    # Guards against the same after a takeover: this owner has been replaced
+    # before the leases of the previous one have ended.
+    def test_silent_worker_of_a_previous_owner_is_not_known(self) -> None:
+        self.cell.confirmed_ms = lambda: harness.START_MS + RELEASE_MS
+        self.assertEqual(["w2"], self.cell.workers.unknown())
+        self.cell.confirmed_ms = lambda: harness.START_MS + RELEASE_MS + 1
+        self.assertEqual([], self.cell.workers.unknown())
+
+
 class RecordedIncarnationsTest(testtools.TestCase):
     """Tasks start only on incarnations that are recorded."""
 
