Exempt steps from the wait only if their end is told to nobody else

What callers saw: the zone of the owner was cut off while gangs ran on both sides of the cut.

Cause: a new owner starts no task that may run on a worker that it has not reached, but for steps that wait for a task which a worker has listed as running. That this task was not done yet does not show that nobody else hears of its end. For a gang the end of one member counts, and the old owner may reach another member. For any task, a hold call of the old owner that the worker had accepted before it was fenced may still wait there, up to 500 ms.

A run ends for this owner alone once the worker lists it more than 600 ms after its first answer, by its own clock (succession/exclusive_reports.py).

Evidence: in the model jobs of two steps, half of them with gangs, now end while the owner is cut off.

A test said that a single listing of a running task is proof enough. It now says that a listing after that time is, and another one that it isn't before.

--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -140,7 +140,7 @@
         for step in job.steps[occurrence]:
             if step.unfinished_count and job.is_ready(step):
                 step.is_first_started_here = any(
-                    dependency.was_seen_running
+                    dependency.is_end_exclusive
                     for dependency in job.dependencies(step)
                 )
                 step.ready_ms = step.ready_ms or self._ready_since_ms(step)
--- a/src/comfreylatch/_process/cell/run_reconciler.py
+++ b/src/comfreylatch/_process/cell/run_reconciler.py
@@ -24,6 +24,7 @@
     crash_ledger as crash_ledger_module,
 )
 from comfreylatch._process.cell.evacuation import moves
+from comfreylatch._process.cell.succession import exclusive_reports
 
 # Consecutive failed runs, of any jobs, after which a worker is considered
 # faulty and avoided for a while. By chance, this happens once in ten thousand.
@@ -225,6 +226,10 @@
             return
         if run.phase is runs_module.RunPhase.STARTING:
             self._dispatcher.confirm(run, now_ms)
+        if not run.is_exclusive and exclusive_reports.is_exclusive(
+            worker.first_clock_ms, worker.clock_ms
+        ):
+            run.task.step.note_exclusive(run)
         if running_task.percent > run.percent or run.progressed_ms == 0:
             run.percent = running_task.percent
             run.progressed_ms = now_ms
@@ -265,9 +270,6 @@
                 is_adopted=True,
             )
             task.last_run = max(task.last_run, running_task.run)
-            # A copy may run on after another one is done.
-            if not task.step.spec.is_speculative:
-                task.step.was_seen_running = True
             task.step.add_run(run)
             worker.add(run)
             self._jobs.mark_started(task.step.job)
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -81,6 +81,7 @@
             have another run.
         was_ordered: Whether its start order was passed on to be sent.
         is_adopted: Whether a previous owner started it, at an unknown time.
+        is_exclusive: Whether no previous owner can learn how it ends.
     """
 
     task: Task
@@ -104,6 +105,7 @@
     is_over: bool = False
     was_ordered: bool = False
     is_adopted: bool = False
+    is_exclusive: bool = False
 
     @property
     def should_start(self) -> bool:
@@ -204,10 +206,10 @@
             done; 0 before.
         durations_ms: Durations of its runs that ran from start to end without
             an interruption.
-        was_seen_running: Whether a worker reported to this owner that a task of
-            it was still running, so that the step was not done before.
-        is_first_started_here: Whether no previous owner has started it, as a
-            step that it depends on was not done before.
+        is_end_exclusive: Whether no previous owner has learned, or can learn,
+            that it is done.
+        is_first_started_here: Whether no previous owner has started it, or can
+            start it, as none knows that a step that it depends on is done.
     """
 
     job: ActiveJob
@@ -221,7 +223,7 @@
     tickets: dict[str, Ticket] | None = None
     ready_ms: int = 0
     durations_ms: list[int] = attrs.field(factory=list)
-    was_seen_running: bool = False
+    is_end_exclusive: bool = False
     is_first_started_here: bool = False
 
     @property
@@ -278,6 +280,24 @@
             task.pending_since_ms = now_ms
             self.pending_tasks[task.index] = task
 
+    def note_exclusive(self, run: Run) -> None:
+        """Notes that no previous owner can learn how a run ends.
+
+        Nor that the step is done, as that takes each of its tasks. But the end
+        of one member stands for a whole gang, and that of a copy for its task.
+        """
+        run.is_exclusive = True
+        if self.spec.is_speculative:
+            return
+        members = self.tasks if self.spec.is_gang else [run.task]
+        self.is_end_exclusive |= all(
+            any(
+                other.is_exclusive and other.number == run.number
+                for other in member.runs
+            )
+            for member in members
+        )
+
     def mark_done(self, task: Task) -> None:
         """Marks a task as done."""
         if not task.is_done:
--- a/src/comfreylatch/_process/cell/worker_session.py
+++ b/src/comfreylatch/_process/cell/worker_session.py
@@ -28,7 +28,7 @@
 
 # Longest time that a worker may wait for the end of a run before it answers a
 # hold call, so that its readings are at most about a second old. The platform
-# allows 2,000.
+# allows 2,000. A new owner relies on it for the calls of previous ones.
 HOLD_WAIT_MS = 500
 # Round trips take at most 12 ms, even to slow zones; the rest allows for a host
 # that gets only a share of a core.
--- a/src/comfreylatch/_process/cell/worker_table.py
+++ b/src/comfreylatch/_process/cell/worker_table.py
@@ -293,6 +293,8 @@
         view.deadline_ms = max(view.deadline_ms, event.deadline_ms)
         match event.outcome:
             case result.Ok(answer):
+                if not view.answered_ms:
+                    view.first_clock_ms = answer.clock_ms
                 view.clock_ms = answer.clock_ms
                 view.clock_read_ms = event.received_ms
                 if not view.is_answering:
--- a/src/comfreylatch/_process/cell/worker_view.py
+++ b/src/comfreylatch/_process/cell/worker_view.py
@@ -32,6 +32,7 @@
         free_memory: Megabytes that no run has reserved.
         free_gpus: GPUs that no run has reserved.
         runs: Runs by task id and number.
+        first_clock_ms: Its clock in its first answer to a hold call.
         clock_ms: Its clock as last read.
         clock_read_ms: Monotonic time at which that reading arrived.
         deadline_ms: Latest lease deadline ever sent to it, on its clock.
@@ -79,6 +80,7 @@
     free_memory: int = 0
     free_gpus: int = 0
     runs: dict[str, runs_module.Run] = attrs.field(factory=dict)
+    first_clock_ms: int = 0
     clock_ms: int = 0
     clock_read_ms: int = 0
     deadline_ms: int = 0
--- a/tests/process/cell/ownership_guards.py
+++ b/tests/process/cell/ownership_guards.py
@@ -11,11 +11,13 @@
 from comfreylatch._process.cell import fenced_writer
 from comfreylatch._process.cell import job_replica
 from comfreylatch._process.cell import lease_ends
+from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import worker_table
 from comfreylatch._process.cell.carryover import former_leases
 from comfreylatch._process.cell.succession import (
     confirmed_tenure as confirmed_tenure_module,
 )
+from comfreylatch._process.cell.succession import exclusive_reports
 from tests.process.cell import ownership_hosts
 from tests.process.cell import ownership_world
 
@@ -158,6 +160,23 @@
     )
 
 
+def whole_gangs() -> Patch:
+    """The end of a gang is exclusive as soon as that of one member is."""
+
+    def note_exclusive(self: Any, run: Any) -> None:
+        run.is_exclusive = True
+        self.is_end_exclusive |= not self.spec.is_speculative
+
+    return mock.patch.object(
+        runs_module.StepInstance, "note_exclusive", note_exclusive
+    )
+
+
+def waiting_holds() -> Patch:
+    """Ends are exclusive from the first answer of a worker."""
+    return mock.patch.object(exclusive_reports, "is_exclusive", lambda *_: True)
+
+
 GUARDS: dict[str, Callable[[], Patch]] = {
     guard.__name__: guard
     for guard in (
@@ -176,5 +195,7 @@
         late_starts,
         seen_incarnations,
         confirmed_tenure,
+        whole_gangs,
+        waiting_holds,
     )
 }
--- a/tests/process/cell/test_cell_ownership_model.py
+++ b/tests/process/cell/test_cell_ownership_model.py
@@ -122,6 +122,20 @@
         {"restart_worker": 1}, (300, 6_000), lost=0.01, late=0.03
     ),
     "zones": Profile({"cut_zone": 1}, (2_000, 9_000), workers=8),
+    "zones-steps": Profile(
+        {"cut_zone": 1}, (2_000, 9_000), workers=8, chains=5
+    ),
+    "partly-steps": Profile(
+        {"cut_partly": 1}, (2_000, 9_000), workers=8, chains=5
+    ),
+    "mixed-steps": Profile(
+        {"cut_zone": 4, "cut_partly": 2, **_MIXED},
+        lost=0.01,
+        late=0.01,
+        pause=0.0005,
+        workers=8,
+        chains=5,
+    ),
     "zones-slow": Profile(
         {"cut_zone": 4, "slow_store": 1, "silence": 1, "expire": 1},
         (300, 6_000),
@@ -663,6 +677,21 @@
         for seed in (51, 97, 102):
             play("zones-slow", seed)
 
+    # Guards against a step that two owners start: the previous one hears of the
+    # end of the step before from a worker that its successor doesn't reach.
+    def test_steps_after_gangs_are_started_once_beside_a_cut_zone(self) -> None:
+        for seed in (75, 79, 82):
+            play("zones-steps", seed)
+
+    # Guards against the same by a call that waits at a worker that the
+    # successor reaches, too.
+    def test_steps_are_started_once_beside_calls_that_wait(self) -> None:
+        for seed in (41, 77, 97):
+            play("partly-steps", seed)
+
+    def test_steps_are_started_once_under_mixed_faults(self) -> None:
+        self.play_all("mixed-steps")
+
     # Guards against leases of a silent owner that outlast the wait of a host
     # that takes over from an owner of an earlier version after it.
     def test_promises_hold_while_hosts_are_upgraded(self) -> None:
@@ -742,5 +771,11 @@
     def test_confirmed_tenure_beside_a_slow_store(self) -> None:
         self.assert_found("confirmed_tenure", "zones-slow", 51, 97)
 
+    def test_whole_gangs(self) -> None:
+        self.assert_found("whole_gangs", "zones-steps", 75, 79)
+
+    def test_waiting_holds(self) -> None:
+        self.assert_found("waiting_holds", "partly-steps", 77, 97)
+
     def test_recorded_starts(self) -> None:
         self.assert_found("recorded_starts", "flaps", 0, 6)
--- a/tests/process/cell/test_job_table.py
+++ b/tests/process/cell/test_job_table.py
@@ -8,9 +8,16 @@
 
 from comfreylatch._ports import cell_workers
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell.planning import clearing
+from comfreylatch._process.cell.succession import exclusive_reports
 from tests.process.cell import harness
 
+# How long a call of a previous owner may still wait at a worker.
+EARLIER_CALL_MS = (
+    worker_session.HOLD_WAIT_MS + exclusive_reports.TIMER_MARGIN_MS
+)
+
 
 class UnknownRunsTest(testtools.TestCase):
     """Steps of a job of a previous owner, some of whose workers are silent."""
@@ -26,38 +33,80 @@
         job = self.cell.jobs.add(harness.job(first, second), 1_000)
         return job.steps[0]
 
-    def end(self, step: Any, was_running: bool) -> None:
-        """Has worker 1 report that all tasks of a step are done.
-
-        With `was_running`, it first reports one of them as running.
-        """
-        names = [task.name for task in step.tasks]
-        if was_running:
-            running = cell_workers.RunningTask(names[0], 3, "", 50.0, 0)
-            self.cell.answer_hold("w1", running=(running,))
+    def report_running(
+        self, step: Any, *members: tuple[str, int], run: int = 3
+    ) -> None:
+        """Has workers list tasks, by index, until no earlier call waits."""
+        for elapsed_ms in (0, EARLIER_CALL_MS + 1):
+            self.cell.clock.advance(elapsed_ms)
+            for worker_id, index in members:
+                name = step.tasks[index].name
+                running = cell_workers.RunningTask(name, run, "", 50.0, 0)
+                self.cell.answer_hold(worker_id, running=(running,))
+
+    def end(self, step: Any) -> None:
+        """Has worker 1 report that all tasks of a step are done."""
         done = cell_workers.RunEnd.DONE
         ended = tuple(
-            cell_workers.EndedRun(number, name, 3, done, "")
-            for number, name in enumerate(names, 1)
+            cell_workers.EndedRun(number, task.name, 3, done, "")
+            for number, task in enumerate(step.tasks, 1)
         )
         self.cell.answer_hold("w1", ended=ended)
 
     def test_step_that_waited_under_this_owner_has_no_other_runs(self) -> None:
         first, second = self.restore()
         self.assertTrue(first.may_have_unknown_runs)
-        self.end(first, was_running=True)
+        self.report_running(first, ("w1", 0))
+        self.end(first)
         self.assertIn(second, self.cell.jobs.ready_steps())
         self.assertFalse(second.may_have_unknown_runs)
 
     def test_previous_owner_may_have_seen_the_end_of_a_dependency(self) -> None:
         first, second = self.restore()
-        self.end(first, was_running=False)
+        self.end(first)
+        self.assertIn(second, self.cell.jobs.ready_steps())
+        self.assertTrue(second.may_have_unknown_runs)
+
+    # Guards against a step that two owners start: a hold call of the previous
+    # one still waits at the worker when the step before ends.
+    def test_previous_owner_may_hear_an_end_by_a_call_that_waits(self) -> None:
+        first, second = self.restore()
+        running = cell_workers.RunningTask(first.tasks[0].name, 3, "", 50.0, 0)
+        self.cell.clock.advance(EARLIER_CALL_MS)
+        self.cell.answer_hold("w1", running=(running,))
+        self.end(first)
+        self.assertTrue(second.may_have_unknown_runs)
+
+    # Guards against a step that two owners start: the end of one member stands
+    # for a gang, and the previous owner reaches the worker of another one.
+    def test_previous_owner_may_hear_of_a_gang_by_another_member(self) -> None:
+        first, second = self.restore(is_gang=True)
+        self.report_running(first, ("w1", 0))
+        self.end(first)
         self.assertIn(second, self.cell.jobs.ready_steps())
         self.assertTrue(second.may_have_unknown_runs)
 
+    def test_step_after_a_gang_seen_as_a_whole_has_no_other_runs(self) -> None:
+        first, second = self.restore(is_gang=True)
+        self.report_running(first, ("w1", 0), ("w2", 1))
+        self.end(first)
+        self.assertFalse(second.may_have_unknown_runs)
+
+    # Guards against members that are taken for one gang though a previous owner
+    # has started the other one anew.
+    def test_members_under_different_run_numbers_are_no_whole_gang(
+        self,
+    ) -> None:
+        first, second = self.restore(is_gang=True)
+        self.report_running(first, ("w1", 0))
+        self.report_running(first, ("w2", 1), run=4)
+        self.end(first)
+        self.assertTrue(second.may_have_unknown_runs)
+
     def test_running_copy_does_not_show_that_a_step_is_not_done(self) -> None:
         first, second = self.restore(is_speculative=True)
-        self.end(first, was_running=True)
+        self.report_running(first, ("w1", 0))
+        self.end(first)
         self.assertTrue(second.may_have_unknown_runs)
 
     def test_job_accepted_under_this_owner_has_no_unknown_runs(self) -> None:
