Show that a batch of the owner can count as stored and be lost

The writer's thread writes its first heartbeat while the cell is still being fenced. Both take the same sequence number, and both are counted, so the number is one too high. The store then names the one it expects. If the first try of the batch is carried out late, it takes the number of the batch after it, and the store answers that one with the outcome of the late try. Nothing of it is stored, and ends of runs in it are acknowledged all the same.

--- a/tests/process/cell/test_fenced_writer.py
+++ b/tests/process/cell/test_fenced_writer.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import threading
 import types
+from typing import Any
 from unittest import mock
 
+import result
 import testtools
 
 from comfreylatch._ports import clock as clock_port
@@ -117,6 +120,35 @@
         self.assertEqual(100_001, writer.confirmed_ms)
         self.assertFalse(writer._is_due())
 
+    # Guards against records that count as stored and are not: the writer's
+    # thread writes a heartbeat while the cell is fenced, under the same number,
+    # and counts both. A late try then takes the number of the batch after it.
+    def test_records_after_a_late_try_are_stored(self) -> None:
+        writer = self.make_writer(1, fake_clock.FakeClock(100_000))
+        append = self.store.append
+        late: list[Callable[[], object]] = []
+
+        def append_beside_heartbeat(*arguments: Any, **options: Any) -> Any:
+            if arguments[0] == records.JOBS_TOPIC:
+                self.store.append = append
+                writer._write_batch(fenced_writer_module._PendingRecords())
+            return append(*arguments, **options)
+
+        def append_late(*arguments: Any, **options: Any) -> Any:
+            self.store.append = append
+            late.append(lambda: append(*arguments, **options))
+            return result.Err(store_port.StoreAnswerLost("timed out"))
+
+        self.store.append = append_beside_heartbeat
+        writer.fence()
+        self.store.append = append_late
+        for key in ("state/a", "state/b"):
+            record = store_port.NewRecord(key, b"{}")
+            writer._append_until_known(records.JOBS_TOPIC, (record,))
+            while late:
+                late.pop()()
+        self.assertIn("state/b", self.store.keys(records.JOBS_TOPIC, 0))
+
     def test_first_tries_of_an_append_are_short(self) -> None:
         # Two lost answers in a row kept the owner from writing for longer than
         # OWNER_TIMEOUT_MS, so that it lost the cell.
