Report a host ready only once it accepts callers

What callers saw: connections to a host that has just started are refused for a moment after its readiness page has answered 200.

Cause: the readiness page was served before the address for callers was bound. A probe that arrives while the server starts is answered at once.

The entry host of the batch protocol had the same order. Both tests fail on the source before.

--- a/src/comfreylatch/_process/composition.py
+++ b/src/comfreylatch/_process/composition.py
@@ -104,8 +104,9 @@
             enter(publisher)
         enter(self._poller)
         enter(self._pause_detector)
-        enter(self._operator_server)
         enter(self._caller_server)
+        # Last, as it serves the readiness page.
+        enter(self._operator_server)
         logs.event(
             _logger,
             "serving",
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -189,8 +189,9 @@
         enter(self._jobs_reader)
         enter(self._appender)
         self._ownership.start()
-        enter(self._readiness)
         enter(self._callers)
+        # Last: whoever reads that this host is ready connects at once.
+        enter(self._readiness)
         return self
 
     def __exit__(
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -88,6 +89,32 @@
         assert heartbeat.value is not None
         self.assertTrue(json.loads(heartbeat.value)["is_released"])
 
+    # Guards against a host that reports ready while connections of callers are
+    # still refused.
+    def test_host_that_cannot_listen_for_callers_is_never_ready(self) -> None:
+        self.stop()
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            self.callers = f"127.0.0.1:{taken.getsockname()[1]}"
+            self.write_settings("entry-2")
+            self.process = self.start()
+
+            def has_exited() -> bool:
+                self.assertFalse(self.accepts_connections(self.readiness))
+                return self.process.poll() is not None
+
+            self.wait_for(has_exited)
+        self.assertNotEqual(0, self.process.returncode)
+
+    def accepts_connections(self, address: str) -> bool:
+        """Whether a connection to an address is accepted."""
+        ip, _, port = address.partition(":")
+        try:
+            socket.create_connection((ip, int(port)), 1).close()
+        except OSError:
+            return False
+        return True
+
     def test_missing_settings_file_is_reported(self) -> None:
         completed = subprocess.run(
             [sys.executable, "-m", "comfreylatch.platform"],
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -15,6 +15,16 @@
 from testing import fleet_plan
 
 
+def accepts_connections(address: str) -> bool:
+    """Whether a connection to an address is accepted."""
+    ip, _, port = address.partition(":")
+    try:
+        socket.create_connection((ip, int(port)), 1).close()
+    except OSError:
+        return False
+    return True
+
+
 class FleetTest(testtools.TestCase):
     """Settings, host list and cleanup of a fleet."""
 
@@ -60,6 +70,20 @@
             lambda: leaving() == ["ex-1"], "ex-1 is listed as leaving", 2.0
         )
 
+    # Guards against an entry host that reports ready while connections of
+    # callers are still refused.
+    def test_host_that_cannot_listen_for_callers_is_never_ready(self) -> None:
+        running = self.start()
+        ip, _, port = running.hosts["bole-1"].caller_address.partition(":")
+        with socket.create_server((ip, int(port))):
+            host = running.start_host("bole-1")
+
+            def has_exited() -> bool:
+                self.assertFalse(accepts_connections(host.operator_address))
+                return running.hosts["bole-1"].process.exit_code is not None
+
+            running.wait_until(has_exited, "bole-1 has exited", 10.0)
+
     def test_processes_are_stopped_on_exit(self) -> None:
         with fleet.Fleet(deployments.small(), start_hosts=False) as running:
             stand_ins = [running.log, running.endpoints, running.workers]
