Divide the progress of large jobs over several records

What callers saw: owners replace each other for ever and no submission goes on beside idle executors (LOST), after a rack has crashed under a step of 860 tasks, or after some 700 occurrences of a submission of four steps.

Cause: all progress of a job is one record, which grows with its crashes, trials and occurrences. The store refuses records that are too long, the writer repeats the append, and each next owner writes the same again.

Fix: once its record would be too long, a job's progress is divided into records by groups of 32 tasks, and occurrences that have ended are ranges. A batch longer than an append may be takes several appends. The limits are those of the settings. Learned models are shortened to fit.

--- a/src/comfreylatch/_process/cell/duration_model.py
+++ b/src/comfreylatch/_process/cell/duration_model.py
@@ -30,11 +30,11 @@
         declared_ms = spec.estimated_ms or DEFAULT_ESTIMATE_MS
         ratio = min(max(duration_ms / declared_ms, MIN_RATIO), MAX_RATIO)
         for key in (queue, f"{queue}/{spec.image}"):
-            mean = self._ratios.get(key, ratio)
+            mean = self._ratios.pop(key, ratio)
             self._ratios[key] = mean + RATIO_SMOOTHING * (ratio - mean)
 
     def export(self) -> dict[str, float]:
-        """Returns the ratios, for the next owner."""
+        """Returns the ratios, least recently observed first."""
         return dict(self._ratios)
 
     def restore(self, ratios: dict[str, float]) -> None:
--- a/src/comfreylatch/_process/cell/fenced_writer.py
+++ b/src/comfreylatch/_process/cell/fenced_writer.py
@@ -20,6 +20,7 @@
 from comfreylatch._process.cell import append_timeout
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import round_trips as round_trips_module
+from comfreylatch._process.cell.record_size import limits as limits_module
 
 # A third of the time without a heartbeat after which another host takes over.
 HEARTBEAT_INTERVAL_MS = 500
@@ -70,6 +71,7 @@
         clock: Source of monotonic time.
         round_trips: Measures the appends, which get more time while the store
             is slow.
+        limits: Limits of the store on records and appends.
     """
 
     def __init__(
@@ -80,7 +82,9 @@
         on_fenced: Callable[[str], None],
         clock: clock_port.Clock,
         round_trips: round_trips_module.RoundTrips | None = None,
+        limits: limits_module.StoreLimits | None = None,
     ) -> None:
+        self._limits = limits or limits_module.StoreLimits()
         self._store = store
         self._cell = cell
         self._heartbeat = heartbeat
@@ -212,8 +216,8 @@
         if not (jobs or work or on_stored):
             return
         with self._condition:
-            self._pending.jobs.update(jobs)
-            self._pending.work.update(work)
+            _replace(self._pending.jobs, jobs)
+            _replace(self._pending.work, work)
             self._pending.on_stored.extend(on_stored)
             self._condition.notify_all()
 
@@ -268,15 +272,12 @@
             (records.JOBS_TOPIC, pending.jobs),
             (records.WORK_TOPIC, pending.work),
         ):
-            new_records = tuple(
+            for new_records in self._limits.divide(
                 store_port.NewRecord(key, value)
                 for key, value in values.items()
-            )
-            if (
-                new_records
-                and self._append_until_known(topic, new_records) is None
             ):
-                return False
+                if self._append_until_known(topic, new_records) is None:
+                    return False
         for callback in pending.on_stored:
             callback()
         return True
@@ -374,6 +375,18 @@
             self._heartbeat_sent_ms = first_sent_ms
 
 
+def _replace(
+    pending: dict[str, bytes | None], newer: dict[str, bytes | None]
+) -> None:
+    """Replaces pending records, in the order of the newer ones.
+
+    A batch may take several appends, of which the last ones may be missing.
+    """
+    for key in newer:
+        pending.pop(key, None)
+    pending.update(newer)
+
+
 def _has_heartbeat(
     topic: str, new_records: tuple[store_port.NewRecord, ...]
 ) -> bool:
--- a/src/comfreylatch/_process/cell/job_table.py
+++ b/src/comfreylatch/_process/cell/job_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import final
 
@@ -14,6 +15,8 @@
 from comfreylatch._process.cell import runs as runs_module
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell.numbering import run_numbers
+from comfreylatch._process.cell.record_size import limits as limits_module
+from comfreylatch._process.cell.record_size import progress_parts
 
 # Delay before a lasting task that has ended is started again. It bounds the
 # rate of starts of a task that always ends at once.
@@ -38,8 +41,16 @@
         services: Services of the queues of all jobs added so far.
     """
 
-    def __init__(self, token: int, clock: clock_port.Clock) -> None:
+    def __init__(
+        self,
+        token: int,
+        clock: clock_port.Clock,
+        limits: limits_module.StoreLimits | None = None,
+    ) -> None:
         self.services: set[str] = set()
+        self._progress_records = progress_parts.ProgressRecords(
+            (limits or limits_module.StoreLimits()).value_bytes
+        )
         self._token = token
         self._clock = clock
         self._jobs: dict[str, runs_module.ActiveJob] = {}
@@ -81,6 +92,7 @@
         run_number_floor: int = 0,
         progress: records.ProgressRecord | None = None,
         state: records.JobState = records.JobState.QUEUED,
+        progress_keys: Iterable[str] = (),
     ) -> runs_module.ActiveJob | None:
         """Adds an accepted job; returns None if it is in the table already.
 
@@ -90,6 +102,7 @@
                 used; 0 for a job that none had.
             progress: What a previous owner recorded of it.
             state: Its state as last recorded.
+            progress_keys: Keys of the parts that its progress is divided into.
         """
         if spec.job_id in self._jobs:
             return None
@@ -105,6 +118,7 @@
             state=state,
         )
         self._jobs[spec.job_id] = job
+        self._progress_records.restore(spec.job_id, progress_keys)
         self.services.add(spec.queue.service)
         if spec.repetitions:
             self._repeating.add(spec.job_id)
@@ -261,7 +275,7 @@
         # The spec is dropped after the state in the same append, so that hosts
         # that restart read the specs of unfinished jobs only.
         self._state_writes[records.JOB_PREFIX + job_id] = None
-        self._work_writes[job_id] = None
+        self._work_writes.update(self._progress_records.drop(job_id))
         logs.event(
             _logger,
             "job-ended",
@@ -284,7 +298,7 @@
         for job_id in self._dirty:
             job = self._jobs.get(job_id)
             if job is not None:
-                self._work_writes[job_id] = records.encode(job.progress())
+                self._work_writes.update(self._progress_records.encode(job))
         self._dirty.clear()
         writes = PendingWrites(self._state_writes, self._work_writes)
         self._state_writes = {}
--- a/src/comfreylatch/_process/cell/model_persistence.py
+++ b/src/comfreylatch/_process/cell/model_persistence.py
@@ -31,7 +31,9 @@
         near_waits: calibration.Calibration,
         recovered: records.LearnedRecord,
         clock: clock_port.Clock,
+        value_bytes: int,
     ) -> None:
+        self._value_bytes = value_bytes
         self._model = model
         self._durations = durations
         self._near_waits = near_waits
@@ -54,4 +56,21 @@
         )
         if learned != self._recorded:
             self._recorded = learned
-            work[records.LEARNED_KEY] = records.encode(learned)
+            work[records.LEARNED_KEY] = _encode(learned, self._value_bytes)
+
+
+def _encode(learned: records.LearnedRecord, value_bytes: int) -> bytes:
+    """Encodes models, without the older half as long as they are too long."""
+    while len(value := records.encode(learned)) > value_bytes:
+        learned = records.LearnedRecord(
+            learned.pressures[(len(learned.pressures) + 1) // 2 :],
+            learned.pairs[(len(learned.pairs) + 1) // 2 :],
+            _newer_half(learned.base_ms),
+            _newer_half(learned.duration_ratios),
+            _newer_half(learned.near_waits),
+        )
+    return value
+
+
+def _newer_half(values: dict[str, float]) -> dict[str, float]:
+    return dict(list(values.items())[(len(values) + 1) // 2 :])
--- a/src/comfreylatch/_process/cell/owner.py
+++ b/src/comfreylatch/_process/cell/owner.py
@@ -96,7 +96,9 @@
         self._metrics = metrics
         self._clock = clock
         self._events: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
-        self._jobs = job_table_module.JobTable(recovered.token, clock)
+        self._jobs = job_table_module.JobTable(
+            recovered.token, clock, deps.store_limits
+        )
         self._durations = duration_model_module.DurationModel()
         self._ranker = ranking_module.Ranker(self._durations)
         self._evacuation_guard = guard.EvacuationGuard(
@@ -190,6 +192,7 @@
             self._planner.near_places.calibration,
             recovered.learned,
             clock,
+            deps.store_limits.value_bytes,
         )
 
     def _create_platform_clients(
@@ -222,6 +225,7 @@
                 run_numbers.first_floor(self._recovered.token, progress),
                 progress,
                 entry.state,
+                self._recovered.progress_keys.get(entry.spec.job_id, ()),
             )
             if job is not None:
                 self._ranker.add_job(job)
--- a/src/comfreylatch/_process/cell/owner_dependencies.py
+++ b/src/comfreylatch/_process/cell/owner_dependencies.py
@@ -21,6 +21,7 @@
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell.carryover import former_leases
 from comfreylatch._process.cell.listing import service_filter
+from comfreylatch._process.cell.record_size import limits
 
 
 @attrs.frozen
@@ -52,6 +53,7 @@
             tasks that exceed their capacity.
         configured_services: The services that the configurations so far name;
             None before the first one.
+        store_limits: Limits of the store on records and appends.
         max_workers: Most workers that an owner on this host drives.
         remote_penalty: Factor by which a task lasts longer away from the rack
             of its data or its group.
@@ -79,6 +81,7 @@
     evacuations: evacuations.EvacuationFeed = evacuations.EvacuationFeed()
     handover_ms: int = 0
     configured_services: service_filter.ConfiguredServices = lambda: None
+    store_limits: limits.StoreLimits = limits.StoreLimits()
     max_workers: int = 1 << 30
     remote_penalty: float = 1.0
     guards_capacity: Callable[[str], bool] = lambda _: True
--- a/src/comfreylatch/_process/cell/ownership.py
+++ b/src/comfreylatch/_process/cell/ownership.py
@@ -330,6 +330,7 @@
             on_fenced,
             deps.clock,
             deps.jobs_reader.round_trips,
+            deps.store_limits,
         )
         if self._stopping.is_set():
             # Without a takeover: entering starts the append, leaving waits.
--- /dev/null
+++ b/src/comfreylatch/_process/cell/record_size/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps records and appends within the limits of the store."""
--- a/src/comfreylatch/_process/cell/records.py
+++ b/src/comfreylatch/_process/cell/records.py
@@ -2,9 +2,10 @@
 
 Every host reads the topic `jobs`: jobs, cancellations, states and the owner's
 heartbeat. A new owner reads the topic `work`: the progress of each job, the
-workers in use, learned models and maintenance waves. The topic `claims` has one
-partition for all cells, so that the offset of a claim is a fencing token that
-increases over all of them.
+workers in use, learned models and maintenance waves. Progress has the job's id
+as key; that of a large job has parts, too, whose keys begin with it. The topic
+`claims` has one partition for all cells, so that the offset of a claim is a
+fencing token that increases over all of them.
 """
 
 from __future__ import annotations
@@ -221,10 +222,13 @@
         steps: Progress of its steps.
         reserved_run: Run numbers up to this one may have been used; 0 if only
             those in the ranges of the owners' tokens.
+        ended: Ranges of occurrences, first and last, of which all tasks are
+            done. Only in divided records, see `record_size.progress_parts`.
     """
 
     steps: tuple[StepProgress, ...]
     reserved_run: int = 0
+    ended: tuple[tuple[int, int], ...] = ()
 
 
 @attrs.frozen
--- a/src/comfreylatch/_process/cell/recovered_state.py
+++ b/src/comfreylatch/_process/cell/recovered_state.py
@@ -54,6 +54,7 @@
         known_workers: Workers that may have runs of a previous owner, by id.
         learned: Models that the previous owner has learned.
         waves: Waves of maintenance that it has recorded, by number.
+        progress_keys: Keys of the parts of progress that is divided, by job.
     """
 
     token: int
@@ -62,6 +63,7 @@
     known_workers: dict[str, KnownWorker]
     learned: records.LearnedRecord = records.LearnedRecord()
     waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
+    progress_keys: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     @property
     def leases_end_ms(self) -> int:
--- a/src/comfreylatch/_process/cell/runs.py
+++ b/src/comfreylatch/_process/cell/runs.py
@@ -463,26 +463,38 @@
     def restore(self, progress: records.ProgressRecord) -> None:
         """Restores the progress that a previous owner recorded."""
         self.reserved_run = progress.reserved_run
+        for first, last in progress.ended:
+            self._restore_ended(max(first, 0), last)
         for recorded in progress.steps:
-            if not 0 <= recorded.occurrence < self.occurrence_count:
-                continue
-            if recorded.occurrence not in self.steps:
-                self.create_occurrence(recorded.occurrence)
-            self._restore_crashes(recorded)
-            for index in recorded.done:
-                task = self.find(recorded.occurrence, recorded.step, index)
-                # Earlier versions recorded lasting tasks as done, too.
-                if task is not None and not task.step.spec.is_lasting:
-                    task.step.mark_done(task)
-            for index, failed_runs in recorded.failed_runs.items():
-                task = self.find(recorded.occurrence, recorded.step, index)
-                if task is not None:
-                    task.failed_runs = frozenset(failed_runs)
-            for index, checkpoint in recorded.checkpoints.items():
-                task = self.find(recorded.occurrence, recorded.step, index)
-                if task is not None:
-                    # Earlier versions recorded one for each member of a gang.
-                    task.keep_checkpoint(checkpoint)
+            if 0 <= recorded.occurrence < self.occurrence_count:
+                self._restore_step(recorded)
+
+    def _restore_step(self, recorded: records.StepProgress) -> None:
+        if recorded.occurrence not in self.steps:
+            self.create_occurrence(recorded.occurrence)
+        self._restore_crashes(recorded)
+        for index in recorded.done:
+            task = self.find(recorded.occurrence, recorded.step, index)
+            # Earlier versions recorded lasting tasks as done, too.
+            if task is not None and not task.step.spec.is_lasting:
+                task.step.mark_done(task)
+        for index, failed_runs in recorded.failed_runs.items():
+            task = self.find(recorded.occurrence, recorded.step, index)
+            if task is not None:
+                task.failed_runs = frozenset(failed_runs)
+        for index, checkpoint in recorded.checkpoints.items():
+            task = self.find(recorded.occurrence, recorded.step, index)
+            if task is not None:
+                # Earlier versions recorded one for each member of a gang.
+                task.keep_checkpoint(checkpoint)
+
+    def _restore_ended(self, first: int, last: int) -> None:
+        for occurrence in range(first, min(last + 1, self.occurrence_count)):
+            if occurrence not in self.steps:
+                self.create_occurrence(occurrence)
+            for step in self.steps[occurrence]:
+                for task in step.tasks:
+                    step.mark_done(task)
 
     def _restore_crashes(self, recorded: records.StepProgress) -> None:
         for index, crashes in recorded.crashes.items():
--- a/src/comfreylatch/_process/cell/takeover.py
+++ b/src/comfreylatch/_process/cell/takeover.py
@@ -14,6 +14,7 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell.carryover import former_leases
+from comfreylatch._process.cell.record_size import progress_parts
 
 CATCH_UP_TIMEOUT_MS = 3_000
 
@@ -24,7 +25,9 @@
 class _RecordedWork:
     """Records of the previous owner in the topic of work."""
 
-    progress: dict[str, records.ProgressRecord] = attrs.field(factory=dict)
+    progress: dict[str, dict[str, records.ProgressRecord]] = attrs.field(
+        factory=dict
+    )
     workers: records.WorkersRecord = records.WorkersRecord()
     learned: records.LearnedRecord = records.LearnedRecord()
     waves: dict[int, records.WaveRecord] = attrs.field(factory=dict)
@@ -79,10 +82,18 @@
     return recovered_state.RecoveredState(
         token,
         tuple(jobs),
-        work.progress,
+        {
+            job_id: progress_parts.merge(parts.values())
+            for job_id, parts in work.progress.items()
+        },
         known_workers,
         work.learned,
         work.waves,
+        {
+            job_id: tuple(key for key in parts if key != job_id)
+            for job_id, parts in work.progress.items()
+            if len(parts) > 1
+        },
     )
 
 
@@ -143,9 +154,9 @@
                     records.WaveRecord, record.value
                 )
             else:
-                work.progress[record.key] = records.decode(
-                    records.ProgressRecord, record.value
-                )
+                job_id = progress_parts.job_of(record.key)
+                progress = records.decode(records.ProgressRecord, record.value)
+                work.progress.setdefault(job_id, {})[record.key] = progress
         except records.BadRecordError as error:
             logs.warning(
                 _logger, "bad-record", key=record.key, detail=str(error)
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -35,6 +35,7 @@
 from comfreylatch._process.cell import reasons
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell.forwarding import forwarder
+from comfreylatch._process.cell.record_size import limits
 from comfreylatch._process.cell.sizing import worker_limit
 from comfreylatch.platform import advice
 from comfreylatch.platform import caller_handler
@@ -267,6 +268,10 @@
                 ),
                 guards_capacity=self._guards_capacity,
                 configured_services=lambda: self._configuration.services,
+                store_limits=limits.StoreLimits(
+                    int(settings.store.record_bytes),
+                    int(settings.store.append_bytes),
+                ),
                 max_workers=worker_limit.max_workers(
                     settings.limits.cpu_share * settings.limits.cores,
                     int(settings.limits.descriptors),
--- a/src/comfreylatch/platform/wire.py
+++ b/src/comfreylatch/platform/wire.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from comfreylatch._connection import json_nesting
+from comfreylatch._process.cell.record_size import limits
 
 # The largest integer up to which doubles are exact. Larger numbers can't be
 # added up without errors, nor stored in records.
@@ -373,12 +374,19 @@
 class StoreSettings(
     msgspec.Struct,
     frozen=True,
-    rename={"address": "Address", "partitions": "parts"},
+    rename={
+        "address": "Address",
+        "partitions": "parts",
+        "record_bytes": "RecordBytes",
+        "append_bytes": "RequestBytes",
+    },
 ):
-    """Address of the store and the number of partitions per topic."""
+    """Address of the store, the number of partitions per topic, and limits."""
 
     address: str
     partitions: int = 1
+    record_bytes: _Count = limits.StoreLimits().record_bytes
+    append_bytes: _Count = limits.StoreLimits().append_bytes
 
 
 class Limits(
--- a/testing/fakes/record_store.py
+++ b/testing/fakes/record_store.py
@@ -14,6 +14,9 @@
 
 # An append is turned away when more work than this is waiting.
 MAX_QUEUED_S = 2.0
+# As on the platform, of a record and of an append.
+RECORD_BYTES = 262_144
+REQUEST_BYTES = 2_097_152
 
 
 @attrs.define
@@ -108,6 +111,11 @@
         with self._changed:
             if self.is_down:
                 return result.Err(store_port.StoreUnavailable("down"))
+            sizes = [_size(record) for record in records]
+            if max(sizes, default=0) > RECORD_BYTES or sum(sizes) > (
+                REQUEST_BYTES
+            ):
+                return result.Err(store_port.StoreUnavailable("too long"))
             stored = self._partition(topic, partition)
             end = len(stored.records)
             if at_offset is not None and at_offset != end:
@@ -208,6 +216,10 @@
         return [record.key for record in stored.records]
 
 
+def _size(record: store_port.NewRecord) -> int:
+    return 5 + len(record.key.encode()) + len(record.value or b"")
+
+
 def _check_producer(
     stored: _Partition, producer: store_port.Producer, has_records: bool
 ) -> result.Err[store_port.AppendError] | None:
--- /dev/null
+++ b/tests/process/cell/record_size/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of limits on the size of records and appends."""
--- a/tests/process/cell/test_fenced_writer.py
+++ b/tests/process/cell/test_fenced_writer.py
@@ -17,6 +17,7 @@
 from comfreylatch._process.cell import claiming
 from comfreylatch._process.cell import fenced_writer as fenced_writer_module
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell.record_size import limits
 from testing.fakes import clock as fake_clock
 from testing.fakes import record_store
 
@@ -227,6 +228,43 @@
         self.assertEqual(1, offset)
         self.assertFalse(self.fenced.is_set())
 
+    # Guards against a batch that the store refuses for ever, with the heartbeat
+    # behind it.
+    def test_batch_longer_than_an_append_is_divided(self) -> None:
+        writer = fenced_writer_module.FencedWriter(
+            self.store,
+            0,
+            records.HeartbeatRecord("bole-1", "boot", 1),
+            lambda _: self.fenced.set(),
+            clock_port.SystemClock(),
+            limits=limits.StoreLimits(append_bytes=1_000),
+        )
+        values = {f"state/{number}": b"x" * 500 for number in range(4)}
+        is_stored = threading.Event()
+        with writer:
+            writer.fence()
+            appends = self.store.appends
+            writer.write(values, {}, [is_stored.set])
+            self.assertTrue(is_stored.wait(WAIT_S))
+            self.assertLessEqual(4, self.store.appends - appends)
+        self.assertTrue(
+            set(values) <= set(self.store.keys(records.JOBS_TOPIC, 0))
+        )
+
+    # A batch may take several appends, of which the last ones may be missing.
+    def test_records_are_appended_in_the_order_of_their_last_write(
+        self,
+    ) -> None:
+        writer = self.make_writer(1)
+        writer.fence()
+        writer.write({}, {"job": b"1", "other": b"1"}, [])
+        writer.write({}, {"job/part": b"2", "job": b"2"}, [])
+        writer._write_batch(writer._pending)
+        self.assertEqual(
+            ["other", "job/part", "job"],
+            self.store.keys(records.WORK_TOPIC, 0),
+        )
+
     def test_first_tries_of_an_append_are_short(self) -> None:
         # Two lost answers in a row kept the owner from writing for longer than
         # OWNER_TIMEOUT_MS, so that it lost the cell.
--- a/tests/process/cell/test_job_table.py
+++ b/tests/process/cell/test_job_table.py
@@ -11,6 +11,7 @@
 from comfreylatch._process.cell import worker_session
 from comfreylatch._process.cell.planning import clearing
 from comfreylatch._process.cell.succession import exclusive_reports
+from testing.fakes import record_store
 from tests.process.cell import harness
 
 # How long a call of a previous owner may still wait at a worker.
@@ -163,3 +164,43 @@
         restored = new_owner.jobs.add(spec, 1_000, progress)
         self.assertEqual([0, 1], sorted(restored.steps))
         self.assertFalse(restored.is_complete)
+
+
+class RecordSizeTest(testtools.TestCase):
+    """Records of large jobs, which the store refuses if they are too long."""
+
+    # Guards against owners that repeat a refused append for ever: a rack
+    # crashes under a wide step.
+    def test_progress_of_a_wide_step_fits(self) -> None:
+        cell = harness.Cell()
+        job = cell.submit(harness.job(harness.step(860)))
+        crash = records.CrashRecord(1, "i-652d1146", 1, "10.200.1.7:8169", 500)
+        for task in job.steps[0][0].tasks:
+            task.crashes = (crash,)
+            task.trial = records.TrialRecord(
+                2, crash.worker_id, 1, crash.machine, 500, True, False, 1
+            )
+        cell.jobs.mark_changed(job)
+        self.assert_fits(cell)
+
+    # Guards against the same by the occurrences of a job that repeats.
+    def test_progress_of_many_occurrences_fits(self) -> None:
+        cell = harness.Cell()
+        spec = harness.job(
+            *(harness.step() for _ in range(4)),
+            repetitions=2_000,
+            first_due_ms=harness.START_MS,
+            interval_ms=1,
+        )
+        job = cell.submit(spec)
+        cell.clock.advance(800)
+        cell.jobs.create_due_occurrences()
+        for instance in list(job.all_steps()):
+            cell.jobs.mark_done(instance.tasks[0])
+        self.assert_fits(cell)
+
+    def assert_fits(self, cell: harness.Cell) -> None:
+        """Checks the length of the records to be written."""
+        for key, value in cell.jobs.drain_writes().work.items():
+            size = len(key) + len(value or b"")
+            self.assertLess(size, record_store.RECORD_BYTES)
--- a/tests/process/cell/test_takeover.py
+++ b/tests/process/cell/test_takeover.py
@@ -28,6 +28,7 @@
     partition_reader as partition_reader_module,
 )
 from comfreylatch._process.cell import records
+from comfreylatch._process.cell import recovered_state
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell import takeover
 from testing.fakes import cell_workers as fake_workers
@@ -526,6 +527,37 @@
             )
         self.assertEqual(learned, recovered.learned)
 
+    def test_divided_progress_is_recovered(self) -> None:
+        self.append_work(ID, records.ProgressRecord((), 7))
+        for index in (3, 70):
+            step = records.StepProgress(0, 0, (index,))
+            key = f"{ID}/0.0.{index // 32}"
+            self.append_work(key, records.ProgressRecord((step,)))
+        recovered = self.take_over_from_store()
+        progress = recovered.progress[ID]
+        self.assertEqual([(3,), (70,)], [step.done for step in progress.steps])
+        self.assertEqual(7, progress.reserved_run)
+        self.assertEqual(
+            (f"{ID}/0.0.0", f"{ID}/0.0.2"), recovered.progress_keys[ID]
+        )
+
+    def append_work(self, key: str, record: object) -> None:
+        """Stores a record of a previous owner."""
+        new_record = store_port.NewRecord(key, records.encode(record))
+        self.store.append(records.WORK_TOPIC, 0, (new_record,))
+
+    def take_over_from_store(self) -> recovered_state.RecoveredState:
+        """Returns what the second host recovers."""
+        heartbeat = records.HeartbeatRecord("two", "boot-two", 9)
+        with fenced_writer_module.FencedWriter(
+            self.second.store, 0, heartbeat, lambda _: None, self.second.clock
+        ) as writer:
+            recovered = takeover.take_over(
+                self.second.deps, self.second.identity, 9, writer, None
+            )
+        assert recovered is not None
+        return recovered
+
     def test_takeover_does_not_wait_for_workers_without_runs(self) -> None:
         # Guards against waiting for workers that can't have runs: machines in
         # maintenance delayed the tasks of a new owner by the lease duration.
