Refuse submissions that are longer than a record at once

What callers saw: 503 with a Retry-After for a submission of some 2,000 steps or more, whatever they did, and for others that were handed in at the same moment, as the store refuses the append that contains all of them.

Fix: the length of a submission's record is compared with the store's limit before it is appended; a longer one is refused as bad-job with both figures.

The test fails on the source before: 503 in place of 400.

--- a/src/comfreylatch/platform/caller_handler.py
+++ b/src/comfreylatch/platform/caller_handler.py
@@ -17,6 +17,7 @@
 from comfreylatch._process.cell import records
 from comfreylatch._process.cell import specs
 from comfreylatch._process.cell.forwarding import forwarder
+from comfreylatch._process.cell.record_size import limits
 from comfreylatch.platform import configuration
 from comfreylatch.platform import wire
 
@@ -48,7 +49,9 @@
         request_forwarder: forwarder.Forwarder,
         metrics: metrics_module.Metrics,
         clock: clock_port.Clock,
+        max_job_bytes: int = limits.StoreLimits().value_bytes,
     ) -> None:
+        self._max_job_bytes = max_job_bytes
         self._get_configuration = get_configuration
         self._job_api = job_api
         self._forwarder = request_forwarder
@@ -125,6 +128,14 @@
                 reasons.Refusal.PAYLOAD_TOO_LONG,
                 f"payload of job {job_id} exceeds {MAX_PAYLOAD_BYTES} bytes",
             )
+        size = len(records.encode(spec))
+        if size > self._max_job_bytes:
+            return self._refuse(
+                400,
+                reasons.Refusal.BAD_JOB,
+                f"record of job {job_id} takes {size} bytes, over the limit of "
+                f"{self._max_job_bytes}",
+            )
         is_known = self._job_api.is_known(job_id)
         if not is_known and not self._job_api.is_store_reachable:
             # The store may answer too late to pass the request on after it.
--- a/src/comfreylatch/platform/host.py
+++ b/src/comfreylatch/platform/host.py
@@ -153,6 +153,9 @@
         self._clock = clock_port.SystemClock()
         self._metrics = metrics_module.Metrics()
         self._store = store.StoreClient(settings.store.address)
+        self._store_limits = limits.StoreLimits(
+            int(settings.store.record_bytes), int(settings.store.append_bytes)
+        )
         self._configuration = views.ConfigurationView()
         self._waves = views.WavesView()
         self._evacuations = views.EvacuationsView()
@@ -268,10 +271,7 @@
                 ),
                 guards_capacity=self._guards_capacity,
                 configured_services=lambda: self._configuration.services,
-                store_limits=limits.StoreLimits(
-                    int(settings.store.record_bytes),
-                    int(settings.store.append_bytes),
-                ),
+                store_limits=self._store_limits,
                 max_workers=worker_limit.max_workers(
                     settings.limits.cpu_share * settings.limits.cores,
                     int(settings.limits.descriptors),
@@ -307,6 +307,7 @@
             ),
             self._metrics,
             self._clock,
+            self._store_limits.value_bytes,
         )
         return http_server.HttpServer(
             self._settings.listen.callers,
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -131,6 +131,15 @@
         self.other.store.turns_away = True
         self.wait_for(lambda: self.other.reader.reachable_ms == 0)
 
+    # Guards against a submission that the store can never take, which was
+    # answered as if the store were away.
+    def test_job_longer_than_a_record_is_refused_at_once(self) -> None:
+        steps = [{"TaskCount": 1, "CpuMillicores": 100}] * 3_000
+        body = json.dumps({"Specification": "text", "JobSteps": steps})
+        reply = self.owner.ask("POST", body)
+        self.assertEqual(400, reply.status)
+        self.assertIn(b"over the limit", reply.body)
+
     def wait_for(self, condition: Any) -> None:
         """Waits until a condition is true."""
         deadline_s = time.monotonic() + WAIT_S
